--- /dev/null
+++ b/src/yuccashift/peer/peer.thrift
@@ -0,0 +1,148 @@
+// Messages between instances. Each travels as one length-prefixed Frame in
+// Thrift's compact protocol. Regenerate with tools/generate after a change.
+namespace cpp yuccashift.wire
+
+// First message in each direction; proof authenticates with the shared key.
+struct Hello {
+  1: string instance
+  2: i64 incarnation
+  3: binary nonce
+  4: binary proof
+}
+
+// Where an instance is and how it is reached.
+struct Member {
+  1: string instance
+  2: i64 incarnation
+  3: string region
+  4: string datacentre
+  5: string callerEndpoint
+  6: string peerEndpoint
+  7: bool draining
+}
+
+struct DocumentRevision {
+  1: string serviceName
+  2: i64 revision
+}
+
+// The text of one accepted document.
+struct DocumentText {
+  1: string serviceName
+  2: i64 revision
+  3: string text
+}
+
+// Load of one backend server as its watcher in the region saw it.
+struct BackendLoad {
+  1: i64 backend       // hash of service and name
+  2: i32 running
+  3: i32 waiting
+  4: i32 queuedTokens
+  5: i32 ageMs
+  6: i32 decodeTokensPerSecond
+  7: bool leaving
+}
+
+// One region and service, for other regions.
+struct RegionSummary {
+  1: string region
+  2: string serviceName
+  3: i32 slots
+  4: i32 busySlots
+  5: i32 queueWaitMs
+  6: i32 ageMs
+}
+
+// Use of one organisation's limit by the sender.
+struct Demand {
+  1: i64 organisation  // hash of service and organisation
+  2: i32 requestsPerSecond
+  3: i32 tokensPerSecond
+}
+
+struct QuarantineEntry {
+  1: i64 fingerprint
+  2: i32 crashes
+  3: i32 remainingMs
+}
+
+struct Heartbeat {
+  1: Member sender
+  2: i64 sequence
+  3: i64 revisionDigest
+  4: list<DocumentRevision> revisions
+  5: list<BackendLoad> loads
+  6: list<RegionSummary> summaries
+  7: list<Demand> demands
+  8: list<QuarantineEntry> quarantine
+  9: list<Member> members
+}
+
+// Asks for the documents that are newer than these revisions.
+struct DocumentPull {
+  1: list<DocumentRevision> held
+}
+
+struct DocumentPush {
+  1: list<DocumentText> documents
+}
+
+struct Header {
+  1: string name
+  2: string value
+}
+
+// A caller's request on its way to the executing instance.
+struct Forward {
+  1: string serviceName
+  2: string route
+  3: string organisation
+  4: string method
+  5: string target
+  6: list<Header> headers
+  7: binary body
+  8: string key
+  9: i32 remainingMs
+  10: string originInstance
+  11: string originRegion
+  12: i32 regionHops
+  13: i32 localHops
+  14: string traceparent
+  15: i64 revision
+}
+
+struct AnswerHead {
+  1: i32 status
+  2: list<Header> headers
+}
+
+struct AnswerChunk {
+  1: i64 offset
+  2: binary data
+}
+
+// Ends an answer; the code is empty where the answer is whole.
+struct AnswerEnd {
+  1: string errorCode
+  2: string detail
+  3: i32 runState
+  4: i64 length
+}
+
+struct Cancel {
+}
+
+// Exactly one of the optional fields is set. Stream 0 carries control.
+struct Frame {
+  1: i64 stream
+  2: optional Hello hello
+  3: optional Heartbeat heartbeat
+  4: optional DocumentPull documentPull
+  5: optional DocumentPush documentPush
+  6: optional Forward forward
+  7: optional AnswerHead answerHead
+  8: optional AnswerChunk answerChunk
+  9: optional AnswerEnd answerEnd
+  10: optional Cancel cancel
+}
