Follow server-sent events token by token

Cause: a stream may be cut anywhere, resumed elsewhere, doubled or end without its mark; the data path needs the exact offset and whole events. Change: SseTracker forwards only whole events, counts tokens, checks their indices and drops those forwarded before.

--- /dev/null
+++ b/src/yuccashift/answers/sse_tracker.cpp
@@ -0,0 +1,144 @@
+#include "yuccashift/answers/sse_tracker.hpp"
+
+#include <charconv>
+#include <optional>
+
+namespace yuccashift {
+
+namespace {
+
+    constexpr std::string_view endMark = "[DONE]";
+
+    std::string_view withoutCarriageReturn(std::string_view line)
+    {
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        return line;
+    }
+
+    std::string_view trimLeft(std::string_view text)
+    {
+        const auto start = text.find_first_not_of(" \t");
+        return start == std::string_view::npos ? std::string_view {} : text.substr(start);
+    }
+
+    // The payload of the event's first data line; other fields and comments have none.
+    std::optional<std::string_view> dataOf(std::string_view event)
+    {
+        constexpr std::string_view field = "data:";
+        while (!event.empty()) {
+            const auto end = event.find('\n');
+            const auto line = withoutCarriageReturn(event.substr(0, end));
+            if (line.starts_with(field))
+                return trimLeft(line.substr(field.size()));
+            event = end == std::string_view::npos ? std::string_view {} : event.substr(end + 1);
+        }
+        return std::nullopt;
+    }
+
+    // Quotes inside JSON strings are escaped, so this text can only be a key.
+    std::optional<std::uint64_t> tokenIndexOf(std::string_view payload)
+    {
+        constexpr std::string_view key = "\"token_index\":";
+        const auto position = payload.find(key);
+        if (position == std::string_view::npos)
+            return std::nullopt;
+        const auto digits = trimLeft(payload.substr(position + key.size()));
+        std::uint64_t index = 0;
+        const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), index);
+        return ec == std::errc {} ? std::optional(index) : std::nullopt;
+    }
+
+} // namespace
+
+SseTracker::SseTracker(std::size_t maxEventBytes)
+    : m_maxEventBytes(maxEventBytes)
+{
+}
+
+Result<void> SseTracker::feed(std::string_view chunk, std::string& whole)
+{
+    if (m_failed)
+        return fail(ErrorKind::AnswerIncomplete, "the stream failed before");
+    if (m_done)
+        return {};
+    m_pending.append(chunk);
+    return scan(whole);
+}
+
+void SseTracker::resume()
+{
+    m_pending.clear();
+    m_lineStart = 0;
+    m_failed = false;
+    m_resumed = true;
+}
+
+Result<void> SseTracker::scan(std::string& whole)
+{
+    std::size_t eventStart = 0;
+    while (!m_done) {
+        const auto lineEnd = m_pending.find('\n', m_lineStart);
+        if (lineEnd == std::string::npos)
+            break;
+        const std::string_view text = m_pending;
+        const auto line = withoutCarriageReturn(text.substr(m_lineStart, lineEnd - m_lineStart));
+        m_lineStart = lineEnd + 1;
+        if (!line.empty())
+            continue;
+        auto accepted = accept(text.substr(eventStart, m_lineStart - eventStart), whole);
+        if (!accepted)
+            return accepted;
+        eventStart = m_lineStart;
+    }
+    if (m_done) {
+        m_pending.clear();
+        return {};
+    }
+    m_pending.erase(0, eventStart);
+    m_lineStart -= eventStart;
+    if (m_pending.size() > m_maxEventBytes)
+        return giveUp("an event exceeds its bound");
+    return {};
+}
+
+Result<void> SseTracker::accept(std::string_view event, std::string& whole)
+{
+    if (event.size() > m_maxEventBytes)
+        return giveUp("an event exceeds its bound");
+    const auto payload = dataOf(event);
+    if (payload && payload->starts_with('{')) {
+        const auto next = isNextToken(*payload);
+        if (!next)
+            return tl::unexpected(next.error());
+        if (!*next)
+            return {};
+        ++m_tokens;
+    }
+    m_done = payload && *payload == endMark;
+    whole.append(event);
+    return {};
+}
+
+Result<bool> SseTracker::isNextToken(std::string_view payload)
+{
+    const auto index = tokenIndexOf(payload);
+    // Without indices a server that ignored the offset would go unnoticed.
+    if (!index && m_resumed)
+        return giveUp("a resumed stream does not number its tokens");
+    if (!index)
+        return true;
+    if (*index > m_tokens)
+        return giveUp("a token is missing");
+    return *index == m_tokens;
+}
+
+tl::unexpected<Error> SseTracker::giveUp(std::string detail)
+{
+    m_failed = true;
+    m_pending.clear();
+    m_lineStart = 0;
+    return fail(ErrorKind::AnswerIncomplete, std::move(detail));
+}
+
+} // namespace yuccashift
