--- /dev/null
+++ b/benchmarks/capacity/page.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "benchmarks/capacity/model.hpp"
+
+#include <string>
+
+namespace yuccashift::capacity {
+
+/** The whole text of docs/CAPACITY.md; the same input gives the same bytes. */
+std::string renderPage(const Model&, const Slopes&);
+
+} // namespace yuccashift::capacity
