--- /dev/null
+++ b/src/yuccashift/limits/shared_limits.cpp
@@ -0,0 +1,173 @@
+#include "yuccashift/limits/shared_limits.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace yuccashift {
+namespace {
+
+    /** Time over which rates are smoothed. */
+    constexpr double rateWindow = 1.0;
+    /** Seconds of its share that an instance may use at once. */
+    constexpr double burstSeconds = 0.5;
+    /** Share of an even split that each instance holds without any demand, so that its first requests pass. */
+    constexpr double standbyShare = 0.1;
+
+} // namespace
+
+std::int64_t demandKey(const ServiceName& service, const OrganisationName& organisation)
+{
+    std::uint64_t hash = 0xcbf29ce484222325;
+    const auto mix = [&hash](const std::string& text) {
+        for (const char c : text) {
+            hash ^= static_cast<unsigned char>(c);
+            hash *= 0x100000001b3;
+        }
+    };
+    mix(service);
+    mix("\n");
+    mix(organisation);
+    return static_cast<std::int64_t>(hash);
+}
+
+void SharedLimits::Rate::add(double amount, Instant now)
+{
+    perSecond = value(now) + amount / rateWindow;
+    at = now;
+}
+
+double SharedLimits::Rate::value(Instant now) const
+{
+    if (perSecond == 0 || now <= at)
+        return perSecond;
+    return perSecond * std::exp(-std::chrono::duration<double>(now - at).count() / rateWindow);
+}
+
+SharedLimits::SharedLimits(InstanceId self)
+    : m_self(std::move(self))
+{
+}
+
+void SharedLimits::setInstances(std::span<const InstanceId> instances)
+{
+    m_instances = std::max<std::size_t>(1, instances.size());
+    m_entries.forEachShard([&](auto& shard) {
+        for (auto& [key, entry] : shard) {
+            std::erase_if(entry.peers, [&](const auto& peer) {
+                return std::find(instances.begin(), instances.end(), peer.first) == instances.end();
+            });
+        }
+    });
+}
+
+void SharedLimits::onPeerDemand(const InstanceId& peer, std::span<const DemandRate> demands, Instant now)
+{
+    std::unordered_map<std::int64_t, double> told;
+    for (const auto& demand : demands)
+        told[demand.key] = demand.requestsPerSecond;
+    for (const auto& demand : demands)
+        m_entries.withShard(demand.key, [&](auto& shard) { shard[demand.key].peers[peer] = { demand.requestsPerSecond, now }; });
+    // What a peer no longer mentions, it no longer asks for.
+    m_entries.forEachShard([&](auto& shard) {
+        for (auto& [key, entry] : shard) {
+            if (!told.contains(key))
+                entry.peers.erase(peer);
+        }
+    });
+}
+
+std::vector<DemandRate> SharedLimits::demands(std::size_t most, Instant now)
+{
+    constexpr double least = 0.01;
+    std::vector<DemandRate> rates;
+    m_entries.forEachShard([&](auto& shard) {
+        for (const auto& [key, entry] : shard) {
+            const double requests = entry.requests.value(now);
+            if (requests >= least)
+                rates.push_back({ key, requests, entry.tokens.value(now) });
+        }
+    });
+    std::sort(rates.begin(), rates.end(), [](const DemandRate& left, const DemandRate& right) { return left.requestsPerSecond > right.requestsPerSecond; });
+    rates.resize(std::min(most, rates.size()));
+    return rates;
+}
+
+double SharedLimits::shareOf(const Entry& entry, Instant now) const
+{
+    const double even = 1 / static_cast<double>(m_instances.load());
+    const double own = entry.requests.value(now);
+    double total = own;
+    for (const auto& [peer, demand] : entry.peers)
+        total += demand.requestsPerSecond;
+    if (total <= 0)
+        return even;
+    // The standby shares of all are set aside; demand divides the rest.
+    return even * standbyShare + (1 - standbyShare) * own / total;
+}
+
+void SharedLimits::refit(std::optional<TokenBucket>& bucket, double rate, Instant now)
+{
+    const double burst = std::max(1.0, rate * burstSeconds);
+    if (bucket)
+        bucket->setRate(rate, burst, now);
+    else
+        bucket.emplace(rate, burst, now);
+}
+
+Result<void> SharedLimits::admit(const ServiceName& service, const OrganisationSpec& organisation, Instant now)
+{
+    const auto& limits = organisation.limits;
+    const auto key = demandKey(service, organisation.name);
+    return m_entries.withShard(key, [&](auto& shard) -> Result<void> {
+        auto& entry = shard[key];
+        entry.requests.add(1, now);
+        const double share = shareOf(entry, now);
+        const auto refuse = [](const char* detail, Duration retryAfter) -> Result<void> {
+            Error error { ErrorKind::LimitExceeded, detail, std::nullopt, retryAfter };
+            return tl::unexpected<Error>(std::move(error));
+        };
+        if (limits.concurrency > 0 && entry.inProgress >= limits.concurrency)
+            return refuse("requests in progress", seconds(1));
+        if (limits.tokensPerSecond > 0) {
+            refit(entry.tokenBucket, limits.tokensPerSecond * share, now);
+            if (!entry.tokenBucket->tryTake(0, now))
+                return refuse("tokens per second", entry.tokenBucket->timeUntil(0, now));
+        }
+        if (limits.requestsPerSecond > 0) {
+            refit(entry.requestBucket, limits.requestsPerSecond * share, now);
+            if (!entry.requestBucket->tryTake(1, now))
+                return refuse("requests per second", entry.requestBucket->timeUntil(1, now));
+        }
+        ++entry.inProgress;
+        return {};
+    });
+}
+
+void SharedLimits::onTokens(const ServiceName& service, const OrganisationSpec& organisation, double tokens, Instant now)
+{
+    const auto key = demandKey(service, organisation.name);
+    m_entries.withShard(key, [&](auto& shard) {
+        auto& entry = shard[key];
+        entry.tokens.add(tokens, now);
+        if (entry.tokenBucket)
+            entry.tokenBucket->charge(tokens, now);
+    });
+}
+
+void SharedLimits::onFinish(const ServiceName& service, const OrganisationSpec& organisation)
+{
+    const auto key = demandKey(service, organisation.name);
+    m_entries.withShard(key, [&](auto& shard) {
+        auto& entry = shard[key];
+        if (entry.inProgress > 0)
+            --entry.inProgress;
+    });
+}
+
+double SharedLimits::share(const ServiceName& service, const OrganisationName& organisation, Instant now)
+{
+    const auto key = demandKey(service, organisation);
+    return m_entries.withShard(key, [&](auto& shard) { return shareOf(shard[key], now); });
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/routing/entry_policy.cpp
@@ -0,0 +1,102 @@
+#include "yuccashift/routing/entry_policy.hpp"
+
+#include "yuccashift/kernel/registry.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace yuccashift {
+
+EntryPolicy::~EntryPolicy() = default;
+
+namespace {
+
+    /** FNV-1a with a final mix: equal on every instance, unlike std::hash. */
+    std::uint64_t stableHash(std::string_view text)
+    {
+        std::uint64_t hash = 0xcbf29ce484222325;
+        for (const char c : text) {
+            hash ^= static_cast<unsigned char>(c);
+            hash *= 0x100000001b3;
+        }
+        hash ^= hash >> 33;
+        hash *= 0xff51afd7ed558ccd;
+        hash ^= hash >> 33;
+        hash *= 0xc4ceb9fe1a85ec53;
+        return hash ^ (hash >> 33);
+    }
+
+    /** Weighted rendezvous score; the largest wins, in proportion to capacity. */
+    double rendezvousScore(const std::string& caller, const EntryState& state)
+    {
+        constexpr double range = 18446744073709551616.0;
+        const double unit = (static_cast<double>(stableHash(caller + '\n' + state.instance)) + 1) / (range + 2);
+        return -std::max(state.capacity, 0.0) / std::log(unit);
+    }
+
+    enum class Nearness {
+        Datacentre,
+        Region,
+        Elsewhere,
+    };
+
+    struct Ranked {
+        std::size_t index = 0;
+        bool allowed = true;
+        Nearness nearness = Nearness::Elsewhere;
+        double score = 0;
+    };
+
+    bool before(const Ranked& left, const Ranked& right)
+    {
+        if (left.allowed != right.allowed)
+            return left.allowed;
+        // Data centres of one region are close: capacity decides among them.
+        const bool leftNear = left.nearness != Nearness::Elsewhere;
+        const bool rightNear = right.nearness != Nearness::Elsewhere;
+        if (leftNear != rightNear)
+            return leftNear;
+        return left.score > right.score;
+    }
+
+    /** Home regions first, then nearness, then a weighted rendezvous hash of the caller. */
+    class CapacityLocalityEntryPolicy final : public EntryPolicy {
+    public:
+        std::vector<std::size_t> rank(const EntryRequest& request, std::span<const EntryState> states) const override
+        {
+            std::vector<Ranked> ranked;
+            ranked.reserve(states.size());
+            for (std::size_t n = 0; n < states.size(); ++n) {
+                if (!states[n].draining && !states[n].suspect && states[n].capacity > 0)
+                    ranked.push_back(judge(request, states[n], n));
+            }
+            std::sort(ranked.begin(), ranked.end(), before);
+            ranked.resize(std::min(ranked.size(), request.count));
+            std::vector<std::size_t> indexes;
+            indexes.reserve(ranked.size());
+            for (const auto& entry : ranked)
+                indexes.push_back(entry.index);
+            return indexes;
+        }
+
+    private:
+        static Ranked judge(const EntryRequest& request, const EntryState& state, std::size_t index)
+        {
+            constexpr double datacentrePreference = 4;
+            Ranked ranked { index, true, Nearness::Elsewhere, rendezvousScore(request.caller, state) };
+            const auto& allowed = request.allowedRegions;
+            ranked.allowed = allowed.empty() || std::find(allowed.begin(), allowed.end(), state.region) != allowed.end();
+            if (state.region == request.region)
+                ranked.nearness = Nearness::Region;
+            if (ranked.nearness == Nearness::Region && state.datacentre == request.datacentre) {
+                ranked.nearness = Nearness::Datacentre;
+                ranked.score *= datacentrePreference;
+            }
+            return ranked;
+        }
+    };
+
+    const Registrar<EntryPolicy, CapacityLocalityEntryPolicy> registrar("capacity-locality");
+
+} // namespace
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/routing/expected_latency_backend.cpp
@@ -0,0 +1,82 @@
+#include "yuccashift/kernel/registry.hpp"
+#include "yuccashift/routing/eligibility.hpp"
+#include "yuccashift/routing/latency_model.hpp"
+#include "yuccashift/routing/policies.hpp"
+
+#include <algorithm>
+
+namespace yuccashift {
+namespace {
+
+    /** Estimates this close to the best count as ties. */
+    constexpr Duration tieWidth = milliseconds(2);
+    constexpr std::size_t fewestSampled = 4;
+
+    /**
+     * Candidates that are compared. With several senders on the same reports each
+     * compares a part only, so that they do not all pick the same server.
+     */
+    std::size_t sampleSize(const EligibleBackends& eligible, std::span<const BackendState> states)
+    {
+        const std::size_t count = eligible.indexes.size();
+        if (states[eligible.indexes.front()].senders <= 1)
+            return count;
+        return std::min(count, std::max(fewestSampled, count / 2));
+    }
+
+    void shuffleFront(std::vector<std::size_t>& indexes, std::size_t count, RandomSource& random)
+    {
+        for (std::size_t n = 0; n < count; ++n)
+            std::swap(indexes[n], indexes[n + random.below(indexes.size() - n)]);
+    }
+
+    /** Servers believed to hold some of the prompt come first: a sample must not miss the cache. */
+    std::size_t moveCachedFirst(std::vector<std::size_t>& indexes, std::span<const BackendState> states)
+    {
+        const auto end = std::stable_partition(indexes.begin(), indexes.end(),
+            [&](std::size_t n) { return states[n].cachedTokens > 0; });
+        return static_cast<std::size_t>(end - indexes.begin());
+    }
+
+    /** The fastest of the expected times, ties drawn at random. */
+    std::size_t pickFastest(std::span<const std::size_t> sample, std::span<const Candidate> candidates, RandomSource& random)
+    {
+        Duration best = Duration::max();
+        for (const auto n : sample)
+            best = std::min(best, *candidates[n].expected);
+        std::vector<std::size_t> ties;
+        for (const auto n : sample) {
+            if (*candidates[n].expected <= best + tieWidth)
+                ties.push_back(n);
+        }
+        return ties[random.below(ties.size())];
+    }
+
+    /** Shortest expected time to the answer's end. */
+    class ExpectedLatencyBackendPolicy final : public BackendPolicy {
+    public:
+        Decision choose(const RequestTraits& request, std::span<const BackendState> states, Instant now, RandomSource& random) const override
+        {
+            auto eligible = eligibleBackends(request, states);
+            Decision decision { std::nullopt, std::move(eligible.candidates) };
+            auto& indexes = eligible.indexes;
+            if (indexes.empty())
+                return decision;
+            const std::size_t size = sampleSize(eligible, states);
+            shuffleFront(indexes, indexes.size(), random);
+            const std::size_t sampled = std::max(size, moveCachedFirst(indexes, states));
+            const std::span sample(indexes.data(), std::min(sampled, indexes.size()));
+            for (const auto n : sample) {
+                decision.candidates[n].expected = estimateLatency(request, states[n], now).total();
+                decision.candidates[n].reason = RejectReason::Costlier;
+            }
+            decision.chosen = pickFastest(sample, decision.candidates, random);
+            decision.candidates[*decision.chosen].reason = RejectReason::None;
+            return decision;
+        }
+    };
+
+    const Registrar<BackendPolicy, ExpectedLatencyBackendPolicy> registrar("expected-latency");
+
+} // namespace
+} // namespace yuccashift
--- a/src/yuccashift/routing/types.hpp
+++ b/src/yuccashift/routing/types.hpp
@@ -51,10 +51,19 @@
     /** Requests and tokens this instance sent since the report was taken. */
     std::uint32_t ownSinceReport = 0;
     std::uint64_t ownTokensSinceReport = 0;
+    /** Requests of this instance that ended since the report was taken. */
+    std::uint32_t ownEndedSinceReport = 0;
     /** Requests of this instance in progress there. */
     std::uint32_t ownInFlight = 0;
     double prefillTokensPerSecond = 8000;
+    /** Tokens per second of one stream. */
     double decodeTokensPerSecond = 60;
+    /** Observed time over expected time of this instance's requests, smoothed. */
+    double slowdown = 1;
+    /** Smoothed time of one request; zero where none has ended. */
+    Duration meanService {};
+    /** Instances that send to it at the same time, this one included. */
+    std::uint32_t senders = 1;
     Duration roundTrip {};
     /** Prompt tokens of this request believed to be cached, already discounted. */
     std::uint32_t cachedTokens = 0;
@@ -74,6 +83,11 @@
     Duration summaryAge {};
     /** Requests sent there by this instance since the summary. */
     std::uint32_t ownSinceSummary = 0;
+    /** Instances that act on the same summary, this one included. */
+    std::uint32_t observers = 1;
+    /** Smoothed time for which a request holds a slot. */
+    Duration meanService {};
+    double prefillTokensPerSecond = 8000;
     /** Prompt tokens of this request believed to be cached there. */
     std::uint32_t cachedTokens = 0;
     /** When it became reachable again, for slow start. */
--- /dev/null
+++ b/tests/limits/shared_limits_test.cpp
@@ -0,0 +1,144 @@
+#include "yuccashift/limits/shared_limits.hpp"
+
+#include <gtest/gtest.h>
+#include <memory>
+
+namespace yuccashift {
+namespace {
+
+    /** Instances that exchange demands every second, or only within their side of a split. */
+    struct SharedLimitsOfAFleet : testing::Test {
+        static constexpr std::size_t count = 8;
+        static constexpr double limit = 400;
+
+        SharedLimitsOfAFleet()
+        {
+            organisation.name = "museum";
+            organisation.limits.requestsPerSecond = limit;
+            for (std::size_t n = 0; n < count; ++n)
+                names.push_back("entry-" + std::to_string(n));
+            for (const auto& name : names)
+                restart(name);
+        }
+
+        void restart(const InstanceId& name)
+        {
+            fleet[name] = std::make_unique<SharedLimits>(name);
+            fleet[name]->setInstances(names);
+        }
+
+        void exchange()
+        {
+            for (const auto& from : names) {
+                const auto demands = fleet[from]->demands(100, now);
+                for (const auto& to : names) {
+                    if (from != to && side(from) == side(to))
+                        fleet[to]->onPeerDemand(from, demands, now);
+                }
+            }
+        }
+
+        int side(const InstanceId& name) const { return split && name >= names[count / 2] ? 1 : 0; }
+
+        /** Offers this many requests per second at each instance; returns the rate admitted by all. */
+        double run(const std::vector<double>& offered, int seconds)
+        {
+            constexpr int steps = 1000;
+            double admitted = 0;
+            std::vector<double> due(count);
+            for (int step = 0; step < seconds * steps; ++step) {
+                if (step % steps == 0)
+                    exchange();
+                for (std::size_t n = 0; n < count; ++n) {
+                    for (due[n] += offered[n] / steps; due[n] >= 1; due[n] -= 1)
+                        admitted += fleet[names[n]]->admit("pass", organisation, now) ? 1 : 0;
+                }
+                now += milliseconds(1);
+            }
+            return admitted / seconds;
+        }
+
+        Instant now { seconds(100) };
+        OrganisationSpec organisation;
+        std::vector<InstanceId> names;
+        std::map<InstanceId, std::unique_ptr<SharedLimits>> fleet;
+        bool split = false;
+    };
+
+    TEST_F(SharedLimitsOfAFleet, FollowDemandWhereverItArrives)
+    {
+        const std::vector<double> evenly(count, 100);
+        run(evenly, 10);
+        EXPECT_NEAR(run(evenly, 10), limit, limit * 0.1);
+        std::vector<double> atOne(count, 0);
+        atOne[0] = 800;
+        run(atOne, 10);
+        EXPECT_GT(run(atOne, 10), limit * 0.85);
+    }
+
+    TEST_F(SharedLimitsOfAFleet, LetEverythingPassBelowTheLimit)
+    {
+        const std::vector<double> evenly(count, 30);
+        run(evenly, 5);
+        EXPECT_GT(run(evenly, 10), 8 * 30 * 0.95);
+    }
+
+    TEST_F(SharedLimitsOfAFleet, KeepTheSumWithinTheLimitWhileSplit)
+    {
+        std::vector<double> uneven { 300, 200, 100, 50, 300, 0, 10, 400 };
+        run(uneven, 10);
+        split = true;
+        const double admitted = run(uneven, 20);
+        EXPECT_LE(admitted, limit * 1.1);
+        EXPECT_GE(admitted, limit * 0.8);
+    }
+
+    TEST_F(SharedLimitsOfAFleet, ExceedTheLimitByABoundedAmountWhenInstancesAreReplaced)
+    {
+        const std::vector<double> evenly(count, 100);
+        run(evenly, 10);
+        double admitted = 0;
+        for (const auto& name : names) {
+            restart(name);
+            admitted += run(evenly, 2);
+        }
+        EXPECT_LE(admitted / static_cast<double>(count), limit * 1.5);
+    }
+
+    TEST_F(SharedLimitsOfAFleet, RefuseWithTheTimeToComeBack)
+    {
+        std::vector<double> atOne(count, 0);
+        atOne[0] = 2000;
+        run(atOne, 3);
+        Result<void> admitted;
+        for (int n = 0; n < 1000 && admitted; ++n)
+            admitted = fleet[names[0]]->admit("pass", organisation, now);
+        ASSERT_FALSE(admitted);
+        EXPECT_EQ(admitted.error().kind, ErrorKind::LimitExceeded);
+        EXPECT_GT(admitted.error().retryAfter.value(), Duration::zero());
+    }
+
+    TEST_F(SharedLimitsOfAFleet, BoundRequestsInProgress)
+    {
+        organisation.limits = { 0, 0, 2 };
+        auto& limits = *fleet[names[0]];
+        EXPECT_TRUE(limits.admit("pass", organisation, now));
+        EXPECT_TRUE(limits.admit("pass", organisation, now));
+        EXPECT_FALSE(limits.admit("pass", organisation, now));
+        limits.onFinish("pass", organisation);
+        EXPECT_TRUE(limits.admit("pass", organisation, now));
+    }
+
+    TEST_F(SharedLimitsOfAFleet, ChargeGeneratedTokensOnceTheyAreKnown)
+    {
+        organisation.limits = { 0, 80, 0 };
+        auto& limits = *fleet[names[0]];
+        ASSERT_TRUE(limits.admit("pass", organisation, now));
+        limits.onTokens("pass", organisation, 500, now);
+        EXPECT_FALSE(limits.admit("pass", organisation, now));
+        now += seconds(100);
+        EXPECT_TRUE(limits.admit("pass", organisation, now));
+    }
+
+} // namespace
+} // namespace yuccashift
