Bind answers to their streams and derive orders to engines

Cause: late, doubled, swapped or cut frames must never make an answer that looks whole, and paused or split owners must not contradict each other's orders to engines. Change: StreamLedger, planResume, desiredPlacement, Ownership, OrderPlanner and LoadPacer, all without I/O, with tables of fault cases.

--- /dev/null
+++ b/src/yuccashift/answers/resume_plan.cpp
@@ -0,0 +1,36 @@
+#include "yuccashift/answers/resume_plan.hpp"
+
+namespace yuccashift {
+
+namespace {
+
+    ResumePlan failWith(ErrorKind error)
+    {
+        return { ResumeAction::Fail, 0, error };
+    }
+
+    // Bytes already with the caller can only be continued, never replaced.
+    bool canBeJoined(const BrokenAnswer& answer)
+    {
+        return !answer.started || answer.tokenStream;
+    }
+
+} // namespace
+
+ResumePlan planResume(const BrokenAnswer& answer)
+{
+    if (!answer.idempotent || !canBeJoined(answer))
+        return failWith(answer.cause);
+    if (answer.remaining <= Duration::zero())
+        return failWith(ErrorKind::DeadlineExceeded);
+    if (answer.attempts >= answer.maxAttempts || !answer.budgetAllows)
+        return failWith(answer.cause);
+    // The same server still holds the KV cache of what it generated.
+    if (answer.sameServerFit && answer.tokenStream)
+        return { ResumeAction::SameServer, answer.tokens, answer.cause };
+    if (answer.otherServerFit)
+        return { ResumeAction::OtherServer, answer.tokens, answer.cause };
+    return failWith(answer.cause);
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/orders/order_planner.cpp
@@ -0,0 +1,137 @@
+#include "yuccashift/orders/order_planner.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace yuccashift {
+
+namespace {
+
+    EngineOrder makeOrder(const DesiredEngine& desired, OrderKind kind)
+    {
+        EngineOrder order;
+        order.kind = kind;
+        order.fence = desired.fence;
+        return order;
+    }
+
+    const ModelSpec* findVersion(const std::vector<ModelSpec>& models, const ModelSpec& wanted)
+    {
+        const auto it = std::ranges::find_if(models, [&](const ModelSpec& model) {
+            return model.name == wanted.name && model.version == wanted.version;
+        });
+        return it == models.end() ? nullptr : &*it;
+    }
+
+    bool hasAdapter(const ModelSpec& model, const std::string& adapter)
+    {
+        return std::ranges::find(model.adapters, adapter) != model.adapters.end();
+    }
+
+    void addLoads(const DesiredEngine& desired, const LoadReport& report, std::vector<EngineOrder>& orders)
+    {
+        for (const auto& model : desired.models) {
+            const auto* held = findVersion(report.models, model);
+            if (!held) {
+                auto order = makeOrder(desired, OrderKind::LoadModel);
+                order.model = model.name;
+                order.version = model.version;
+                orders.push_back(std::move(order));
+                continue;
+            }
+            for (const auto& adapter : model.adapters) {
+                if (hasAdapter(*held, adapter))
+                    continue;
+                auto order = makeOrder(desired, OrderKind::LoadAdapter);
+                order.model = model.name;
+                order.version = model.version;
+                order.adapter = adapter;
+                orders.push_back(std::move(order));
+            }
+        }
+    }
+
+    void addUnloads(const DesiredEngine& desired, const LoadReport& report, std::vector<EngineOrder>& orders)
+    {
+        for (const auto& held : report.models) {
+            if (findVersion(desired.models, held))
+                continue;
+            auto order = makeOrder(desired, OrderKind::UnloadModel);
+            order.model = held.name;
+            order.version = held.version;
+            orders.push_back(std::move(order));
+        }
+    }
+
+} // namespace
+
+std::vector<EngineOrder> missingOrders(const DesiredEngine& desired, const LoadReport& report)
+{
+    if (report.fence > desired.fence)
+        return {};
+    std::vector<EngineOrder> orders;
+    if (report.role != desired.role) {
+        orders.push_back(makeOrder(desired, OrderKind::SetRole));
+        orders.back().role = desired.role;
+    }
+    addLoads(desired, report, orders);
+    if (orders.empty() && !desired.shared)
+        addUnloads(desired, report, orders);
+    return orders;
+}
+
+OrderPlanner::OrderPlanner(OrderTiming timing)
+    : m_timing(timing)
+{
+}
+
+bool OrderPlanner::mayAct(const EngineView& view, std::optional<Instant> actingSince, Instant now) const
+{
+    return actingSince && view.readAt >= *actingSince && now - view.readAt <= m_timing.maxViewAge && !view.report.leaving;
+}
+
+Duration OrderPlanner::waitFor(const EngineKey& key, const std::vector<EngineOrder>& orders) const
+{
+    const auto it = m_given.find(key);
+    if (it == m_given.end() || it->second.orders != orders)
+        return m_timing.repairAfter;
+    return std::min(it->second.wait * 2, m_timing.maxRepairAfter);
+}
+
+std::vector<EngineOrder> OrderPlanner::next(const DesiredEngine& desired, const EngineView& view, std::optional<Instant> actingSince, Instant now)
+{
+    if (!mayAct(view, actingSince, now))
+        return {};
+    const EngineKey key { desired.service, desired.backend };
+    auto orders = missingOrders(desired, view.report);
+    if (orders.empty()) {
+        m_given.erase(key);
+        return {};
+    }
+    if (desired.fenceMode == FenceMode::Ignored)
+        orders.resize(1);
+    const auto it = m_given.find(key);
+    const bool isRepeat = it != m_given.end() && it->second.orders == orders;
+    if (isRepeat && now - it->second.at < it->second.wait)
+        return {};
+    // A report from before the last orders cannot show their effect yet.
+    if (it != m_given.end() && view.readAt <= it->second.at)
+        return {};
+    m_given[key] = { orders, now, waitFor(key, orders) };
+    return orders;
+}
+
+void OrderPlanner::withdraw(const DesiredEngine& desired)
+{
+    m_given.erase({ desired.service, desired.backend });
+}
+
+void OrderPlanner::retain(const std::vector<DesiredEngine>& placement)
+{
+    std::set<EngineKey> keys;
+    for (const auto& engine : placement)
+        keys.emplace(engine.service, engine.backend);
+    std::erase_if(m_given, [&](const auto& entry) { return !keys.contains(entry.first); });
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/orders/ownership.cpp
@@ -0,0 +1,82 @@
+#include "yuccashift/orders/ownership.hpp"
+
+#include <string_view>
+
+namespace yuccashift {
+
+namespace {
+
+    // FNV-1a with a final mix; the same on every instance, unlike std::hash.
+    std::uint64_t hashOf(std::string_view text, std::uint64_t hash)
+    {
+        constexpr std::uint64_t prime = 1099511628211ULL;
+        for (const char c : text)
+            hash = (hash ^ static_cast<unsigned char>(c)) * prime;
+        // A separator keeps ("a", "bc") apart from ("ab", "c").
+        return (hash ^ 0xffU) * prime;
+    }
+
+    std::uint64_t mix(std::uint64_t hash)
+    {
+        hash = (hash ^ (hash >> 33)) * 0xff51afd7ed558ccdULL;
+        hash = (hash ^ (hash >> 33)) * 0xc4ceb9fe1a85ec53ULL;
+        return hash ^ (hash >> 33);
+    }
+
+    std::uint64_t rank(const BackendKey& key, const InstanceId& instance)
+    {
+        constexpr std::uint64_t offsetBasis = 14695981039346656037ULL;
+        return mix(hashOf(instance, hashOf(key.backend, hashOf(key.service, offsetBasis))));
+    }
+
+} // namespace
+
+std::optional<InstanceId> ownerOf(const BackendKey& key, std::span<const OwnerCandidate> candidates)
+{
+    const OwnerCandidate* best = nullptr;
+    std::uint64_t bestRank = 0;
+    for (const auto& candidate : candidates) {
+        if (candidate.region != key.region)
+            continue;
+        const auto candidateRank = rank(key, candidate.instance);
+        const bool wins = !best || candidateRank > bestRank || (candidateRank == bestRank && candidate.instance < best->instance);
+        if (!wins)
+            continue;
+        best = &candidate;
+        bestRank = candidateRank;
+    }
+    return best ? std::optional(best->instance) : std::nullopt;
+}
+
+Ownership::Ownership(InstanceId self, OwnershipTiming timing)
+    : m_self(std::move(self))
+    , m_timing(timing)
+{
+}
+
+void Ownership::update(std::span<const BackendKey> backends, std::span<const OwnerCandidate> candidates, Instant now)
+{
+    const bool paused = m_updatedAt && now - *m_updatedAt > m_timing.maxGap;
+    if (paused)
+        m_ownedSince.clear();
+    std::map<BackendKey, Instant> owned;
+    for (const auto& key : backends) {
+        if (ownerOf(key, candidates) != m_self)
+            continue;
+        const auto it = m_ownedSince.find(key);
+        owned.emplace(key, it == m_ownedSince.end() ? now : it->second);
+    }
+    m_ownedSince = std::move(owned);
+    m_updatedAt = now;
+}
+
+std::optional<Instant> Ownership::actingSince(const BackendKey& key, Instant now) const
+{
+    const auto it = m_ownedSince.find(key);
+    if (it == m_ownedSince.end() || now - *m_updatedAt > m_timing.maxGap)
+        return std::nullopt;
+    const auto settledAt = it->second + m_timing.settling;
+    return now < settledAt ? std::nullopt : std::optional(settledAt);
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/orders/ownership.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "yuccashift/kernel/clock.hpp"
+#include "yuccashift/kernel/ids.hpp"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace yuccashift {
+
+/** A backend server, by the names that its document gives. */
+struct BackendKey {
+    ServiceName service;
+    BackendName backend;
+    RegionName region;
+
+    bool operator==(const BackendKey&) const = default;
+    bool operator<(const BackendKey& other) const { return std::tie(service, backend, region) < std::tie(other.service, other.backend, other.region); }
+};
+
+/** An instance that takes part in owning backend servers. */
+struct OwnerCandidate {
+    InstanceId instance;
+    RegionName region;
+};
+
+/**
+ * The instance that gives a backend server its orders: the highest
+ * rendezvous hash among the candidates of the server's region. Nothing where
+ * the region has none.
+ */
+std::optional<InstanceId> ownerOf(const BackendKey&, std::span<const OwnerCandidate>);
+
+/** Times that bound how soon an owner acts. */
+struct OwnershipTiming {
+    /** Ownership must have held this long without a break. */
+    Duration settling = seconds(5);
+    /** A longer silence between two views counts as a pause of the process. */
+    Duration maxGap = seconds(2);
+};
+
+/**
+ * Which backend servers this instance owns, and since when. A belief that was
+ * not renewed in time is worth nothing: after a pause ownership settles anew.
+ */
+class Ownership {
+public:
+    Ownership(InstanceId self, OwnershipTiming);
+
+    /** Takes the present view of live instances. Call it at least once per maxGap. */
+    void update(std::span<const BackendKey>, std::span<const OwnerCandidate>, Instant now);
+
+    /** Since when this instance may act for the server; nothing where it may not. */
+    std::optional<Instant> actingSince(const BackendKey&, Instant now) const;
+
+private:
+    InstanceId m_self;
+    OwnershipTiming m_timing;
+    std::optional<Instant> m_updatedAt;
+    std::map<BackendKey, Instant> m_ownedSince;
+};
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/orders/pacing.cpp
@@ -0,0 +1,32 @@
+#include "yuccashift/orders/pacing.hpp"
+
+#include <algorithm>
+
+namespace yuccashift {
+
+LoadPacer::LoadPacer(PacingRate rate)
+    : m_rate(rate)
+    , m_tokens(rate.burst)
+{
+}
+
+void LoadPacer::refill(std::uint32_t instancesInRegion, Instant now)
+{
+    const auto since = m_refilledAt.value_or(now);
+    m_refilledAt = std::max(since, now);
+    const auto minutes = std::chrono::duration<double, std::ratio<60>>(*m_refilledAt - since).count();
+    const auto share = m_rate.loadsPerMinute / std::max<std::uint32_t>(instancesInRegion, 1);
+    // The cap also covers a clock that jumped while the process slept.
+    m_tokens = std::min(m_rate.burst, m_tokens + minutes * share);
+}
+
+bool LoadPacer::tryStart(std::uint32_t instancesInRegion, Instant now)
+{
+    refill(instancesInRegion, now);
+    if (m_tokens < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/tests/answers/resume_plan_test.cpp
@@ -0,0 +1,56 @@
+#include "yuccashift/answers/resume_plan.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccashift {
+namespace {
+
+    BrokenAnswer resumable()
+    {
+        BrokenAnswer answer;
+        answer.idempotent = true;
+        answer.tokenStream = true;
+        answer.started = true;
+        answer.tokens = 7;
+        answer.maxAttempts = 3;
+        answer.budgetAllows = true;
+        answer.sameServerFit = true;
+        answer.otherServerFit = true;
+        answer.remaining = seconds(1);
+        return answer;
+    }
+
+    struct Case {
+        const char* name;
+        void (*change)(BrokenAnswer&);
+        ResumeAction action;
+        ErrorKind error;
+    };
+
+    const Case cases[] = {
+        { "goes on where it broke off", [](BrokenAnswer&) {}, ResumeAction::SameServer, ErrorKind::BackendLost },
+        { "moves when the server is gone", [](BrokenAnswer& it) { it.sameServerFit = false; }, ResumeAction::OtherServer, ErrorKind::BackendLost },
+        { "fails when no server is fit", [](BrokenAnswer& it) { it.sameServerFit = it.otherServerFit = false; }, ResumeAction::Fail, ErrorKind::BackendLost },
+        { "never sends non-idempotent work again", [](BrokenAnswer& it) { it.idempotent = false; }, ResumeAction::Fail, ErrorKind::BackendLost },
+        { "never joins bytes of a plain answer", [](BrokenAnswer& it) { it.tokenStream = false; }, ResumeAction::Fail, ErrorKind::BackendLost },
+        { "sends a plain request elsewhere before its first byte", [](BrokenAnswer& it) { it.tokenStream = it.started = false; it.tokens = 0; }, ResumeAction::OtherServer, ErrorKind::BackendLost },
+        { "keeps to the attempts", [](BrokenAnswer& it) { it.attempts = 3; }, ResumeAction::Fail, ErrorKind::BackendLost },
+        { "keeps to the budget", [](BrokenAnswer& it) { it.budgetAllows = false; }, ResumeAction::Fail, ErrorKind::BackendLost },
+        { "keeps to the deadline", [](BrokenAnswer& it) { it.remaining = Duration::zero(); }, ResumeAction::Fail, ErrorKind::DeadlineExceeded },
+        { "reports a missing end mark as such", [](BrokenAnswer& it) { it.cause = ErrorKind::AnswerIncomplete; it.attempts = 3; }, ResumeAction::Fail, ErrorKind::AnswerIncomplete },
+    };
+
+    TEST(ABrokenAnswer, GoesOnOnlyWhereThatIsSafe)
+    {
+        for (const auto& it : cases) {
+            auto answer = resumable();
+            it.change(answer);
+            const auto plan = planResume(answer);
+            EXPECT_EQ(plan.action, it.action) << it.name;
+            EXPECT_EQ(plan.error, it.error) << it.name;
+            EXPECT_EQ(plan.offset, plan.action == ResumeAction::Fail ? 0 : answer.tokens) << it.name;
+        }
+    }
+
+} // namespace
+} // namespace yuccashift
--- /dev/null
+++ b/tests/answers/stream_ledger_test.cpp
@@ -0,0 +1,110 @@
+#include "yuccashift/answers/stream_ledger.hpp"
+
+#include <gtest/gtest.h>
+#include <limits>
+
+namespace yuccashift {
+namespace {
+
+    struct AnAnswerInFrames : testing::Test {
+        StreamLedger ledger;
+        StreamId id = ledger.open();
+
+        void expectDelivered(const Result<FrameUse>& use) { EXPECT_TRUE(use && *use == FrameUse::Deliver); }
+        void expectDropped(const Result<FrameUse>& use) { EXPECT_TRUE(use && *use == FrameUse::Drop); }
+        void expectIncomplete(const Result<FrameUse>& use)
+        {
+            ASSERT_FALSE(use);
+            EXPECT_EQ(use.error().kind, ErrorKind::AnswerIncomplete);
+            EXPECT_FALSE(ledger.isOpen(id));
+        }
+    };
+
+    TEST_F(AnAnswerInFrames, IsWholeWhenEveryByteCameInItsPlace)
+    {
+        expectDelivered(ledger.onHead(id));
+        expectDelivered(ledger.onChunk(id, 0, 10));
+        expectDelivered(ledger.onChunk(id, 10, 5));
+        EXPECT_EQ(ledger.delivered(id), 15U);
+        expectDelivered(ledger.onEnd(id, 15));
+        EXPECT_EQ(ledger.openCount(), 0U);
+    }
+
+    TEST_F(AnAnswerInFrames, DropsWhatComesAfterItsEnd)
+    {
+        expectDelivered(ledger.onHead(id));
+        expectDelivered(ledger.onEnd(id, 0));
+        expectDropped(ledger.onHead(id));
+        expectDropped(ledger.onChunk(id, 0, 3));
+        expectDropped(ledger.onEnd(id, 0));
+    }
+
+    TEST_F(AnAnswerInFrames, DropsADoubledChunk)
+    {
+        expectDelivered(ledger.onHead(id));
+        expectDelivered(ledger.onChunk(id, 0, 10));
+        expectDropped(ledger.onChunk(id, 0, 10));
+        expectDropped(ledger.onChunk(id, 4, 2));
+        EXPECT_EQ(ledger.delivered(id), 10U);
+    }
+
+    TEST_F(AnAnswerInFrames, FailsOnASwappedChunk)
+    {
+        expectDelivered(ledger.onHead(id));
+        expectIncomplete(ledger.onChunk(id, 10, 5));
+        expectDropped(ledger.onChunk(id, 0, 10));
+    }
+
+    TEST_F(AnAnswerInFrames, FailsOnAChunkAcrossWhatWasDelivered)
+    {
+        expectDelivered(ledger.onHead(id));
+        expectDelivered(ledger.onChunk(id, 0, 10));
+        expectIncomplete(ledger.onChunk(id, 5, 10));
+    }
+
+    TEST_F(AnAnswerInFrames, FailsOnOffsetsThatWouldWrapAround)
+    {
+        expectDelivered(ledger.onHead(id));
+        expectDelivered(ledger.onChunk(id, 0, 10));
+        expectIncomplete(ledger.onChunk(id, 8, std::numeric_limits<std::uint64_t>::max()));
+    }
+
+    TEST_F(AnAnswerInFrames, FailsWithoutItsHead) { expectIncomplete(ledger.onChunk(id, 0, 1)); }
+
+    TEST_F(AnAnswerInFrames, FailsOnASecondHead)
+    {
+        expectDelivered(ledger.onHead(id));
+        expectIncomplete(ledger.onHead(id));
+    }
+
+    TEST_F(AnAnswerInFrames, FailsWhenTruncatedBeforeItsEndMark)
+    {
+        expectDelivered(ledger.onHead(id));
+        expectDelivered(ledger.onChunk(id, 0, 9));
+        expectIncomplete(ledger.onEnd(id, 10));
+    }
+
+    TEST_F(AnAnswerInFrames, NeverReachesTheNextRequestOverAReconnect)
+    {
+        expectDelivered(ledger.onHead(id));
+        EXPECT_EQ(ledger.reconnect(), std::vector { id });
+        const auto next = ledger.open();
+        EXPECT_NE(next.stream, id.stream);
+        expectDropped(ledger.onChunk(id, 0, 3));
+        expectDropped(ledger.onChunk({ id.connection, next.stream }, 0, 3));
+        expectDropped(ledger.onEnd({ id.connection, next.stream }, 0));
+        EXPECT_TRUE(ledger.isOpen(next));
+    }
+
+    TEST_F(AnAnswerInFrames, NeverReachesTheNextRequestAfterACancel)
+    {
+        ledger.close(id);
+        const auto next = ledger.open();
+        expectDropped(ledger.onHead(id));
+        expectDelivered(ledger.onHead(next));
+        expectDropped(ledger.onChunk(id, 0, 3));
+        EXPECT_EQ(ledger.delivered(next), 0U);
+    }
+
+} // namespace
+} // namespace yuccashift
