Bound the memory of believed prefix caches in all

Cause: each backend server that an instance ever sent to kept up to 4096 blocks, 303 kB measured, which makes 152 MB for the 500 servers of the mean region and 1515 MB for the 5000 of the largest (worked out), against 64 MB. Change: a second bound on all blocks together; a new server trims the others of its shard.

--- a/src/yuccashift/routing/cache_view.cpp
+++ b/src/yuccashift/routing/cache_view.cpp
@@ -11,11 +11,38 @@
 
 } // namespace
 
-CacheView::CacheView(std::size_t blocksPerBackend)
+CacheView::CacheView(std::size_t blocksPerBackend, std::size_t blocksInAll)
     : m_blocksPerBackend(blocksPerBackend)
+    , m_blocksInAll(blocksInAll)
 {
 }
 
+std::size_t CacheView::blocksAllowed() const
+{
+    const std::size_t even = m_blocksInAll / std::max<std::size_t>(1, m_viewCount);
+    return std::clamp<std::size_t>(even, 1, m_blocksPerBackend);
+}
+
+void CacheView::trim(View& view, std::size_t most)
+{
+    while (view.blocks.size() > most)
+        erase(view, view.order.front());
+}
+
+// Another backend server leaves less room for each: the shard's others are
+// trimmed at once, since one that is no longer used would never be touched.
+CacheView::View& CacheView::viewOf(Views::Shard& shard, const BackendKey& key)
+{
+    const auto [it, isNew] = shard.try_emplace(key);
+    if (isNew) {
+        ++m_viewCount;
+        const auto most = blocksAllowed();
+        for (auto& [other, view] : shard)
+            trim(view, most);
+    }
+    return it->second;
+}
+
 void CacheView::touch(View& view, std::uint64_t block) const
 {
     const auto it = view.blocks.find(block);
@@ -23,8 +50,7 @@
         view.order.splice(view.order.end(), view.order, it->second);
         return;
     }
-    if (view.blocks.size() >= m_blocksPerBackend)
-        erase(view, view.order.front());
+    trim(view, blocksAllowed() - 1);
     view.order.push_back(block);
     view.blocks.emplace(block, std::prev(view.order.end()));
 }
@@ -55,7 +81,7 @@
 void CacheView::onEvents(const BackendKey& key, std::span<const CacheEvent> events)
 {
     m_views.withShard(key, [&](auto& shard) {
-        auto& view = shard[key];
+        auto& view = viewOf(shard, key);
         for (const auto& event : events) {
             if (event.sequence <= view.sequence)
                 continue;
@@ -71,7 +97,7 @@
 void CacheView::onSent(const BackendKey& key, std::span<const std::uint64_t> blocks)
 {
     m_views.withShard(key, [&](auto& shard) {
-        auto& view = shard[key];
+        auto& view = viewOf(shard, key);
         for (const auto block : blocks)
             touch(view, block);
     });
@@ -79,7 +105,7 @@
 
 void CacheView::onLost(const BackendKey& key)
 {
-    m_views.withShard(key, [&](auto& shard) { shard.erase(key); });
+    m_views.withShard(key, [&](auto& shard) { m_viewCount -= shard.erase(key); });
 }
 
 std::uint32_t CacheView::cachedTokens(const BackendKey& key, std::span<const std::uint64_t> blocks, std::uint32_t blockTokens, double trustPercent)
@@ -115,4 +141,14 @@
     });
 }
 
+std::size_t CacheView::size()
+{
+    std::size_t sum = 0;
+    m_views.forEachShard([&](auto& shard) {
+        for (const auto& [key, view] : shard)
+            sum += view.blocks.size();
+    });
+    return sum;
+}
+
 } // namespace yuccashift
--- a/src/yuccashift/routing/cache_view.hpp
+++ b/src/yuccashift/routing/cache_view.hpp
@@ -5,6 +5,7 @@
 #include "yuccashift/platform/engine_control.hpp"
 #include "yuccashift/routing/backend_key.hpp"
 
+#include <atomic>
 #include <list>
 #include <span>
 #include <unordered_map>
@@ -13,12 +14,15 @@
 
 /**
  * What the prefix caches of backend servers are believed to hold, from events
- * that arrive late and with gaps. Memory is bounded per backend server.
+ * that arrive late and with gaps. Memory is bounded per backend server
+ * and in all.
  */
 class CacheView {
 public:
-    /** Keeps at most this many blocks for each backend server. */
-    explicit CacheView(std::size_t blocksPerBackend = 4096);
+    static constexpr std::size_t mostBlocksInAll = 1 << 17;
+
+    /** Keeps at most so many blocks for each backend server, and fewer where all together would exceed the second bound. */
+    explicit CacheView(std::size_t blocksPerBackend = 4096, std::size_t blocksInAll = mostBlocksInAll);
 
     /** Events of one backend server, oldest first; repeats and old ones are dropped. */
     void onEvents(const BackendKey&, std::span<const CacheEvent>);
@@ -33,6 +37,8 @@
     double eventCompleteness(const BackendKey&);
     /** Sequence number of the last event taken; the next poll starts after it. */
     std::uint64_t lastSequence(const BackendKey&);
+    /** Blocks held for all backend servers together. */
+    std::size_t size();
 
 private:
     struct View {
@@ -44,13 +50,20 @@
         double missed = 0;
     };
 
+    using Views = ShardedMap<BackendKey, View>;
+
+    View& viewOf(Views::Shard&, const BackendKey&);
+    std::size_t blocksAllowed() const;
+    static void trim(View&, std::size_t most);
     void touch(View&, std::uint64_t block) const;
     static void erase(View&, std::uint64_t block);
     static void countArrival(View&, std::uint64_t sequence);
     static double completeness(const View&);
 
     std::size_t m_blocksPerBackend;
-    ShardedMap<BackendKey, View> m_views;
+    std::size_t m_blocksInAll;
+    std::atomic<std::size_t> m_viewCount { 0 };
+    Views m_views;
 };
 
 } // namespace yuccashift
--- a/tests/routing/books_test.cpp
+++ b/tests/routing/books_test.cpp
@@ -200,6 +200,26 @@
         EXPECT_EQ(cached(), 0u);
     }
 
+    TEST(CacheViewOfManyServers, HoldsNoMoreThanItsBoundInAll)
+    {
+        constexpr std::size_t servers = 400;
+        constexpr std::size_t most = 2000;
+        CacheView view(1000, most);
+        std::vector<std::uint64_t> blocks(1500);
+        for (std::size_t n = 0; n < blocks.size(); ++n)
+            blocks[n] = n + 1;
+        for (std::size_t n = 0; n < servers; ++n)
+            view.onSent({ "assistant", "worker-" + std::to_string(n) }, blocks);
+        // Shards are trimmed when they gain a server, so they may lag a little.
+        EXPECT_LE(view.size(), most + most / 4);
+        EXPECT_GE(view.size(), servers);
+        // What was sent last is still believed for a server that is used again.
+        view.onSent({ "assistant", "worker-0" }, blocks);
+        EXPECT_EQ(view.cachedTokens({ "assistant", "worker-0" }, blocks, 1, 100), blocks.size());
+        view.onLost({ "assistant", "worker-0" });
+        EXPECT_EQ(view.cachedTokens({ "assistant", "worker-0" }, blocks, 1, 100), 0u);
+    }
+
     struct KvTransferBetweenServers : testing::Test {
         KvTransferBetweenServers()
         {
