--- /dev/null
+++ b/fuzzing/parsers_fuzz.cpp
@@ -0,0 +1,193 @@
+#include "fuzzing/support/check.hpp"
+#include "peer_types.h"
+#include "yuccashift/answers/sse_tracker.hpp"
+#include "yuccashift/document/parser.hpp"
+#include "yuccashift/kernel/settings.hpp"
+#include "yuccashift/peer/codec.hpp"
+
+#include <array>
+
+namespace yuccashift::fuzzing {
+namespace {
+
+    constexpr std::string_view documentText = R"(service: draft
+owner: tax
+revision: 3
+kind: model
+regions: [sofia, plovdiv]
+models:
+  - {name: m, version: "1", adapters: [tax]}
+backends:
+  - {name: b1, region: sofia, datacentre: sofia-hall, address: "127.0.0.1:9001", slots: 4, fence: ignored, models: [m]}
+routes:
+  - {name: redeem, path: /redeem, idempotent: false, priority: urgent, deadline_ms: 2000}
+organisations:
+  - name: museum
+    credential_sha256: ["0000000000000000000000000000000000000000000000000000000000000001"]
+    residency: [sofia]
+    limits: {requests_per_second: 50}
+retry: {attempts: 3, budget_percent: 10}
+)";
+
+    constexpr std::string_view settingsText = R"(instance: i1
+region: sofia
+datacentre: sofia-hall
+listen: {callers: "127.0.0.1:1", peers: "127.0.0.1:2", operators: "127.0.0.1:3"}
+platform: {config_service: "127.0.0.1:4", instance_list: "127.0.0.1:5"}
+peer_key: 0123456789abcdef0123
+operator_token: 0123456789abcdef0123
+threads: 2
+bounds: {connections: 10, keys: 100}
+)";
+
+    constexpr std::string_view eventsText = "data: {\"token_index\":0}\n\n: note\r\n\r\ndata: {\"token_index\":1}\n\ndata: [DONE]\n\n";
+
+    wire::Frame sampleFrame()
+    {
+        wire::Heartbeat heartbeat;
+        heartbeat.sender.instance = "i1";
+        heartbeat.sequence = 7;
+        heartbeat.revisions.resize(3);
+        heartbeat.loads.resize(4);
+        heartbeat.members.resize(2);
+        wire::Forward forward;
+        forward.serviceName = "draft";
+        forward.body = std::string(40, 'x');
+        forward.headers.resize(2);
+        wire::Frame frame;
+        frame.stream = 5;
+        frame.__set_heartbeat(heartbeat);
+        frame.__set_forward(forward);
+        return frame;
+    }
+
+    void cut(std::string& text, const Step& step)
+    {
+        text.erase(pick(step.a, text.size() + 1), pick(step.b, 12));
+    }
+
+    void overwrite(std::string& text, const Step& step)
+    {
+        if (!text.empty())
+            text[pick(step.a, text.size())] = static_cast<char>(step.b);
+    }
+
+    void insertWord(std::string& text, const Step& step)
+    {
+        constexpr std::array<std::string_view, 16> words { "\n", "  ", ":", "- ", "[", "{", "&a ", "*a ", "!!binary ", "\"", "-1", "1e99", "~", "\xff", "18446744073709551616", "data: " };
+        text.insert(pick(step.a, text.size() + 1), words[pick(step.b, words.size())]);
+    }
+
+    void repeatSlice(std::string& text, const Step& step)
+    {
+        const auto from = pick(step.a, text.size() + 1);
+        text.insert(pick(step.c, text.size() + 1), text.substr(from, pick(step.b, 60)));
+    }
+
+    std::string mutated(std::string text, std::span<const Step> steps)
+    {
+        constexpr std::array changes { &cut, &overwrite, &insertWord, &repeatSlice };
+        for (const auto& step : steps)
+            changes[pick(step.action, changes.size())](text, step);
+        return text;
+    }
+
+    std::optional<std::string> checkDocument(const std::string& text, std::string_view mutant)
+    {
+        auto first = parseDocument(text);
+        const auto second = parseDocument(text);
+        if (mutant == "a document is read differently" && first)
+            first->queueLimit += 1;
+        if (first.has_value() != second.has_value())
+            return "the same text was accepted once and refused once";
+        if (!first)
+            return first.error().empty() ? std::optional<std::string>("a refusal without a fault") : std::nullopt;
+        if (!(*first == *second))
+            return "the same text gave two documents";
+        if (first->service.empty() || first->revision == 0)
+            return "a document without its name or revision was accepted";
+        return std::nullopt;
+    }
+
+    constexpr std::size_t shortestSecret = 16;
+
+    std::optional<std::string> checkSettings(const std::string& text, std::string_view mutant)
+    {
+        auto settings = parseSettings(text);
+        if (mutant == "short secrets are accepted" && settings)
+            settings->peerKey.resize(shortestSecret / 2);
+        if (!settings)
+            return settings.error().empty() ? std::optional<std::string>("a refusal without a fault") : std::nullopt;
+        if (settings->instance.empty() || settings->peerKey.size() < shortestSecret)
+            return "settings without a name or with a short secret were accepted";
+        return std::nullopt;
+    }
+
+    std::optional<std::string> checkFrame(const std::string& bytes, std::string_view mutant)
+    {
+        const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+        const auto frame = decodeFrame({ data, bytes.size() });
+        if (!frame)
+            return frame.error().kind == ErrorKind::MalformedRequest ? std::nullopt : std::optional<std::string>("damage has another kind");
+        auto encoded = encodeFrame(*frame);
+        if (mutant == "a frame is cut when it is written")
+            encoded.pop_back();
+        const auto* body = reinterpret_cast<const std::uint8_t*>(encoded.data()) + frameLengthBytes;
+        const auto again = decodeFrame({ body, encoded.size() - frameLengthBytes });
+        if (!again || !(*again == *frame))
+            return "a frame changed when it was written and read";
+        return std::nullopt;
+    }
+
+    std::optional<std::string> checkEvents(const std::string& text, std::span<const Step> steps, std::string_view mutant)
+    {
+        constexpr std::size_t maxEventBytes = 64;
+        SseTracker whole(maxEventBytes);
+        SseTracker cut(mutant == "an event's bound is not kept" ? text.size() : maxEventBytes);
+        std::string expected;
+        std::string got;
+        const bool accepted = whole.feed(text, expected).has_value();
+        bool cutAccepted = true;
+        for (std::size_t n = 0; n < text.size();) {
+            const auto size = 1 + pick(steps[n % steps.size()].c, 20);
+            cutAccepted = cut.feed(std::string_view(text).substr(n, size), got).has_value() && cutAccepted;
+            n += size;
+            if (cut.pendingBytes() > maxEventBytes)
+                return "more was held back than the bound";
+        }
+        // A stream of one piece may be done before an overlong rest is seen.
+        if (accepted == cutAccepted && got != expected)
+            return "the same bytes gave other events when cut";
+        return std::nullopt;
+    }
+
+    /** Whatever comes from outside, damaged at random. Sanitizers watch these as well. */
+    class ParsersCheck final : public Check {
+    public:
+        std::vector<std::string> mutants() const override
+        {
+            return { "a document is read differently", "short secrets are accepted", "a frame is cut when it is written", "an event's bound is not kept" };
+        }
+
+        std::optional<std::string> run(std::span<const Step> steps, std::string_view mutant) override
+        {
+            if (steps.empty())
+                return std::nullopt;
+            const auto changes = steps.first(steps.size() / 4);
+            switch (pick(steps.back().a, 4)) {
+            case 0:
+                return checkDocument(mutated(std::string(documentText), changes), mutant);
+            case 1:
+                return checkSettings(mutated(std::string(settingsText), changes), mutant);
+            case 2:
+                return checkFrame(mutated(encodeFrame(sampleFrame()).substr(frameLengthBytes), changes), mutant);
+            default:
+                return checkEvents(mutated(std::string(eventsText), changes), steps, mutant);
+            }
+        }
+    };
+
+    const Registrar<Check, ParsersCheck> registered { "parsers" };
+
+} // namespace
+} // namespace yuccashift::fuzzing
