Add state modules: keys, documents, membership, quarantine

Cause: the data path and the fuzzers need the state that instances hold and exchange, without sockets and with the clock passed in. Change: minted idempotency keys with their table and routing; document store, route table, config spreading, choice of watchers; member table and coordinator with budgets for heartbeats; quarantine and pause detection. Peer messages gain a text hash, readiness, answers to pulls, the dead backend server of a quarantine record and regional demands. Thrift types can now be moved, so that document texts and chunks are not copied into frames.

--- /dev/null
+++ b/src/yuccashift/config/watcher_choice.cpp
@@ -0,0 +1,80 @@
+#include "yuccashift/config/watcher_choice.hpp"
+
+#include "yuccashift/kernel/hash.hpp"
+#include "yuccashift/kernel/random.hpp"
+#include "yuccashift/kernel/rendezvous.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace yuccashift {
+
+namespace {
+
+    std::uint64_t purposeOf(const RegionName& region)
+    {
+        const std::array<std::string_view, 2> parts { "config-watcher", region };
+        return hash64(parts);
+    }
+
+    // Enough for a listing and one text without a wait.
+    constexpr double burst = 2;
+
+} // namespace
+
+std::vector<InstanceId> chooseWatchers(const RegionName& region, std::span<const InstanceId> live, std::size_t count)
+{
+    return rendezvousTop(purposeOf(region), live, count);
+}
+
+bool isWatcher(const InstanceId& self, const RegionName& region, std::span<const InstanceId> live, std::size_t count)
+{
+    const auto watchers = chooseWatchers(region, live, count);
+    return std::ranges::find(watchers, self) != watchers.end();
+}
+
+Duration nextPollDelay(const PollTiming& timing, std::uint32_t failures, RandomSource& random)
+{
+    constexpr std::uint32_t mostDoublings = 16;
+    const auto backedOff = timing.interval * (std::int64_t { 1 } << std::min(failures, mostDoublings));
+    const auto longest = std::max(timing.interval, timing.longestBackOff);
+    const auto factor = 1 - timing.jitter + 2 * timing.jitter * random.unit();
+    return std::chrono::duration_cast<Duration>(std::min<Duration>(backedOff, longest) * factor);
+}
+
+ReadPacer::ReadPacer(Instant now, std::size_t fleet)
+    : m_fleet(std::max<std::size_t>(fleet, 1))
+    , m_refilledAt(now)
+{
+}
+
+void ReadPacer::setFleet(std::size_t instances)
+{
+    // A listing that is short by mistake must not raise everybody's rate.
+    m_fleet = std::max(instances, m_fleet / 2 + 1);
+}
+
+double ReadPacer::ratePerSecond() const
+{
+    return fleetReadsPerSecond * plannedReadShare / static_cast<double>(m_fleet);
+}
+
+void ReadPacer::refill(Instant now)
+{
+    const std::chrono::duration<double> elapsed = now - m_refilledAt;
+    m_tokens = std::min(burst, m_tokens + std::max(0.0, elapsed.count()) * ratePerSecond());
+    m_refilledAt = std::max(m_refilledAt, now);
+}
+
+Duration ReadPacer::reserve(Instant now)
+{
+    refill(now);
+    if (m_tokens >= 1) {
+        m_tokens -= 1;
+        return Duration::zero();
+    }
+    const std::chrono::duration<double> wait((1 - m_tokens) / ratePerSecond());
+    return std::chrono::ceil<milliseconds>(wait);
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/membership/heartbeat_budget.cpp
@@ -0,0 +1,62 @@
+#include "yuccashift/membership/heartbeat_budget.hpp"
+
+#include <algorithm>
+
+namespace yuccashift {
+
+namespace {
+
+    constexpr Duration intervalPerMember = milliseconds(40);
+    constexpr Duration shortestInterval = milliseconds(500);
+    constexpr Duration longestInterval = milliseconds(2000);
+
+    // Encoded bytes of one entry, rounded up.
+    constexpr std::size_t loadBytes = 26;
+    constexpr std::size_t summaryBytes = 36;
+    constexpr std::size_t demandBytes = 20;
+
+    // Most that a heartbeat carries however small the region is.
+    constexpr std::size_t mostEntryBytes = 4096;
+
+    std::size_t entriesWithin(double bytes, std::size_t entryBytes)
+    {
+        return std::max<std::size_t>(1, static_cast<std::size_t>(bytes) / entryBytes);
+    }
+
+} // namespace
+
+Duration heartbeatInterval(std::size_t regionMembers)
+{
+    return std::clamp<Duration>(intervalPerMember * static_cast<std::int64_t>(regionMembers), shortestInterval, longestInterval);
+}
+
+HeartbeatBudget regionBudget(std::size_t regionMembers)
+{
+    const std::chrono::duration<double> interval = heartbeatInterval(regionMembers);
+    const auto receivers = static_cast<double>(std::max<std::size_t>(regionMembers, 2) - 1);
+    const auto whole = regionBytesPerSecond * interval.count() / receivers;
+    const auto entries = std::clamp(whole - static_cast<double>(heartbeatBaseBytes), 0.0, static_cast<double>(mostEntryBytes));
+    HeartbeatBudget budget;
+    budget.loads = entriesWithin(entries * 0.5, loadBytes);
+    budget.summaries = entriesWithin(entries * 0.3, summaryBytes);
+    budget.demands = entriesWithin(entries * 0.1, demandBytes);
+    budget.regionDemands = entriesWithin(entries * 0.1, demandBytes);
+    // Rare, so they may exceed the budget for a moment.
+    budget.quarantine = 2;
+    budget.members = 2;
+    budget.revisions = 4;
+    return budget;
+}
+
+HeartbeatBudget crossRegionBudget()
+{
+    HeartbeatBudget budget;
+    budget.summaries = 24;
+    budget.regionDemands = 12;
+    budget.quarantine = 4;
+    budget.members = 8;
+    budget.revisions = 8;
+    return budget;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/membership/member_table.cpp
@@ -0,0 +1,273 @@
+#include "yuccashift/membership/member_table.hpp"
+
+#include "peer_types.h"
+#include "yuccashift/platform/instance_list.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace yuccashift {
+
+namespace {
+
+    // Each heartbeat goes to the whole region; a few repeat what a lost one carried.
+    constexpr std::uint32_t spreadsOfNews = 3;
+
+} // namespace
+
+std::string_view toString(Liveness liveness)
+{
+    switch (liveness) {
+    case Liveness::Alive:
+        return "alive";
+    case Liveness::Suspect:
+        return "suspect";
+    case Liveness::Draining:
+        return "draining";
+    case Liveness::Leaving:
+        return "leaving";
+    case Liveness::Gone:
+        break;
+    }
+    return "gone";
+}
+
+MemberTable::MemberTable(MemberInfo self, MembershipTiming timing)
+    : m_self(std::move(self))
+    , m_timing(timing)
+{
+}
+
+MemberState* MemberTable::findOrAdd(const InstanceId& instance, Instant now)
+{
+    const auto it = m_members.find(instance);
+    if (it != m_members.end())
+        return &it->second;
+    if (instance.empty() || m_members.size() >= maxMembers)
+        return nullptr;
+    auto& member = m_members[instance];
+    member.info.instance = instance;
+    member.knownAt = now;
+    member.changedAt = now;
+    return &member;
+}
+
+bool MemberTable::update(MemberState& member, const MemberInfo& info, Instant now)
+{
+    if (info.incarnation < member.info.incarnation)
+        return false;
+    const bool newRun = info.incarnation > member.info.incarnation;
+    if (newRun) {
+        member.info.incarnation = info.incarnation;
+        member.info.draining = false;
+        member.sequence = 0;
+        member.ready = false;
+    }
+    // Within one run draining is final, so a late message cannot take it back.
+    const bool newDrain = info.draining && !member.info.draining;
+    member.info.draining = member.info.draining || info.draining;
+    if (!info.region.empty()) {
+        member.info.region = info.region;
+        member.info.datacentre = info.datacentre;
+        member.info.callers = info.callers;
+        member.info.peers = info.peers;
+    }
+    if (!newRun && !newDrain)
+        return false;
+    member.changedAt = now;
+    return true;
+}
+
+bool MemberTable::onHeartbeat(const MemberInfo& info, const HeartbeatMark& mark, Instant now)
+{
+    if (info.instance == m_self.instance)
+        return false;
+    const bool known = m_members.contains(info.instance);
+    if (!known && info.region.empty())
+        return false;
+    auto* member = findOrAdd(info.instance, now);
+    if (member == nullptr || info.incarnation < member->info.incarnation)
+        return false;
+    update(*member, info, now);
+    if (mark.sequence <= member->sequence)
+        return false;
+    member->sequence = mark.sequence;
+    member->revisionDigest = mark.revisionDigest;
+    member->ready = mark.ready;
+    member->heardAt = now;
+    member->liveness = judge(*member, now);
+    return true;
+}
+
+bool MemberTable::onRelayed(const MemberInfo& info, bool passOn, Instant now)
+{
+    if (info.instance == m_self.instance) {
+        m_superseded = m_superseded || info.incarnation > m_self.incarnation;
+        return false;
+    }
+    const bool known = m_members.contains(info.instance);
+    if (!known && info.region.empty())
+        return false;
+    auto* member = findOrAdd(info.instance, now);
+    if (member == nullptr)
+        return false;
+    const bool news = update(*member, info, now);
+    if (news && passOn)
+        member->spreadsLeft = spreadsOfNews;
+    member->liveness = judge(*member, now);
+    return news;
+}
+
+void MemberTable::onListing(const Listing& listing, Instant now)
+{
+    m_hasListing = true;
+    for (auto& [instance, member] : m_members)
+        member.listed = false;
+    for (const auto& listed : listing.instances) {
+        if (listed.instance == m_self.instance)
+            continue;
+        auto* member = findOrAdd(listed.instance, now);
+        if (member == nullptr)
+            continue;
+        member->listed = true;
+        member->listedLeaving = listed.leaving;
+        member->knownAt = now;
+        // The list lags behind; what an instance says of itself goes before it.
+        if (member->info.incarnation == 0) {
+            member->info.region = listed.region;
+            member->info.datacentre = listed.datacentre;
+            member->info.callers = listed.callers;
+            member->info.peers = listed.peers;
+        }
+    }
+    refresh(now);
+}
+
+Liveness MemberTable::judge(const MemberState& member, Instant now) const
+{
+    const auto lastSign = std::max(member.heardAt.value_or(member.knownAt), member.knownAt);
+    if (!member.listed && m_hasListing && now - lastSign >= m_timing.goneAfter)
+        return Liveness::Gone;
+    if (member.info.draining)
+        return Liveness::Draining;
+    if (member.listedLeaving)
+        return Liveness::Leaving;
+    // Members of other regions send nothing here directly; their list and their
+    // region's summaries speak for them.
+    if (member.info.region != m_self.region)
+        return Liveness::Alive;
+    const bool heard = member.heardAt && now - *member.heardAt < m_timing.suspectAfter;
+    return heard ? Liveness::Alive : Liveness::Suspect;
+}
+
+void MemberTable::refresh(Instant now)
+{
+    for (auto it = m_members.begin(); it != m_members.end();) {
+        auto& member = it->second;
+        member.liveness = judge(member, now);
+        const auto lastSign = std::max(member.heardAt.value_or(member.knownAt), member.knownAt);
+        const bool forgotten = member.liveness == Liveness::Gone && now - lastSign >= m_timing.forgetAfter;
+        it = forgotten ? m_members.erase(it) : std::next(it);
+    }
+}
+
+void MemberTable::doubtAll(Instant now)
+{
+    for (auto& [instance, member] : m_members) {
+        member.heardAt.reset();
+        // The time spent paused is nobody else's silence.
+        member.knownAt = now;
+    }
+    refresh(now);
+}
+
+const MemberState* MemberTable::find(const InstanceId& instance) const
+{
+    const auto it = m_members.find(instance);
+    return it == m_members.end() ? nullptr : &it->second;
+}
+
+std::vector<InstanceId> MemberTable::candidates(const RegionName& region) const
+{
+    std::vector<InstanceId> instances;
+    for (const auto& [instance, member] : m_members) {
+        const bool usable = member.liveness != Liveness::Gone && member.liveness != Liveness::Leaving;
+        if (member.info.region == region && usable)
+            instances.push_back(instance);
+    }
+    return instances;
+}
+
+std::vector<InstanceId> MemberTable::liveInRegion() const
+{
+    std::vector<InstanceId> instances;
+    if (!m_self.draining)
+        instances.push_back(m_self.instance);
+    for (const auto& [instance, member] : m_members) {
+        if (member.info.region == m_self.region && member.liveness == Liveness::Alive)
+            instances.push_back(instance);
+    }
+    return instances;
+}
+
+std::vector<RegionName> MemberTable::otherRegions() const
+{
+    std::set<RegionName> regions;
+    for (const auto& [instance, member] : m_members) {
+        if (member.info.region != m_self.region && member.liveness != Liveness::Gone)
+            regions.insert(member.info.region);
+    }
+    regions.erase("");
+    return { regions.begin(), regions.end() };
+}
+
+std::vector<MemberInfo> MemberTable::takeNews(std::size_t limit)
+{
+    std::vector<MemberInfo> news;
+    for (auto& [instance, member] : m_members) {
+        if (news.size() >= limit)
+            break;
+        if (member.spreadsLeft == 0)
+            continue;
+        --member.spreadsLeft;
+        news.push_back(member.info);
+    }
+    return news;
+}
+
+std::vector<MemberInfo> MemberTable::changedSince(Instant since, std::size_t limit) const
+{
+    std::vector<MemberInfo> changed;
+    for (const auto& [instance, member] : m_members) {
+        if (changed.size() >= limit)
+            break;
+        if (member.changedAt >= since && member.info.incarnation != 0)
+            changed.push_back(member.info);
+    }
+    return changed;
+}
+
+wire::Member toWire(const MemberInfo& info)
+{
+    wire::Member member;
+    member.instance = info.instance;
+    member.incarnation = static_cast<std::int64_t>(info.incarnation);
+    member.region = info.region;
+    member.datacentre = info.datacentre;
+    if (info.callers.port != 0)
+        member.callerEndpoint = toString(info.callers);
+    if (info.peers.port != 0)
+        member.peerEndpoint = toString(info.peers);
+    member.draining = info.draining;
+    return member;
+}
+
+MemberInfo fromWire(const wire::Member& member)
+{
+    MemberInfo info { member.instance, static_cast<Incarnation>(member.incarnation), member.region, member.datacentre, {}, {}, member.draining };
+    parseEndpoint(member.callerEndpoint, info.callers);
+    parseEndpoint(member.peerEndpoint, info.peers);
+    return info;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/membership/outgoing.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "peer_types.h"
+#include "yuccashift/kernel/ids.hpp"
+
+#include <vector>
+
+namespace yuccashift {
+
+/** A control frame for another instance. */
+struct Outgoing {
+    InstanceId to;
+    wire::Frame frame;
+};
+
+using OutgoingFrames = std::vector<Outgoing>;
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/membership/region_links.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "yuccashift/kernel/ids.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace yuccashift {
+
+/** Instances of a region that speak to one other region. */
+constexpr std::size_t speakersPerRegionPair = 2;
+
+/**
+ * The instance of region `to` that `self` sends its region's news to, or
+ * nothing where others speak for it. Every pair of regions has speakers of its
+ * own, so the work is spread over all instances.
+ * @param live alive instances of region `from`
+ * @param remote instances of region `to` that may be running
+ * @param round counts heartbeats, so that a stopped receiver is not the only one tried
+ */
+std::optional<InstanceId> speakTo(const InstanceId& self, const RegionName& from, const RegionName& to,
+    std::span<const InstanceId> live, std::span<const InstanceId> remote, std::uint64_t round);
+
+} // namespace yuccashift
--- a/src/yuccashift/peer/peer.thrift
+++ b/src/yuccashift/peer/peer.thrift
@@ -24,6 +24,7 @@
 struct DocumentRevision {
   1: string serviceName
   2: i64 revision
+  3: i64 textHash      // tells apart two texts that carry the same revision
 }
 
 // The text of one accepted document.
@@ -61,10 +62,18 @@
   3: i32 tokensPerSecond
 }
 
+// Use of limits in one region, summed over its instances.
+struct RegionDemand {
+  1: string region
+  2: list<Demand> demands
+  3: i32 ageMs
+}
+
 struct QuarantineEntry {
   1: i64 fingerprint
   2: i32 crashes
   3: i32 remainingMs
+  4: i64 backend       // hash of the backend server that died
 }
 
 struct Heartbeat {
@@ -77,15 +86,19 @@
   7: list<Demand> demands
   8: list<QuarantineEntry> quarantine
   9: list<Member> members
+  10: bool ready       // the sender has asked its peers for their documents
+  11: list<RegionDemand> regionDemands
 }
 
 // Asks for the documents that are newer than these revisions.
 struct DocumentPull {
   1: list<DocumentRevision> held
+  2: bool complete     // held is everything; otherwise only those asked for
 }
 
 struct DocumentPush {
   1: list<DocumentText> documents
+  2: bool answer       // answers a pull, also when it is empty
 }
 
 struct Header {
--- /dev/null
+++ b/src/yuccashift/resilience/quarantine.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "yuccashift/kernel/clock.hpp"
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace yuccashift {
+
+/** A backend server died with this request in progress; spread to all instances. */
+struct CrashRecord {
+    /** requestFingerprint() of the request. */
+    std::uint64_t fingerprint = 0;
+    /** Hash of the backend server's service and name. */
+    std::uint64_t backend = 0;
+    /** Time for which the record still counts. */
+    Duration remaining {};
+};
+
+struct QuarantineBounds {
+    /** Deaths of backend servers after which a request is refused. */
+    std::uint32_t deaths = 2;
+    /** Time for which a death counts against a request. */
+    Duration expiry = std::chrono::minutes(10);
+    /** Reports of one backend server's death this close together are one death. */
+    Duration sameDeath = seconds(5);
+    /** Requests remembered at once; those with fewest deaths go first. */
+    std::size_t requests = 4096;
+    /** Records handed out for one heartbeat. */
+    std::size_t spreadRecords = 8;
+};
+
+/**
+ * Requests suspected of crashing backend servers. A request in progress at a
+ * death becomes a suspect; suspects run apart from each other; after two
+ * distinct deaths the request is refused everywhere until the records expire.
+ * Thread safe under one lock: it is asked once for each request and most
+ * answers come from an empty table.
+ */
+class Quarantine {
+public:
+    explicit Quarantine(QuarantineBounds = {});
+
+    /** A backend server died with these requests of this instance in progress. */
+    void onBackendDeath(std::uint64_t backend, std::span<const std::uint64_t> inProgress, Instant now);
+    /** The request ran to its end: earlier deaths were not its doing. */
+    void onSuccess(std::uint64_t fingerprint, Instant now);
+
+    /** Refuse with ErrorKind::Quarantined. */
+    bool isQuarantined(std::uint64_t fingerprint, Instant now) const;
+    /** A suspect must not share a backend server with another suspect. */
+    bool isSuspect(std::uint64_t fingerprint, Instant now) const;
+    /** Whether the request may start beside those in progress at a backend server. */
+    bool mayJoin(std::uint64_t fingerprint, std::span<const std::uint64_t> inProgress, Instant now) const;
+
+    /** Records for the next heartbeats, those least spread first. */
+    std::vector<CrashRecord> takeForSpread(Instant now, std::size_t limit);
+    /** Records that another instance spread. */
+    void merge(std::span<const CrashRecord>, Instant now);
+
+    void expire(Instant now);
+    std::size_t size() const;
+
+private:
+    struct Death {
+        std::uint64_t backend = 0;
+        Instant at;
+        /** How often it was handed out for spreading. */
+        std::uint32_t spreads = 0;
+    };
+
+    struct Suspect {
+        std::vector<Death> deaths;
+        /** Deaths up to here were not its doing. */
+        Instant clearedUntil {};
+    };
+
+    void add(std::uint64_t fingerprint, std::uint64_t backend, Instant at);
+    void makeRoom();
+    std::size_t countDeaths(std::uint64_t fingerprint, Instant now) const;
+
+    const QuarantineBounds m_bounds;
+    mutable std::mutex m_mutex;
+    std::unordered_map<std::uint64_t, Suspect> m_suspects;
+};
+
+} // namespace yuccashift
