Name the owned backend server apart from the routing key

Cause: two structs named BackendKey, in orders and routing, broke the one-definition rule for any unit that includes both. Change: the one in orders is RegionalBackend.

--- a/fuzzing/orders_fuzz.cpp
+++ b/fuzzing/orders_fuzz.cpp
@@ -183,7 +183,7 @@
             instance.ranAt = m_now;
             const auto view = liveAsSeenBy(instance);
             const auto placement = desiredPlacement(std::vector { documentOf(instance.revision) });
-            std::vector<BackendKey> keys;
+            std::vector<RegionalBackend> keys;
             keys.reserve(placement.size());
             for (const auto& engine : placement)
                 keys.push_back({ engine.service, engine.backend, engine.region });
@@ -202,7 +202,7 @@
             return live;
         }
 
-        void runEngine(Instance& instance, const DesiredEngine& desired, const BackendKey& key, std::size_t n)
+        void runEngine(Instance& instance, const DesiredEngine& desired, const RegionalBackend& key, std::size_t n)
         {
             auto& engine = m_engines[n];
             auto& view = instance.views[n];
--- a/src/yuccashift/orders/ownership.cpp
+++ b/src/yuccashift/orders/ownership.cpp
@@ -23,7 +23,7 @@
         return hash ^ (hash >> 33);
     }
 
-    std::uint64_t rank(const BackendKey& key, const InstanceId& instance)
+    std::uint64_t rank(const RegionalBackend& key, const InstanceId& instance)
     {
         constexpr std::uint64_t offsetBasis = 14695981039346656037ULL;
         return mix(hashOf(instance, hashOf(key.backend, hashOf(key.service, offsetBasis))));
@@ -31,7 +31,7 @@
 
 } // namespace
 
-std::optional<InstanceId> ownerOf(const BackendKey& key, std::span<const OwnerCandidate> candidates)
+std::optional<InstanceId> ownerOf(const RegionalBackend& key, std::span<const OwnerCandidate> candidates)
 {
     const OwnerCandidate* best = nullptr;
     std::uint64_t bestRank = 0;
@@ -54,12 +54,12 @@
 {
 }
 
-void Ownership::update(std::span<const BackendKey> backends, std::span<const OwnerCandidate> candidates, Instant now)
+void Ownership::update(std::span<const RegionalBackend> backends, std::span<const OwnerCandidate> candidates, Instant now)
 {
     const bool paused = m_updatedAt && now - *m_updatedAt > m_timing.maxGap;
     if (paused)
         m_ownedSince.clear();
-    std::map<BackendKey, Instant> owned;
+    std::map<RegionalBackend, Instant> owned;
     for (const auto& key : backends) {
         if (ownerOf(key, candidates) != m_self)
             continue;
@@ -70,7 +70,7 @@
     m_updatedAt = now;
 }
 
-std::optional<Instant> Ownership::actingSince(const BackendKey& key, Instant now) const
+std::optional<Instant> Ownership::actingSince(const RegionalBackend& key, Instant now) const
 {
     const auto it = m_ownedSince.find(key);
     if (it == m_ownedSince.end() || now - *m_updatedAt > m_timing.maxGap)
--- a/src/yuccashift/orders/ownership.hpp
+++ b/src/yuccashift/orders/ownership.hpp
@@ -12,14 +12,14 @@
 
 namespace yuccashift {
 
-/** A backend server, by the names that its document gives. */
-struct BackendKey {
+/** A backend server and the region that its document places it in. */
+struct RegionalBackend {
     ServiceName service;
     BackendName backend;
     RegionName region;
 
-    bool operator==(const BackendKey&) const = default;
-    bool operator<(const BackendKey& other) const { return std::tie(service, backend, region) < std::tie(other.service, other.backend, other.region); }
+    bool operator==(const RegionalBackend&) const = default;
+    bool operator<(const RegionalBackend& other) const { return std::tie(service, backend, region) < std::tie(other.service, other.backend, other.region); }
 };
 
 /** An instance that takes part in owning backend servers. */
@@ -33,7 +33,7 @@
  * rendezvous hash among the candidates of the server's region. Nothing where
  * the region has none.
  */
-std::optional<InstanceId> ownerOf(const BackendKey&, std::span<const OwnerCandidate>);
+std::optional<InstanceId> ownerOf(const RegionalBackend&, std::span<const OwnerCandidate>);
 
 /** Times that bound how soon an owner acts. */
 struct OwnershipTiming {
@@ -52,16 +52,16 @@
     Ownership(InstanceId self, OwnershipTiming);
 
     /** Takes the present view of live instances. Call it at least once per maxGap. */
-    void update(std::span<const BackendKey>, std::span<const OwnerCandidate>, Instant now);
+    void update(std::span<const RegionalBackend>, std::span<const OwnerCandidate>, Instant now);
 
     /** Since when this instance may act for the server; nothing where it may not. */
-    std::optional<Instant> actingSince(const BackendKey&, Instant now) const;
+    std::optional<Instant> actingSince(const RegionalBackend&, Instant now) const;
 
 private:
     InstanceId m_self;
     OwnershipTiming m_timing;
     std::optional<Instant> m_updatedAt;
-    std::map<BackendKey, Instant> m_ownedSince;
+    std::map<RegionalBackend, Instant> m_ownedSince;
 };
 
 } // namespace yuccashift
--- a/tests/orders/orders_test.cpp
+++ b/tests/orders/orders_test.cpp
@@ -65,8 +65,8 @@
     }
 
     struct AnOwner : testing::Test {
-        const BackendKey key { "a", "b", "sofia" };
-        const std::vector<BackendKey> keys { key };
+        const RegionalBackend key { "a", "b", "sofia" };
+        const std::vector<RegionalBackend> keys { key };
         std::vector<OwnerCandidate> members { { "i1", "sofia" }, { "i2", "sofia" }, { "i3", "varna" } };
         const InstanceId self = ownerOf(key, members).value();
         const OwnershipTiming timing { seconds(5), seconds(2) };
