--- a/tests/capacity/model_test.cpp
+++ b/tests/capacity/model_test.cpp
@@ -9,7 +9,7 @@
 
     std::string readSource(const std::string& path)
     {
-        std::ifstream file(std::string(SOURCE_FOLDER) + "/" + path);
+        std::ifstream file(path);
         std::ostringstream text;
         text << file.rdbuf();
         return text.str();
--- a/tests/docs/errors_test.cpp
+++ b/tests/docs/errors_test.cpp
@@ -19,7 +19,7 @@
 
     TEST(ErrorsPage, HasARowForEachKindInTheirOrder)
     {
-        std::ifstream page(std::string(SOURCE_FOLDER) + "/docs/ERRORS.md");
+        std::ifstream page("docs/ERRORS.md");
         std::vector<std::string> written;
         for (std::string line; std::getline(page, line);) {
             if (line.starts_with("| `"))
