Add the HTTP adapters of the platform's ports

Cause: the node reads configuration, instances and load over HTTP. Change: adapters over the backend client; parsers of bodies stand apart so that they can be fuzzed without sockets.

--- a/src/yuccashift/peer/peer_link.cpp
+++ b/src/yuccashift/peer/peer_link.cpp
@@ -535,7 +535,8 @@
     const auto id = state->openStream(channel);
     wire::Frame frame;
     frame.stream = id;
-    frame.__set_forward(std::move(forward));
+    frame.forward = std::move(forward);
+    frame.__isset.forward = true;
     if (!state->queue(encodeFrame(frame))) {
         state->forgetStream(id, false);
         co_return tl::unexpected(Error { ErrorKind::PeerLost, "no link to the executing instance", RunState::NotRun, {} });
--- /dev/null
+++ b/src/yuccashift/platform/json_bodies.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "yuccashift/platform/config_source.hpp"
+#include "yuccashift/platform/engine_control.hpp"
+#include "yuccashift/platform/instance_list.hpp"
+
+#include <string_view>
+
+namespace yuccashift::detail {
+
+/** Parsers of the platform's JSON bodies. MalformedRequest on anything unexpected; unknown fields are ignored. */
+Result<ConfigListing> parseConfigListing(std::string_view);
+Result<Listing> parseListing(std::string_view);
+Result<LoadReport> parseLoadReport(std::string_view);
+Result<std::vector<CacheEvent>> parseCacheEvents(std::string_view);
+
+/** Body of an order. */
+std::string formatOrder(const EngineOrder&);
+
+} // namespace yuccashift::detail
