--- /dev/null
+++ b/fuzzing/support/fake_link.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "fuzzing/support/check.hpp"
+
+#include <functional>
+#include <set>
+#include <utility>
+
+namespace yuccashift::fuzzing {
+
+/** Messages between numbered instances, delivered late, in any order, twice or never. */
+template <typename Message>
+class FakeLink {
+public:
+    struct Item {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        Message message;
+    };
+
+    /** Lost at once where the two are cut off from each other. */
+    void send(std::size_t from, std::size_t to, Message message)
+    {
+        if (!isCut(from, to))
+            m_items.push_back({ from, to, std::move(message) });
+    }
+
+    /** Takes any waiting message; nothing where none waits. */
+    std::optional<Item> take(std::uint32_t choice)
+    {
+        if (m_items.empty())
+            return std::nullopt;
+        const auto it = m_items.begin() + pick(choice, m_items.size());
+        auto item = std::move(*it);
+        m_items.erase(it);
+        return item;
+    }
+
+    void lose(std::uint32_t choice) { take(choice); }
+
+    void duplicate(std::uint32_t choice)
+    {
+        if (!m_items.empty())
+            m_items.push_back(m_items[pick(choice, m_items.size())]);
+    }
+
+    void cut(std::size_t left, std::size_t right) { m_cuts.insert(std::minmax(left, right)); }
+    void healAll() { m_cuts.clear(); }
+    bool isCut(std::size_t left, std::size_t right) const { return m_cuts.contains(std::minmax(left, right)); }
+    bool hasCuts() const { return !m_cuts.empty(); }
+    bool empty() const { return m_items.empty(); }
+
+private:
+    std::vector<Item> m_items;
+    std::set<std::pair<std::size_t, std::size_t>> m_cuts;
+};
+
+} // namespace yuccashift::fuzzing
--- a/tests/answers/stream_ledger_test.cpp
+++ b/tests/answers/stream_ledger_test.cpp
@@ -1,3 +1,4 @@
+#include "yuccashift/answers/stream_intake.hpp"
 #include "yuccashift/answers/stream_ledger.hpp"
 
 #include <gtest/gtest.h>
@@ -106,5 +107,17 @@
         EXPECT_EQ(ledger.delivered(next), 0U);
     }
 
+    TEST(ARequestInFrames, StartsWorkOnceHoweverOftenItArrives)
+    {
+        StreamIntake intake;
+        EXPECT_TRUE(intake.accept(1));
+        EXPECT_FALSE(intake.accept(1)) << "doubled";
+        EXPECT_TRUE(intake.accept(5));
+        EXPECT_FALSE(intake.accept(4)) << "late";
+        EXPECT_FALSE(intake.accept(0)) << "stream 0 carries control";
+        EXPECT_FALSE(intake.accept(-1));
+        EXPECT_TRUE(intake.accept(6));
+    }
+
 } // namespace
 } // namespace yuccashift
