--- a/fuzzing/support/fake_link.hpp
+++ b/fuzzing/support/fake_link.hpp
@@ -49,6 +49,7 @@
     bool isCut(std::size_t left, std::size_t right) const { return m_cuts.contains(std::minmax(left, right)); }
     bool hasCuts() const { return !m_cuts.empty(); }
     bool empty() const { return m_items.empty(); }
+    std::size_t size() const { return m_items.size(); }
 
 private:
     std::vector<Item> m_items;
