Tell deaths of backend servers apart by number, not only by time

Cause: fuzzing found two faults. A record held up on its way for more than 5 s (a paused instance reads its socket late) seemed younger than it was and counted as a second death, so that an innocent request was refused. Change: records carry a number of the death; old deaths make room at once. quarantine_fuzz: crashes bounded, innocents refused only after two reports, expiry, suspects apart.

--- a/fuzzing/documents_fuzz.cpp
+++ b/fuzzing/documents_fuzz.cpp
@@ -129,7 +129,8 @@
                 process.asleep = false;
             const auto newest = newestHeld();
             runFor(timeToHeal);
-            if (!allHold(newest))
+            // Frames on their way at the heal may bring still newer ones.
+            if (!noneOlder(newest) || !allHold(newestHeld()))
                 return m_broken ? m_broken : "instances do not agree after the faults";
             publish(0, { 0, 0, 0, 1 });
             read(m_random.below(instanceCount), 0, m_texts[0].size() - 1);
@@ -295,6 +296,14 @@
             return newest;
         }
 
+        bool noneOlder(const Versions& versions) const
+        {
+            return std::ranges::all_of(m_processes, [&](const Process& process) {
+                const auto held = process.store->revisions();
+                return std::ranges::all_of(versions, [&](const auto& item) { return held.contains(item.first) && held.at(item.first) >= item.second; });
+            });
+        }
+
         bool allHold(const Versions& versions) const
         {
             return std::ranges::all_of(m_processes, [&](const Process& process) { return process.store->revisions() == versions; });
--- /dev/null
+++ b/fuzzing/quarantine_fuzz.cpp
@@ -0,0 +1,314 @@
+#include "fuzzing/support/check.hpp"
+#include "fuzzing/support/fake_link.hpp"
+#include "yuccashift/resilience/quarantine.hpp"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace yuccashift::fuzzing {
+namespace {
+
+    constexpr std::size_t instanceCount = 3;
+    constexpr std::size_t serverCount = 5;
+    constexpr std::uint64_t crashing = 1;
+    constexpr std::uint64_t innocents = 4;
+    constexpr std::uint32_t deathsAllowed = 2;
+    constexpr auto expiry = seconds(600);
+
+    struct Running {
+        std::size_t entry = 0;
+        std::uint64_t fingerprint = 0;
+    };
+
+    struct Server {
+        std::vector<Running> running;
+        Instant upAt {};
+    };
+
+    /** Callers that keep sending one request that crashes servers, among innocent ones, through every entry. */
+    class QuarantineWorld {
+    public:
+        explicit QuarantineWorld(std::string_view mutant)
+            : m_mutant(mutant)
+        {
+            for (std::size_t n = 0; n < instanceCount; ++n)
+                m_instances.push_back(std::make_unique<Quarantine>());
+        }
+
+        std::optional<std::string> apply(const Step& step)
+        {
+            enum class Action { SendCrashing,
+                SendInnocent,
+                Succeed,
+                Crash,
+                OtherDeath,
+                Spread,
+                DeliverSpread,
+                LoseSpread,
+                DoubleSpread,
+                Restart,
+                Cut,
+                Heal,
+                Wait,
+                Count };
+            const auto entry = pick(step.a, instanceCount);
+            const auto server = pick(step.b, serverCount);
+            switch (static_cast<Action>(pick(step.action, static_cast<std::size_t>(Action::Count)))) {
+            case Action::SendCrashing:
+                send(entry, server, crashing);
+                break;
+            case Action::SendInnocent:
+                send(entry, server, crashing + 1 + pick(step.c, innocents));
+                break;
+            case Action::Succeed:
+                succeed(server, step);
+                break;
+            case Action::Crash:
+                crash();
+                break;
+            case Action::OtherDeath:
+                if (pick(step.c, 4) == 0)
+                    die(server);
+                break;
+            case Action::Spread:
+                spread(entry);
+                break;
+            case Action::DeliverSpread:
+                deliver(step);
+                break;
+            case Action::LoseSpread:
+                m_link.lose(step.b);
+                break;
+            case Action::DoubleSpread:
+                m_link.duplicate(step.b);
+                break;
+            case Action::Restart:
+                restart(entry, step);
+                break;
+            case Action::Cut:
+                m_link.cut(entry, pick(step.b, instanceCount));
+                break;
+            case Action::Heal:
+                m_link.healAll();
+                break;
+            default:
+                wait(step);
+            }
+            return m_broken;
+        }
+
+        /** The faults end; the caller goes on sending, one request after the other. */
+        std::optional<std::string> settle()
+        {
+            m_link.healAll();
+            m_now += expiry;
+            forgetOldCrashes();
+            for (auto& server : m_servers)
+                server.running.clear();
+            constexpr int sendings = 40;
+            int crashes = 0;
+            for (int n = 0; n < sendings; ++n) {
+                m_now += seconds(7);
+                const auto before = m_crashes.size();
+                send(n % instanceCount, n % serverCount, crashing);
+                crash();
+                crashes += static_cast<int>(m_crashes.size() - before);
+                for (std::size_t entry = 0; entry < instanceCount; ++entry)
+                    spread(entry);
+                while (!m_link.empty())
+                    deliver({ 0, 0, 0, 0 });
+            }
+            if (crashes > static_cast<int>(deathsAllowed) && !m_broken)
+                m_broken = "more crashes than allowed among instances that hear each other";
+            if (crashes == 0 && !m_broken)
+                m_broken = "a request is refused after its records expired";
+            return m_broken;
+        }
+
+    private:
+        bool is(std::string_view mutant) const { return m_mutant == mutant; }
+
+        void note(std::string broken)
+        {
+            if (!m_broken)
+                m_broken = std::move(broken);
+        }
+
+        std::vector<std::uint64_t> fingerprintsOf(const Server& server, std::size_t entry) const
+        {
+            std::vector<std::uint64_t> fingerprints;
+            for (const auto& running : server.running) {
+                if (running.entry == entry)
+                    fingerprints.push_back(running.fingerprint);
+            }
+            return fingerprints;
+        }
+
+        void send(std::size_t entry, std::size_t position, std::uint64_t fingerprint)
+        {
+            auto& server = m_servers[position];
+            auto& instance = *m_instances[entry];
+            const bool refused = instance.isQuarantined(fingerprint, is("records never expire") ? m_start : m_now) && !is("quarantine is not asked");
+            if (refused && fingerprint != crashing && m_reportsOf[fingerprint] < deathsAllowed)
+                note("an innocent request was refused that was harmed by fewer than two deaths");
+            if (refused || m_now < server.upAt)
+                return;
+            const auto neighbours = fingerprintsOf(server, entry);
+            if (!instance.mayJoin(fingerprint, neighbours, m_now) && !is("suspects share a server"))
+                return;
+            checkApart(instance, fingerprint, neighbours);
+            server.running.push_back({ entry, fingerprint });
+        }
+
+        // Two suspects of one instance side by side would leave it open which of them crashes servers.
+        void checkApart(const Quarantine& instance, std::uint64_t fingerprint, const std::vector<std::uint64_t>& neighbours)
+        {
+            const auto isSuspect = [&](std::uint64_t it) { return instance.isSuspect(it, m_now); };
+            if (isSuspect(fingerprint) && std::ranges::any_of(neighbours, isSuspect))
+                note("two suspects run on one server");
+        }
+
+        void succeed(std::size_t position, const Step& step)
+        {
+            auto& running = m_servers[position].running;
+            if (running.empty())
+                return;
+            const auto it = running.begin() + pick(step.c, running.size());
+            if (it->fingerprint == crashing)
+                return;
+            m_instances[it->entry]->onSuccess(it->fingerprint, m_now);
+            running.erase(it);
+        }
+
+        void crash()
+        {
+            for (std::size_t n = 0; n < serverCount; ++n) {
+                const auto& running = m_servers[n].running;
+                if (!std::ranges::any_of(running, [](const Running& it) { return it.fingerprint == crashing; }))
+                    continue;
+                m_crashes.push_back(m_now);
+                die(n);
+                // Each instance refuses from its second own death on, so that even
+                // without a word between them there are so many at most.
+                forgetOldCrashes();
+                if (m_crashes.size() > mostCrashes())
+                    note("more crashes than allowed");
+            }
+        }
+
+        std::size_t mostCrashes() const { return deathsAllowed * m_starts + m_concurrent; }
+
+        void forgetOldCrashes()
+        {
+            std::erase_if(m_crashes, [&](Instant at) { return m_now - at >= expiry; });
+            if (m_crashes.empty()) {
+                m_starts = instanceCount;
+                m_concurrent = 0;
+            }
+        }
+
+        void die(std::size_t position)
+        {
+            auto& server = m_servers[position];
+            std::set<std::pair<std::size_t, std::uint64_t>> harmed;
+            std::set<std::size_t> entries;
+            for (const auto& running : server.running) {
+                harmed.insert({ running.entry, running.fingerprint });
+                entries.insert(running.entry);
+            }
+            for (const auto entry : entries) {
+                if (!is("deaths are not recorded"))
+                    m_instances[entry]->onBackendDeath(position, fingerprintsOf(server, entry), m_now);
+                m_now += milliseconds(100);
+            }
+            // Two entries that had the same request there report one death twice, and a
+            // report held up for longer than sameDeath cannot be told from another death.
+            for (const auto& [entry, fingerprint] : harmed)
+                ++m_reportsOf[fingerprint];
+            // Requests already in progress elsewhere cannot be refused any more.
+            for (const auto& other : m_servers)
+                m_concurrent += &other == &server ? 0U : static_cast<std::size_t>(std::ranges::count(other.running, crashing, &Running::fingerprint));
+            server.running.clear();
+            server.upAt = m_now + downTime;
+        }
+
+        void spread(std::size_t from)
+        {
+            const auto records = m_instances[from]->takeForSpread(m_now, 8);
+            for (std::size_t to = 0; to < instanceCount; ++to) {
+                if (to != from && !is("deaths are not spread"))
+                    m_link.send(from, to, records);
+            }
+        }
+
+        void deliver(const Step& step)
+        {
+            const auto item = m_link.take(step.b);
+            if (!item)
+                return;
+            auto& instance = *m_instances[item->to];
+            auto records = item->message;
+            if (is("late records count as other deaths"))
+                std::ranges::for_each(records, [](CrashRecord& record) { record.death = 0; });
+            instance.merge(records, m_now);
+        }
+
+        void restart(std::size_t entry, const Step& step)
+        {
+            if (pick(step.c, 4) != 0)
+                return;
+            m_instances[entry] = std::make_unique<Quarantine>();
+            ++m_starts;
+            for (auto& server : m_servers)
+                std::erase_if(server.running, [&](const Running& it) { return it.entry == entry; });
+        }
+
+        void wait(const Step& step)
+        {
+            m_now += milliseconds(pick(step.b, pick(step.c, 10) == 0 ? 400000 : 9000));
+            for (auto& instance : m_instances)
+                instance->expire(m_now);
+        }
+
+        static constexpr auto downTime = seconds(6);
+
+        std::string m_mutant;
+        const Instant m_start { seconds(10000) };
+        Instant m_now = m_start;
+        std::vector<std::unique_ptr<Quarantine>> m_instances;
+        std::array<Server, serverCount> m_servers;
+        FakeLink<std::vector<CrashRecord>> m_link;
+        std::vector<Instant> m_crashes;
+        std::map<std::uint64_t, std::uint32_t> m_reportsOf;
+        /** Starts of instances, and sendings in progress beside a death, since the last quiet time. */
+        std::size_t m_starts = instanceCount;
+        std::size_t m_concurrent = 0;
+        std::optional<std::string> m_broken;
+    };
+
+    class QuarantineCheck final : public Check {
+    public:
+        std::vector<std::string> mutants() const override
+        {
+            return { "quarantine is not asked", "suspects share a server", "deaths are not recorded", "deaths are not spread", "records never expire",
+                "late records count as other deaths" };
+        }
+
+        std::optional<std::string> run(std::span<const Step> steps, std::string_view mutant) override
+        {
+            QuarantineWorld world(mutant);
+            for (const auto& step : steps) {
+                if (auto broken = world.apply(step))
+                    return broken;
+            }
+            return world.settle();
+        }
+    };
+
+    const Registrar<Check, QuarantineCheck> registered { "quarantine" };
+
+} // namespace
+} // namespace yuccashift::fuzzing
--- a/src/yuccashift/membership/coordinator.cpp
+++ b/src/yuccashift/membership/coordinator.cpp
@@ -34,13 +34,14 @@
         entry.fingerprint = static_cast<std::int64_t>(record.fingerprint);
         entry.backend = static_cast<std::int64_t>(record.backend);
         entry.crashes = 1;
+        entry.death = static_cast<std::int64_t>(record.death);
         entry.remainingMs = static_cast<std::int32_t>(toMilliseconds(record.remaining));
         return entry;
     }
 
     CrashRecord fromWire(const wire::QuarantineEntry& entry)
     {
-        return { static_cast<std::uint64_t>(entry.fingerprint), static_cast<std::uint64_t>(entry.backend), milliseconds(entry.remainingMs) };
+        return { static_cast<std::uint64_t>(entry.fingerprint), static_cast<std::uint64_t>(entry.backend), milliseconds(entry.remainingMs), static_cast<std::uint64_t>(entry.death) };
     }
 
 } // namespace
--- a/src/yuccashift/peer/peer.thrift
+++ b/src/yuccashift/peer/peer.thrift
@@ -74,6 +74,7 @@
   2: i32 crashes
   3: i32 remainingMs
   4: i64 backend       // hash of the backend server that died
+  5: i64 death         // tells deaths apart, however late the entry arrives
 }
 
 struct Heartbeat {
--- a/src/yuccashift/resilience/quarantine.cpp
+++ b/src/yuccashift/resilience/quarantine.cpp
@@ -1,5 +1,8 @@
 #include "yuccashift/resilience/quarantine.hpp"
 
+#include "yuccashift/kernel/hash.hpp"
+#include "yuccashift/kernel/random.hpp"
+
 #include <algorithm>
 
 namespace yuccashift {
@@ -12,14 +15,16 @@
 
 Quarantine::Quarantine(QuarantineBounds bounds)
     : m_bounds(bounds)
+    , m_salt(makeSystemRandom()->next())
 {
 }
 
 void Quarantine::onBackendDeath(std::uint64_t backend, std::span<const std::uint64_t> inProgress, Instant now)
 {
     const std::lock_guard lock(m_mutex);
+    const Death death { backend, now, mix64(m_salt ^ ++m_deaths), 0 };
     for (const auto fingerprint : inProgress)
-        add(fingerprint, backend, now);
+        add(fingerprint, death);
 }
 
 void Quarantine::onSuccess(std::uint64_t fingerprint, Instant now)
@@ -33,18 +38,23 @@
     it->second.clearedUntil = now;
 }
 
-void Quarantine::add(std::uint64_t fingerprint, std::uint64_t backend, Instant at)
+void Quarantine::add(std::uint64_t fingerprint, const Death& added)
 {
     if (!m_suspects.contains(fingerprint))
         makeRoom();
     auto& suspect = m_suspects[fingerprint];
-    // The same death is reported by every instance that had the request there, at slightly different times.
+    // Deaths that no longer count must not take the room of new ones between two sweeps.
+    std::erase_if(suspect.deaths, [&](const Death& death) { return added.at - death.at >= m_bounds.expiry; });
+    // One death is reported by every instance that had the request there, at slightly
+    // different times. A report that was held up on its way seems younger than it is,
+    // so that its time alone does not tell it from another death.
     const auto isSame = [&](const Death& death) {
-        return death.backend == backend && std::chrono::abs(death.at - at) < m_bounds.sameDeath;
+        const bool near = std::chrono::abs(death.at - added.at) < m_bounds.sameDeath;
+        return death.backend == added.backend && (near || (added.id != 0 && death.id == added.id));
     };
-    if (at <= suspect.clearedUntil || std::ranges::any_of(suspect.deaths, isSame) || suspect.deaths.size() >= keptDeaths)
+    if (added.at <= suspect.clearedUntil || std::ranges::any_of(suspect.deaths, isSame) || suspect.deaths.size() >= keptDeaths)
         return;
-    suspect.deaths.push_back({ backend, at, 0 });
+    suspect.deaths.push_back(added);
 }
 
 void Quarantine::makeRoom()
@@ -102,7 +112,7 @@
     for (std::size_t n = 0; n < taken; ++n) {
         auto& death = *items[n].death;
         ++death.spreads;
-        records.push_back({ items[n].fingerprint, death.backend, m_bounds.expiry - (now - death.at) });
+        records.push_back({ items[n].fingerprint, death.backend, m_bounds.expiry - (now - death.at), death.id });
     }
     return records;
 }
@@ -114,7 +124,7 @@
         // A remaining time outside the bound can only come from another version or a damaged record.
         if (record.remaining <= Duration::zero() || record.remaining > m_bounds.expiry)
             continue;
-        add(record.fingerprint, record.backend, now - (m_bounds.expiry - record.remaining));
+        add(record.fingerprint, { record.backend, now - (m_bounds.expiry - record.remaining), record.death, 0 });
     }
 }
 
--- a/src/yuccashift/resilience/quarantine.hpp
+++ b/src/yuccashift/resilience/quarantine.hpp
@@ -19,6 +19,8 @@
     std::uint64_t backend = 0;
     /** Time for which the record still counts. */
     Duration remaining {};
+    /** The same wherever this death is told; 0 where it is not known. */
+    std::uint64_t death = 0;
 };
 
 struct QuarantineBounds {
@@ -69,6 +71,7 @@
     struct Death {
         std::uint64_t backend = 0;
         Instant at;
+        std::uint64_t id = 0;
         /** How often it was handed out for spreading. */
         std::uint32_t spreads = 0;
     };
@@ -79,11 +82,14 @@
         Instant clearedUntil {};
     };
 
-    void add(std::uint64_t fingerprint, std::uint64_t backend, Instant at);
+    void add(std::uint64_t fingerprint, const Death&);
     void makeRoom();
     std::size_t countDeaths(std::uint64_t fingerprint, Instant now) const;
 
     const QuarantineBounds m_bounds;
+    /** Keeps apart the deaths that different instances number. */
+    const std::uint64_t m_salt;
+    std::uint64_t m_deaths = 0;
     mutable std::mutex m_mutex;
     std::unordered_map<std::uint64_t, Suspect> m_suspects;
 };
