--- a/src/yuccashift/admission/admission_queue.cpp
+++ b/src/yuccashift/admission/admission_queue.cpp
@@ -199,6 +199,15 @@
     return std::nullopt;
 }
 
+std::optional<Priority> AdmissionQueue::nextPriority() const
+{
+    for (std::size_t n = 0; n < priorities; ++n) {
+        if (m_classes[n].size > 0)
+            return static_cast<Priority>(n);
+    }
+    return std::nullopt;
+}
+
 bool AdmissionQueue::cancel(std::uint64_t id)
 {
     if (!m_requests.contains(id))
--- a/src/yuccashift/admission/admission_queue.hpp
+++ b/src/yuccashift/admission/admission_queue.hpp
@@ -56,6 +56,8 @@
     /** When the next request expires; nothing where none waits. Call expire() also after each pop(). */
     std::optional<Instant> nextExpiry() const;
 
+    /** Priority of the next request; nothing where none waits. */
+    std::optional<Priority> nextPriority() const;
     std::size_t size() const { return m_requests.size(); }
     std::size_t limit() const { return m_limit; }
     /** A smaller limit applies to later pushes only. */
--- /dev/null
+++ b/src/yuccashift/admission/capacity_gate.cpp
@@ -0,0 +1,68 @@
+#include "yuccashift/admission/capacity_gate.hpp"
+
+#include "yuccashift/routing/eligibility.hpp"
+#include "yuccashift/routing/latency_model.hpp"
+
+#include <algorithm>
+
+namespace yuccashift {
+namespace {
+
+    /** Requests per slot up to which each priority is let through. */
+    double fillOf(Priority priority)
+    {
+        switch (priority) {
+        case Priority::Urgent:
+            return 1.5;
+        case Priority::Normal:
+            return 1.1;
+        case Priority::Batch:
+            break;
+        }
+        return 0.9;
+    }
+
+    struct Pool {
+        double slots = 0;
+        double occupancy = 0;
+        std::uint32_t senders = 1;
+        Duration service {};
+        std::uint32_t known = 0;
+    };
+
+    Pool poolOf(const RequestTraits& request, std::span<const BackendState> states, Instant now)
+    {
+        Pool pool;
+        for (const auto& state : states) {
+            if (backendRejection(request, state) != RejectReason::None)
+                continue;
+            pool.slots += state.slots * slowStartShare(state.availableSince, now);
+            pool.occupancy += estimatedOccupancy(state, now);
+            pool.senders = std::max(pool.senders, state.senders);
+            if (state.meanService <= Duration::zero())
+                continue;
+            pool.service += state.meanService;
+            ++pool.known;
+        }
+        return pool;
+    }
+
+} // namespace
+
+bool hasRoom(const RequestTraits& request, std::span<const BackendState> states, Instant now)
+{
+    const auto pool = poolOf(request, states, now);
+    // With no server at all the choice itself has to say so.
+    return pool.slots == 0 || pool.occupancy < pool.slots * fillOf(request.priority);
+}
+
+Duration admissionInterval(const RequestTraits& request, std::span<const BackendState> states, Instant now)
+{
+    const auto pool = poolOf(request, states, now);
+    if (pool.slots == 0 || pool.known == 0)
+        return {};
+    const Duration service = pool.service / pool.known;
+    return std::chrono::duration_cast<Duration>(service * (pool.senders / pool.slots));
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/admission/capacity_gate.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "yuccashift/routing/types.hpp"
+
+#include <span>
+
+namespace yuccashift {
+
+/**
+ * Whether the servers can take one more request of this priority now. What they
+ * cannot take waits in the AdmissionQueue, where its order can still change.
+ * Urgent work may fill the servers beyond their slots, batch work leaves some free.
+ */
+bool hasRoom(const RequestTraits&, std::span<const BackendState>, Instant now);
+
+/** Expected time between admissions of one instance while all slots are taken. */
+Duration admissionInterval(const RequestTraits&, std::span<const BackendState>, Instant now);
+
+} // namespace yuccashift
