--- a/src/yuccashift/routing/load_book.cpp
+++ b/src/yuccashift/routing/load_book.cpp
@@ -54,6 +54,16 @@
             state.slowdown = state.slowdown > 0 && typical > 0 ? std::clamp(state.slowdown / typical, 1.0, mostSlowdown) : 1;
     }
 
+    /** Without other knowledge, each other sender has as much in flight as this instance, evenly spread. */
+    void assumeOthers(std::span<BackendState> states)
+    {
+        double own = 0;
+        for (const auto& state : states)
+            own += state.ownInFlight;
+        for (auto& state : states)
+            state.othersInFlight = own / static_cast<double>(states.size()) * (state.senders - 1);
+    }
+
 } // namespace
 
 LoadBook::LoadBook(LoadBookSettings settings)
@@ -219,6 +229,7 @@
         states.push_back(std::move(state));
     }
     relateToMedian(states);
+    assumeOthers(states);
     return states;
 }
 
--- a/src/yuccashift/routing/types.hpp
+++ b/src/yuccashift/routing/types.hpp
@@ -64,6 +64,8 @@
     Duration meanService {};
     /** Instances that send to it at the same time, this one included. */
     std::uint32_t senders = 1;
+    /** Requests of the other senders expected there without any report. */
+    double othersInFlight = 0;
     Duration roundTrip {};
     /** Prompt tokens of this request believed to be cached, already discounted. */
     std::uint32_t cachedTokens = 0;
