--- a/benchmarks/runner/server_model.cpp
+++ b/benchmarks/runner/server_model.cpp
@@ -6,6 +6,10 @@
 namespace yuccashift::runner {
 namespace {
 
+    /** When a poison request crashes its server, and when that is back. */
+    constexpr Duration untilCrash = milliseconds(50);
+    constexpr Duration restart = seconds(3);
+
     Duration fromSeconds(double value)
     {
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
@@ -51,8 +55,6 @@
     m_running.insert(attempt);
     const auto service = serviceTime(arrival);
     if (arrival.poison) {
-        constexpr Duration untilCrash = milliseconds(50);
-        constexpr Duration restart = seconds(3);
         m_events.after(untilCrash, [this, attempt] {
             if (!m_running.contains(attempt))
                 return;
