--- /dev/null
+++ b/fuzzing/limits_fuzz.cpp
@@ -0,0 +1,260 @@
+#include "fuzzing/support/check.hpp"
+#include "yuccashift/limits/shared_limits.hpp"
+#include "yuccashift/resilience/hedge_budget.hpp"
+#include "yuccashift/resilience/retry_budget.hpp"
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <numeric>
+#include <set>
+
+namespace yuccashift::fuzzing {
+namespace {
+
+    constexpr std::size_t instanceCount = 4;
+    constexpr std::uint32_t groupCount = 3;
+    constexpr double limitPerSecond = 100;
+    constexpr auto tick = milliseconds(20);
+    constexpr auto heartbeat = milliseconds(500);
+    constexpr auto settling = seconds(6);
+    constexpr auto measured = seconds(10);
+    /** By which instances that hear each other may exceed the limit while demand is steady. */
+    constexpr double steadyOvershoot = 1.1;
+    /** Requests that one instance may admit at once after a quiet time, beyond its rate. */
+    constexpr double burst = limitPerSecond / 2 + 1;
+
+    OrganisationSpec makeOrganisation()
+    {
+        OrganisationSpec organisation;
+        organisation.name = "o";
+        organisation.limits.requestsPerSecond = limitPerSecond;
+        return organisation;
+    }
+
+    struct Instance {
+        InstanceId name;
+        std::unique_ptr<SharedLimits> limits;
+        double demandPerSecond = 0;
+        double due = 0;
+        std::uint32_t group = 0;
+        double admitted = 0;
+    };
+
+    /** Instances that share a limit while demand moves, links part and instances are replaced. */
+    class LimitsWorld {
+    public:
+        explicit LimitsWorld(std::string_view mutant)
+            : m_mutant(mutant)
+        {
+            for (std::size_t n = 0; n < instanceCount; ++n)
+                replace(m_instances[n]);
+        }
+
+        std::optional<std::string> apply(const Step& step)
+        {
+            enum class Action { Demand,
+                Part,
+                Heal,
+                Replace,
+                Run,
+                Steady,
+                Count };
+            auto& instance = m_instances[pick(step.a, instanceCount)];
+            switch (static_cast<Action>(pick(step.action, static_cast<std::size_t>(Action::Count)))) {
+            case Action::Demand:
+                instance.demandPerSecond = pick(step.b, 300);
+                break;
+            case Action::Part:
+                instance.group = pick(step.b, groupCount);
+                break;
+            case Action::Heal:
+                for (auto& it : m_instances)
+                    it.group = 0;
+                break;
+            case Action::Replace:
+                replace(instance);
+                break;
+            case Action::Run:
+                runMeasured(milliseconds(pick(step.b, 3000)));
+                break;
+            default:
+                if (pick(step.b, 4) == 0)
+                    runSteady();
+            }
+            return m_broken;
+        }
+
+    private:
+        bool is(std::string_view mutant) const { return m_mutant == mutant; }
+
+        void note(std::string broken)
+        {
+            if (!m_broken)
+                m_broken = std::move(broken);
+        }
+
+        // A replacement has another name, an empty memory, and the same callers.
+        void replace(Instance& instance)
+        {
+            instance.name = "i" + std::to_string(++m_lastName);
+            instance.limits = std::make_unique<SharedLimits>(instance.name);
+            std::vector<InstanceId> names;
+            for (const auto& it : m_instances)
+                names.push_back(it.name);
+            for (auto& it : m_instances) {
+                if (it.limits)
+                    it.limits->setInstances(names);
+            }
+        }
+
+        void run(Duration duration)
+        {
+            for (auto until = m_now + duration; m_now < until;) {
+                m_now += tick;
+                for (auto& instance : m_instances)
+                    arrive(instance);
+                if (m_now - m_toldAt >= heartbeat)
+                    tellDemands();
+            }
+        }
+
+        void arrive(Instance& instance)
+        {
+            instance.due += instance.demandPerSecond * std::chrono::duration<double>(tick).count();
+            for (; instance.due >= 1; instance.due -= 1) {
+                const bool admitted = instance.limits->admit("s", m_organisation, m_now).has_value();
+                if (admitted)
+                    instance.limits->onFinish("s", m_organisation);
+                if (admitted || is("the limit is not asked"))
+                    instance.admitted += 1;
+            }
+        }
+
+        void tellDemands()
+        {
+            m_toldAt = m_now;
+            if (is("demands are not told"))
+                return;
+            for (auto& from : m_instances) {
+                const auto demands = from.limits->demands(16, m_now);
+                for (auto& to : m_instances) {
+                    if (&to != &from && to.group == from.group)
+                        to.limits->onPeerDemand(from.name, demands, m_now);
+                }
+            }
+        }
+
+        double admitted() const
+        {
+            return std::accumulate(m_instances.begin(), m_instances.end(), 0.0, [](double sum, const Instance& it) { return sum + it.admitted; });
+        }
+
+        /** Whatever happens, no instance alone exceeds the whole limit. */
+        void runMeasured(Duration duration)
+        {
+            for (auto& instance : m_instances)
+                instance.admitted = 0;
+            run(duration);
+            const auto most = limitPerSecond * std::chrono::duration<double>(duration + tick).count() + burst;
+            for (const auto& instance : m_instances) {
+                if (instance.admitted > most)
+                    note("one instance admitted more than the whole limit");
+            }
+        }
+
+        /** While demand is steady each group of instances that hear each other keeps the limit. */
+        void runSteady()
+        {
+            run(settling);
+            runMeasured(measured);
+            std::set<std::uint32_t> groups;
+            double demand = 0;
+            for (const auto& instance : m_instances) {
+                groups.insert(instance.group);
+                demand += instance.demandPerSecond;
+            }
+            const auto time = std::chrono::duration<double>(measured).count();
+            const auto most = static_cast<double>(groups.size()) * limitPerSecond * steadyOvershoot * time + instanceCount * burst / 4;
+            if (admitted() > most)
+                note("groups admitted " + std::to_string(admitted()) + " where " + std::to_string(most) + " are allowed");
+            // The standby shares, a tenth, may lie idle; the rest follows demand.
+            const auto least = 0.8 * std::min(demand, limitPerSecond) * time;
+            if (groups.size() == 1 && admitted() < least)
+                note("the limit is not used up where there is demand: " + std::to_string(admitted()));
+        }
+
+        std::string m_mutant;
+        Instant m_now { seconds(1000) };
+        Instant m_toldAt = m_now;
+        OrganisationSpec m_organisation = makeOrganisation();
+        std::array<Instance, instanceCount> m_instances;
+        int m_lastName = 0;
+        std::optional<std::string> m_broken;
+    };
+
+    class LimitsCheck final : public Check {
+    public:
+        std::vector<std::string> mutants() const override { return { "the limit is not asked", "demands are not told" }; }
+
+        std::optional<std::string> run(std::span<const Step> steps, std::string_view mutant) override
+        {
+            LimitsWorld world(mutant);
+            for (const auto& step : steps) {
+                if (auto broken = world.apply(step))
+                    return broken;
+            }
+            return std::nullopt;
+        }
+    };
+
+    /** Retries and hedges of several organisations, in quiet times and outages. */
+    class BudgetsCheck final : public Check {
+    public:
+        std::vector<std::string> mutants() const override { return { "retries are not counted", "attempts are not counted", "other work is hedged" }; }
+
+        std::optional<std::string> run(std::span<const Step> steps, std::string_view mutant) override
+        {
+            RetryBudget retries;
+            HedgeBudget hedges;
+            const RetrySpec retry { 3, 10 };
+            const HedgeSpec hedge { milliseconds(50), 2 };
+            // What a service may spend before it earned anything, and save in quiet times.
+            constexpr double saved = 20;
+            double requests = 0;
+            double extra = 0;
+            for (const auto& step : steps) {
+                const auto organisation = "o" + std::to_string(pick(step.a, 3));
+                const auto count = 1 + pick(step.c, 30);
+                for (std::uint32_t n = 0; n < count; ++n) {
+                    if (step.action % 3 == 0) {
+                        requests += 1;
+                        retries.onRequest("s", organisation, retry);
+                        hedges.onRequest("s", organisation, hedge);
+                        continue;
+                    }
+                    const auto attempt = 1 + pick(step.b + n, 4);
+                    const auto told = mutant == "attempts are not counted" ? 1 : attempt;
+                    const bool uncounted = mutant == "retries are not counted" && attempt < retry.attempts;
+                    if (retries.tryRetry("s", organisation, retry, told) || uncounted) {
+                        extra += 1;
+                        if (attempt >= retry.attempts)
+                            return "a request had more attempts than its document allows";
+                    }
+                    const bool idempotent = step.b % 2 == 0;
+                    const bool asked = idempotent || mutant == "other work is hedged";
+                    if (hedges.tryHedge("s", organisation, hedge, asked) && !idempotent)
+                        return "non-idempotent work was hedged";
+                }
+                if (extra > saved + requests * retry.budgetPercent / 100)
+                    return "more retries than the budget";
+            }
+            return std::nullopt;
+        }
+    };
+
+    const Registrar<Check, LimitsCheck> registeredLimits { "limits" };
+    const Registrar<Check, BudgetsCheck> registeredBudgets { "budgets" };
+
+} // namespace
+} // namespace yuccashift::fuzzing
--- a/src/yuccashift/limits/shared_limits.hpp
+++ b/src/yuccashift/limits/shared_limits.hpp
@@ -26,8 +26,10 @@
 /**
  * Limits of organisations held by all instances together without shared state.
  * Each instance uses the share of a limit that its demand has in the demand of
- * all; an instance that is not heard keeps its last share reserved, so both
- * sides of a partition together stay within the limit. Thread safe.
+ * all; the demand that an instance was last heard with stays reserved for it.
+ * Instances that hear each other keep the limit while demand is steady; sides
+ * that do not hear each other keep it each, so n sides admit n times at most.
+ * Thread safe.
  */
 class SharedLimits {
 public:
