--- a/src/yuccashift/http/backend_client.cpp
+++ b/src/yuccashift/http/backend_client.cpp
@@ -201,7 +201,9 @@
             if (!m_connection || !m_parser.get().keep_alive() || m_connection->buffer.size() > 0)
                 return;
             m_connection->stream.expires_never();
-            m_pool.give(loop(), m_endpoint, std::move(m_connection));
+            // Looked up first: arguments are evaluated in any order, and one of them takes the connection.
+            auto& owner = loop();
+            m_pool.give(owner, m_endpoint, std::move(m_connection));
         }
 
         asio::execution_context& loop()
