--- /dev/null
+++ b/standins/common/cache_event_log.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "standins/common/signal.hpp"
+
+#include <boost/json/array.hpp>
+#include <cstdint>
+#include <deque>
+#include <random>
+
+namespace standins {
+
+/** Cache events as readers see them: late, and some never. */
+class CacheEventLog {
+public:
+    CacheEventLog(Clock::duration lag, unsigned gapPercent);
+
+    void add(std::uint64_t block, bool stored);
+    /** Events after this sequence number that are old enough to be seen. */
+    boost::json::array after(std::uint64_t sequence) const;
+
+private:
+    struct Event {
+        std::uint64_t sequence;
+        Clock::time_point at;
+        std::uint64_t block;
+        bool stored;
+    };
+
+    Clock::duration m_lag;
+    unsigned m_gapPercent;
+    std::uint64_t m_sequence = 0;
+    std::deque<Event> m_events;
+    std::mt19937 m_random;
+};
+
+/** 16 hex digits of a block's hash, and back. */
+std::string blockName(std::uint64_t);
+std::uint64_t blockFromName(const std::string&);
+
+} // namespace standins
--- /dev/null
+++ b/standins/common/engine_model.cpp
@@ -0,0 +1,141 @@
+#include "standins/common/engine_model.hpp"
+
+#include "standins/common/answer_text.hpp"
+
+#include <algorithm>
+
+namespace standins {
+
+namespace {
+
+    /** Prompt tokens computed in one step, so that decoding goes on meanwhile. */
+    constexpr std::uint64_t prefillPerStep = 512;
+
+} // namespace
+
+EngineModel::EngineModel(EngineOptions options)
+    : m_options(options)
+    , m_cache(options.cacheBlocks)
+{
+}
+
+bool EngineModel::submit(const SequencePtr& sequence)
+{
+    if (m_waiting.size() >= m_options.queue)
+        return false;
+    const auto later = std::ranges::find_if(m_waiting, [&](const auto& it) { return it->priority > sequence->priority; });
+    m_waiting.insert(later, sequence);
+    m_known[sequence->id] = sequence;
+    m_arrived.notifyAll();
+    return true;
+}
+
+SequencePtr EngineModel::find(const std::string& id) const
+{
+    const auto it = m_known.find(id);
+    return it == m_known.end() ? nullptr : it->second;
+}
+
+bool EngineModel::cancel(const std::string& id)
+{
+    const auto sequence = find(id);
+    if (sequence == nullptr || sequence->finished())
+        return false;
+    sequence->cancelled = true;
+    std::erase(m_waiting, sequence);
+    std::erase(m_running, sequence);
+    m_known.erase(id);
+    sequence->progress.notifyAll();
+    return true;
+}
+
+boost::asio::awaitable<void> EngineModel::run()
+{
+    while (true) {
+        admit();
+        if (m_running.empty()) {
+            co_await m_arrived.wait();
+            continue;
+        }
+        const auto prefilled = prefill();
+        co_await sleepFor(stepTime(prefilled));
+        generate();
+    }
+}
+
+std::uint64_t EngineModel::queuedTokens() const
+{
+    std::uint64_t sum = 0;
+    const auto add = [&](const SequencePtr& it) { sum += it->prefillLeft + it->tokens - it->generated; };
+    std::ranges::for_each(m_running, add);
+    std::ranges::for_each(m_waiting, add);
+    return sum;
+}
+
+void EngineModel::admit()
+{
+    while (!m_waiting.empty() && m_running.size() < m_options.slots) {
+        const auto sequence = m_waiting.front();
+        m_waiting.pop_front();
+        start(sequence);
+    }
+}
+
+void EngineModel::start(const SequencePtr& sequence)
+{
+    if (onStart)
+        onStart(*sequence);
+    const auto blocks = blockHashes(sequence->prompt, m_options.blockTokens);
+    const auto cached = m_cache.match(blocks) * m_options.blockTokens;
+    // A resumed sequence computes the tokens it had generated before, too.
+    const auto all = sequence->prompt.size() / bytesPerToken + sequence->generated;
+    sequence->prefillLeft = std::max<std::uint64_t>(all - std::min<std::uint64_t>(all, cached), 1);
+    for (const auto block : blocks)
+        m_cache.store(block);
+    m_running.push_back(sequence);
+}
+
+std::uint64_t EngineModel::prefill()
+{
+    std::uint64_t left = prefillPerStep;
+    for (const auto& sequence : m_running) {
+        const auto part = std::min(left, sequence->prefillLeft);
+        sequence->prefillLeft -= part;
+        left -= part;
+    }
+    return prefillPerStep - left;
+}
+
+Clock::duration EngineModel::stepTime(std::uint64_t prefilled) const
+{
+    constexpr double hundred = 100;
+    const auto further = static_cast<double>(m_running.size() - 1);
+    const double decode = (1 + further * m_options.batchCostPercent / hundred) / m_options.decodeTokensPerSecond;
+    const double compute = static_cast<double>(prefilled) / m_options.prefillTokensPerSecond;
+    return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>((decode + compute) * slowFactor));
+}
+
+void EngineModel::generate()
+{
+    const auto batch = m_running;
+    for (const auto& sequence : batch) {
+        if (sequence->cancelled || sequence->prefillLeft > 0)
+            continue;
+        ++sequence->generated;
+        if (sequence->finished())
+            retire(sequence);
+        sequence->progress.notifyAll();
+    }
+}
+
+void EngineModel::retire(const SequencePtr& sequence)
+{
+    std::erase(m_running, sequence);
+    m_kept.push_back(sequence->id);
+    if (m_kept.size() <= m_options.keptSequences)
+        return;
+    m_known.erase(m_kept.front());
+    m_kept.pop_front();
+}
+
+} // namespace standins
