--- a/src/yuccashift/peer/peer.thrift
+++ b/src/yuccashift/peer/peer.thrift
@@ -24,6 +24,7 @@
 struct DocumentRevision {
   1: string serviceName
   2: i64 revision
+  3: i64 textHash      // tells apart two texts that carry the same revision
 }
 
 // The text of one accepted document.
@@ -61,10 +62,19 @@
   3: i32 tokensPerSecond
 }
 
+// Use of limits in one region, summed over its instances.
+struct RegionDemand {
+  1: string region
+  2: list<Demand> demands
+  3: i32 ageMs
+}
+
 struct QuarantineEntry {
   1: i64 fingerprint
   2: i32 crashes
   3: i32 remainingMs
+  4: i64 backend       // hash of the backend server that died
+  5: i64 death         // tells deaths apart, however late the entry arrives
 }
 
 struct Heartbeat {
@@ -77,15 +87,19 @@
   7: list<Demand> demands
   8: list<QuarantineEntry> quarantine
   9: list<Member> members
+  10: bool ready       // the sender has asked its peers for their documents
+  11: list<RegionDemand> regionDemands
 }
 
 // Asks for the documents that are newer than these revisions.
 struct DocumentPull {
   1: list<DocumentRevision> held
+  2: bool complete     // held is everything; otherwise only those asked for
 }
 
 struct DocumentPush {
   1: list<DocumentText> documents
+  2: bool answer       // answers a pull, also when it is empty
 }
 
 struct Header {
@@ -133,6 +147,13 @@
 struct Cancel {
 }
 
+// Proves that a link still carries frames; answered by a Pong.
+struct Ping {
+}
+
+struct Pong {
+}
+
 // Exactly one of the optional fields is set. Stream 0 carries control.
 struct Frame {
   1: i64 stream
@@ -145,4 +166,6 @@
   8: optional AnswerChunk answerChunk
   9: optional AnswerEnd answerEnd
   10: optional Cancel cancel
+  11: optional Ping ping
+  12: optional Pong pong
 }
