--- a/fuzzing/parsers_fuzz.cpp
+++ b/fuzzing/parsers_fuzz.cpp
@@ -2,10 +2,15 @@
 #include "peer_types.h"
 #include "yuccashift/answers/sse_tracker.hpp"
 #include "yuccashift/document/parser.hpp"
+#include "yuccashift/kernel/random.hpp"
 #include "yuccashift/kernel/settings.hpp"
+#include "yuccashift/keys/minted_key.hpp"
 #include "yuccashift/peer/codec.hpp"
+#include "yuccashift/platform/json_bodies.hpp"
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 
 namespace yuccashift::fuzzing {
 namespace {
@@ -42,6 +47,11 @@
 
     constexpr std::string_view eventsText = "data: {\"token_index\":0}\n\n: note\r\n\r\ndata: {\"token_index\":1}\n\ndata: [DONE]\n\n";
 
+    constexpr std::string_view listingText = R"({"index":4,"documents":[{"service":"draft","revision":3}]})";
+    constexpr std::string_view instancesText = R"({"instances":[{"instance":"i1","region":"sofia","datacentre":"d","callers":"127.0.0.1:1","peers":"127.0.0.1:2","state":"leaving"}],"backends":[{"service":"s","name":"b","state":"live"}]})";
+    constexpr std::string_view loadText = R"({"sequence":1,"running":2,"waiting":3,"queued_tokens":4,"prefill_tokens_per_second":5.5,"leaving":false,"role":"both","fence":6,"models":[{"name":"m","version":"1","adapters":["a"]}]})";
+    constexpr std::string_view cacheText = R"({"events":[{"sequence":1,"kind":"stored","block":"00ff00ff00ff00ff"}]})";
+
     wire::Frame sampleFrame()
     {
         wire::Heartbeat heartbeat;
@@ -84,9 +94,18 @@
         text.insert(pick(step.c, text.size() + 1), text.substr(from, pick(step.b, 60)));
     }
 
+    void flipCase(std::string& text, const Step& step)
+    {
+        if (text.empty())
+            return;
+        auto& c = text[pick(step.a, text.size())];
+        const auto byte = static_cast<unsigned char>(c);
+        c = static_cast<char>(std::isupper(byte) != 0 ? std::tolower(byte) : std::toupper(byte));
+    }
+
     std::string mutated(std::string text, std::span<const Step> steps)
     {
-        constexpr std::array changes { &cut, &overwrite, &insertWord, &repeatSlice };
+        constexpr std::array changes { &cut, &overwrite, &insertWord, &repeatSlice, &flipCase };
         for (const auto& step : steps)
             changes[pick(step.action, changes.size())](text, step);
         return text;
@@ -161,12 +180,54 @@
         return std::nullopt;
     }
 
+    template <typename Value>
+    std::optional<std::string> checkKind(const Result<Value>& result)
+    {
+        const bool expected = result.has_value() || result.error().kind == ErrorKind::MalformedRequest;
+        return expected ? std::nullopt : std::optional<std::string>("damage has another kind");
+    }
+
+    std::optional<std::string> checkBody(std::uint32_t which, std::span<const Step> changes)
+    {
+        switch (pick(which, 4)) {
+        case 0:
+            return checkKind(detail::parseConfigListing(mutated(std::string(listingText), changes)));
+        case 1:
+            return checkKind(detail::parseListing(mutated(std::string(instancesText), changes)));
+        case 2:
+            return checkKind(detail::parseLoadReport(mutated(std::string(loadText), changes)));
+        default:
+            return checkKind(detail::parseCacheEvents(mutated(std::string(cacheText), changes)));
+        }
+    }
+
+    /** A key has one spelling, and nobody makes one but an instance. */
+    std::optional<std::string> checkKey(std::span<const Step> changes, std::string_view mutant)
+    {
+        SeededRandom random(3);
+        const Instant startedAt { seconds(10) };
+        const auto text = toString(KeyMinter("i.1", 77, startedAt, "secret").mint("o", startedAt + seconds(5), random));
+        const auto damaged = mutated(text, changes);
+        auto read = damaged;
+        if (mutant == "another spelling of a key is taken")
+            std::ranges::transform(read, read.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        const auto key = parseMintedKey(read, "o", "secret");
+        if (key && damaged != text)
+            return "a damaged key was taken";
+        if (!key && read == text)
+            return "a genuine key was refused";
+        if (parseMintedKey(read, "other", "secret"))
+            return "another organisation's key was taken";
+        return std::nullopt;
+    }
+
     /** Whatever comes from outside, damaged at random. Sanitizers watch these as well. */
     class ParsersCheck final : public Check {
     public:
         std::vector<std::string> mutants() const override
         {
-            return { "a document is read differently", "short secrets are accepted", "a frame is cut when it is written", "an event's bound is not kept" };
+            return { "a document is read differently", "short secrets are accepted", "a frame is cut when it is written", "an event's bound is not kept",
+                "another spelling of a key is taken" };
         }
 
         std::optional<std::string> run(std::span<const Step> steps, std::string_view mutant) override
@@ -174,13 +235,17 @@
             if (steps.empty())
                 return std::nullopt;
             const auto changes = steps.first(steps.size() / 4);
-            switch (pick(steps.back().a, 4)) {
+            switch (pick(steps.back().a, 6)) {
             case 0:
                 return checkDocument(mutated(std::string(documentText), changes), mutant);
             case 1:
                 return checkSettings(mutated(std::string(settingsText), changes), mutant);
             case 2:
                 return checkFrame(mutated(encodeFrame(sampleFrame()).substr(frameLengthBytes), changes), mutant);
+            case 3:
+                return checkBody(steps.back().b, changes);
+            case 4:
+                return checkKey(changes, mutant);
             default:
                 return checkEvents(mutated(std::string(eventsText), changes), steps, mutant);
             }
