--- a/benchmarks/capacity/capacity.cpp
+++ b/benchmarks/capacity/capacity.cpp
@@ -33,6 +33,7 @@
     Slopes slopes = slopesFromJson(readFile(path));
     addWireSlopes(slopes);
     addDocumentSlopes(slopes);
+    addStateSlopes(slopes);
     addDecisionSlopes(slopes);
     addObserveSlopes(slopes);
     writeFile(path, slopesToJson(slopes));
--- a/benchmarks/capacity/measure.cpp
+++ b/benchmarks/capacity/measure.cpp
@@ -43,14 +43,14 @@
 
 namespace yuccashift::capacity {
 
-namespace {
+double threadMicroseconds()
+{
+    timespec time {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
+}
 
-    double threadMicroseconds()
-    {
-        timespec time {};
-        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-        return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
-    }
+namespace {
 
     double timeOf(const std::function<void()>& call, std::size_t times)
     {
--- a/benchmarks/capacity/measure.hpp
+++ b/benchmarks/capacity/measure.hpp
@@ -11,6 +11,9 @@
 /** Processor time of one call in microseconds: the median of several rounds on this thread. */
 double microsecondsOf(const std::function<void()>& call);
 
+/** Processor time of this thread so far, in microseconds. */
+double threadMicroseconds();
+
 /** Bytes of heap that are in use, the allocator's own included. */
 std::int64_t heapBytes();
 
