Read the configuration service in turns, spread documents in tests

Cause: when every instance restarts, reading all documents from the service would exceed its budget; and spreading had no test.

--- a/src/yuccashift/config/config_spread.cpp
+++ b/src/yuccashift/config/config_spread.cpp
@@ -113,20 +113,19 @@
 void ConfigSpread::pushTexts(const InstanceId& to, std::vector<wire::DocumentText> texts, bool answer, OutgoingFrames& out) const
 {
     wire::DocumentPush push;
-    push.answer = false;
+    push.answer = answer;
     std::size_t bytes = 0;
     for (auto& text : texts) {
         if (bytes + text.text.size() > maxPushBytes && !push.documents.empty()) {
             out.push_back({ to, pushFrame(std::move(push)) });
             push = {};
-            push.answer = false;
+            push.answer = answer;
             bytes = 0;
         }
         bytes += text.text.size();
         push.documents.push_back(std::move(text));
     }
-    // Only the last frame says that the answer is whole.
-    push.answer = answer;
+    push.last = answer;
     out.push_back({ to, pushFrame(std::move(push)) });
 }
 
@@ -147,7 +146,8 @@
         for (const auto& revision : pull.held)
             want(from, revision, now + jitter(m_timing.pullJitter));
     }
-    // An instance that has not asked its own peers yet is no witness for others.
+    // An instance that has not asked its own peers yet is no witness for others:
+    // it helps with what it has, and does not say that this is all.
     if (!texts.empty() || m_ready)
         pushTexts(from, std::move(texts), pull.complete && m_ready, out);
 }
@@ -160,9 +160,11 @@
         if (!acceptance || !acceptance->changed())
             continue;
         brought = true;
-        passOn(acceptance->service, from, peers, now, out);
+        // What a starting instance is brought up to date with, its region has already.
+        if (m_ready || !push.answer)
+            passOn(acceptance->service, from, peers, now, out);
     }
-    if (!push.answer)
+    if (!push.last)
         return;
     m_answered.insert(from);
     const auto it = m_mismatches.find(from);
@@ -202,7 +204,9 @@
         m_mismatches.erase(from);
         return;
     }
-    m_mismatches.try_emplace(from, Mismatch { now, now + m_timing.mismatchDelay + jitter(m_timing.pullJitter), m_timing.exchangeInterval });
+    const auto first = now + m_timing.mismatchDelay + jitter(m_timing.pullJitter);
+    const auto [it, added] = m_mismatches.try_emplace(from, Mismatch { now, first, m_timing.exchangeInterval });
+    it->second.confirmedAt = now;
 }
 
 void ConfigSpread::tick(const SpreadPeers& peers, Instant now, OutgoingFrames& out)
@@ -235,6 +239,8 @@
 
 void ConfigSpread::pullMismatched(Instant now, OutgoingFrames& out)
 {
+    // Whoever is no longer heard of is not asked any more.
+    std::erase_if(m_mismatches, [&](const auto& item) { return now - item.second.confirmedAt >= m_timing.mismatchLifetime; });
     // One exchange at a time: what it brings usually settles the other differences too.
     const auto isDue = [&](const auto& item) { return now >= item.second.nextExchange; };
     std::vector<InstanceId> due;
--- a/src/yuccashift/config/config_spread.hpp
+++ b/src/yuccashift/config/config_spread.hpp
@@ -26,6 +26,8 @@
     /** Least time between two such exchanges; doubled for peers that had nothing. */
     Duration exchangeInterval = seconds(2);
     Duration longestExchangeInterval = seconds(30);
+    /** Time for which a difference is believed without another heartbeat. */
+    Duration mismatchLifetime = seconds(10);
     /** Time for which heartbeats name a document that changed. */
     Duration recent = seconds(6);
     /** Time after which an instance starts without an answer of its peers. */
@@ -82,7 +84,7 @@
     };
 
     struct Mismatch {
-        Instant since;
+        Instant confirmedAt;
         Instant nextExchange;
         Duration interval;
     };
--- a/src/yuccashift/config/watcher_choice.cpp
+++ b/src/yuccashift/config/watcher_choice.cpp
@@ -17,8 +17,8 @@
         return hash64(parts);
     }
 
-    // Enough for a listing and one text without a wait.
-    constexpr double burst = 2;
+    // No more, since all instances may have saved theirs up when something makes all of them read.
+    constexpr double burst = 1;
 
 } // namespace
 
--- a/src/yuccashift/membership/coordinator.cpp
+++ b/src/yuccashift/membership/coordinator.cpp
@@ -3,7 +3,7 @@
 #include "yuccashift/kernel/random.hpp"
 #include "yuccashift/membership/exchange.hpp"
 #include "yuccashift/membership/region_links.hpp"
-#include "yuccashift/platform/instance_list.hpp"
+#include "yuccashift/platform/listing.hpp"
 #include "yuccashift/resilience/quarantine.hpp"
 
 #include <algorithm>
@@ -85,18 +85,21 @@
     m_nextCross = now;
 }
 
-SpreadPeers Coordinator::spreadPeers() const
+const SpreadPeers& Coordinator::spreadPeers()
 {
+    if (m_peersGeneration == m_table.generation())
+        return m_peers;
+    m_peersGeneration = m_table.generation();
     const auto& self = m_table.self();
-    SpreadPeers peers { self.instance, m_table.liveInRegion(), m_table.candidates(self.region), m_table.hasListing() };
+    m_peers = { self.instance, m_table.liveInRegion(), m_table.candidates(self.region), m_table.hasListing() };
     std::size_t elsewhere = 0;
     for (const auto& region : m_table.otherRegions()) {
         const auto candidates = m_table.candidates(region);
         if (candidates.empty() || ++elsewhere > askableElsewhere)
             continue;
-        peers.askable.push_back(candidates.front());
+        m_peers.askable.push_back(candidates.front());
     }
-    return peers;
+    return m_peers;
 }
 
 OutgoingFrames Coordinator::receive(const InstanceId& from, const wire::Frame& frame, Instant now)
@@ -104,7 +107,7 @@
     const std::lock_guard lock(m_mutex);
     OutgoingFrames out;
     if (frame.__isset.heartbeat)
-        onHeartbeat(from, frame.heartbeat, now);
+        onHeartbeat(from, frame.heartbeat, now, out);
     if (frame.__isset.documentPull)
         m_spread.onPull(from, frame.documentPull, now, out);
     if (frame.__isset.documentPush)
@@ -112,7 +115,7 @@
     return out;
 }
 
-void Coordinator::onHeartbeat(const InstanceId& from, const wire::Heartbeat& heartbeat, Instant now)
+void Coordinator::onHeartbeat(const InstanceId& from, const wire::Heartbeat& heartbeat, Instant now, OutgoingFrames& out)
 {
     const auto info = fromWire(heartbeat.sender);
     // The link has proved who it is; a heartbeat in another name is damage or an attack.
@@ -121,6 +124,8 @@
     const auto* known = m_table.find(from);
     const bool isNew = known == nullptr || known->info.incarnation < info.incarnation;
     const HeartbeatMark mark { static_cast<std::uint64_t>(heartbeat.sequence), static_cast<std::uint64_t>(heartbeat.revisionDigest), heartbeat.ready };
+    if (known != nullptr && info.incarnation < known->info.incarnation)
+        answerReplaced(*known, now, out);
     if (!m_table.onHeartbeat(info, mark, now))
         return;
     if (isNew)
@@ -133,6 +138,18 @@
     takeExchanges(from, heartbeat, sameRegion, now);
 }
 
+void Coordinator::answerReplaced(const MemberState& member, Instant now, OutgoingFrames& out)
+{
+    // An earlier start that woke up, or a later one whose wall clock was set
+    // back: either has to learn that its heartbeats are not taken.
+    wire::Heartbeat heartbeat;
+    heartbeat.sequence = static_cast<std::int64_t>(++m_sequence);
+    heartbeat.sender = toWire(m_table.self());
+    heartbeat.members.push_back(toWire(member.info));
+    m_spread.fill(heartbeat, 0, now);
+    out.push_back({ member.info.instance, heartbeatFrame(std::move(heartbeat)) });
+}
+
 void Coordinator::takeExchanges(const InstanceId& from, const wire::Heartbeat& heartbeat, bool sameRegion, Instant now)
 {
     if (m_hooks.loads != nullptr && sameRegion)
@@ -169,7 +186,7 @@
 void Coordinator::setDraining()
 {
     const std::lock_guard lock(m_mutex);
-    m_table.self().draining = true;
+    m_table.drainSelf();
     m_introduceUntil = m_sequence + introductions;
     m_nextRegion = {};
     m_nextCross = {};
@@ -180,7 +197,7 @@
 {
     if (now < m_nextRegion)
         return;
-    const auto receivers = m_table.candidates(m_table.self().region);
+    const auto receivers = m_table.reachable(m_table.self().region);
     const auto size = receivers.size() + 1;
     const auto interval = heartbeatInterval(size);
     m_table.setSuspectAfter(std::max(m_timing.membership.suspectAfter, interval * missedHeartbeats));
@@ -197,7 +214,7 @@
     m_nextCross = now + m_timing.crossRegionInterval;
     m_lastNotice = now;
     ++m_crossRound;
-    sendAcross(makeCrossHeartbeat(crossRegionBudget(), now), now, out);
+    sendAcross(makeCrossHeartbeat(crossRegionBudget(), now), out);
 }
 
 void Coordinator::noticeOtherRegions(Instant now, OutgoingFrames& out)
@@ -206,10 +223,10 @@
         return;
     m_lastNotice = now;
     ++m_crossRound;
-    sendAcross(makeHeartbeat(crossRegionBudget().revisions, now), now, out);
+    sendAcross(makeHeartbeat(crossRegionBudget().revisions, now), out);
 }
 
-void Coordinator::sendAcross(const wire::Heartbeat& heartbeat, Instant /*now*/, OutgoingFrames& out)
+void Coordinator::sendAcross(const wire::Heartbeat& heartbeat, OutgoingFrames& out)
 {
     const auto& self = m_table.self();
     const auto live = m_table.liveInRegion();
@@ -283,6 +300,10 @@
 
 void Coordinator::publishView()
 {
+    const bool current = m_view && m_viewGeneration == m_table.generation() && m_view->confirmed == m_confirmed && m_view->pauseGeneration == m_pauses.generation();
+    if (current)
+        return;
+    m_viewGeneration = m_table.generation();
     auto view = std::make_shared<MemberView>();
     view->members = m_table.members();
     view->liveInRegion = m_table.liveInRegion();
--- a/src/yuccashift/membership/coordinator.hpp
+++ b/src/yuccashift/membership/coordinator.hpp
@@ -82,13 +82,14 @@
     std::optional<Instant> regionHeardAt(const RegionName&) const;
 
 private:
-    SpreadPeers spreadPeers() const;
-    void onHeartbeat(const InstanceId& from, const wire::Heartbeat&, Instant now);
+    const SpreadPeers& spreadPeers();
+    void onHeartbeat(const InstanceId& from, const wire::Heartbeat&, Instant now, OutgoingFrames&);
+    void answerReplaced(const MemberState&, Instant now, OutgoingFrames&);
     void takeExchanges(const InstanceId& from, const wire::Heartbeat&, bool sameRegion, Instant now);
     void beatRegion(Instant now, OutgoingFrames&);
     void beatOtherRegions(Instant now, OutgoingFrames&);
     void noticeOtherRegions(Instant now, OutgoingFrames&);
-    void sendAcross(const wire::Heartbeat&, Instant now, OutgoingFrames&);
+    void sendAcross(const wire::Heartbeat&, OutgoingFrames&);
     wire::Heartbeat makeHeartbeat(std::size_t revisions, Instant now);
     wire::Heartbeat makeRegionHeartbeat(const HeartbeatBudget&, Instant now);
     wire::Heartbeat makeCrossHeartbeat(const HeartbeatBudget&, Instant now);
@@ -113,6 +114,11 @@
     Instant m_lastNotice {};
     bool m_confirmed = true;
     MemberViewPtr m_view;
+    SpreadPeers m_peers;
+    /** Of the member table, when m_peers was made. */
+    std::optional<std::uint64_t> m_peersGeneration;
+    /** Of the member table, when m_view was made. */
+    std::uint64_t m_viewGeneration = 0;
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/membership/member_table.cpp
+++ b/src/yuccashift/membership/member_table.cpp
@@ -1,7 +1,7 @@
 #include "yuccashift/membership/member_table.hpp"
 
 #include "peer_types.h"
-#include "yuccashift/platform/instance_list.hpp"
+#include "yuccashift/platform/listing.hpp"
 
 #include <algorithm>
 #include <set>
@@ -13,6 +13,15 @@
     // Each heartbeat goes to the whole region; a few repeat what a lost one carried.
     constexpr std::uint32_t spreadsOfNews = 3;
 
+    // Returns nothing: an address may change without being news to pass on.
+    void place(MemberState& member, const MemberInfo& info)
+    {
+        member.info.region = info.region;
+        member.info.datacentre = info.datacentre;
+        member.info.callers = info.callers;
+        member.info.peers = info.peers;
+    }
+
 } // namespace
 
 std::string_view toString(Liveness liveness)
@@ -45,6 +54,7 @@
         return &it->second;
     if (instance.empty() || m_members.size() >= maxMembers)
         return nullptr;
+    ++m_generation;
     auto& member = m_members[instance];
     member.info.instance = instance;
     member.knownAt = now;
@@ -66,14 +76,11 @@
     // Within one run draining is final, so a late message cannot take it back.
     const bool newDrain = info.draining && !member.info.draining;
     member.info.draining = member.info.draining || info.draining;
-    if (!info.region.empty()) {
-        member.info.region = info.region;
-        member.info.datacentre = info.datacentre;
-        member.info.callers = info.callers;
-        member.info.peers = info.peers;
-    }
+    if (!info.region.empty())
+        place(member, info);
     if (!newRun && !newDrain)
         return false;
+    ++m_generation;
     member.changedAt = now;
     return true;
 }
@@ -93,9 +100,10 @@
         return false;
     member->sequence = mark.sequence;
     member->revisionDigest = mark.revisionDigest;
+    m_generation += member->ready != mark.ready ? 1 : 0;
     member->ready = mark.ready;
     member->heardAt = now;
-    member->liveness = judge(*member, now);
+    setLiveness(*member, now);
     return true;
 }
 
@@ -114,12 +122,13 @@
     const bool news = update(*member, info, now);
     if (news && passOn)
         member->spreadsLeft = spreadsOfNews;
-    member->liveness = judge(*member, now);
+    setLiveness(*member, now);
     return news;
 }
 
 void MemberTable::onListing(const Listing& listing, Instant now)
 {
+    m_generation += m_hasListing ? 0 : 1;
     m_hasListing = true;
     for (auto& [instance, member] : m_members)
         member.listed = false;
@@ -133,11 +142,9 @@
         member->listedLeaving = listed.leaving;
         member->knownAt = now;
         // The list lags behind; what an instance says of itself goes before it.
-        if (member->info.incarnation == 0) {
-            member->info.region = listed.region;
-            member->info.datacentre = listed.datacentre;
-            member->info.callers = listed.callers;
-            member->info.peers = listed.peers;
+        if (member->info.incarnation == 0 && member->info.peers != listed.peers) {
+            ++m_generation;
+            place(*member, { {}, 0, listed.region, listed.datacentre, listed.callers, listed.peers, false });
         }
     }
     refresh(now);
@@ -160,17 +167,33 @@
     return heard ? Liveness::Alive : Liveness::Suspect;
 }
 
+void MemberTable::setLiveness(MemberState& member, Instant now)
+{
+    const auto liveness = judge(member, now);
+    if (liveness == member.liveness)
+        return;
+    member.liveness = liveness;
+    ++m_generation;
+}
+
 void MemberTable::refresh(Instant now)
 {
     for (auto it = m_members.begin(); it != m_members.end();) {
         auto& member = it->second;
-        member.liveness = judge(member, now);
+        setLiveness(member, now);
         const auto lastSign = std::max(member.heardAt.value_or(member.knownAt), member.knownAt);
         const bool forgotten = member.liveness == Liveness::Gone && now - lastSign >= m_timing.forgetAfter;
+        m_generation += forgotten ? 1 : 0;
         it = forgotten ? m_members.erase(it) : std::next(it);
     }
 }
 
+void MemberTable::drainSelf()
+{
+    m_self.draining = true;
+    ++m_generation;
+}
+
 void MemberTable::doubtAll(Instant now)
 {
     for (auto& [instance, member] : m_members) {
@@ -187,26 +210,32 @@
     return it == m_members.end() ? nullptr : &it->second;
 }
 
-std::vector<InstanceId> MemberTable::candidates(const RegionName& region) const
+template <typename Predicate>
+std::vector<InstanceId> MemberTable::select(const RegionName& region, Predicate&& predicate) const
 {
     std::vector<InstanceId> instances;
     for (const auto& [instance, member] : m_members) {
-        const bool usable = member.liveness != Liveness::Gone && member.liveness != Liveness::Leaving;
-        if (member.info.region == region && usable)
+        if (member.info.region == region && predicate(member.liveness))
             instances.push_back(instance);
     }
     return instances;
 }
 
+std::vector<InstanceId> MemberTable::reachable(const RegionName& region) const
+{
+    return select(region, [](Liveness liveness) { return liveness != Liveness::Gone; });
+}
+
+std::vector<InstanceId> MemberTable::candidates(const RegionName& region) const
+{
+    return select(region, [](Liveness liveness) { return liveness == Liveness::Alive || liveness == Liveness::Suspect; });
+}
+
 std::vector<InstanceId> MemberTable::liveInRegion() const
 {
-    std::vector<InstanceId> instances;
+    auto instances = select(m_self.region, [](Liveness liveness) { return liveness == Liveness::Alive; });
     if (!m_self.draining)
         instances.push_back(m_self.instance);
-    for (const auto& [instance, member] : m_members) {
-        if (member.info.region == m_self.region && member.liveness == Liveness::Alive)
-            instances.push_back(instance);
-    }
     return instances;
 }
 
--- a/src/yuccashift/membership/member_table.hpp
+++ b/src/yuccashift/membership/member_table.hpp
@@ -104,10 +104,13 @@
     void setSuspectAfter(Duration suspectAfter) { m_timing.suspectAfter = suspectAfter; }
 
     const MemberInfo& self() const { return m_self; }
-    MemberInfo& self() { return m_self; }
+    /** This instance takes no new work from now on. */
+    void drainSelf();
     const MemberState* find(const InstanceId&) const;
     const std::map<InstanceId, MemberState>& members() const { return m_members; }
-    /** Alive and suspect members of a region, this instance excluded; gone and leaving ones left out. */
+    /** All members of a region that may be running, this instance excluded. */
+    std::vector<InstanceId> reachable(const RegionName&) const;
+    /** Those of them that are not on their way out. */
     std::vector<InstanceId> candidates(const RegionName&) const;
     /** Members of the own region that are alive, and this instance unless it drains. */
     std::vector<InstanceId> liveInRegion() const;
@@ -119,19 +122,25 @@
     /** A larger incarnation of this very instance was heard of: this one has been replaced. */
     bool superseded() const { return m_superseded; }
     bool hasListing() const { return m_hasListing; }
+    /** Grows whenever a member comes, goes, or changes its liveness, address, incarnation or readiness. */
+    std::uint64_t generation() const { return m_generation; }
 
     static constexpr std::size_t maxMembers = 4096;
 
 private:
     MemberState* findOrAdd(const InstanceId&, Instant now);
     bool update(MemberState&, const MemberInfo&, Instant now);
+    void setLiveness(MemberState&, Instant now);
     Liveness judge(const MemberState&, Instant now) const;
+    template <typename Predicate>
+    std::vector<InstanceId> select(const RegionName&, Predicate&&) const;
 
     MemberInfo m_self;
     MembershipTiming m_timing;
     std::map<InstanceId, MemberState> m_members;
     bool m_superseded = false;
     bool m_hasListing = false;
+    std::uint64_t m_generation = 0;
 };
 
 wire::Member toWire(const MemberInfo&);
--- a/src/yuccashift/peer/peer.thrift
+++ b/src/yuccashift/peer/peer.thrift
@@ -98,7 +98,8 @@
 
 struct DocumentPush {
   1: list<DocumentText> documents
-  2: bool answer       // answers a pull, also when it is empty
+  2: bool answer       // answers a complete pull, also when it is empty
+  3: bool last         // ends such an answer
 }
 
 struct Header {
--- a/src/yuccashift/platform/config_source.hpp
+++ b/src/yuccashift/platform/config_source.hpp
@@ -1,27 +1,13 @@
 #pragma once
 
 #include "yuccashift/kernel/error.hpp"
-#include "yuccashift/kernel/ids.hpp"
+#include "yuccashift/platform/listing.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <string>
-#include <vector>
 
 namespace yuccashift {
 
-/** Revision of one published document, without its text. */
-struct PublishedRevision {
-    ServiceName service;
-    Revision revision = 0;
-};
-
-/** What the configuration service publishes at one moment. */
-struct ConfigListing {
-    /** Grows with each change; passed to watch(). */
-    std::uint64_t index = 0;
-    std::vector<PublishedRevision> documents;
-};
-
 /** Port to the platform's configuration service: read and watched, never written. */
 class ConfigSource {
 public:
--- /dev/null
+++ b/tests/config/config_spread_test.cpp
@@ -0,0 +1,178 @@
+#include "tests/support/mesh.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccashift {
+namespace {
+
+    using testing::documentText;
+    using testing::Mesh;
+    using testing::tombstoneText;
+
+    // The time that the operators allow between publishing and force everywhere.
+    constexpr Duration inForceWithin = seconds(3);
+
+    class ConfigSpreading : public ::testing::Test {
+    protected:
+        void start(std::size_t lagos, std::size_t sofia)
+        {
+            mesh.addRegion("lagos", lagos);
+            mesh.addRegion("sofia", sofia);
+            mesh.list();
+            mesh.run(seconds(10));
+            mesh.resetTraffic();
+        }
+
+        Duration publish(const InstanceId& at, Revision revision, std::size_t bytes = 0)
+        {
+            mesh.offer(at, documentText("desk", revision, bytes));
+            return mesh.runUntil([&] { return mesh.allHold("desk", revision); }, seconds(30));
+        }
+
+        Mesh mesh;
+    };
+
+    TEST_F(ConfigSpreading, ReachesFiftyInstancesAndAnotherRegionInTime)
+    {
+        start(50, 5);
+        EXPECT_LT(publish("lagos-7", 1), inForceWithin);
+    }
+
+    TEST_F(ConfigSpreading, SendsAboutOneCopyOfTheTextToEachInstance)
+    {
+        start(50, 1);
+        publish("lagos-7", 1);
+        mesh.run(seconds(10));
+        std::size_t copies = 0;
+        std::size_t most = 0;
+        for (const auto& [instance, node] : mesh.nodes()) {
+            copies += node.traffic.receivedDocuments;
+            most = std::max(most, node.traffic.sentDocuments);
+        }
+        EXPECT_LE(copies, 55u);
+        EXPECT_LE(most, 6u);
+    }
+
+    TEST_F(ConfigSpreading, ReachesAllInTimeThoughATenthOfTheFramesIsLost)
+    {
+        start(50, 5);
+        mesh.setLossPercent(10);
+        for (Revision revision = 1; revision <= 5; ++revision)
+            EXPECT_LT(publish("lagos-7", revision), inForceWithin * 2) << revision;
+    }
+
+    TEST_F(ConfigSpreading, WorksAroundInstancesThatStoppedAMomentAgo)
+    {
+        start(30, 3);
+        for (int n = 0; n < 10; ++n)
+            mesh.at("lagos-" + std::to_string(n)).stopped = true;
+        EXPECT_LT(publish("lagos-20", 1), inForceWithin);
+    }
+
+    TEST_F(ConfigSpreading, NeverGoesBackToAnOlderRevisionOfAStaleSource)
+    {
+        start(5, 2);
+        publish("lagos-0", 4);
+        mesh.offer("lagos-3", documentText("desk", 2));
+        mesh.run(seconds(5));
+        EXPECT_TRUE(mesh.allHold("desk", 4));
+    }
+
+    TEST_F(ConfigSpreading, ADeletionIsNotUndoneByAnInstanceThatMissedIt)
+    {
+        start(5, 2);
+        publish("lagos-0", 1);
+        mesh.setCut([](const auto& from, const auto& to) { return (from.info.instance == "lagos-4") != (to.info.instance == "lagos-4"); });
+        mesh.offer("lagos-0", tombstoneText("desk", 2));
+        mesh.run(seconds(10));
+        EXPECT_FALSE(mesh.at("lagos-4").store->find("desk")->deleted);
+        mesh.setCut({});
+        mesh.run(seconds(10));
+        EXPECT_TRUE(mesh.allHold("desk", 2));
+        EXPECT_TRUE(mesh.at("lagos-4").store->find("desk")->deleted);
+    }
+
+    TEST_F(ConfigSpreading, BothSidesOfASplitEndWithTheNewestOfEach)
+    {
+        start(6, 6);
+        mesh.setCut([](const auto& from, const auto& to) { return from.info.region != to.info.region; });
+        mesh.offer("lagos-0", documentText("desk", 3));
+        mesh.offer("sofia-0", documentText("gate", 5));
+        mesh.run(seconds(60));
+        EXPECT_EQ(mesh.at("sofia-3").store->find("desk"), nullptr);
+        mesh.setCut({});
+        const auto both = [&] { return mesh.allHold("desk", 3) && mesh.allHold("gate", 5); };
+        EXPECT_LT(mesh.runUntil(both, seconds(60)), seconds(10));
+    }
+
+    TEST_F(ConfigSpreading, TwoTextsUnderOneRevisionEndAsOneEverywhere)
+    {
+        start(4, 4);
+        mesh.offer("lagos-0", documentText("desk", 3, 1000));
+        mesh.offer("sofia-0", documentText("desk", 3, 2000));
+        mesh.run(seconds(10));
+        const auto digest = mesh.at("lagos-0").store->digest();
+        std::size_t reports = 0;
+        for (const auto& [instance, node] : mesh.nodes()) {
+            EXPECT_EQ(node.store->digest(), digest) << instance;
+            reports += node.store->conflicts().size();
+        }
+        EXPECT_GT(reports, 0u);
+    }
+
+    TEST_F(ConfigSpreading, AStartingInstanceHoldsWhatItsPeersHoldBeforeItIsReady)
+    {
+        start(5, 2);
+        publish("lagos-0", 7);
+        mesh.add("lagos-2", "lagos", 2);
+        mesh.list();
+        const auto& node = mesh.at("lagos-2");
+        EXPECT_FALSE(node.coordinator->ready());
+        mesh.runUntil([&] { return node.coordinator->ready(); }, seconds(10));
+        ASSERT_TRUE(node.coordinator->ready());
+        ASSERT_NE(node.store->find("desk"), nullptr);
+        EXPECT_EQ(node.store->find("desk")->revision, 7u);
+    }
+
+    TEST_F(ConfigSpreading, AStartingInstanceDoesNotSendItsRegionWhatItWasJustSent)
+    {
+        start(8, 1);
+        for (int n = 0; n < 20; ++n)
+            mesh.offer("lagos-0", documentText("service-" + std::to_string(n), 1));
+        mesh.run(seconds(10));
+        mesh.add("lagos-2", "lagos", 2);
+        mesh.list();
+        mesh.run(seconds(10));
+        EXPECT_EQ(mesh.at("lagos-2").store->all().size(), 20u);
+        EXPECT_EQ(mesh.at("lagos-2").traffic.sentDocuments, 0u);
+    }
+
+    TEST_F(ConfigSpreading, AnInstanceWithoutAnyPeerIsReadyAtOnceAndACutOffOneAfterAWait)
+    {
+        mesh.add("alone", "varna");
+        mesh.list();
+        mesh.run(milliseconds(300));
+        EXPECT_TRUE(mesh.at("alone").coordinator->ready());
+
+        mesh.add("other", "varna");
+        mesh.setCut([](const auto&, const auto&) { return true; });
+        mesh.list();
+        mesh.run(seconds(1));
+        EXPECT_FALSE(mesh.at("other").coordinator->ready());
+        mesh.run(seconds(3));
+        EXPECT_TRUE(mesh.at("other").coordinator->ready());
+    }
+
+    TEST_F(ConfigSpreading, QuietInstancesExchangeDigestsOnly)
+    {
+        start(10, 2);
+        publish("lagos-0", 1);
+        mesh.run(seconds(10));
+        mesh.resetTraffic();
+        mesh.run(seconds(30));
+        for (const auto& [instance, node] : mesh.nodes())
+            EXPECT_EQ(node.traffic.sentDocuments, 0u) << instance;
+    }
+
+} // namespace
+} // namespace yuccashift
