Tell loads inside cells of a region, packed

Cause: heartbeats carried loads to every member of the region: one of 32 in 2.5 s at 154 members, so a peer's load was told anew every 80 s (worked out from the budget), every 10 s in the mean region. Change: a region's instances are dealt into cells of at most 16; loads go to the cell alone, in 13 bytes each instead of 26, as often as 2 KB/s allow.

--- a/benchmarks/capacity/state_slopes.cpp
+++ b/benchmarks/capacity/state_slopes.cpp
@@ -1,6 +1,6 @@
 #include "benchmarks/capacity/measure.hpp"
-#include "benchmarks/capacity/region_mesh.hpp"
 #include "benchmarks/capacity/samples.hpp"
+#include "benchmarks/support/control_traffic.hpp"
 
 #include "yuccashift/config/document_store.hpp"
 #include "yuccashift/config/route_table.hpp"
@@ -20,15 +20,16 @@
     constexpr auto fleetSizes = { 24.0, 96.0, 192.0, 370.0 };
     constexpr auto keySizes = { 1000.0, 4000.0, 16000.0, 64000.0 };
     constexpr auto documentSizes = { 10.0, 40.0, 160.0, 640.0 };
-    constexpr std::size_t fleet = 370;
     constexpr Instant start { seconds(1000) };
 
-    FleetShape shapeOf(std::size_t members)
+    benchmarks::ControlFleet quietFleet(std::size_t members)
     {
-        FleetShape shape;
-        shape.regionMembers = members;
-        shape.otherInstances = fleet - members;
-        return shape;
+        benchmarks::ControlFleet fleet;
+        fleet.regionMembers = members;
+        fleet.servicesPerRegion = 7;
+        fleet.changesPerSecond = 0;
+        fleet.measured = seconds(40);
+        return fleet;
     }
 
     void addRegionSlopes(Slopes& slopes)
@@ -36,15 +37,37 @@
         std::vector<Point> bytes;
         std::vector<Point> frames;
         std::vector<Point> time;
+        std::vector<Point> loads;
+        std::vector<Point> summaries;
         for (const double size : regionSizes) {
-            const auto cost = measureRegion(shapeOf(static_cast<std::size_t>(size)));
-            bytes.push_back({ size, cost.bytesPerSecond });
-            frames.push_back({ size, cost.framesPerSecond });
-            time.push_back({ size, cost.microsecondsPerSecond });
+            const auto cost = benchmarks::measureControlTraffic(quietFleet(static_cast<std::size_t>(size)));
+            bytes.push_back({ size, cost.sentPerSecond + cost.receivedPerSecond });
+            frames.push_back({ size, cost.framesSentPerSecond });
+            time.push_back({ size, cost.processorMicroseconds });
+            loads.push_back({ size, cost.loadsReceivedPerSecond });
+            summaries.push_back({ size, cost.summariesReceivedPerSecond });
         }
-        addSlope(slopes, fitLine("region.bytes", "bytes/s", "instance in the region", bytes));
-        addSlope(slopes, fitLine("region.frames", "frames/s", "instance in the region", frames));
+        addSlope(slopes, fitLine("region.bytes", "bytes/s, sent and received", "instance in the region", bytes));
+        addSlope(slopes, fitLine("region.frames", "frames/s sent", "instance in the region", frames));
         addSlope(slopes, fitLine("region.time", "us/s", "instance in the region", time));
+        addSlope(slopes, fitLine("region.loads", "loads/s heard", "instance in the region", loads));
+        addSlope(slopes, fitLine("region.summaries", "summaries/s heard", "instance in the region", summaries));
+    }
+
+    void addSpreadSlopes(Slopes& slopes)
+    {
+        constexpr double changesPerSecond = 0.5;
+        const auto quiet = benchmarks::measureControlTraffic(quietFleet(16));
+        std::vector<Point> bytes;
+        for (const double size : { 4096.0, 16384.0, 65536.0, 262144.0 }) {
+            auto fleet = quietFleet(16);
+            fleet.changesPerSecond = changesPerSecond;
+            fleet.documentBytes = static_cast<std::size_t>(size);
+            const auto cost = benchmarks::measureControlTraffic(fleet);
+            const double more = cost.sentPerSecond + cost.receivedPerSecond - quiet.sentPerSecond - quiet.receivedPerSecond;
+            bytes.push_back({ size, more / changesPerSecond });
+        }
+        addSlope(slopes, fitLine("spread.bytes", "bytes, sent and received", "byte of the changed document", bytes));
     }
 
     void addMemberSlopes(Slopes& slopes)
@@ -142,6 +165,7 @@
 void addStateSlopes(Slopes& slopes)
 {
     addRegionSlopes(slopes);
+    addSpreadSlopes(slopes);
     addMemberSlopes(slopes);
     addKeySlopes(slopes);
     addStoreSlopes(slopes);
--- a/benchmarks/capacity/wire_slopes.cpp
+++ b/benchmarks/capacity/wire_slopes.cpp
@@ -2,6 +2,7 @@
 
 #include "peer_types.h"
 #include "yuccashift/kernel/random.hpp"
+#include "yuccashift/membership/packed_loads.hpp"
 #include "yuccashift/peer/codec.hpp"
 
 namespace yuccashift::capacity {
@@ -15,10 +16,10 @@
         wire::Member member;
         member.instance = "ikeja-hall-entry-" + std::to_string(n);
         member.incarnation = 1780000000000 + static_cast<std::int64_t>(n);
-        member.region = "ikeja-hall";
-        member.datacentre = "ikeja-hall-b";
-        member.callerEndpoint = "10.20." + std::to_string(n % 256) + ".17:8080";
-        member.peerEndpoint = "10.20." + std::to_string(n % 256) + ".17:7400";
+        member.__set_region("ikeja-hall");
+        member.__set_datacentre("ikeja-hall-b");
+        member.__set_callerEndpoint("10.20." + std::to_string(n % 256) + ".17:8080");
+        member.__set_peerEndpoint("10.20." + std::to_string(n % 256) + ".17:7400");
         return member;
     }
 
@@ -38,6 +39,7 @@
         auto frame = makeHeartbeat();
         for (std::size_t n = 0; n < count; ++n)
             frame.heartbeat.members.push_back(makeMember(n));
+        frame.heartbeat.__isset.members = true;
         return frame;
     }
 
@@ -45,6 +47,7 @@
     {
         SeededRandom random(1);
         auto frame = makeHeartbeat();
+        std::vector<wire::BackendLoad> loads;
         for (std::size_t n = 0; n < count; ++n) {
             wire::BackendLoad load;
             load.backend = static_cast<std::int64_t>(random.next());
@@ -53,8 +56,9 @@
             load.queuedTokens = static_cast<std::int32_t>(random.below(16000));
             load.ageMs = static_cast<std::int32_t>(random.below(2000));
             load.decodeTokensPerSecond = static_cast<std::int32_t>(random.below(2000));
-            frame.heartbeat.loads.push_back(load);
+            loads.push_back(load);
         }
+        frame.heartbeat.__set_loads(packLoads(loads));
         return frame;
     }
 
@@ -72,6 +76,7 @@
             summary.ageMs = static_cast<std::int32_t>(random.below(2000));
             frame.heartbeat.summaries.push_back(summary);
         }
+        frame.heartbeat.__isset.summaries = true;
         return frame;
     }
 
@@ -86,6 +91,7 @@
             demand.tokensPerSecond = static_cast<std::int32_t>(random.below(60000));
             frame.heartbeat.demands.push_back(demand);
         }
+        frame.heartbeat.__isset.demands = true;
         return frame;
     }
 
@@ -99,6 +105,7 @@
             revision.revision = static_cast<std::int64_t>(1000 + random.below(100000));
             frame.heartbeat.revisions.push_back(revision);
         }
+        frame.heartbeat.__isset.revisions = true;
         return frame;
     }
 
--- a/benchmarks/support/control_traffic.hpp
+++ b/benchmarks/support/control_traffic.hpp
@@ -17,6 +17,8 @@
     std::size_t otherRegions = 23;
     /** Services of which each region sends a summary. */
     std::size_t servicesPerRegion = 10;
+    /** Backend servers that each instance watches. */
+    std::size_t watched = 32;
     /** Accepted changes per second, and the size of their texts in bytes. */
     double changesPerSecond = 15000.0 / 86400;
     std::size_t documentBytes = 4096;
@@ -46,15 +48,16 @@
 /** Fills every budget, so that the traffic is the most there can be. */
 class FullExchange final : public LoadExchange, public SummaryExchange, public DemandExchange {
 public:
-    FullExchange(RegionName region, std::size_t services)
+    FullExchange(RegionName region, const ControlFleet& fleet)
         : m_region(std::move(region))
-        , m_services(services)
+        , m_services(fleet.servicesPerRegion)
+        , m_watched(fleet.watched)
     {
     }
 
     std::vector<wire::BackendLoad> takeLoads(Instant, std::size_t limit) override
     {
-        std::vector<wire::BackendLoad> loads(limit);
+        std::vector<wire::BackendLoad> loads(std::min(limit, m_watched));
         for (auto& load : loads) {
             load.backend = nextHash();
             load.running = 12;
@@ -106,6 +109,7 @@
 
     RegionName m_region;
     std::size_t m_services;
+    std::size_t m_watched;
     std::uint64_t m_count = 0;
 };
 
@@ -116,7 +120,7 @@
     std::vector<std::unique_ptr<FullExchange>> exchanges;
     const auto add = [&](const RegionName& region, std::size_t members) {
         for (std::size_t n = 0; n < members; ++n) {
-            auto& exchange = exchanges.emplace_back(std::make_unique<FullExchange>(region, fleet.servicesPerRegion));
+            auto& exchange = exchanges.emplace_back(std::make_unique<FullExchange>(region, fleet));
             mesh.add(region + "-" + std::to_string(n), region, 1, { exchange.get(), exchange.get(), exchange.get(), nullptr });
         }
     };
@@ -127,7 +131,7 @@
     mesh.run(seconds(20));
     mesh.resetTraffic();
     for (auto& exchange : exchanges)
-        *exchange = FullExchange(exchange->ownSummaries({}).front().region, fleet.servicesPerRegion);
+        *exchange = FullExchange(exchange->ownSummaries({}).front().region, fleet);
 
     ControlTraffic traffic;
     const auto wallStart = std::chrono::steady_clock::now();
--- a/fuzzing/parsers_fuzz.cpp
+++ b/fuzzing/parsers_fuzz.cpp
@@ -3,6 +3,7 @@
 #include "yuccashift/answers/sse_tracker.hpp"
 #include "yuccashift/document/parser.hpp"
 #include "yuccashift/kernel/settings.hpp"
+#include "yuccashift/membership/packed_loads.hpp"
 #include "yuccashift/peer/codec.hpp"
 
 #include <array>
@@ -48,7 +49,7 @@
         heartbeat.sender.instance = "i1";
         heartbeat.sequence = 7;
         heartbeat.revisions.resize(3);
-        heartbeat.loads.resize(4);
+        heartbeat.__set_loads(std::string(4 * packedLoadBytes, 'l'));
         heartbeat.members.resize(2);
         wire::Forward forward;
         forward.serviceName = "draft";
--- a/src/yuccashift/membership/coordinator.cpp
+++ b/src/yuccashift/membership/coordinator.cpp
@@ -2,6 +2,8 @@
 
 #include "yuccashift/kernel/random.hpp"
 #include "yuccashift/membership/exchange.hpp"
+#include "yuccashift/membership/load_cell.hpp"
+#include "yuccashift/membership/packed_loads.hpp"
 #include "yuccashift/membership/region_links.hpp"
 #include "yuccashift/platform/listing.hpp"
 #include "yuccashift/resilience/quarantine.hpp"
@@ -81,6 +83,7 @@
     OutgoingFrames out;
     m_spread.tick(spreadPeers(), now, out);
     beatRegion(now, out);
+    beatLoads(now, out);
     beatOtherRegions(now, out);
     noticeOtherRegions(now, out);
     publishView();
@@ -166,7 +169,7 @@
 void Coordinator::takeExchanges(const InstanceId& from, const wire::Heartbeat& heartbeat, bool sameRegion, Instant now)
 {
     if (m_hooks.loads != nullptr && sameRegion)
-        m_hooks.loads->onLoads(from, heartbeat.loads, now);
+        m_hooks.loads->onLoads(from, unpackLoads(heartbeat.loads), now);
     const auto summaries = m_relay.take(heartbeat.summaries, !sameRegion, now);
     if (m_hooks.summaries != nullptr)
         m_hooks.summaries->onSummaries(summaries, now);
@@ -220,6 +223,25 @@
         out.push_back({ to, frame });
 }
 
+void Coordinator::beatLoads(Instant now, OutgoingFrames& out)
+{
+    if (m_hooks.loads == nullptr || now < m_nextLoads)
+        return;
+    const auto& self = m_table.self();
+    const auto receivers = loadCell(self.instance, self.region, m_table.liveInRegion());
+    if (receivers.empty())
+        return;
+    const auto loads = m_hooks.loads->takeLoads(now, mostPackedLoads);
+    if (loads.empty())
+        return;
+    auto heartbeat = makeHeartbeat(0, now);
+    heartbeat.loads = packLoads(loads);
+    m_nextLoads = now + loadInterval(receivers.size(), heartbeatBaseBytes + heartbeat.loads.size());
+    const auto frame = heartbeatFrame(std::move(heartbeat));
+    for (const auto& to : receivers)
+        out.push_back({ to, frame });
+}
+
 void Coordinator::beatOtherRegions(Instant now, OutgoingFrames& out)
 {
     if (now < m_nextCross)
@@ -269,8 +291,6 @@
 wire::Heartbeat Coordinator::makeRegionHeartbeat(const HeartbeatBudget& budget, Instant now)
 {
     auto heartbeat = makeHeartbeat(budget.revisions, now);
-    if (m_hooks.loads != nullptr)
-        heartbeat.loads = m_hooks.loads->takeLoads(now, budget.loads);
     heartbeat.summaries = m_relay.takeSummaries(budget.summaries, now);
     if (m_hooks.demands != nullptr)
         heartbeat.demands = m_hooks.demands->takeDemands(now, budget.demands);
--- a/src/yuccashift/membership/coordinator.hpp
+++ b/src/yuccashift/membership/coordinator.hpp
@@ -88,6 +88,7 @@
     void answerReplaced(const MemberState&, Instant now, OutgoingFrames&);
     void takeExchanges(const InstanceId& from, const wire::Heartbeat&, bool sameRegion, Instant now);
     void beatRegion(Instant now, OutgoingFrames&);
+    void beatLoads(Instant now, OutgoingFrames&);
     void beatOtherRegions(Instant now, OutgoingFrames&);
     void noticeOtherRegions(Instant now, OutgoingFrames&);
     void sendAcross(const wire::Heartbeat&, SpeakerTurn, OutgoingFrames&);
@@ -111,6 +112,7 @@
     /** Heartbeats up to this one name the sender's addresses. */
     std::uint64_t m_introduceUntil = 0;
     Instant m_nextRegion {};
+    Instant m_nextLoads {};
     Instant m_nextCross {};
     Instant m_lastNotice {};
     bool m_confirmed = true;
--- a/src/yuccashift/membership/exchange.hpp
+++ b/src/yuccashift/membership/exchange.hpp
@@ -17,11 +17,11 @@
 // The interfaces below are called with the coordinator's lock held: they return
 // quickly and never call back into it.
 
-/** Loads of backend servers, exchanged inside a region. */
+/** Loads of backend servers, exchanged inside a load cell of the region. */
 class LoadExchange {
 public:
     virtual ~LoadExchange();
-    /** The loads that most need telling, at most `limit`; called once for each heartbeat round. */
+    /** The loads that most need telling, at most `limit`; called once for each telling. */
     virtual std::vector<wire::BackendLoad> takeLoads(Instant now, std::size_t limit) = 0;
     virtual void onLoads(const InstanceId& from, std::span<const wire::BackendLoad>, Instant now) = 0;
 };
--- a/src/yuccashift/membership/heartbeat_budget.cpp
+++ b/src/yuccashift/membership/heartbeat_budget.cpp
@@ -12,15 +12,13 @@
     constexpr Duration longestInterval = milliseconds(2500);
 
     // Encoded bytes of one entry, rounded up.
-    constexpr std::size_t loadBytes = 26;
     constexpr std::size_t summaryBytes = 36;
     constexpr std::size_t demandBytes = 20;
 
     // How the kinds share what a heartbeat can carry.
-    constexpr double loadShare = 0.4;
-    constexpr double summaryShare = 0.4;
-    constexpr double demandShare = 0.08;
-    constexpr double regionDemandShare = 0.12;
+    constexpr double summaryShare = 0.66;
+    constexpr double demandShare = 0.14;
+    constexpr double regionDemandShare = 0.2;
 
     // Most that a heartbeat carries however small the region is.
     constexpr std::size_t mostEntryBytes = 800;
@@ -44,7 +42,6 @@
     const auto whole = regionBytesPerSecond * interval.count() / receivers;
     const auto entries = std::clamp(whole - static_cast<double>(heartbeatBaseBytes), 0.0, static_cast<double>(mostEntryBytes));
     HeartbeatBudget budget;
-    budget.loads = entriesWithin(entries * loadShare, loadBytes);
     budget.summaries = entriesWithin(entries * summaryShare, summaryBytes);
     budget.demands = entriesWithin(entries * demandShare, demandBytes);
     budget.regionDemands = entriesWithin(entries * regionDemandShare, demandBytes);
--- a/src/yuccashift/membership/heartbeat_budget.hpp
+++ b/src/yuccashift/membership/heartbeat_budget.hpp
@@ -6,8 +6,8 @@
 
 namespace yuccashift {
 
-/** Bytes per second that one instance sends in heartbeats to its region; it receives about as many. */
-constexpr double regionBytesPerSecond = 4600;
+/** Bytes per second that one instance sends in heartbeats to its region, loads excepted; it receives about as many. */
+constexpr double regionBytesPerSecond = 2800;
 /** Bytes of a heartbeat without any entries. */
 constexpr std::size_t heartbeatBaseBytes = 44;
 
@@ -16,7 +16,6 @@
 
 /** How many entries of each kind one heartbeat carries. */
 struct HeartbeatBudget {
-    std::size_t loads = 0;
     std::size_t summaries = 0;
     std::size_t demands = 0;
     std::size_t regionDemands = 0;
--- a/src/yuccashift/peer/peer.thrift
+++ b/src/yuccashift/peer/peer.thrift
@@ -82,7 +82,7 @@
   2: i64 sequence
   3: i64 revisionDigest
   4: optional list<DocumentRevision> revisions
-  5: optional list<BackendLoad> loads
+  5: optional binary loads // packed, see membership/packed_loads.hpp
   6: optional list<RegionSummary> summaries
   7: optional list<Demand> demands
   8: optional list<QuarantineEntry> quarantine
--- /dev/null
+++ b/tests/membership/load_cell_test.cpp
@@ -0,0 +1,125 @@
+#include "yuccashift/membership/load_cell.hpp"
+
+#include "peer_types.h"
+#include "yuccashift/membership/packed_loads.hpp"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+
+namespace yuccashift {
+namespace {
+
+    std::vector<InstanceId> instances(std::size_t count)
+    {
+        std::vector<InstanceId> names;
+        for (std::size_t n = 0; n < count; ++n)
+            names.push_back("entry-" + std::to_string(n));
+        return names;
+    }
+
+    TEST(LoadCell, IsEverybodyInASmallRegion)
+    {
+        EXPECT_EQ(loadCell("entry-3", "sofia", instances(9)).size(), 8u);
+        EXPECT_TRUE(loadCell("entry-0", "sofia", instances(1)).empty());
+        EXPECT_TRUE(loadCell("stranger", "sofia", instances(9)).empty());
+    }
+
+    TEST(LoadCell, DealsALargeRegionIntoCellsThatAllAgreeOn)
+    {
+        const auto live = instances(154);
+        std::map<InstanceId, std::set<InstanceId>> cells;
+        for (const auto& self : live) {
+            const auto others = loadCell(self, "sofia", live);
+            EXPECT_LT(others.size(), mostInLoadCell);
+            EXPECT_GE(others.size(), mostInLoadCell / 2);
+            cells[self] = { others.begin(), others.end() };
+        }
+        for (const auto& [self, others] : cells) {
+            for (const auto& other : others)
+                EXPECT_TRUE(cells.at(other).contains(self));
+        }
+    }
+
+    TEST(LoadCell, MovesFewWhenOneInstanceLeaves)
+    {
+        auto live = instances(150);
+        std::map<InstanceId, std::vector<InstanceId>> before;
+        for (const auto& self : live)
+            before[self] = loadCell(self, "sofia", live);
+        live.erase(live.begin() + 70);
+        std::size_t moved = 0;
+        for (const auto& self : live) {
+            const auto now = loadCell(self, "sofia", live);
+            const auto kept = std::ranges::count_if(now, [&](const auto& other) { return std::ranges::find(before[self], other) != before[self].end(); });
+            moved += now.size() - static_cast<std::size_t>(kept);
+        }
+        // Each of ten cells hands on at most one member to its neighbour.
+        EXPECT_LE(moved, 10 * 2 * mostInLoadCell);
+    }
+
+    TEST(LoadCell, TellsLessOftenWhenThereIsMoreToTell)
+    {
+        EXPECT_EQ(loadInterval(7, 100), milliseconds(500));
+        EXPECT_GT(loadInterval(15, 476), seconds(3));
+        EXPECT_EQ(loadInterval(15, 10000), seconds(5));
+    }
+
+    wire::BackendLoad makeLoad(std::int64_t backend, std::int32_t scale)
+    {
+        wire::BackendLoad load;
+        load.backend = backend;
+        load.running = 3 * scale;
+        load.waiting = scale;
+        load.queuedTokens = 1000 * scale;
+        load.decodeTokensPerSecond = 90 * scale;
+        load.ageMs = 300 * scale;
+        load.leaving = scale % 2 == 1;
+        return load;
+    }
+
+    TEST(PackedLoads, KeepWhatDecisionsNeed)
+    {
+        std::vector<wire::BackendLoad> loads;
+        for (std::int32_t scale = 0; scale < 40; ++scale)
+            loads.push_back(makeLoad(std::int64_t(-7) << scale, scale));
+        const auto packed = packLoads(loads);
+        EXPECT_EQ(packed.size(), loads.size() * packedLoadBytes);
+        const auto unpacked = unpackLoads(packed);
+        ASSERT_EQ(unpacked.size(), loads.size());
+        for (std::size_t n = 0; n < loads.size(); ++n) {
+            EXPECT_EQ(unpacked[n].backend, loads[n].backend);
+            EXPECT_EQ(unpacked[n].running, loads[n].running);
+            EXPECT_EQ(unpacked[n].waiting, loads[n].waiting);
+            EXPECT_EQ(unpacked[n].leaving, loads[n].leaving);
+            EXPECT_NEAR(unpacked[n].queuedTokens, loads[n].queuedTokens, loads[n].queuedTokens * 0.05);
+            EXPECT_NEAR(unpacked[n].decodeTokensPerSecond, loads[n].decodeTokensPerSecond, loads[n].decodeTokensPerSecond * 0.05);
+            EXPECT_LE(loads[n].ageMs - unpacked[n].ageMs, 200);
+        }
+    }
+
+    TEST(PackedLoads, ClampWhatDoesNotFit)
+    {
+        wire::BackendLoad load;
+        load.running = 1 << 30;
+        load.waiting = -4;
+        load.queuedTokens = std::numeric_limits<std::int32_t>::max();
+        load.ageMs = 1 << 30;
+        const auto unpacked = unpackLoads(packLoads(std::span(&load, 1)));
+        ASSERT_EQ(unpacked.size(), 1u);
+        EXPECT_EQ(unpacked[0].running, 255);
+        EXPECT_EQ(unpacked[0].waiting, 0);
+        EXPECT_GT(unpacked[0].queuedTokens, 2000000000);
+        EXPECT_EQ(unpacked[0].ageMs, 25400);
+    }
+
+    TEST(PackedLoads, SurviveDamage)
+    {
+        EXPECT_TRUE(unpackLoads("short").empty());
+        EXPECT_EQ(unpackLoads(std::string(2 * packedLoadBytes + 5, '\xff')).size(), 2u);
+        EXPECT_EQ(unpackLoads(std::string((mostPackedLoads + 9) * packedLoadBytes, 'x')).size(), mostPackedLoads);
+    }
+
+} // namespace
+} // namespace yuccashift
