Tell demands in turn, and keep those a heartbeat does not name

Cause: a heartbeat has room for one demand already at 8 instances, always the largest was told, and what a heartbeat did not name was forgotten; so of two organisations one was known to no peer and each instance took its whole limit. Change: takeDemands() tells what changed most, then what was told longest ago; a demand not named stays until its instance, while heard, has not named it for two minutes; a demand of nothing ends it.

--- a/src/yuccashift/limits/shared_limits.cpp
+++ b/src/yuccashift/limits/shared_limits.cpp
@@ -12,6 +12,12 @@
     constexpr double burstSeconds = 0.5;
     /** Share of an even split that each instance holds without any demand, so that its first requests pass. */
     constexpr double standbyShare = 0.1;
+    /** Requests per second below which there is no demand. */
+    constexpr double leastDemand = 0.01;
+    /** Relative change of a demand that is told before others. */
+    constexpr double notableChange = 0.25;
+    /** Time after which a demand counts as ended that its instance, while heard, no longer names. */
+    constexpr Duration unnamedLifetime = std::chrono::minutes(2);
 
 } // namespace
 
@@ -62,28 +68,32 @@
 
 void SharedLimits::onPeerDemand(const InstanceId& peer, std::span<const DemandRate> demands, Instant now)
 {
-    std::unordered_map<std::int64_t, double> told;
-    for (const auto& demand : demands)
-        told[demand.key] = demand.requestsPerSecond;
-    for (const auto& demand : demands)
-        m_entries.withShard(demand.key, [&](auto& shard) { shard[demand.key].peers[peer] = { demand.requestsPerSecond, now }; });
-    // What a peer no longer mentions, it no longer asks for.
+    for (const auto& demand : demands) {
+        m_entries.withShard(demand.key, [&](auto& shard) {
+            if (demand.requestsPerSecond > 0)
+                shard[demand.key].peers[peer] = { demand.requestsPerSecond, now };
+            else if (const auto it = shard.find(demand.key); it != shard.end())
+                it->second.peers.erase(peer);
+        });
+    }
+    // A peer that is heard names all its demands by and by. Of one that is not
+    // heard nothing is dropped: it may be running behind a partition.
     m_entries.forEachShard([&](auto& shard) {
         for (auto& [key, entry] : shard) {
-            if (!told.contains(key))
-                entry.peers.erase(peer);
+            const auto it = entry.peers.find(peer);
+            if (it != entry.peers.end() && now - it->second.heardAt > unnamedLifetime)
+                entry.peers.erase(it);
         }
     });
 }
 
 std::vector<DemandRate> SharedLimits::demands(std::size_t most, Instant now)
 {
-    constexpr double least = 0.01;
     std::vector<DemandRate> rates;
     m_entries.forEachShard([&](auto& shard) {
         for (const auto& [key, entry] : shard) {
             const double requests = entry.requests.value(now);
-            if (requests >= least)
+            if (requests >= leastDemand)
                 rates.push_back({ key, requests, entry.tokens.value(now) });
         }
     });
@@ -92,6 +102,42 @@
     return rates;
 }
 
+std::vector<SharedLimits::Untold> SharedLimits::untold(Instant now)
+{
+    std::vector<Untold> untold;
+    m_entries.forEachShard([&](auto& shard) {
+        for (const auto& [key, entry] : shard) {
+            const double requests = entry.requests.value(now);
+            const bool isIdle = requests < leastDemand;
+            if (isIdle && entry.toldRequests == 0)
+                continue;
+            const DemandRate rate { key, isIdle ? 0 : requests, isIdle ? 0 : entry.tokens.value(now) };
+            const double changed = std::abs(rate.requestsPerSecond - entry.toldRequests) / std::max(rate.requestsPerSecond, entry.toldRequests);
+            untold.push_back({ rate, changed >= notableChange ? changed : 0, entry.toldAt });
+        }
+    });
+    return untold;
+}
+
+std::vector<DemandRate> SharedLimits::takeDemands(std::size_t most, Instant now)
+{
+    auto candidates = untold(now);
+    std::sort(candidates.begin(), candidates.end(), [](const Untold& left, const Untold& right) {
+        return left.changed != right.changed ? left.changed > right.changed : left.toldAt < right.toldAt;
+    });
+    candidates.resize(std::min(most, candidates.size()));
+    std::vector<DemandRate> taken;
+    for (const auto& candidate : candidates) {
+        taken.push_back(candidate.rate);
+        m_entries.withShard(candidate.rate.key, [&](auto& shard) {
+            auto& entry = shard[candidate.rate.key];
+            entry.toldRequests = candidate.rate.requestsPerSecond;
+            entry.toldAt = now;
+        });
+    }
+    return taken;
+}
+
 double SharedLimits::shareOf(const Entry& entry, Instant now) const
 {
     const double even = 1 / static_cast<double>(m_instances.load());
--- a/src/yuccashift/limits/shared_limits.hpp
+++ b/src/yuccashift/limits/shared_limits.hpp
@@ -37,10 +37,16 @@
 
     /** All instances that the platform lists, this one included. */
     void setInstances(std::span<const InstanceId>);
-    /** A peer's demands; replaces what it said before. */
+    /**
+     * Some of a peer's demands, in no order and not all of them: one that it
+     * does not name now stays as it was told last, until the peer has not named
+     * it for long. A demand of nothing ends one.
+     */
     void onPeerDemand(const InstanceId&, std::span<const DemandRate>, Instant now);
-    /** Own demands for the next heartbeat, largest first, at most so many. */
+    /** Own demands, largest first, at most so many. */
     std::vector<DemandRate> demands(std::size_t most, Instant now);
+    /** Own demands for the next heartbeat, at most so many: those that changed most since they were told, then those told longest ago. */
+    std::vector<DemandRate> takeDemands(std::size_t most, Instant now);
 
     /** Admits one request, or fails with LimitExceeded and the time to come back. */
     Result<void> admit(const ServiceName&, const OrganisationSpec&, Instant now);
@@ -71,9 +77,18 @@
         std::optional<TokenBucket> requestBucket;
         std::optional<TokenBucket> tokenBucket;
         std::unordered_map<InstanceId, PeerDemand> peers;
+        /** What the last heartbeat that named it said, and when. */
+        double toldRequests = 0;
+        Instant toldAt;
+    };
+    struct Untold {
+        DemandRate rate;
+        double changed = 0;
+        Instant toldAt;
     };
 
     double shareOf(const Entry&, Instant now) const;
+    std::vector<Untold> untold(Instant now);
     static void refit(std::optional<TokenBucket>&, double rate, Instant now);
 
     InstanceId m_self;
--- a/tests/limits/shared_limits_test.cpp
+++ b/tests/limits/shared_limits_test.cpp
@@ -93,6 +93,66 @@
         EXPECT_GE(admitted, limit * 0.8);
     }
 
+    /** Heartbeats that have room for few demands, and many organisations that make them. */
+    struct SharedLimitsWithLittleRoom : SharedLimitsOfAFleet {
+        static constexpr std::size_t organisations = 12;
+
+        OrganisationSpec spec(std::size_t n) const
+        {
+            OrganisationSpec spec = organisation;
+            spec.name = "organisation-" + std::to_string(n);
+            return spec;
+        }
+
+        /** Offers so much of each organisation at each instance for a second; returns what was admitted of each. */
+        std::vector<double> offer(int requestsOfEach)
+        {
+            std::vector<double> admitted(organisations);
+            for (int n = 0; n < requestsOfEach; ++n) {
+                now += milliseconds(1000) / requestsOfEach;
+                for (const auto& name : names) {
+                    for (std::size_t k = 0; k < organisations; ++k)
+                        admitted[k] += fleet[name]->admit("pass", spec(k), now) ? 1 : 0;
+                }
+            }
+            for (const auto& from : names) {
+                const auto demands = fleet[from]->takeDemands(1, now);
+                for (const auto& to : names) {
+                    if (from != to)
+                        fleet[to]->onPeerDemand(from, demands, now);
+                }
+            }
+            return admitted;
+        }
+    };
+
+    TEST_F(SharedLimitsWithLittleRoom, KeepEveryOrganisationWithinItsLimitAfterAllHaveBeenTold)
+    {
+        constexpr int requestsOfEach = 100;
+        for (std::size_t n = 0; n < 3 * organisations; ++n)
+            offer(requestsOfEach);
+        for (const double admitted : offer(requestsOfEach)) {
+            EXPECT_LE(admitted, limit * 1.1);
+            EXPECT_GE(admitted, limit * 0.7);
+        }
+    }
+
+    TEST_F(SharedLimitsWithLittleRoom, TellWhatChangedMostFirstAndThatADemandEnded)
+    {
+        offer(100);
+        auto& limits = *fleet[names[0]];
+        for (std::size_t n = 0; n < organisations; ++n)
+            limits.takeDemands(1, now);
+        now += seconds(20);
+        const auto ended = limits.takeDemands(100, now);
+        EXPECT_EQ(ended.size(), organisations);
+        for (const auto& demand : ended)
+            EXPECT_EQ(demand.requestsPerSecond, 0);
+        EXPECT_TRUE(limits.takeDemands(100, now).empty());
+        ASSERT_TRUE(limits.admit("pass", spec(3), now));
+        ASSERT_EQ(limits.takeDemands(1, now).size(), 1u);
+    }
+
     TEST_F(SharedLimitsOfAFleet, ExceedTheLimitByABoundedAmountWhenInstancesAreReplaced)
     {
         const std::vector<double> evenly(count, 100);
