Send changed documents as deltas over the text they replace

Change: parts copied from the replaced text and new lines, checked by the text's hash; whoever does not hold the base asks for the text as before.

--- a/src/yuccashift/config/config_spread.cpp
+++ b/src/yuccashift/config/config_spread.cpp
@@ -1,5 +1,6 @@
 #include "yuccashift/config/config_spread.hpp"
 
+#include "yuccashift/config/text_delta.hpp"
 #include "yuccashift/kernel/hash.hpp"
 #include "yuccashift/kernel/random.hpp"
 #include "yuccashift/kernel/rendezvous.hpp"
@@ -11,6 +12,8 @@
 
 namespace {
 
+    // A delta that saves less than this factor is not worth the processor time.
+    constexpr std::size_t leastSaving = 2;
     constexpr std::size_t startupAnswers = 2;
     constexpr std::size_t startupAsked = 3;
 
@@ -87,12 +90,56 @@
 
 Result<Acceptance> ConfigSpread::offer(std::string text, const ServiceName& publishedAs, const SpreadPeers& peers, Instant now, OutgoingFrames& out)
 {
-    auto acceptance = m_store.accept(std::move(text), publishedAs);
+    auto acceptance = accept(std::move(text), publishedAs);
     if (acceptance && acceptance->changed())
         passOn(acceptance->service, {}, peers, now, out);
     return acceptance;
 }
 
+Result<Acceptance> ConfigSpread::accept(std::string text, const ServiceName& publishedAs)
+{
+    const auto before = m_store.snapshot();
+    auto acceptance = m_store.accept(std::move(text), publishedAs);
+    if (!acceptance || !acceptance->changed())
+        return acceptance;
+    const auto it = before->documents.find(acceptance->service);
+    if (it != before->documents.end())
+        m_replaced.insert_or_assign(acceptance->service, it->second);
+    return acceptance;
+}
+
+wire::DocumentText ConfigSpread::textOver(const ServiceName& service, const HeldDocument& held, std::uint64_t baseHash) const
+{
+    const auto it = m_replaced.find(service);
+    if (it == m_replaced.end() || it->second.version.textHash != baseHash)
+        return toWire(service, held);
+    auto parts = makeTextDelta(*it->second.text, *held.text);
+    if (textDeltaBytes(parts) * leastSaving > held.text->size())
+        return toWire(service, held);
+    wire::DocumentText text;
+    text.serviceName = service;
+    text.revision = static_cast<std::int64_t>(held.version.revision);
+    text.__set_textHash(static_cast<std::int64_t>(held.version.textHash));
+    text.__set_baseHash(static_cast<std::int64_t>(baseHash));
+    text.__set_parts(std::move(parts));
+    return text;
+}
+
+// Nothing where the text that the parts are taken from is not held any more.
+std::optional<std::string> ConfigSpread::wholeText(const wire::DocumentText& document) const
+{
+    if (!document.__isset.parts)
+        return document.text;
+    const auto set = m_store.snapshot();
+    const auto it = set->documents.find(document.serviceName);
+    if (it == set->documents.end() || it->second.version.textHash != static_cast<std::uint64_t>(document.baseHash))
+        return std::nullopt;
+    auto text = applyTextDelta(*it->second.text, document.parts);
+    if (!text || hash64(*text) != static_cast<std::uint64_t>(document.textHash))
+        return std::nullopt;
+    return text;
+}
+
 void ConfigSpread::passOn(const ServiceName& service, const InstanceId& source, const SpreadPeers& peers, Instant now, OutgoingFrames& out)
 {
     m_changedAt[service] = now;
@@ -100,13 +147,15 @@
     const auto set = m_store.snapshot();
     const auto& held = set->documents.at(service);
     const auto order = rendezvousOrder(treeOf(service, held.version), peers.region);
+    const auto replaced = m_replaced.find(service);
+    const auto text = textOver(service, held, replaced == m_replaced.end() ? 0 : replaced->second.version.textHash);
     const bool heardFromTree = std::ranges::find(peers.region, source) != peers.region.end();
     for (const auto& to : receivers(order, peers.self)) {
         // Whoever is in the tree has already seen to its root.
         const bool rootInformed = heardFromTree && to == order.front();
         if (to == peers.self || to == source || rootInformed)
             continue;
-        pushTexts(to, { toWire(service, held) }, false, out);
+        pushTexts(to, { text }, false, out);
     }
     noticeGrandchildren(order, service, held.version, peers.self, out);
 }
@@ -132,13 +181,14 @@
     push.answer = answer;
     std::size_t bytes = 0;
     for (auto& text : texts) {
-        if (bytes + text.text.size() > maxPushBytes && !push.documents.empty()) {
+        const auto size = text.text.size() + textDeltaBytes(text.parts);
+        if (bytes + size > maxPushBytes && !push.documents.empty()) {
             out.push_back({ to, pushFrame(std::move(push)) });
             push = {};
             push.answer = answer;
             bytes = 0;
         }
-        bytes += text.text.size();
+        bytes += size;
         push.documents.push_back(std::move(text));
     }
     push.last = answer;
@@ -156,7 +206,7 @@
         const auto it = theirs.find(service);
         const bool lacking = it == theirs.end() ? pull.complete : it->second < held.version;
         if (lacking)
-            texts.push_back(toWire(service, held));
+            texts.push_back(textOver(service, held, it == theirs.end() ? 0 : it->second.textHash));
     }
     if (pull.complete) {
         for (const auto& revision : pull.held)
@@ -174,7 +224,16 @@
         want(from, notice, now + m_timing.pullDelay + jitter(m_timing.pullJitter));
     bool brought = false;
     for (const auto& document : push.documents) {
-        const auto acceptance = m_store.accept(document.text, document.serviceName);
+        auto text = wholeText(document);
+        if (!text) {
+            wire::DocumentRevision revision;
+            revision.serviceName = document.serviceName;
+            revision.revision = document.revision;
+            revision.textHash = document.textHash;
+            want(from, revision, now);
+            continue;
+        }
+        const auto acceptance = accept(std::move(*text), document.serviceName);
         if (!acceptance || !acceptance->changed())
             continue;
         brought = true;
--- a/src/yuccashift/config/config_spread.hpp
+++ b/src/yuccashift/config/config_spread.hpp
@@ -48,7 +48,7 @@
 /**
  * Brings every instance to the newest documents that any of them holds. A new
  * document goes down a tree over the region whose shape differs for each
- * revision; heartbeats name recent changes and carry a digest, by which whatever
+ * revision, as a delta to whoever holds the one before; heartbeats name recent changes and carry a digest, by which whatever
  * the tree missed is asked for. Not thread safe; Coordinator guards it.
  */
 class ConfigSpread {
@@ -89,6 +89,9 @@
         Duration interval;
     };
 
+    Result<Acceptance> accept(std::string text, const ServiceName& publishedAs);
+    wire::DocumentText textOver(const ServiceName&, const HeldDocument&, std::uint64_t baseHash) const;
+    std::optional<std::string> wholeText(const wire::DocumentText&) const;
     void passOn(const ServiceName&, const InstanceId& source, const SpreadPeers&, Instant now, OutgoingFrames&);
     void noticeGrandchildren(std::span<const InstanceId> order, const ServiceName&, const DocumentVersion&, const InstanceId& self, OutgoingFrames&) const;
     void want(const InstanceId& from, const wire::DocumentRevision&, Instant due);
@@ -106,6 +109,8 @@
     SpreadTiming m_timing;
     std::map<ServiceName, Wanted> m_wanted;
     std::map<InstanceId, Mismatch> m_mismatches;
+    /** What each document in force replaced; the base of deltas. */
+    std::map<ServiceName, HeldDocument> m_replaced;
     /** When each document last changed here. */
     std::map<ServiceName, Instant> m_changedAt;
     std::optional<Instant> m_startedAt;
--- a/src/yuccashift/peer/peer.thrift
+++ b/src/yuccashift/peer/peer.thrift
@@ -28,11 +28,21 @@
   3: i64 textHash      // tells apart two texts that carry the same revision
 }
 
-// The text of one accepted document.
+// Bytes copied from the text that is replaced, or new ones.
+struct TextPart {
+  1: i32 offset
+  2: i32 length
+  3: optional string text
+}
+
+// The text of one accepted document, whole or as parts over the one it replaces.
 struct DocumentText {
   1: string serviceName
   2: i64 revision
   3: string text
+  4: optional i64 textHash
+  5: optional i64 baseHash
+  6: optional list<TextPart> parts
 }
 
 // Load of one backend server as its watcher in the region saw it.
