--- a/benchmarks/capacity/capacity.cpp
+++ b/benchmarks/capacity/capacity.cpp
@@ -34,6 +34,7 @@
     addWireSlopes(slopes);
     addDocumentSlopes(slopes);
     addStateSlopes(slopes);
+    addPlatformSlopes(slopes);
     addDecisionSlopes(slopes);
     addObserveSlopes(slopes);
     writeFile(path, slopesToJson(slopes));
--- a/benchmarks/capacity/measure.hpp
+++ b/benchmarks/capacity/measure.hpp
@@ -33,5 +33,6 @@
 void addStateSlopes(Slopes&);
 void addDecisionSlopes(Slopes&);
 void addObserveSlopes(Slopes&);
+void addPlatformSlopes(Slopes&);
 
 } // namespace yuccashift::capacity
--- a/benchmarks/capacity/model.cpp
+++ b/benchmarks/capacity/model.cpp
@@ -73,6 +73,17 @@
         return { node["title"].as<std::string>(), textOf(node, "text"), parseFormula(node["milliseconds"]), textOf(node, "limit") };
     }
 
+    // Between two points, or past the last one, along the line through the nearest two.
+    double readOff(const Slope& slope, double size)
+    {
+        std::size_t n = 1;
+        while (n + 1 < slope.points.size() && slope.points[n].size < size)
+            ++n;
+        const auto& left = slope.points[n - 1];
+        const auto& right = slope.points[n];
+        return left.cost + (size - left.size) * (right.cost - left.cost) / (right.size - left.size);
+    }
+
     std::optional<double> scaled(const Calculator& calculator, const Formula& formula, double unit)
     {
         if (formula.empty())
@@ -120,6 +131,11 @@
 
 double Calculator::value(const std::string& name) const
 {
+    if (const auto at = name.find('@'); at != std::string::npos) {
+        const auto it = m_slopes.find(name.substr(0, at));
+        if (it != m_slopes.end())
+            return readOff(it->second, value(name.substr(at + 1)));
+    }
     if (const auto it = m_inputs.find(name); it != m_inputs.end())
         return it->second;
     if (const auto it = m_model.derived.find(name); it != m_model.derived.end())
--- a/benchmarks/capacity/model.hpp
+++ b/benchmarks/capacity/model.hpp
@@ -80,7 +80,11 @@
 
     /** Replaces one input, to see how results grow with it. */
     void scaleInput(const std::string& name, double factor);
-    /** Value of an input, a derived quantity, `slope` or `slope.base`. Throws on unknown names. */
+    /**
+     * Value of an input, a derived quantity, `slope`, `slope.base`, or
+     * `slope@quantity` for the cost read off the measured points at that size.
+     * Throws on unknown names.
+     */
     double value(const std::string& name) const;
     double value(const Formula&) const;
     Cost cost(const RowSpec&) const;
--- a/tests/capacity/model_test.cpp
+++ b/tests/capacity/model_test.cpp
@@ -48,6 +48,14 @@
         EXPECT_FALSE(cost.megabytes);
     }
 
+    TEST_F(CapacityModelTest, ACostIsReadOffBetweenMeasuredPoints)
+    {
+        const Calculator largest(m_model, m_slopes, RegionSize::Largest);
+        const Calculator mean(m_model, m_slopes, RegionSize::Mean);
+        EXPECT_DOUBLE_EQ(mean.value("beat@region_nodes"), 9);
+        EXPECT_DOUBLE_EQ(largest.value("beat@region_nodes"), 45);
+    }
+
     TEST_F(CapacityModelTest, TheLargestRegionIsLargerByItsFactor)
     {
         const Calculator largest(m_model, m_slopes, RegionSize::Largest);
