--- a/src/yuccashift/config/config_spread.cpp
+++ b/src/yuccashift/config/config_spread.cpp
@@ -121,7 +121,8 @@
     text.revision = static_cast<std::int64_t>(held.version.revision);
     text.__set_textHash(static_cast<std::int64_t>(held.version.textHash));
     text.__set_baseHash(static_cast<std::int64_t>(baseHash));
-    text.__set_parts(std::move(parts));
+    text.parts = std::move(parts);
+    text.__isset.parts = true;
     return text;
 }
 
--- a/tests/membership/load_cell_test.cpp
+++ b/tests/membership/load_cell_test.cpp
@@ -81,9 +81,9 @@
 
     TEST(PackedLoads, KeepWhatDecisionsNeed)
     {
-        std::vector<wire::BackendLoad> loads;
-        for (std::int32_t scale = 0; scale < 40; ++scale)
-            loads.push_back(makeLoad(std::int64_t(-7) << scale, scale));
+        std::vector<wire::BackendLoad> loads(40);
+        for (std::int32_t scale = 0; scale < std::ssize(loads); ++scale)
+            loads[static_cast<std::size_t>(scale)] = makeLoad(std::int64_t(-7) << scale, scale);
         const auto packed = packLoads(loads);
         EXPECT_EQ(packed.size(), loads.size() * packedLoadBytes);
         const auto unpacked = unpackLoads(packed);
