--- /dev/null
+++ b/tests/contracts/backend_client_test.cpp
@@ -0,0 +1,201 @@
+#include "tests/support/scripted_server.hpp"
+#include "yuccashift/http/backend_client.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <gtest/gtest.h>
+
+// What a backend server may do to a connection, and what its caller may see.
+
+namespace yuccashift {
+namespace {
+
+    namespace asio = boost::asio;
+    using fakes::ScriptedConnection;
+    using fakes::ScriptedServer;
+
+    constexpr std::size_t mostBytes = 1 << 16;
+
+    std::string whole(const std::string& body)
+    {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    struct ABackendConnection : testing::Test {
+        SystemClock clock;
+        asio::io_context io;
+        std::unique_ptr<BackendClient> client = makeHttpBackendClient(clock);
+
+        template <typename Value>
+        Value await(asio::awaitable<Value> call)
+        {
+            std::optional<Value> result;
+            asio::co_spawn(io, std::move(call), [&result](const std::exception_ptr& e, Value value) {
+                EXPECT_FALSE(e);
+                result = std::move(value);
+            });
+            io.restart();
+            while (!result && io.run_one() > 0) { }
+            return std::move(*result);
+        }
+
+        BackendCall callTo(const ScriptedServer& server, Duration progressTimeout = seconds(20)) const
+        {
+            BackendCall call;
+            call.endpoint = server.endpoint();
+            call.request = { "GET", "/", {}, {} };
+            call.deadline = clock.now() + seconds(20);
+            call.progressTimeout = progressTimeout;
+            return call;
+        }
+
+        Result<WholeAnswer> get(const ScriptedServer& server, Duration progressTimeout = seconds(20))
+        {
+            return await(sendForWhole(*client, callTo(server, progressTimeout), mostBytes));
+        }
+    };
+
+    TEST_F(ABackendConnection, IsUsedAgainAfterAWholeAnswer)
+    {
+        const ScriptedServer server([](ScriptedConnection& connection) {
+            for (int n = 1; connection.readRequest(); ++n)
+                connection.write(whole("answer " + std::to_string(n)));
+        });
+        EXPECT_EQ(get(server)->body, "answer 1");
+        EXPECT_EQ(get(server)->body, "answer 2");
+        EXPECT_EQ(server.connections(), 1);
+    }
+
+    struct BrokenCase {
+        const char* name;
+        std::string sent;
+        ErrorKind kind;
+    };
+
+    TEST_F(ABackendConnection, ThatBreaksOffNeverPassesForAnAnswer)
+    {
+        const BrokenCase cases[] = {
+            { "before any byte", "", ErrorKind::BackendLost },
+            { "inside the head", "HTTP/1.1 200 OK\r\nContent-Le", ErrorKind::BackendLost },
+            { "inside the body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345", ErrorKind::AnswerIncomplete },
+            { "inside a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n123", ErrorKind::AnswerIncomplete },
+            { "before the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n", ErrorKind::AnswerIncomplete },
+            { "without any end mark", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n12345", ErrorKind::AnswerIncomplete },
+            { "with damage in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n12345\r\n0\r\n\r\n", ErrorKind::AnswerIncomplete },
+            { "with what is not HTTP", "garbage\r\n\r\n", ErrorKind::BackendLost },
+        };
+        for (const auto& it : cases) {
+            const ScriptedServer server([&it](ScriptedConnection& connection) {
+                if (connection.readRequest())
+                    connection.write(it.sent);
+            });
+            const auto answer = get(server);
+            ASSERT_FALSE(answer) << it.name;
+            EXPECT_EQ(answer.error().kind, it.kind) << it.name;
+            EXPECT_NE(answer.error().effectiveRunState(), RunState::NotRun) << it.name;
+        }
+    }
+
+    TEST_F(ABackendConnection, ThatCannotBeMadeMeansThatNothingRan)
+    {
+        Endpoint gone;
+        {
+            const ScriptedServer server([](ScriptedConnection&) {});
+            gone = server.endpoint();
+        }
+        BackendCall call;
+        call.endpoint = gone;
+        call.request = { "GET", "/", {}, {} };
+        call.deadline = clock.now() + seconds(20);
+        const auto answer = await(sendForWhole(*client, std::move(call), mostBytes));
+        ASSERT_FALSE(answer);
+        EXPECT_EQ(answer.error().kind, ErrorKind::BackendRefused);
+        EXPECT_EQ(answer.error().effectiveRunState(), RunState::NotRun);
+    }
+
+    TEST_F(ABackendConnection, ThatSwallowsEverythingIsGivenUpAndReplaced)
+    {
+        const ScriptedServer server([](ScriptedConnection& connection) {
+            const bool goesSilent = connection.number() == 1;
+            for (int n = 1; connection.readRequest(); ++n) {
+                if (goesSilent && n > 1)
+                    return connection.swallow();
+                connection.write(whole("connection " + std::to_string(connection.number())));
+            }
+        });
+        EXPECT_EQ(get(server)->body, "connection 1");
+        const auto silent = get(server, milliseconds(50));
+        ASSERT_FALSE(silent);
+        EXPECT_NE(silent.error().effectiveRunState(), RunState::NotRun);
+        EXPECT_EQ(get(server)->body, "connection 2");
+    }
+
+    TEST_F(ABackendConnection, ThatTheServerClosedWhileIdleIsNotUsedAgain)
+    {
+        std::atomic<bool> closed = false;
+        const ScriptedServer server([&closed](ScriptedConnection& connection) {
+            if (connection.readRequest())
+                connection.write(whole("connection " + std::to_string(connection.number())) + "");
+            closed = true;
+        });
+        EXPECT_EQ(get(server)->body, "connection 1");
+        while (!closed)
+            std::this_thread::yield();
+        // The close may still be on its way; either way no request may be answered wrongly.
+        for (int tries = 0; tries < 50; ++tries) {
+            const auto answer = get(server);
+            if (answer) {
+                EXPECT_NE(answer->body, "connection 1");
+                return;
+            }
+            EXPECT_NE(answer.error().effectiveRunState(), RunState::NotRun);
+        }
+        FAIL() << "no new connection was made";
+    }
+
+    TEST_F(ABackendConnection, WithAnAbandonedExchangeIsNeverUsedAgain)
+    {
+        const ScriptedServer server([](ScriptedConnection& connection) {
+            while (connection.readRequest())
+                connection.write(whole("connection " + std::to_string(connection.number())));
+        });
+        {
+            auto abandoned = await(client->send(callTo(server)));
+            ASSERT_TRUE(abandoned);
+        }
+        EXPECT_EQ(get(server)->body, "connection 2") << "the late body of the first answer belongs to nobody";
+    }
+
+    TEST_F(ABackendConnection, ThatSaysMoreThanItsAnswerIsNeverUsedAgain)
+    {
+        const ScriptedServer server([](ScriptedConnection& connection) {
+            const auto answer = whole("connection " + std::to_string(connection.number()));
+            while (connection.readRequest())
+                connection.write(connection.number() == 1 ? answer + answer : answer);
+        });
+        EXPECT_EQ(get(server)->body, "connection 1");
+        EXPECT_EQ(get(server)->body, "connection 2") << "the doubled answer belongs to nobody";
+    }
+
+    TEST_F(ABackendConnection, HoldsNoMoreThanTheBoundOfAnAnswer)
+    {
+        const ScriptedServer server([](ScriptedConnection& connection) {
+            if (connection.readRequest())
+                connection.write(whole(std::string(mostBytes + 1, 'x')));
+        });
+        ASSERT_FALSE(get(server));
+    }
+
+    TEST_F(ABackendConnection, IsFreshForWorkThatMayNotRunTwice)
+    {
+        const ScriptedServer server([](ScriptedConnection& connection) {
+            while (connection.readRequest())
+                connection.write(whole("connection " + std::to_string(connection.number())));
+        });
+        EXPECT_EQ(get(server)->body, "connection 1");
+        auto call = callTo(server);
+        call.freshConnection = true;
+        EXPECT_EQ(await(sendForWhole(*client, std::move(call), mostBytes))->body, "connection 2");
+    }
+
+} // namespace
+} // namespace yuccashift
