--- a/benchmarks/capacity/fit.cpp
+++ b/benchmarks/capacity/fit.cpp
@@ -14,7 +14,8 @@
     // Four significant digits: more would record noise.
     double rounded(double value)
     {
-        if (value == 0)
+        constexpr double nothing = 1e-9;
+        if (std::abs(value) < nothing)
             return 0;
         constexpr int digits = 4;
         const double scale = std::pow(10.0, digits - 1 - std::floor(std::log10(std::abs(value))));
--- a/benchmarks/capacity/platform_slopes.cpp
+++ b/benchmarks/capacity/platform_slopes.cpp
@@ -79,6 +79,23 @@
         }));
     }
 
+    void addOwnershipSlopes(Slopes& slopes)
+    {
+        constexpr std::size_t instances = 154;
+        addSlope(slopes, measureSlope("ownership.unchanged", "us", "backend server of the region, 154 instances", { 500, 1000, 2500, 5000 }, [](std::size_t n) {
+            std::vector<OwnerCandidate> candidates;
+            for (std::size_t k = 0; k < instances; ++k)
+                candidates.push_back({ "ikeja-hall-entry-" + std::to_string(k), "ikeja-hall" });
+            std::vector<RegionalBackend> backends;
+            for (std::size_t k = 0; k < n; ++k)
+                backends.push_back({ "yucca-draft", "worker-" + std::to_string(k), "ikeja-hall" });
+            Ownership ownership("ikeja-hall-entry-7", {});
+            Instant now { seconds(1000) };
+            ownership.update(backends, candidates, now);
+            return microsecondsOf([&] { ownership.update(backends, candidates, now); });
+        }));
+    }
+
     constexpr auto documentSizes = { 120.0, 480.0, 1920.0, 7680.0 };
 
     // One backend server's address changes in a model's document.
@@ -108,6 +125,7 @@
     addBodySlopes(slopes, "list_instance", "instance listed", { 24, 96, 192, 370 }, instancesBody, detail::parseListing);
     addBodySlopes(slopes, "list_backend", "backend server listed", { 500, 2000, 5000, 12000 }, backendsBody, detail::parseListing);
     addOwnerSlopes(slopes);
+    addOwnershipSlopes(slopes);
     addDeltaSlopes(slopes);
 }
 
--- a/src/yuccashift/orders/ownership.cpp
+++ b/src/yuccashift/orders/ownership.cpp
@@ -1,5 +1,6 @@
 #include "yuccashift/orders/ownership.hpp"
 
+#include <algorithm>
 #include <string_view>
 
 namespace yuccashift {
@@ -59,15 +60,26 @@
     const bool paused = m_updatedAt && now - *m_updatedAt > m_timing.maxGap;
     if (paused)
         m_ownedSince.clear();
+    // Choosing costs backends times candidates, comparing only their sum.
+    const bool unchanged = std::ranges::equal(backends, m_backends) && std::ranges::equal(candidates, m_candidates);
+    if (paused || !unchanged) {
+        m_backends.assign(backends.begin(), backends.end());
+        m_candidates.assign(candidates.begin(), candidates.end());
+        choose(now);
+    }
+    m_updatedAt = now;
+}
+
+void Ownership::choose(Instant now)
+{
     std::map<RegionalBackend, Instant> owned;
-    for (const auto& key : backends) {
-        if (ownerOf(key, candidates) != m_self)
+    for (const auto& key : m_backends) {
+        if (ownerOf(key, m_candidates) != m_self)
             continue;
         const auto it = m_ownedSince.find(key);
         owned.emplace(key, it == m_ownedSince.end() ? now : it->second);
     }
     m_ownedSince = std::move(owned);
-    m_updatedAt = now;
 }
 
 std::optional<Instant> Ownership::actingSince(const RegionalBackend& key, Instant now) const
--- a/src/yuccashift/orders/ownership.hpp
+++ b/src/yuccashift/orders/ownership.hpp
@@ -26,6 +26,8 @@
 struct OwnerCandidate {
     InstanceId instance;
     RegionName region;
+
+    bool operator==(const OwnerCandidate&) const = default;
 };
 
 /**
@@ -51,17 +53,22 @@
 public:
     Ownership(InstanceId self, OwnershipTiming);
 
-    /** Takes the present view of live instances. Call it at least once per maxGap. */
+    /** Takes the present view of live instances. Call it at least once per maxGap; cheap while nothing changes. */
     void update(std::span<const RegionalBackend>, std::span<const OwnerCandidate>, Instant now);
 
     /** Since when this instance may act for the server; nothing where it may not. */
     std::optional<Instant> actingSince(const RegionalBackend&, Instant now) const;
 
 private:
+    void choose(Instant now);
+
     InstanceId m_self;
     OwnershipTiming m_timing;
     std::optional<Instant> m_updatedAt;
     std::map<RegionalBackend, Instant> m_ownedSince;
+    /** What the owned ones were chosen from. */
+    std::vector<RegionalBackend> m_backends;
+    std::vector<OwnerCandidate> m_candidates;
 };
 
 } // namespace yuccashift
