--- a/fuzzing/documents_fuzz.cpp
+++ b/fuzzing/documents_fuzz.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <utility>
 
 namespace yuccashift::fuzzing {
 namespace {
@@ -16,6 +17,7 @@
     constexpr std::size_t instanceCount = 5;
     constexpr std::size_t firstOfSecondRegion = 3;
     constexpr std::size_t serviceCount = 2;
+    constexpr std::size_t mostUnread = 60;
     constexpr auto tick = milliseconds(100);
     constexpr auto timeToForce = seconds(3);
     constexpr auto timeToHeal = seconds(20);
@@ -45,6 +47,8 @@
         std::unique_ptr<DocumentStore> store;
         std::unique_ptr<Coordinator> coordinator;
         bool asleep = false;
+        /** What its sockets hold while it sleeps, with the senders. */
+        std::vector<std::pair<std::size_t, wire::Frame>> unread;
         /** Largest versions and incarnations it ever showed, for the oracle. */
         Versions shown;
         std::map<InstanceId, Incarnation> believed;
@@ -93,7 +97,7 @@
                 m_processes[n].asleep = true;
                 break;
             case Action::Wake:
-                m_processes[n].asleep = false;
+                wake(n);
                 break;
             case Action::Restart:
                 m_processes[n] = start(n);
@@ -125,8 +129,8 @@
             m_link.healAll();
             m_lossPercent = 0;
             m_doublePercent = 0;
-            for (auto& process : m_processes)
-                process.asleep = false;
+            for (std::size_t n = 0; n < instanceCount; ++n)
+                wake(n);
             const auto newest = newestHeld();
             runFor(timeToHeal);
             // Frames on their way at the heal may bring still newer ones.
@@ -200,6 +204,15 @@
             observe(n, is("the last text read wins") && taken && taken->kind == AcceptanceKind::Older);
         }
 
+        // Late frames may be read before the first tick notices the pause.
+        void wake(std::size_t n)
+        {
+            auto& process = m_processes[n];
+            process.asleep = false;
+            for (auto& [from, frame] : std::exchange(process.unread, {}))
+                deliver(from, n, std::move(frame));
+        }
+
         void send(std::size_t n, const OutgoingFrames& frames)
         {
             for (const auto& frame : frames)
@@ -237,9 +250,14 @@
                 if (m_random.below(100) < m_doublePercent)
                     m_link.duplicate(static_cast<std::uint32_t>(m_random.next()));
                 auto item = m_link.take(static_cast<std::uint32_t>(m_random.next()));
-                const bool lost = m_random.below(100) < m_lossPercent;
-                if (!lost && !m_processes[item->to].asleep)
+                if (m_random.below(100) < m_lossPercent)
+                    continue;
+                // A sleeper's socket keeps what arrives, and it reads all of it late.
+                auto& process = m_processes[item->to];
+                if (!process.asleep)
                     deliver(item->from, item->to, std::move(item->message));
+                else if (process.unread.size() < mostUnread)
+                    process.unread.emplace_back(item->from, std::move(item->message));
             }
         }
 
