--- a/src/yuccashift/membership/coordinator.cpp
+++ b/src/yuccashift/membership/coordinator.cpp
@@ -51,6 +51,15 @@
         return entry;
     }
 
+    std::vector<wire::QuarantineEntry> toWire(const std::vector<CrashRecord>& records)
+    {
+        std::vector<wire::QuarantineEntry> entries;
+        entries.reserve(records.size());
+        for (const auto& record : records)
+            entries.push_back(toWire(record));
+        return entries;
+    }
+
     CrashRecord fromWire(const wire::QuarantineEntry& entry)
     {
         return { static_cast<std::uint64_t>(entry.fingerprint), static_cast<std::uint64_t>(entry.backend), milliseconds(entry.remainingMs) };
@@ -180,7 +189,7 @@
     for (const auto& entry : heartbeat.quarantine)
         records.push_back(fromWire(entry));
     if (m_hooks.quarantine != nullptr)
-        m_hooks.quarantine->merge(records, now);
+        m_hooks.quarantine->merge(records, !sameRegion, now);
 }
 
 void Coordinator::onListing(const Listing& listing, Instant now)
@@ -275,7 +284,8 @@
     if (m_hooks.demands != nullptr)
         heartbeat.demands = m_hooks.demands->takeDemands(now, budget.demands);
     heartbeat.regionDemands = m_relay.takeDemands(budget.regionDemands, now);
-    fillQuarantine(heartbeat, budget.quarantine, now);
+    if (m_hooks.quarantine != nullptr)
+        heartbeat.quarantine = toWire(m_hooks.quarantine->takeForSpread(now, budget.quarantine));
     for (const auto& member : m_table.takeNews(budget.members))
         heartbeat.members.push_back(toWire(member));
     return heartbeat;
@@ -296,7 +306,8 @@
         demand.demands = m_hooks.demands->regionDemands(now, budget.regionDemands);
         heartbeat.regionDemands.push_back(std::move(demand));
     }
-    fillQuarantine(heartbeat, budget.quarantine, now);
+    if (m_hooks.quarantine != nullptr)
+        heartbeat.quarantine = toWire(m_hooks.quarantine->latest(now, budget.quarantine));
     // Twice the time in which either speaker of a pair has its turn, so that one lost frame does not hide a change.
     const auto since = now - m_timing.crossRegionInterval * 4;
     for (const auto& member : m_table.changedSince(since, budget.members))
@@ -304,14 +315,6 @@
     return heartbeat;
 }
 
-void Coordinator::fillQuarantine(wire::Heartbeat& heartbeat, std::size_t limit, Instant now)
-{
-    if (m_hooks.quarantine == nullptr)
-        return;
-    for (const auto& record : m_hooks.quarantine->takeForSpread(now, limit))
-        heartbeat.quarantine.push_back(toWire(record));
-}
-
 void Coordinator::publishView()
 {
     const bool current = m_view && m_viewGeneration == m_table.generation() && m_view->confirmed == m_confirmed && m_view->pauseGeneration == m_pauses.generation();
--- a/src/yuccashift/membership/coordinator.hpp
+++ b/src/yuccashift/membership/coordinator.hpp
@@ -94,7 +94,6 @@
     wire::Heartbeat makeHeartbeat(std::size_t revisions, Instant now);
     wire::Heartbeat makeRegionHeartbeat(const HeartbeatBudget&, Instant now);
     wire::Heartbeat makeCrossHeartbeat(const HeartbeatBudget&, Instant now);
-    void fillQuarantine(wire::Heartbeat&, std::size_t limit, Instant now);
     void onPauseEnd(Instant now);
     void publishView();
 
--- a/src/yuccashift/membership/member_table.cpp
+++ b/src/yuccashift/membership/member_table.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace yuccashift {
 
@@ -13,13 +14,17 @@
     // Each heartbeat goes to the whole region; a few repeat what a lost one carried.
     constexpr std::uint32_t spreadsOfNews = 3;
 
-    // Returns nothing: an address may change without being news to pass on.
-    void place(MemberState& member, const MemberInfo& info)
+    // Whether the member is somewhere else than it was believed to be.
+    bool place(MemberState& member, const MemberInfo& info)
     {
+        const auto placeOf = [](const MemberInfo& it) { return std::tie(it.region, it.datacentre, it.callers.host, it.callers.port, it.peers.host, it.peers.port); };
+        if (placeOf(member.info) == placeOf(info))
+            return false;
         member.info.region = info.region;
         member.info.datacentre = info.datacentre;
         member.info.callers = info.callers;
         member.info.peers = info.peers;
+        return true;
     }
 
 } // namespace
@@ -77,7 +82,7 @@
     const bool newDrain = info.draining && !member.info.draining;
     member.info.draining = member.info.draining || info.draining;
     if (!info.region.empty())
-        place(member, info);
+        m_generation += place(member, info) ? 1 : 0;
     if (!newRun && !newDrain)
         return false;
     ++m_generation;
@@ -142,10 +147,8 @@
         member->listedLeaving = listed.leaving;
         member->knownAt = now;
         // The list lags behind; what an instance says of itself goes before it.
-        if (member->info.incarnation == 0 && member->info.peers != listed.peers) {
-            ++m_generation;
-            place(*member, { {}, 0, listed.region, listed.datacentre, listed.callers, listed.peers, false });
-        }
+        if (member->info.incarnation == 0)
+            m_generation += place(*member, { {}, 0, listed.region, listed.datacentre, listed.callers, listed.peers, false }) ? 1 : 0;
     }
     refresh(now);
 }
--- a/src/yuccashift/resilience/quarantine.cpp
+++ b/src/yuccashift/resilience/quarantine.cpp
@@ -1,15 +1,10 @@
 #include "yuccashift/resilience/quarantine.hpp"
 
 #include <algorithm>
+#include <functional>
 
 namespace yuccashift {
 
-namespace {
-
-    constexpr std::size_t keptDeaths = 4;
-
-} // namespace
-
 Quarantine::Quarantine(QuarantineBounds bounds)
     : m_bounds(bounds)
 {
@@ -19,7 +14,7 @@
 {
     const std::lock_guard lock(m_mutex);
     for (const auto fingerprint : inProgress)
-        add(fingerprint, backend, now);
+        add(fingerprint, { backend, now, true, 0 });
 }
 
 void Quarantine::onSuccess(std::uint64_t fingerprint, Instant now)
@@ -33,18 +28,21 @@
     it->second.clearedUntil = now;
 }
 
-void Quarantine::add(std::uint64_t fingerprint, std::uint64_t backend, Instant at)
+bool Quarantine::isSame(const Death& left, const Death& right) const
+{
+    // One death is reported by every instance that had a request there, at slightly different times.
+    return left.backend == right.backend && std::chrono::abs(left.at - right.at) < m_bounds.sameDeath;
+}
+
+void Quarantine::add(std::uint64_t fingerprint, const Death& death)
 {
     if (!m_suspects.contains(fingerprint))
         makeRoom();
     auto& suspect = m_suspects[fingerprint];
-    // The same death is reported by every instance that had the request there, at slightly different times.
-    const auto isSame = [&](const Death& death) {
-        return death.backend == backend && std::chrono::abs(death.at - at) < m_bounds.sameDeath;
-    };
-    if (at <= suspect.clearedUntil || std::ranges::any_of(suspect.deaths, isSame) || suspect.deaths.size() >= keptDeaths)
+    const bool known = std::ranges::any_of(suspect.deaths, [&](const Death& other) { return isSame(death, other); });
+    if (known || death.at <= suspect.clearedUntil || suspect.deaths.size() >= m_bounds.mostDeaths)
         return;
-    suspect.deaths.push_back({ backend, at, 0 });
+    suspect.deaths.push_back(death);
 }
 
 void Quarantine::makeRoom()
@@ -55,19 +53,49 @@
     m_suspects.erase(fewest);
 }
 
+std::vector<Quarantine::Death> Quarantine::currentDeaths(const Suspect& suspect, Instant now) const
+{
+    auto deaths = suspect.deaths;
+    std::erase_if(deaths, [&](const Death& death) { return now - death.at >= m_bounds.expiry; });
+    return deaths;
+}
+
 std::size_t Quarantine::countDeaths(std::uint64_t fingerprint, Instant now) const
 {
     const std::lock_guard lock(m_mutex);
     const auto it = m_suspects.find(fingerprint);
-    if (it == m_suspects.end())
-        return 0;
-    const auto counts = [&](const Death& death) { return now - death.at < m_bounds.expiry; };
-    return static_cast<std::size_t>(std::ranges::count_if(it->second.deaths, counts));
+    return it == m_suspects.end() ? 0 : currentDeaths(it->second, now).size();
 }
 
 bool Quarantine::isQuarantined(std::uint64_t fingerprint, Instant now) const
 {
-    return countDeaths(fingerprint, now) >= m_bounds.deaths;
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_suspects.find(fingerprint);
+    if (it == m_suspects.end() || it->second.deaths.size() < m_bounds.deaths)
+        return false;
+    const auto deaths = currentDeaths(it->second, now);
+    if (deaths.size() >= m_bounds.mostDeaths)
+        return true;
+    const auto unexplained = std::ranges::count_if(deaths, [&](const Death& death) { return !isExplained(death, fingerprint, deaths, now); });
+    return static_cast<std::size_t>(unexplained) >= m_bounds.deaths;
+}
+
+// A neighbour of two different killers has as many deaths as either of them; it
+// is told apart by each killer having killed without it. Looks at all suspects,
+// which is rare: only requests with two deaths get here.
+bool Quarantine::isExplained(const Death& death, std::uint64_t fingerprint, std::span<const Death> own, Instant now) const
+{
+    const auto isOwn = [&](const Death& other) {
+        return std::ranges::any_of(own, [&](const Death& it) { return isSame(it, other); });
+    };
+    return std::ranges::any_of(m_suspects, [&](const auto& item) {
+        const auto& [other, suspect] = item;
+        if (other == fingerprint || suspect.deaths.size() < m_bounds.deaths)
+            return false;
+        const auto deaths = currentDeaths(suspect, now);
+        const bool wasThere = std::ranges::any_of(deaths, [&](const Death& it) { return isSame(it, death); });
+        return wasThere && !std::ranges::all_of(deaths, isOwn);
+    });
 }
 
 bool Quarantine::isSuspect(std::uint64_t fingerprint, Instant now) const
@@ -82,6 +110,11 @@
     return std::ranges::none_of(inProgress, [&](std::uint64_t other) { return isSuspect(other, now); });
 }
 
+CrashRecord Quarantine::recordOf(std::uint64_t fingerprint, const Death& death, Instant now) const
+{
+    return { fingerprint, death.backend, m_bounds.expiry - (now - death.at) };
+}
+
 std::vector<CrashRecord> Quarantine::takeForSpread(Instant now, std::size_t limit)
 {
     struct Item {
@@ -92,29 +125,42 @@
     std::vector<Item> items;
     for (auto& [fingerprint, suspect] : m_suspects) {
         for (auto& death : suspect.deaths) {
-            if (now - death.at < m_bounds.expiry)
+            if (death.toSpread && now - death.at < m_bounds.expiry)
                 items.push_back({ fingerprint, &death });
         }
     }
-    const auto taken = std::min({ limit, m_bounds.spreadRecords, items.size() });
+    const auto taken = std::min(limit, items.size());
     std::ranges::partial_sort(items, items.begin() + static_cast<std::ptrdiff_t>(taken), {}, [](const Item& item) { return item.death->spreads; });
     std::vector<CrashRecord> records;
     for (std::size_t n = 0; n < taken; ++n) {
-        auto& death = *items[n].death;
-        ++death.spreads;
-        records.push_back({ items[n].fingerprint, death.backend, m_bounds.expiry - (now - death.at) });
+        ++items[n].death->spreads;
+        records.push_back(recordOf(items[n].fingerprint, *items[n].death, now));
+    }
+    return records;
+}
+
+std::vector<CrashRecord> Quarantine::latest(Instant now, std::size_t limit) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<CrashRecord> records;
+    for (const auto& [fingerprint, suspect] : m_suspects) {
+        for (const auto& death : currentDeaths(suspect, now))
+            records.push_back(recordOf(fingerprint, death, now));
     }
+    const auto taken = std::min(limit, records.size());
+    std::ranges::partial_sort(records, records.begin() + static_cast<std::ptrdiff_t>(taken), std::greater<> {}, &CrashRecord::remaining);
+    records.resize(taken);
     return records;
 }
 
-void Quarantine::merge(std::span<const CrashRecord> records, Instant now)
+void Quarantine::merge(std::span<const CrashRecord> records, bool passOn, Instant now)
 {
     const std::lock_guard lock(m_mutex);
     for (const auto& record : records) {
         // A remaining time outside the bound can only come from another version or a damaged record.
         if (record.remaining <= Duration::zero() || record.remaining > m_bounds.expiry)
             continue;
-        add(record.fingerprint, record.backend, now - (m_bounds.expiry - record.remaining));
+        add(record.fingerprint, { record.backend, now - (m_bounds.expiry - record.remaining), passOn, 0 });
     }
 }
 
--- a/src/yuccashift/resilience/quarantine.hpp
+++ b/src/yuccashift/resilience/quarantine.hpp
@@ -22,24 +22,26 @@
 };
 
 struct QuarantineBounds {
-    /** Deaths of backend servers after which a request is refused. */
+    /** Deaths of backend servers that only this request explains, after which it is refused. */
     std::uint32_t deaths = 2;
+    /** Deaths after which it is refused whatever else was in progress. */
+    std::uint32_t mostDeaths = 4;
     /** Time for which a death counts against a request. */
     Duration expiry = std::chrono::minutes(10);
     /** Reports of one backend server's death this close together are one death. */
     Duration sameDeath = seconds(5);
     /** Requests remembered at once; those with fewest deaths go first. */
     std::size_t requests = 4096;
-    /** Records handed out for one heartbeat. */
-    std::size_t spreadRecords = 8;
 };
 
 /**
  * Requests suspected of crashing backend servers. A request in progress at a
- * death becomes a suspect; suspects run apart from each other; after two
- * distinct deaths the request is refused everywhere until the records expire.
- * Thread safe under one lock: it is asked once for each request and most
- * answers come from an empty table.
+ * death becomes a suspect; suspects run apart from each other. After two
+ * distinct deaths that no other suspect explains, the request is refused
+ * everywhere until the records expire. A death is explained by another request
+ * that was in progress there and at a further death without this one. Thread
+ * safe under one lock: it is asked once for each request and most answers come
+ * from an empty table.
  */
 class Quarantine {
 public:
@@ -57,10 +59,15 @@
     /** Whether the request may start beside those in progress at a backend server. */
     bool mayJoin(std::uint64_t fingerprint, std::span<const std::uint64_t> inProgress, Instant now) const;
 
-    /** Records for the next heartbeats, those least spread first. */
+    /** Records for the next heartbeat in the region, those least spread first; counts them as spread. */
     std::vector<CrashRecord> takeForSpread(Instant now, std::size_t limit);
-    /** Records that another instance spread. */
-    void merge(std::span<const CrashRecord>, Instant now);
+    /** The latest records, for other regions. */
+    std::vector<CrashRecord> latest(Instant now, std::size_t limit) const;
+    /**
+     * Records that another instance spread.
+     * @param passOn whether this instance spreads them in its region, which has not heard of them
+     */
+    void merge(std::span<const CrashRecord>, bool passOn, Instant now);
 
     void expire(Instant now);
     std::size_t size() const;
@@ -69,7 +76,9 @@
     struct Death {
         std::uint64_t backend = 0;
         Instant at;
-        /** How often it was handed out for spreading. */
+        /** Whether this instance tells its region. */
+        bool toSpread = false;
+        /** How often it did. */
         std::uint32_t spreads = 0;
     };
 
@@ -79,9 +88,13 @@
         Instant clearedUntil {};
     };
 
-    void add(std::uint64_t fingerprint, std::uint64_t backend, Instant at);
+    void add(std::uint64_t fingerprint, const Death&);
     void makeRoom();
+    bool isSame(const Death&, const Death&) const;
+    std::vector<Death> currentDeaths(const Suspect&, Instant now) const;
     std::size_t countDeaths(std::uint64_t fingerprint, Instant now) const;
+    bool isExplained(const Death&, std::uint64_t fingerprint, std::span<const Death> own, Instant now) const;
+    CrashRecord recordOf(std::uint64_t fingerprint, const Death&, Instant now) const;
 
     const QuarantineBounds m_bounds;
     mutable std::mutex m_mutex;
--- a/tests/config/config_spread_test.cpp
+++ b/tests/config/config_spread_test.cpp
@@ -16,20 +16,20 @@
     protected:
         void start(std::size_t lagos, std::size_t sofia)
         {
-            mesh.addRegion("lagos", lagos);
-            mesh.addRegion("sofia", sofia);
-            mesh.list();
-            mesh.run(seconds(10));
-            mesh.resetTraffic();
+            m_mesh.addRegion("lagos", lagos);
+            m_mesh.addRegion("sofia", sofia);
+            m_mesh.list();
+            m_mesh.run(seconds(10));
+            m_mesh.resetTraffic();
         }
 
         Duration publish(const InstanceId& at, Revision revision, std::size_t bytes = 0)
         {
-            mesh.offer(at, documentText("desk", revision, bytes));
-            return mesh.runUntil([&] { return mesh.allHold("desk", revision); }, seconds(30));
+            m_mesh.offer(at, documentText("desk", revision, bytes));
+            return m_mesh.runUntil([&] { return m_mesh.allHold("desk", revision); }, seconds(30));
         }
 
-        Mesh mesh;
+        Mesh m_mesh;
     };
 
     TEST_F(ConfigSpreading, ReachesFiftyInstancesAndAnotherRegionInTime)
@@ -42,10 +42,10 @@
     {
         start(50, 1);
         publish("lagos-7", 1);
-        mesh.run(seconds(10));
+        m_mesh.run(seconds(10));
         std::size_t copies = 0;
         std::size_t most = 0;
-        for (const auto& [instance, node] : mesh.nodes()) {
+        for (const auto& [instance, node] : m_mesh.nodes()) {
             copies += node.traffic.receivedDocuments;
             most = std::max(most, node.traffic.sentDocuments);
         }
@@ -56,7 +56,7 @@
     TEST_F(ConfigSpreading, ReachesAllInTimeThoughATenthOfTheFramesIsLost)
     {
         start(50, 5);
-        mesh.setLossPercent(10);
+        m_mesh.setLossPercent(10);
         for (Revision revision = 1; revision <= 5; ++revision)
             EXPECT_LT(publish("lagos-7", revision), inForceWithin * 2) << revision;
     }
@@ -65,7 +65,7 @@
     {
         start(30, 3);
         for (int n = 0; n < 10; ++n)
-            mesh.at("lagos-" + std::to_string(n)).stopped = true;
+            m_mesh.at("lagos-" + std::to_string(n)).stopped = true;
         EXPECT_LT(publish("lagos-20", 1), inForceWithin);
     }
 
@@ -73,47 +73,47 @@
     {
         start(5, 2);
         publish("lagos-0", 4);
-        mesh.offer("lagos-3", documentText("desk", 2));
-        mesh.run(seconds(5));
-        EXPECT_TRUE(mesh.allHold("desk", 4));
+        m_mesh.offer("lagos-3", documentText("desk", 2));
+        m_mesh.run(seconds(5));
+        EXPECT_TRUE(m_mesh.allHold("desk", 4));
     }
 
     TEST_F(ConfigSpreading, ADeletionIsNotUndoneByAnInstanceThatMissedIt)
     {
         start(5, 2);
         publish("lagos-0", 1);
-        mesh.setCut([](const auto& from, const auto& to) { return (from.info.instance == "lagos-4") != (to.info.instance == "lagos-4"); });
-        mesh.offer("lagos-0", tombstoneText("desk", 2));
-        mesh.run(seconds(10));
-        EXPECT_FALSE(mesh.at("lagos-4").store->find("desk")->deleted);
-        mesh.setCut({});
-        mesh.run(seconds(10));
-        EXPECT_TRUE(mesh.allHold("desk", 2));
-        EXPECT_TRUE(mesh.at("lagos-4").store->find("desk")->deleted);
+        m_mesh.setCut([](const auto& from, const auto& to) { return (from.info.instance == "lagos-4") != (to.info.instance == "lagos-4"); });
+        m_mesh.offer("lagos-0", tombstoneText("desk", 2));
+        m_mesh.run(seconds(10));
+        EXPECT_FALSE(m_mesh.at("lagos-4").store->find("desk")->deleted);
+        m_mesh.setCut({});
+        m_mesh.run(seconds(10));
+        EXPECT_TRUE(m_mesh.allHold("desk", 2));
+        EXPECT_TRUE(m_mesh.at("lagos-4").store->find("desk")->deleted);
     }
 
     TEST_F(ConfigSpreading, BothSidesOfASplitEndWithTheNewestOfEach)
     {
         start(6, 6);
-        mesh.setCut([](const auto& from, const auto& to) { return from.info.region != to.info.region; });
-        mesh.offer("lagos-0", documentText("desk", 3));
-        mesh.offer("sofia-0", documentText("gate", 5));
-        mesh.run(seconds(60));
-        EXPECT_EQ(mesh.at("sofia-3").store->find("desk"), nullptr);
-        mesh.setCut({});
-        const auto both = [&] { return mesh.allHold("desk", 3) && mesh.allHold("gate", 5); };
-        EXPECT_LT(mesh.runUntil(both, seconds(60)), seconds(10));
+        m_mesh.setCut([](const auto& from, const auto& to) { return from.info.region != to.info.region; });
+        m_mesh.offer("lagos-0", documentText("desk", 3));
+        m_mesh.offer("sofia-0", documentText("gate", 5));
+        m_mesh.run(seconds(60));
+        EXPECT_EQ(m_mesh.at("sofia-3").store->find("desk"), nullptr);
+        m_mesh.setCut({});
+        const auto both = [&] { return m_mesh.allHold("desk", 3) && m_mesh.allHold("gate", 5); };
+        EXPECT_LT(m_mesh.runUntil(both, seconds(60)), seconds(10));
     }
 
     TEST_F(ConfigSpreading, TwoTextsUnderOneRevisionEndAsOneEverywhere)
     {
         start(4, 4);
-        mesh.offer("lagos-0", documentText("desk", 3, 1000));
-        mesh.offer("sofia-0", documentText("desk", 3, 2000));
-        mesh.run(seconds(10));
-        const auto digest = mesh.at("lagos-0").store->digest();
+        m_mesh.offer("lagos-0", documentText("desk", 3, 1000));
+        m_mesh.offer("sofia-0", documentText("desk", 3, 2000));
+        m_mesh.run(seconds(10));
+        const auto digest = m_mesh.at("lagos-0").store->digest();
         std::size_t reports = 0;
-        for (const auto& [instance, node] : mesh.nodes()) {
+        for (const auto& [instance, node] : m_mesh.nodes()) {
             EXPECT_EQ(node.store->digest(), digest) << instance;
             reports += node.store->conflicts().size();
         }
@@ -124,11 +124,11 @@
     {
         start(5, 2);
         publish("lagos-0", 7);
-        mesh.add("lagos-2", "lagos", 2);
-        mesh.list();
-        const auto& node = mesh.at("lagos-2");
+        m_mesh.add("lagos-2", "lagos", 2);
+        m_mesh.list();
+        const auto& node = m_mesh.at("lagos-2");
         EXPECT_FALSE(node.coordinator->ready());
-        mesh.runUntil([&] { return node.coordinator->ready(); }, seconds(10));
+        m_mesh.runUntil([&] { return node.coordinator->ready(); }, seconds(10));
         ASSERT_TRUE(node.coordinator->ready());
         ASSERT_NE(node.store->find("desk"), nullptr);
         EXPECT_EQ(node.store->find("desk")->revision, 7u);
@@ -138,39 +138,39 @@
     {
         start(8, 1);
         for (int n = 0; n < 20; ++n)
-            mesh.offer("lagos-0", documentText("service-" + std::to_string(n), 1));
-        mesh.run(seconds(10));
-        mesh.add("lagos-2", "lagos", 2);
-        mesh.list();
-        mesh.run(seconds(10));
-        EXPECT_EQ(mesh.at("lagos-2").store->all().size(), 20u);
-        EXPECT_EQ(mesh.at("lagos-2").traffic.sentDocuments, 0u);
+            m_mesh.offer("lagos-0", documentText("service-" + std::to_string(n), 1));
+        m_mesh.run(seconds(10));
+        m_mesh.add("lagos-2", "lagos", 2);
+        m_mesh.list();
+        m_mesh.run(seconds(10));
+        EXPECT_EQ(m_mesh.at("lagos-2").store->all().size(), 20u);
+        EXPECT_EQ(m_mesh.at("lagos-2").traffic.sentDocuments, 0u);
     }
 
     TEST_F(ConfigSpreading, AnInstanceWithoutAnyPeerIsReadyAtOnceAndACutOffOneAfterAWait)
     {
-        mesh.add("alone", "varna");
-        mesh.list();
-        mesh.run(milliseconds(300));
-        EXPECT_TRUE(mesh.at("alone").coordinator->ready());
-
-        mesh.add("other", "varna");
-        mesh.setCut([](const auto&, const auto&) { return true; });
-        mesh.list();
-        mesh.run(seconds(1));
-        EXPECT_FALSE(mesh.at("other").coordinator->ready());
-        mesh.run(seconds(3));
-        EXPECT_TRUE(mesh.at("other").coordinator->ready());
+        m_mesh.add("alone", "varna");
+        m_mesh.list();
+        m_mesh.run(milliseconds(300));
+        EXPECT_TRUE(m_mesh.at("alone").coordinator->ready());
+
+        m_mesh.add("other", "varna");
+        m_mesh.setCut([](const auto&, const auto&) { return true; });
+        m_mesh.list();
+        m_mesh.run(seconds(1));
+        EXPECT_FALSE(m_mesh.at("other").coordinator->ready());
+        m_mesh.run(seconds(3));
+        EXPECT_TRUE(m_mesh.at("other").coordinator->ready());
     }
 
     TEST_F(ConfigSpreading, QuietInstancesExchangeDigestsOnly)
     {
         start(10, 2);
         publish("lagos-0", 1);
-        mesh.run(seconds(10));
-        mesh.resetTraffic();
-        mesh.run(seconds(30));
-        for (const auto& [instance, node] : mesh.nodes())
+        m_mesh.run(seconds(10));
+        m_mesh.resetTraffic();
+        m_mesh.run(seconds(30));
+        for (const auto& [instance, node] : m_mesh.nodes())
             EXPECT_EQ(node.traffic.sentDocuments, 0u) << instance;
     }
 
--- /dev/null
+++ b/tests/membership/coordinator_test.cpp
@@ -0,0 +1,175 @@
+#include "tests/support/mesh.hpp"
+#include "yuccashift/membership/exchange.hpp"
+#include "yuccashift/membership/region_links.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccashift {
+namespace {
+
+    using testing::Mesh;
+
+    class Coordinators : public ::testing::Test {
+    protected:
+        void start(std::size_t lagos, std::size_t sofia)
+        {
+            m_mesh.addRegion("lagos", lagos);
+            m_mesh.addRegion("sofia", sofia);
+            m_mesh.list();
+            m_mesh.run(seconds(10));
+        }
+
+        Liveness seen(const InstanceId& by, const InstanceId& instance)
+        {
+            return m_mesh.at(by).coordinator->view()->members.at(instance).liveness;
+        }
+
+        Mesh m_mesh;
+    };
+
+    TEST_F(Coordinators, OfOneRegionFindEachOtherAlive)
+    {
+        start(9, 2);
+        EXPECT_EQ(m_mesh.at("lagos-0").coordinator->view()->liveInRegion.size(), 9u);
+    }
+
+    TEST_F(Coordinators, TellTheirDrainingToTheirRegionAtOnceAndToOthersSoon)
+    {
+        start(9, 9);
+        m_mesh.at("lagos-3").coordinator->setDraining();
+        m_mesh.run(milliseconds(200));
+        EXPECT_EQ(seen("lagos-0", "lagos-3"), Liveness::Draining);
+        m_mesh.run(seconds(8));
+        for (int n = 0; n < 9; ++n)
+            EXPECT_EQ(seen("sofia-" + std::to_string(n), "lagos-3"), Liveness::Draining) << n;
+    }
+
+    TEST_F(Coordinators, LearnTheIncarnationOfInstancesInOtherRegions)
+    {
+        start(4, 4);
+        m_mesh.add("sofia-2", "sofia", 9);
+        m_mesh.list();
+        m_mesh.run(seconds(15));
+        EXPECT_EQ(m_mesh.at("lagos-1").coordinator->beliefAbout("sofia-2").incarnation, Incarnation { 9 });
+        EXPECT_EQ(m_mesh.at("lagos-1").coordinator->beliefAbout("nobody").incarnation, std::nullopt);
+    }
+
+    TEST_F(Coordinators, SuspectAPausedInstanceAndTakeItBackWhenItWakes)
+    {
+        start(5, 1);
+        m_mesh.at("lagos-2").paused = true;
+        m_mesh.run(seconds(30));
+        EXPECT_EQ(seen("lagos-0", "lagos-2"), Liveness::Suspect);
+        m_mesh.at("lagos-2").paused = false;
+        m_mesh.run(seconds(3));
+        EXPECT_EQ(seen("lagos-0", "lagos-2"), Liveness::Alive);
+    }
+
+    TEST_F(Coordinators, ConfirmNothingAfterAPauseUntilSomeoneIsHeard)
+    {
+        start(3, 1);
+        auto& node = m_mesh.at("lagos-2");
+        EXPECT_TRUE(node.coordinator->view()->confirmed);
+        node.stopped = true;
+        m_mesh.run(seconds(30));
+        node.coordinator->tick(m_mesh.now());
+        EXPECT_FALSE(node.coordinator->view()->confirmed);
+        EXPECT_EQ(node.coordinator->view()->pauseGeneration, 1u);
+        EXPECT_EQ(node.coordinator->view()->liveInRegion, std::vector<InstanceId> { "lagos-2" });
+        node.stopped = false;
+        m_mesh.run(seconds(2));
+        EXPECT_TRUE(node.coordinator->view()->confirmed);
+    }
+
+    TEST_F(Coordinators, TellAnEarlierStartThatItHasBeenReplaced)
+    {
+        start(3, 1);
+        auto& old = m_mesh.at("lagos-1");
+        auto former = std::move(old.coordinator);
+        m_mesh.add("lagos-1", "lagos", 2);
+        m_mesh.list();
+        m_mesh.run(seconds(5));
+        OutgoingFrames answers;
+        for (const auto& outgoing : former->tick(m_mesh.now())) {
+            if (outgoing.to == "lagos-0")
+                answers = m_mesh.at("lagos-0").coordinator->receive("lagos-1", outgoing.frame, m_mesh.now());
+            if (!answers.empty())
+                break;
+        }
+        ASSERT_FALSE(answers.empty());
+        EXPECT_FALSE(former->superseded());
+        former->receive("lagos-0", answers.front().frame, m_mesh.now());
+        EXPECT_TRUE(former->superseded());
+    }
+
+    TEST_F(Coordinators, IgnoreAHeartbeatInAnotherInstancesName)
+    {
+        start(3, 1);
+        wire::Frame forged;
+        forged.heartbeat.sender = toWire({ "lagos-1", 99, "lagos", "lagos-hall", {}, {}, true });
+        forged.heartbeat.sequence = 1000;
+        forged.__isset.heartbeat = true;
+        m_mesh.at("lagos-0").coordinator->receive("lagos-2", forged, m_mesh.now());
+        EXPECT_EQ(seen("lagos-0", "lagos-1"), Liveness::Alive);
+    }
+
+    TEST_F(Coordinators, SpreadQuarantineToAllRegions)
+    {
+        start(6, 6);
+        const std::uint64_t request = 77;
+        const std::array inProgress { request };
+        m_mesh.at("lagos-0").quarantine->onBackendDeath(1, inProgress, m_mesh.now());
+        m_mesh.at("sofia-3").quarantine->onBackendDeath(2, inProgress, m_mesh.now());
+        m_mesh.run(seconds(20));
+        for (const auto& [instance, node] : m_mesh.nodes())
+            EXPECT_TRUE(node.quarantine->isQuarantined(request, m_mesh.now())) << instance;
+    }
+
+    TEST_F(Coordinators, OfBothSidesOfASplitRegionStayAliveAmongThemselves)
+    {
+        start(6, 1);
+        const auto side = [](const auto& node) { return node.info.instance < "lagos-3"; };
+        m_mesh.setCut([&](const auto& from, const auto& to) { return side(from) != side(to); });
+        m_mesh.run(seconds(20));
+        EXPECT_EQ(m_mesh.at("lagos-0").coordinator->view()->liveInRegion, (std::vector<InstanceId> { "lagos-1", "lagos-2", "lagos-0" }));
+        EXPECT_EQ(seen("lagos-0", "lagos-4"), Liveness::Suspect);
+        m_mesh.setCut({});
+        m_mesh.run(seconds(5));
+        EXPECT_EQ(m_mesh.at("lagos-0").coordinator->view()->liveInRegion.size(), 6u);
+    }
+
+    TEST(RegionLinks, HaveTwoSpeakersForEachPairWhoTakeTurns)
+    {
+        const std::vector<InstanceId> live { "a", "b", "c", "d", "e" };
+        const std::vector<InstanceId> remote { "x", "y", "z" };
+        std::map<InstanceId, int> sent;
+        std::map<InstanceId, int> received;
+        for (std::uint64_t round = 0; round < 8; ++round) {
+            for (const auto& self : live) {
+                const auto to = speakTo(self, "lagos", "sofia", live, remote, round, SpeakerTurn::InTurn);
+                if (!to)
+                    continue;
+                ++sent[self];
+                ++received[*to];
+            }
+        }
+        ASSERT_EQ(sent.size(), speakersPerRegionPair);
+        EXPECT_EQ(received.size(), speakersPerRegionPair);
+        for (const auto& [instance, count] : sent)
+            EXPECT_EQ(count, 4) << instance;
+    }
+
+    TEST(HeartbeatBudgets, StayInsideTheirBytesAtEverySize)
+    {
+        for (const std::size_t members : { 2u, 3u, 9u, 15u, 30u, 50u }) {
+            const auto budget = regionBudget(members);
+            EXPECT_GE(budget.loads, 1u);
+            const auto bytes = heartbeatBaseBytes + 26 * budget.loads + 36 * budget.summaries + 20 * (budget.demands + budget.regionDemands);
+            const std::chrono::duration<double> interval = heartbeatInterval(members);
+            const auto perSecond = static_cast<double>(bytes * (members - 1)) / interval.count();
+            EXPECT_LE(perSecond, regionBytesPerSecond * 1.1) << members;
+        }
+    }
+
+} // namespace
+} // namespace yuccashift
--- /dev/null
+++ b/tests/membership/member_table_test.cpp
@@ -0,0 +1,145 @@
+#include "yuccashift/membership/member_table.hpp"
+
+#include "yuccashift/platform/listing.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccashift {
+namespace {
+
+    class MemberBeliefs : public ::testing::Test {
+    protected:
+        static MemberInfo member(const InstanceId& instance, Incarnation incarnation, const RegionName& region = "lagos")
+        {
+            return { instance, incarnation, region, region + "-hall", {}, { "10.0.0.1", 7000 }, false };
+        }
+
+        static Listing listing(std::initializer_list<const char*> instances, bool leaving = false)
+        {
+            Listing listing;
+            for (const auto* instance : instances)
+                listing.instances.push_back({ instance, "lagos", "lagos-hall", {}, {}, leaving });
+            return listing;
+        }
+
+        Liveness livenessOf(const InstanceId& instance)
+        {
+            const auto* state = m_table.find(instance);
+            return state == nullptr ? Liveness::Gone : state->liveness;
+        }
+
+        Instant m_now { seconds(100) };
+        MemberTable m_table { member("self", 1) };
+    };
+
+    TEST_F(MemberBeliefs, AListedInstanceIsSuspectUntilItIsHeard)
+    {
+        m_table.onListing(listing({ "a" }), m_now);
+        EXPECT_EQ(livenessOf("a"), Liveness::Suspect);
+        EXPECT_EQ(m_table.find("a")->info.region, "lagos");
+        EXPECT_TRUE(m_table.onHeartbeat(member("a", 3), { 1, 0, true }, m_now));
+        EXPECT_EQ(livenessOf("a"), Liveness::Alive);
+    }
+
+    TEST_F(MemberBeliefs, SilenceNeverMakesAListedInstanceGone)
+    {
+        m_table.onListing(listing({ "a" }), m_now);
+        m_table.onHeartbeat(member("a", 3), { 1, 0, true }, m_now);
+        m_table.refresh(m_now + std::chrono::hours(5));
+        EXPECT_EQ(livenessOf("a"), Liveness::Suspect);
+    }
+
+    TEST_F(MemberBeliefs, AnInstanceOffTheListIsGoneOnlyAfterLongSilence)
+    {
+        m_table.onListing(listing({ "a" }), m_now);
+        m_table.onHeartbeat(member("a", 3), { 1, 0, true }, m_now);
+        m_table.onListing(listing({}), m_now);
+        EXPECT_EQ(livenessOf("a"), Liveness::Alive);
+        m_table.refresh(m_now + seconds(61));
+        EXPECT_EQ(livenessOf("a"), Liveness::Gone);
+        EXPECT_EQ(m_table.find("a")->info.incarnation, 3u);
+    }
+
+    TEST_F(MemberBeliefs, OfHeartbeatsOnlyNewerOnesAreTaken)
+    {
+        struct Case {
+            const char* what;
+            Incarnation incarnation;
+            std::uint64_t sequence;
+            bool taken;
+        };
+        const Case cases[] = {
+            { "the first", 5, 10, true },
+            { "a doubled one", 5, 10, false },
+            { "a late one", 5, 9, false },
+            { "the next", 5, 11, true },
+            { "of an earlier start", 4, 99, false },
+            { "of a later start, counting afresh", 6, 1, true },
+            { "of the start before that", 5, 12, false },
+        };
+        for (const auto& it : cases)
+            EXPECT_EQ(m_table.onHeartbeat(member("a", it.incarnation), { it.sequence, 0, true }, m_now), it.taken) << it.what;
+        EXPECT_EQ(m_table.find("a")->info.incarnation, 6u);
+    }
+
+    TEST_F(MemberBeliefs, DrainingIsFinalWithinOneStart)
+    {
+        auto draining = member("a", 5);
+        draining.draining = true;
+        m_table.onHeartbeat(draining, { 2, 0, true }, m_now);
+        m_table.onHeartbeat(member("a", 5), { 3, 0, true }, m_now);
+        EXPECT_EQ(livenessOf("a"), Liveness::Draining);
+        m_table.onHeartbeat(member("a", 6), { 1, 0, true }, m_now);
+        EXPECT_EQ(livenessOf("a"), Liveness::Alive);
+    }
+
+    TEST_F(MemberBeliefs, ALeavingMarkOfTheListStopsNewWorkButNotMessages)
+    {
+        m_table.onHeartbeat(member("a", 5), { 1, 0, true }, m_now);
+        m_table.onListing(listing({ "a" }, true), m_now);
+        EXPECT_EQ(livenessOf("a"), Liveness::Leaving);
+        EXPECT_TRUE(m_table.candidates("lagos").empty());
+        EXPECT_EQ(m_table.reachable("lagos"), std::vector<InstanceId> { "a" });
+    }
+
+    TEST_F(MemberBeliefs, AfterAPauseNobodyCountsAsAliveUntilHeardAgain)
+    {
+        m_table.onHeartbeat(member("a", 5), { 1, 0, true }, m_now);
+        m_table.doubtAll(m_now + seconds(30));
+        EXPECT_EQ(livenessOf("a"), Liveness::Suspect);
+        EXPECT_EQ(m_table.liveInRegion(), std::vector<InstanceId> { "self" });
+        m_table.onHeartbeat(member("a", 5), { 2, 0, true }, m_now + seconds(30));
+        EXPECT_EQ(livenessOf("a"), Liveness::Alive);
+    }
+
+    TEST_F(MemberBeliefs, ALaterStartOfThisInstanceIsNoticed)
+    {
+        m_table.onRelayed(member("self", 1), true, m_now);
+        EXPECT_FALSE(m_table.superseded());
+        m_table.onRelayed(member("self", 2), true, m_now);
+        EXPECT_TRUE(m_table.superseded());
+    }
+
+    TEST_F(MemberBeliefs, NewsOfOtherRegionsIsPassedOnAFewTimesAndThenNoMore)
+    {
+        m_table.onRelayed(member("far", 4, "sofia"), true, m_now);
+        std::size_t passedOn = 0;
+        while (!m_table.takeNews(8).empty())
+            ++passedOn;
+        EXPECT_EQ(passedOn, 3u);
+        m_table.onRelayed(member("far", 4, "sofia"), true, m_now);
+        EXPECT_TRUE(m_table.takeNews(8).empty());
+    }
+
+    TEST_F(MemberBeliefs, TheTableIsBounded)
+    {
+        for (std::size_t n = 0; n < MemberTable::maxMembers + 10; ++n)
+            m_table.onRelayed(member("m" + std::to_string(n), 1), false, m_now);
+        EXPECT_EQ(m_table.members().size(), MemberTable::maxMembers);
+        m_table.refresh(m_now + std::chrono::hours(1));
+        m_table.onListing({}, m_now + std::chrono::hours(1));
+        EXPECT_TRUE(m_table.members().empty());
+    }
+
+} // namespace
+} // namespace yuccashift
