--- a/src/yuccashift/membership/coordinator.cpp
+++ b/src/yuccashift/membership/coordinator.cpp
@@ -47,6 +47,7 @@
         entry.fingerprint = static_cast<std::int64_t>(record.fingerprint);
         entry.backend = static_cast<std::int64_t>(record.backend);
         entry.crashes = 1;
+        entry.death = static_cast<std::int64_t>(record.death);
         entry.remainingMs = static_cast<std::int32_t>(toMilliseconds(record.remaining));
         return entry;
     }
@@ -62,7 +63,7 @@
 
     CrashRecord fromWire(const wire::QuarantineEntry& entry)
     {
-        return { static_cast<std::uint64_t>(entry.fingerprint), static_cast<std::uint64_t>(entry.backend), milliseconds(entry.remainingMs) };
+        return { static_cast<std::uint64_t>(entry.fingerprint), static_cast<std::uint64_t>(entry.backend), milliseconds(entry.remainingMs), static_cast<std::uint64_t>(entry.death) };
     }
 
 } // namespace
@@ -189,7 +190,7 @@
     for (const auto& entry : heartbeat.quarantine)
         records.push_back(fromWire(entry));
     if (m_hooks.quarantine != nullptr)
-        m_hooks.quarantine->merge(records, !sameRegion, now);
+        m_hooks.quarantine->merge(records, now, !sameRegion);
 }
 
 void Coordinator::onListing(const Listing& listing, Instant now)
--- a/src/yuccashift/resilience/quarantine.cpp
+++ b/src/yuccashift/resilience/quarantine.cpp
@@ -1,5 +1,8 @@
 #include "yuccashift/resilience/quarantine.hpp"
 
+#include "yuccashift/kernel/hash.hpp"
+#include "yuccashift/kernel/random.hpp"
+
 #include <algorithm>
 #include <functional>
 
@@ -7,14 +10,16 @@
 
 Quarantine::Quarantine(QuarantineBounds bounds)
     : m_bounds(bounds)
+    , m_salt(makeSystemRandom()->next())
 {
 }
 
 void Quarantine::onBackendDeath(std::uint64_t backend, std::span<const std::uint64_t> inProgress, Instant now)
 {
     const std::lock_guard lock(m_mutex);
+    const Death death { backend, now, mix64(m_salt ^ ++m_deaths), true, 0 };
     for (const auto fingerprint : inProgress)
-        add(fingerprint, { backend, now, true, 0 });
+        add(fingerprint, death);
 }
 
 void Quarantine::onSuccess(std::uint64_t fingerprint, Instant now)
@@ -30,19 +35,24 @@
 
 bool Quarantine::isSame(const Death& left, const Death& right) const
 {
-    // One death is reported by every instance that had a request there, at slightly different times.
-    return left.backend == right.backend && std::chrono::abs(left.at - right.at) < m_bounds.sameDeath;
+    // One death is reported by every instance that had the request there, at slightly
+    // different times. A report that was held up on its way seems younger than it is,
+    // so that its time alone does not tell it from another death.
+    const bool near = std::chrono::abs(left.at - right.at) < m_bounds.sameDeath;
+    return left.backend == right.backend && (near || (left.id != 0 && left.id == right.id));
 }
 
-void Quarantine::add(std::uint64_t fingerprint, const Death& death)
+void Quarantine::add(std::uint64_t fingerprint, const Death& added)
 {
     if (!m_suspects.contains(fingerprint))
         makeRoom();
     auto& suspect = m_suspects[fingerprint];
-    const bool known = std::ranges::any_of(suspect.deaths, [&](const Death& other) { return isSame(death, other); });
-    if (known || death.at <= suspect.clearedUntil || suspect.deaths.size() >= m_bounds.mostDeaths)
+    // Deaths that no longer count must not take the room of new ones between two sweeps.
+    std::erase_if(suspect.deaths, [&](const Death& death) { return added.at - death.at >= m_bounds.expiry; });
+    const bool known = std::ranges::any_of(suspect.deaths, [&](const Death& death) { return isSame(death, added); });
+    if (known || added.at <= suspect.clearedUntil || suspect.deaths.size() >= m_bounds.mostDeaths)
         return;
-    suspect.deaths.push_back(death);
+    suspect.deaths.push_back(added);
 }
 
 void Quarantine::makeRoom()
@@ -112,7 +122,7 @@
 
 CrashRecord Quarantine::recordOf(std::uint64_t fingerprint, const Death& death, Instant now) const
 {
-    return { fingerprint, death.backend, m_bounds.expiry - (now - death.at) };
+    return { fingerprint, death.backend, m_bounds.expiry - (now - death.at), death.id };
 }
 
 std::vector<CrashRecord> Quarantine::takeForSpread(Instant now, std::size_t limit)
@@ -153,14 +163,14 @@
     return records;
 }
 
-void Quarantine::merge(std::span<const CrashRecord> records, bool passOn, Instant now)
+void Quarantine::merge(std::span<const CrashRecord> records, Instant now, bool passOn)
 {
     const std::lock_guard lock(m_mutex);
     for (const auto& record : records) {
         // A remaining time outside the bound can only come from another version or a damaged record.
         if (record.remaining <= Duration::zero() || record.remaining > m_bounds.expiry)
             continue;
-        add(record.fingerprint, { record.backend, now - (m_bounds.expiry - record.remaining), passOn, 0 });
+        add(record.fingerprint, { record.backend, now - (m_bounds.expiry - record.remaining), record.death, passOn, 0 });
     }
 }
 
--- a/src/yuccashift/resilience/quarantine.hpp
+++ b/src/yuccashift/resilience/quarantine.hpp
@@ -19,6 +19,8 @@
     std::uint64_t backend = 0;
     /** Time for which the record still counts. */
     Duration remaining {};
+    /** The same wherever this death is told; 0 where it is not known. */
+    std::uint64_t death = 0;
 };
 
 struct QuarantineBounds {
@@ -67,7 +69,7 @@
      * Records that another instance spread.
      * @param passOn whether this instance spreads them in its region, which has not heard of them
      */
-    void merge(std::span<const CrashRecord>, bool passOn, Instant now);
+    void merge(std::span<const CrashRecord>, Instant now, bool passOn = false);
 
     void expire(Instant now);
     std::size_t size() const;
@@ -76,6 +78,8 @@
     struct Death {
         std::uint64_t backend = 0;
         Instant at;
+        /** Number of the death where one instance saw it; 0 where unknown. */
+        std::uint64_t id = 0;
         /** Whether this instance tells its region. */
         bool toSpread = false;
         /** How often it did. */
@@ -97,6 +101,9 @@
     CrashRecord recordOf(std::uint64_t fingerprint, const Death&, Instant now) const;
 
     const QuarantineBounds m_bounds;
+    /** Keeps apart the deaths that different instances number. */
+    const std::uint64_t m_salt;
+    std::uint64_t m_deaths = 0;
     mutable std::mutex m_mutex;
     std::unordered_map<std::uint64_t, Suspect> m_suspects;
 };
--- a/tests/membership/coordinator_test.cpp
+++ b/tests/membership/coordinator_test.cpp
@@ -85,7 +85,9 @@
     {
         start(3, 1);
         auto& old = m_mesh.at("lagos-1");
-        auto former = std::move(old.coordinator);
+        const auto formerStore = std::move(old.store);
+        const auto formerQuarantine = std::move(old.quarantine);
+        const auto former = std::move(old.coordinator);
         m_mesh.add("lagos-1", "lagos", 2);
         m_mesh.list();
         m_mesh.run(seconds(5));
--- a/tests/resilience/quarantine_test.cpp
+++ b/tests/resilience/quarantine_test.cpp
@@ -37,7 +37,7 @@
     {
         die(m_quarantine, 1, { 7 });
         const std::array other { CrashRecord { 7, 1, std::chrono::minutes(10) - seconds(2) } };
-        m_quarantine.merge(other, false, m_start);
+        m_quarantine.merge(other, m_start);
         EXPECT_FALSE(m_quarantine.isQuarantined(7, m_start));
         die(m_quarantine, 1, { 7 }, seconds(30));
         EXPECT_TRUE(m_quarantine.isQuarantined(7, m_start + seconds(30)));
@@ -57,7 +57,7 @@
         m_quarantine.onSuccess(8, m_start + seconds(2));
         EXPECT_FALSE(m_quarantine.isSuspect(8, m_start + seconds(2)));
         const std::array old { CrashRecord { 8, 1, std::chrono::minutes(10) - seconds(2) }, CrashRecord { 8, 2, std::chrono::minutes(10) - seconds(3) } };
-        m_quarantine.merge(old, false, m_start + seconds(2));
+        m_quarantine.merge(old, m_start + seconds(2));
         EXPECT_FALSE(m_quarantine.isSuspect(8, m_start + seconds(2)));
     }
 
@@ -85,7 +85,7 @@
     TEST_F(RequestsThatCrash, IgnoreRecordsWithATimeOutsideTheirBound)
     {
         const std::array records { CrashRecord { 7, 1, seconds(-5) }, CrashRecord { 7, 2, std::chrono::hours(5) } };
-        m_quarantine.merge(records, false, m_start);
+        m_quarantine.merge(records, m_start);
         EXPECT_EQ(m_quarantine.size(), 0u);
     }
 
@@ -211,7 +211,7 @@
             for (std::uint64_t from = 0; from < instances; ++from) {
                 const auto records = m_quarantine[from].takeForSpread(m_now, 4);
                 for (std::uint64_t to = 0; to < instances; ++to)
-                    m_quarantine[to].merge(records, false, m_now);
+                    m_quarantine[to].merge(records, m_now);
             }
         }
 
