--- a/src/yuccashift/resilience/quarantine.cpp
+++ b/src/yuccashift/resilience/quarantine.cpp
@@ -50,7 +50,7 @@
     // Deaths that no longer count must not take the room of new ones between two sweeps.
     std::erase_if(suspect.deaths, [&](const Death& death) { return added.at - death.at >= m_bounds.expiry; });
     const bool known = std::ranges::any_of(suspect.deaths, [&](const Death& death) { return isSame(death, added); });
-    if (known || added.at <= suspect.clearedUntil || suspect.deaths.size() >= m_bounds.mostDeaths)
+    if (known || added.at <= suspect.clearedUntil || suspect.deaths.size() >= m_bounds.keptDeaths)
         return;
     suspect.deaths.push_back(added);
 }
@@ -79,33 +79,7 @@
 
 bool Quarantine::isQuarantined(std::uint64_t fingerprint, Instant now) const
 {
-    const std::lock_guard lock(m_mutex);
-    const auto it = m_suspects.find(fingerprint);
-    if (it == m_suspects.end() || it->second.deaths.size() < m_bounds.deaths)
-        return false;
-    const auto deaths = currentDeaths(it->second, now);
-    if (deaths.size() >= m_bounds.mostDeaths)
-        return true;
-    const auto unexplained = std::ranges::count_if(deaths, [&](const Death& death) { return !isExplained(death, fingerprint, deaths, now); });
-    return static_cast<std::size_t>(unexplained) >= m_bounds.deaths;
-}
-
-// A neighbour of two different killers has as many deaths as either of them; it
-// is told apart by each killer having killed without it. Looks at all suspects,
-// which is rare: only requests with two deaths get here.
-bool Quarantine::isExplained(const Death& death, std::uint64_t fingerprint, std::span<const Death> own, Instant now) const
-{
-    const auto isOwn = [&](const Death& other) {
-        return std::ranges::any_of(own, [&](const Death& it) { return isSame(it, other); });
-    };
-    return std::ranges::any_of(m_suspects, [&](const auto& item) {
-        const auto& [other, suspect] = item;
-        if (other == fingerprint || suspect.deaths.size() < m_bounds.deaths)
-            return false;
-        const auto deaths = currentDeaths(suspect, now);
-        const bool wasThere = std::ranges::any_of(deaths, [&](const Death& it) { return isSame(it, death); });
-        return wasThere && !std::ranges::all_of(deaths, isOwn);
-    });
+    return countDeaths(fingerprint, now) >= m_bounds.deaths;
 }
 
 bool Quarantine::isSuspect(std::uint64_t fingerprint, Instant now) const
--- a/src/yuccashift/resilience/quarantine.hpp
+++ b/src/yuccashift/resilience/quarantine.hpp
@@ -24,10 +24,10 @@
 };
 
 struct QuarantineBounds {
-    /** Deaths of backend servers that only this request explains, after which it is refused. */
+    /** Deaths of backend servers after which a request is refused. */
     std::uint32_t deaths = 2;
-    /** Deaths after which it is refused whatever else was in progress. */
-    std::uint32_t mostDeaths = 4;
+    /** Deaths remembered for each request. */
+    std::uint32_t keptDeaths = 4;
     /** Time for which a death counts against a request. */
     Duration expiry = std::chrono::minutes(10);
     /** Reports of one backend server's death this close together are one death. */
@@ -39,11 +39,9 @@
 /**
  * Requests suspected of crashing backend servers. A request in progress at a
  * death becomes a suspect; suspects run apart from each other. After two
- * distinct deaths that no other suspect explains, the request is refused
- * everywhere until the records expire. A death is explained by another request
- * that was in progress there and at a further death without this one. Thread
- * safe under one lock: it is asked once for each request and most answers come
- * from an empty table.
+ * distinct deaths the request is refused everywhere until the records expire.
+ * Thread safe under one lock: it is asked once for each request and most
+ * answers come from an empty table.
  */
 class Quarantine {
 public:
@@ -97,7 +95,6 @@
     bool isSame(const Death&, const Death&) const;
     std::vector<Death> currentDeaths(const Suspect&, Instant now) const;
     std::size_t countDeaths(std::uint64_t fingerprint, Instant now) const;
-    bool isExplained(const Death&, std::uint64_t fingerprint, std::span<const Death> own, Instant now) const;
     CrashRecord recordOf(std::uint64_t fingerprint, const Death&, Instant now) const;
 
     const QuarantineBounds m_bounds;
