--- a/benchmarks/runner/fleet.cpp
+++ b/benchmarks/runner/fleet.cpp
@@ -254,6 +254,7 @@
         if (instance->alive && regionName(instance->region()) == region)
             targets.push_back(instance.get());
     }
+    exchange->request->away = true;
     if (targets.empty()) {
         exchange->done = true;
         m_events.after(connectTimeout, [this, exchange] { onAnswer(exchange, Ending::Refused, Duration::zero()); });
@@ -322,9 +323,10 @@
 void Fleet::onAnswer(const ExchangePtr& exchange, Ending ending, Duration retryAfter)
 {
     auto& request = *exchange->request;
-    request.away = request.away || exchange->executor->region() != request.arrival->region;
     if (ending == Ending::Answered && now() > exchange->traits.deadline)
         ending = Ending::Late;
+    if (ending == Ending::Answered && exchange->executor->region() != request.arrival->region)
+        request.away = true;
     const bool poison = request.arrival->poison;
     const Duration wait = m_scenario.impatient ? Duration(milliseconds(20)) : retryAfter;
     const bool again = poison ? request.sends < mostPoisonSends : ending == Ending::Refused && request.sends < mostSends;
--- a/benchmarks/runner/instance.cpp
+++ b/benchmarks/runner/instance.cpp
@@ -171,9 +171,27 @@
     });
 }
 
+/** A suspect of crashes stays apart from other suspects. */
+void Instance::keepSuspectsApart(const Exchange& exchange, std::span<BackendState> states)
+{
+    const auto fingerprint = exchange.request->fingerprint;
+    if (!m_quarantine.isSuspect(fingerprint, m_fleet.now()))
+        return;
+    for (auto& state : states) {
+        std::vector<std::uint64_t> fingerprints;
+        for (const auto& [attempt, entry] : m_inProgress) {
+            if (entry.first.backend == state.name && entry.first.service == exchange.traits.service)
+                fingerprints.push_back(entry.second);
+        }
+        if (!m_quarantine.mayJoin(fingerprint, fingerprints, m_fleet.now()))
+            state.ejected = true;
+    }
+}
+
 void Instance::dispatch(const ExchangePtr& exchange)
 {
-    const auto states = backendStates(*exchange);
+    auto states = backendStates(*exchange);
+    keepSuspectsApart(*exchange, states);
     const auto decision = m_backendPolicy->choose(exchange->traits, states, m_fleet.now(), m_random);
     if (!decision.chosen) {
         refuse(exchange, { ErrorKind::NoBackend, {}, std::nullopt, std::nullopt });
--- a/benchmarks/runner/instance.hpp
+++ b/benchmarks/runner/instance.hpp
@@ -62,6 +62,7 @@
     void enqueue(const ExchangePtr&, std::span<const BackendState>);
     void pump(const ServiceName&);
     void keepPumping(const ServiceName&);
+    void keepSuspectsApart(const Exchange&, std::span<BackendState>);
     void dispatch(const ExchangePtr&);
     void send(const ExchangePtr&, const BackendState&);
     void hedge(const ExchangePtr&);
--- a/benchmarks/runner/tables.cpp
+++ b/benchmarks/runner/tables.cpp
@@ -22,7 +22,7 @@
         out << "| " << name << " | " << std::fixed;
         for (const auto& kind : result.classes)
             writePercentiles(out, kind);
-        out << result.urgentMissed() << " | " << result.offered() - result.answered() << " | " << result.refused() << " | ";
+        out << result.urgentMissed() << " | " << result.quietUrgent.missed() << " | " << result.offered() - result.answered() << " | " << result.refused() << " | ";
         out << std::setprecision(1) << result.goodput() << " | ";
         out << std::setprecision(2) << result.awayShare() * percent << " | " << result.cacheHitRate() * percent << " | ";
         out << result.costPerThousandTokens() << " | ";
@@ -38,8 +38,8 @@
         << scenario.description << ".\n\n| policy | ";
     for (const auto& kind : classSpecs())
         out << kind.name << " | ";
-    out << "urgent missed | missed | refused | answered/s | away % | cache % | cost | attempts | recovery s |\n|---|";
-    constexpr std::size_t figures = 9;
+    out << "urgent missed | of quiet organisations | missed | refused | answered/s | away % | cache % | cost | attempts | recovery s |\n|---|";
+    constexpr std::size_t figures = 10;
     for (std::size_t n = 0; n < classCount + figures; ++n)
         out << "---|";
     out << "\n";
