--- a/benchmarks/runner/instance.cpp
+++ b/benchmarks/runner/instance.cpp
@@ -213,7 +213,7 @@
     m_fleet.countAttempt();
     auto& running = exchange->running[attempt];
     running.server = &m_fleet.server(key);
-    running.own = m_loads.onStart(key, traits.promptTokens + traits.expectedTokens, m_fleet.now());
+    running.own = m_loads.onStart(key, traits.expectedTokens, m_fleet.now());
     m_caches.onSent(key, traits.prefixBlocks);
     m_inProgress[attempt] = { key, exchange->request->fingerprint };
     exchange->traits.excluded.push_back(state.name);
--- a/src/yuccashift/routing/latency_model.cpp
+++ b/src/yuccashift/routing/latency_model.cpp
@@ -47,6 +47,24 @@
         return scale(serviceOfOthers(state, ownService), ahead / slots);
     }
 
+    /**
+     * Charge for each second of prefill that a cache would have saved. Prefill takes
+     * the whole accelerator; the less urgent the request, the more that counts
+     * against its own latency.
+     */
+    double recomputeCharge(Priority priority)
+    {
+        switch (priority) {
+        case Priority::Urgent:
+            return 2;
+        case Priority::Normal:
+            return 6;
+        case Priority::Batch:
+            break;
+        }
+        return 16;
+    }
+
 } // namespace
 
 double slowStartShare(std::optional<Instant> availableSince, Instant now)
@@ -89,6 +107,7 @@
         estimate.decode = serviceOfOthers(state, {});
     estimate.queueWait = queueWait(state, estimate.prefill + estimate.decode, now);
     estimate.network = state.roundTrip;
+    estimate.recompute = scale(estimate.prefill, recomputeCharge(request.priority));
     return estimate;
 }
 
--- a/src/yuccashift/routing/latency_model.hpp
+++ b/src/yuccashift/routing/latency_model.hpp
@@ -10,8 +10,10 @@
     Duration prefill {};
     Duration decode {};
     Duration network {};
+    /** Charge for the accelerator's time that recomputing takes from other requests. */
+    Duration recompute {};
 
-    Duration total() const { return queueWait + prefill + decode + network; }
+    Duration total() const { return queueWait + prefill + decode + network + recompute; }
 };
 
 /** Requests that run or wait on the backend server, corrected by own work since its report. */
--- a/src/yuccashift/routing/load_book.cpp
+++ b/src/yuccashift/routing/load_book.cpp
@@ -11,7 +11,10 @@
     constexpr Duration memory = seconds(10);
     constexpr double smoothing = 0.1;
     constexpr std::uint32_t samplesNeeded = 5;
+    constexpr double leastSlowdown = 1.5;
     constexpr double mostSlowdown = 20;
+    /** A request in flight that takes this many times its usual time makes its server a slow one. */
+    constexpr double overdueFactor = 2;
     /** Keeps short answers from dominating the time per token. */
     constexpr double tokenOffset = 10;
 
@@ -41,8 +44,11 @@
         return *middle;
     }
 
-    /** Turns seconds per token into a factor against the median of the servers. */
-    void relateToMedian(std::span<BackendState> states)
+    /**
+     * Turns seconds per token into a factor against the median of the servers.
+     * Small differences are noise of the mix of requests and count as none.
+     */
+    double relateToMedian(std::span<BackendState> states)
     {
         std::vector<double> known;
         for (const auto& state : states) {
@@ -50,8 +56,11 @@
                 known.push_back(state.slowdown);
         }
         const double typical = median(known);
-        for (auto& state : states)
-            state.slowdown = state.slowdown > 0 && typical > 0 ? std::clamp(state.slowdown / typical, 1.0, mostSlowdown) : 1;
+        for (auto& state : states) {
+            const double ratio = typical > 0 ? state.slowdown / typical : 1;
+            state.slowdown = ratio < leastSlowdown ? 1 : std::min(ratio, mostSlowdown);
+        }
+        return typical;
     }
 
     /** Without other knowledge, each other sender has as much in flight as this instance, evenly spread. */
@@ -98,6 +107,7 @@
     m_entries.withShard(key, [&](auto& shard) {
         auto& entry = shard[key];
         ++entry.inFlight;
+        entry.running.insert({ now, tokens });
         entry.starts.push_back({ now, tokens });
         forgetBefore(entry, now - memory);
     });
@@ -122,6 +132,8 @@
         auto& entry = it->second;
         if (entry.inFlight > 0)
             --entry.inFlight;
+        if (const auto running = entry.running.find({ request.startedAt, request.tokens }); running != entry.running.end())
+            entry.running.erase(running);
         entry.ends.push_back({ now, request.tokens });
         forgetBefore(entry, now - memory);
         if (outcome == RequestOutcome::Answered)
@@ -203,6 +215,23 @@
         state.decodeTokensPerSecond = entry.report.decodeTokensPerSecond;
 }
 
+/** The oldest request in flight shows a server that turned slow before any answer does. */
+void LoadBook::noticeOverdue(const BackendKey& key, double typical, BackendState& state, Instant now)
+{
+    if (typical <= 0 || state.ownInFlight == 0)
+        return;
+    m_entries.withShard(key, [&](auto& shard) {
+        const auto it = shard.find(key);
+        if (it == shard.end() || it->second.running.empty())
+            return;
+        const auto& [startedAt, tokens] = *it->second.running.begin();
+        const double usual = typical * (static_cast<double>(tokens) + tokenOffset);
+        const double ratio = std::chrono::duration<double>(now - startedAt).count() / usual;
+        if (ratio >= overdueFactor)
+            state.slowdown = std::max(state.slowdown, std::min(ratio, mostSlowdown));
+    });
+}
+
 std::vector<BackendState> LoadBook::states(const Document& document, const RequestTraits& request, Instant now, CacheView* caches)
 {
     std::vector<BackendState> states;
@@ -228,7 +257,9 @@
             state.cachedTokens = caches->cachedTokens(key, request.prefixBlocks, document.prefixCache.blockTokens, document.prefixCache.trustPercent);
         states.push_back(std::move(state));
     }
-    relateToMedian(states);
+    const double typical = relateToMedian(states);
+    for (auto& state : states)
+        noticeOverdue({ document.service, state.name }, typical, state, now);
     assumeOthers(states);
     return states;
 }
--- a/src/yuccashift/routing/load_book.hpp
+++ b/src/yuccashift/routing/load_book.hpp
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <deque>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace yuccashift {
@@ -48,7 +49,7 @@
 
     /** A report taken at the instant, on the local clock; older ones are dropped. */
     void onReport(const BackendKey&, const LoadReport&, Instant takenAt);
-    /** A request is about to be sent; pass the result to onFinish(). */
+    /** A request that should generate so many tokens is about to be sent; pass the result to onFinish(). */
     OwnRequest onStart(const BackendKey&, std::uint64_t tokens, Instant now);
     void onFinish(const OwnRequest&, RequestOutcome, Instant now);
     /** Marks or clears leaving, from the platform's list or from a refusal. */
@@ -74,6 +75,8 @@
         LoadReport report;
         bool leaving = false;
         std::uint32_t inFlight = 0;
+        /** Start and tokens of the requests in flight, oldest first. */
+        std::multiset<std::pair<Instant, std::uint64_t>> running;
         std::deque<Ended> starts;
         std::deque<Ended> ends;
         /** Smoothed seconds per request and per token. */
@@ -86,6 +89,7 @@
     static void forgetBefore(Entry&, Instant);
     static void learn(Entry&, const OwnRequest&, Instant now);
     static void fillFrom(const Entry&, BackendState&);
+    void noticeOverdue(const BackendKey&, double typical, BackendState&, Instant now);
     BackendState initialState(const Document&, const BackendSpec&, const RequestTraits&) const;
 
     LoadBookSettings m_settings;
