Hedge what takes twice its time, and learn from attempts given up

Change: hedges wait twice the expected time, never for batch work; a cancelled attempt that had taken longer than usual counts as a sample.

--- a/benchmarks/runner/fleet.cpp
+++ b/benchmarks/runner/fleet.cpp
@@ -47,6 +47,8 @@
         if (plain) {
             document.spill.cost = milliseconds(50);
             document.hedge.after = milliseconds(250);
+        } else {
+            document.hedge.after = seconds(3);
         }
         for (std::size_t region = 0; region < scenario.regions.size(); ++region) {
             const auto& size = scenario.regions[region];
--- a/benchmarks/runner/instance.cpp
+++ b/benchmarks/runner/instance.cpp
@@ -200,7 +200,7 @@
     const bool first = exchange->attempts == 0;
     send(exchange, states[*decision.chosen]);
     const auto& spec = m_fleet.document(exchange->traits.service).hedge;
-    if (const auto delay = HedgeBudget::delay(spec, exchange->traits.idempotent); first && delay)
+    if (const auto delay = HedgeBudget::delay(spec, exchange->traits, m_fleet.expectedService(*exchange->request->arrival)); first && delay)
         m_fleet.after(*delay, [this, exchange] { hedge(exchange); });
 }
 
@@ -239,7 +239,7 @@
     if (!hasRoom(traits, states, m_fleet.now()))
         return;
     const auto decision = m_backendPolicy->choose(traits, states, m_fleet.now(), m_random);
-    if (decision.chosen && m_hedges.tryHedge(traits.service, traits.organisation, spec, traits.idempotent))
+    if (decision.chosen && m_hedges.tryHedge(traits, spec))
         send(exchange, states[*decision.chosen]);
 }
 
--- a/src/yuccashift/resilience/hedge_budget.cpp
+++ b/src/yuccashift/resilience/hedge_budget.cpp
@@ -1,5 +1,7 @@
 #include "yuccashift/resilience/hedge_budget.hpp"
 
+#include <algorithm>
+
 namespace yuccashift {
 
 void HedgeBudget::onRequest(const ServiceName& service, const OrganisationName& organisation, const HedgeSpec& spec)
@@ -7,16 +9,16 @@
     m_budget.onRequest(service, organisation, spec.budgetPercent);
 }
 
-std::optional<Duration> HedgeBudget::delay(const HedgeSpec& spec, bool idempotent)
+std::optional<Duration> HedgeBudget::delay(const HedgeSpec& spec, const RequestTraits& request, Duration expected)
 {
-    if (!idempotent || spec.after <= milliseconds(0))
+    if (!request.idempotent || request.priority == Priority::Batch || spec.after <= milliseconds(0))
         return std::nullopt;
-    return spec.after;
+    return std::max<Duration>(spec.after, expected * 2);
 }
 
-bool HedgeBudget::tryHedge(const ServiceName& service, const OrganisationName& organisation, const HedgeSpec& spec, bool idempotent)
+bool HedgeBudget::tryHedge(const RequestTraits& request, const HedgeSpec& spec)
 {
-    return delay(spec, idempotent) && m_budget.trySpend(service, organisation);
+    return delay(spec, request, {}) && m_budget.trySpend(request.service, request.organisation);
 }
 
 } // namespace yuccashift
--- a/src/yuccashift/routing/load_book.cpp
+++ b/src/yuccashift/routing/load_book.cpp
@@ -136,7 +136,10 @@
             entry.running.erase(running);
         entry.ends.push_back({ now, request.tokens });
         forgetBefore(entry, now - memory);
-        if (outcome == RequestOutcome::Answered)
+        // A request given up would have taken longer still: it counts where that is news.
+        const double usual = entry.secondsPerToken * (static_cast<double>(request.tokens) + tokenOffset);
+        const bool longer = std::chrono::duration<double>(now - request.startedAt).count() > usual;
+        if (outcome == RequestOutcome::Answered || (outcome == RequestOutcome::Cancelled && longer))
             learn(entry, request, now);
     });
 }
--- a/tests/resilience/budgets_test.cpp
+++ b/tests/resilience/budgets_test.cpp
@@ -49,16 +49,25 @@
         EXPECT_FALSE(budget.tryRetry("pass", "museum", spec, 2));
     }
 
-    TEST(AHedgeBudget, NeverSendsWorkTwiceThatIsNotIdempotent)
+    TEST(AHedgeBudget, NeverSendsWorkTwiceThatIsBatchOrNotIdempotent)
     {
         HedgeBudget budget;
         const HedgeSpec spec { milliseconds(50), 100 };
+        RequestTraits request;
+        request.service = "pass";
+        request.organisation = "museum";
         for (int n = 0; n < 10; ++n)
-            budget.onRequest("pass", "museum", spec);
-        EXPECT_FALSE(HedgeBudget::delay(spec, false));
-        EXPECT_FALSE(budget.tryHedge("pass", "museum", spec, false));
-        EXPECT_TRUE(budget.tryHedge("pass", "museum", spec, true));
-        EXPECT_FALSE(HedgeBudget::delay(HedgeSpec { milliseconds(0), 100 }, true));
+            budget.onRequest(request.service, request.organisation, spec);
+        EXPECT_EQ(HedgeBudget::delay(spec, request, milliseconds(10)), milliseconds(50));
+        EXPECT_EQ(HedgeBudget::delay(spec, request, milliseconds(40)), milliseconds(80));
+        EXPECT_TRUE(budget.tryHedge(request, spec));
+        EXPECT_FALSE(budget.tryHedge(request, { milliseconds(0), 100 }));
+        request.priority = Priority::Batch;
+        EXPECT_FALSE(budget.tryHedge(request, spec));
+        request.priority = Priority::Urgent;
+        request.idempotent = false;
+        EXPECT_FALSE(HedgeBudget::delay(spec, request, {}));
+        EXPECT_FALSE(budget.tryHedge(request, spec));
     }
 
     TEST(Backoff, GrowsUpToItsBoundAndIsSpreadOut)
