Count the local queue when choosing a region, and name a refuge among entries

Cause: the region's choice saw servers only, so what waited in an instance's own queue never left; callers of a lost region were given three of its entries. Change: the wait in the queue counts as the wait here; the last of a caller's entries is of another region.

--- a/benchmarks/runner/instance.cpp
+++ b/benchmarks/runner/instance.cpp
@@ -78,12 +78,22 @@
         execute(exchange);
 }
 
+/** Expected time in this instance's queue. */
+Duration Instance::localWait(const Exchange& exchange, std::span<const BackendState> states)
+{
+    const auto& traits = exchange.traits;
+    const WaitingRequest asked { 0, traits.organisation, 1, traits.priority, traits.deadline, {} };
+    return waiting(traits.service).queue.expectedWait(asked, admissionInterval(traits, states, m_fleet.now()));
+}
+
 /** Whether the exchange is now another region's. */
 bool Instance::forward(const ExchangePtr& exchange, std::span<const BackendState> states)
 {
     const auto& document = m_fleet.document(exchange->traits.service);
     const auto now = m_fleet.now();
-    const auto regions = m_regions.states(document, exchange->traits, summarise(states, now), now);
+    auto here = summarise(states, now);
+    here.queueWait = std::max(here.queueWait, localWait(*exchange, states));
+    const auto regions = m_regions.states(document, exchange->traits, here, now);
     const auto decision = m_regionPolicy->choose(exchange->traits, document.spill, m_fleet.regionName(m_region), regions, now, m_random);
     if (!decision.chosen) {
         refuse(exchange, { ErrorKind::NoBackend, {}, std::nullopt, std::nullopt });
--- a/benchmarks/runner/instance.hpp
+++ b/benchmarks/runner/instance.hpp
@@ -58,6 +58,7 @@
     };
 
     std::vector<BackendState> backendStates(const Exchange&);
+    Duration localWait(const Exchange&, std::span<const BackendState>);
     bool forward(const ExchangePtr&, std::span<const BackendState>);
     void enqueue(const ExchangePtr&, std::span<const BackendState>);
     void pump(const ServiceName&);
--- a/src/yuccashift/routing/entry_policy.cpp
+++ b/src/yuccashift/routing/entry_policy.cpp
@@ -71,6 +71,7 @@
                     ranked.push_back(judge(request, states[n], n));
             }
             std::sort(ranked.begin(), ranked.end(), before);
+            keepRefuge(ranked, states, request.count);
             ranked.resize(std::min(ranked.size(), request.count));
             std::vector<std::size_t> indexes;
             indexes.reserve(ranked.size());
@@ -80,6 +81,19 @@
         }
 
     private:
+        /** Makes the last answer one of another region, for callers whose region is lost. */
+        static void keepRefuge(std::vector<Ranked>& ranked, std::span<const EntryState> states, std::size_t count)
+        {
+            if (count < 2 || ranked.size() <= count)
+                return;
+            const auto& region = states[ranked.front().index].region;
+            const auto elsewhere = [&](const Ranked& entry) { return states[entry.index].region != region; };
+            const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(count);
+            const auto refuge = std::find_if(end, ranked.end(), elsewhere);
+            if (refuge != ranked.end() && std::none_of(ranked.begin(), end, elsewhere))
+                std::iter_swap(end - 1, refuge);
+        }
+
         static Ranked judge(const EntryRequest& request, const EntryState& state, std::size_t index)
         {
             constexpr double datacentrePreference = 4;
--- a/tests/routing/books_test.cpp
+++ b/tests/routing/books_test.cpp
@@ -320,6 +320,14 @@
         }
     }
 
+    TEST_F(TheEntryPolicy, EndsWithAnInstanceOfAnotherRegion)
+    {
+        const auto ranked = rank("caller");
+        ASSERT_EQ(ranked.size(), 3u);
+        EXPECT_LT(ranked[1], 4u);
+        EXPECT_GE(ranked[2], 4u);
+    }
+
     TEST_F(TheEntryPolicy, PrefersTheRegionsThatMayServeTheCaller)
     {
         request.allowedRegions = { "varna" };
