Let work that can wait do so at home, and choose a waiting request's region again

Cause: batch work left its region for seconds of gain while it had a minute; urgent work left too hesitantly. Change: normal and batch work wait at home for 10 and 20% of the time to their deadline; a request still queued after half its slack may leave once; urgent work leaves with four times the chance. Choosing again without a limit looped at zero slack: once only.

--- a/benchmarks/runner/exchange.hpp
+++ b/benchmarks/runner/exchange.hpp
@@ -38,6 +38,7 @@
     std::uint32_t attempts = 0;
     std::map<std::uint64_t, RunningAttempt> running;
     std::uint64_t queueId = 0;
+    bool reconsidered = false;
     bool done = false;
 };
 
--- a/benchmarks/runner/instance.cpp
+++ b/benchmarks/runner/instance.cpp
@@ -129,7 +129,8 @@
     const auto interval = admissionInterval(traits, states, m_fleet.now());
     const auto expected = m_fleet.expectedService(*exchange->request->arrival);
     exchange->queueId = ++m_lastId;
-    const auto outcome = line.queue.push({ exchange->queueId, traits.organisation, 1, traits.priority, traits.deadline, expected }, interval, m_fleet.now());
+    const WaitingRequest request { exchange->queueId, traits.organisation, 1, traits.priority, traits.deadline, expected };
+    const auto outcome = line.queue.push(request, interval, m_fleet.now());
     if (!outcome) {
         refuse(exchange, outcome.error());
         return;
@@ -139,10 +140,29 @@
         auto displaced = line.exchanges.extract(*outcome->displaced);
         refuse(displaced.mapped(), { ErrorKind::QueueFull, {}, std::nullopt, std::nullopt });
     }
+    reconsiderLater(exchange, reconsiderAt(request, m_fleet.now()));
     pump(traits.service);
     keepPumping(traits.service);
 }
 
+/** A request that still waits may leave the region after all. */
+void Instance::reconsiderLater(const ExchangePtr& exchange, Instant at)
+{
+    if (exchange->entry != this || std::exchange(exchange->reconsidered, true))
+        return;
+    const auto id = exchange->queueId;
+    m_fleet.after(at - m_fleet.now(), [this, exchange, id] {
+        if (exchange->queueId != id || exchange->done || !alive)
+            return;
+        auto& line = waiting(exchange->traits.service);
+        line.queue.cancel(id);
+        line.exchanges.erase(id);
+        exchange->queueId = 0;
+        if (!forward(exchange, backendStates(*exchange)))
+            execute(exchange);
+    });
+}
+
 void Instance::pump(const ServiceName& service)
 {
     auto& line = waiting(service);
--- a/benchmarks/runner/instance.hpp
+++ b/benchmarks/runner/instance.hpp
@@ -61,6 +61,7 @@
     Duration localWait(const Exchange&, std::span<const BackendState>);
     bool forward(const ExchangePtr&, std::span<const BackendState>);
     void enqueue(const ExchangePtr&, std::span<const BackendState>);
+    void reconsiderLater(const ExchangePtr&, Instant at);
     void pump(const ServiceName&);
     void keepPumping(const ServiceName&);
     void keepSuspectsApart(const Exchange&, std::span<BackendState>);
--- a/src/yuccashift/admission/capacity_gate.cpp
+++ b/src/yuccashift/admission/capacity_gate.cpp
@@ -65,4 +65,10 @@
     return std::chrono::duration_cast<Duration>(service * (pool.senders / pool.slots));
 }
 
+Instant reconsiderAt(const WaitingRequest& request, Instant now)
+{
+    const Duration slack = request.deadline - request.expectedService - now;
+    return now + std::max(slack, Duration::zero()) / 2;
+}
+
 } // namespace yuccashift
--- a/src/yuccashift/admission/capacity_gate.hpp
+++ b/src/yuccashift/admission/capacity_gate.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccashift/admission/admission_queue.hpp"
 #include "yuccashift/routing/types.hpp"
 
 #include <span>
@@ -16,4 +17,10 @@
 /** Expected time between admissions of one instance while all slots are taken. */
 Duration admissionInterval(const RequestTraits&, std::span<const BackendState>, Instant now);
 
+/**
+ * When the region of a request that waits should be chosen again, once: the wait
+ * may have turned out longer than it was expected to be.
+ */
+Instant reconsiderAt(const WaitingRequest&, Instant now);
+
 } // namespace yuccashift
--- a/src/yuccashift/routing/region_policies.cpp
+++ b/src/yuccashift/routing/region_policies.cpp
@@ -12,6 +12,27 @@
     /** Summaries older than this give no ground for sending a request away. */
     constexpr Duration summaryLifetime = seconds(10);
 
+    /** How a priority weighs its latency against leaving the region. */
+    struct Restraint {
+        /** Share of the time to its deadline that a request rather waits at home. */
+        double patience = 0;
+        /** Factor of the chance to leave; 1 makes it the gain, as a share of the local time. */
+        double eagerness = 1;
+    };
+
+    Restraint restraintOf(Priority priority)
+    {
+        switch (priority) {
+        case Priority::Urgent:
+            return { 0, 4 };
+        case Priority::Normal:
+            return { 0.1, 1 };
+        case Priority::Batch:
+            break;
+        }
+        return { 0.2, 1 };
+    }
+
     Duration scale(Duration duration, double factor)
     {
         return std::chrono::duration_cast<Duration>(duration * factor);
@@ -97,21 +118,22 @@
             }
             if (!local)
                 return decide(std::move(candidates), best, RejectReason::Costlier);
-            if (!best || !worthLeaving(spill, states[*best], *candidates[*local].expected, *candidates[*best].expected, random))
+            if (!best || !worthLeaving(request, spill, *candidates[*local].expected, *candidates[*best].expected, now, random))
                 return stay(std::move(candidates), *local, best);
             return decide(std::move(candidates), best, RejectReason::Costlier);
         }
 
     private:
-        static bool worthLeaving(const SpillSpec& spill, const RegionState&, Duration local, Duration away, RandomSource& random)
+        static bool worthLeaving(const RequestTraits& request, const SpillSpec& spill, Duration local, Duration away, Instant now, RandomSource& random)
         {
             constexpr double percent = 100;
+            const auto restraint = restraintOf(request.priority);
             const Duration bar = scale(away, 1 + spill.hysteresisPercent / percent);
-            if (local <= bar)
+            if (local <= bar || local < scale(request.deadline - now, restraint.patience))
                 return false;
             // Sending only a part away lets all observers together stop short of reversing the imbalance.
             const double gain = std::chrono::duration<double>(local - bar) / std::chrono::duration<double>(local);
-            return random.unit() < gain;
+            return random.unit() < gain * restraint.eagerness;
         }
 
         static Decision stay(std::vector<Candidate> candidates, std::size_t local, std::optional<std::size_t> best)
--- /dev/null
+++ b/tests/admission/capacity_gate_test.cpp
@@ -0,0 +1,69 @@
+#include "yuccashift/admission/capacity_gate.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccashift {
+namespace {
+
+    struct ACapacityGate : testing::Test {
+        ACapacityGate()
+        {
+            request.allowedRegions = { "sofia" };
+            BackendState state;
+            state.region = "sofia";
+            state.slots = 10;
+            state.meanService = seconds(1);
+            states = { state, state };
+        }
+
+        bool admits(Priority priority, std::uint32_t inFlight)
+        {
+            request.priority = priority;
+            for (auto& state : states)
+                state.ownInFlight = inFlight;
+            return hasRoom(request, states, now);
+        }
+
+        Instant now { seconds(100) };
+        RequestTraits request;
+        std::vector<BackendState> states;
+    };
+
+    TEST_F(ACapacityGate, LetsMoreUrgentWorkFillTheServersFurther)
+    {
+        EXPECT_TRUE(admits(Priority::Batch, 8));
+        EXPECT_FALSE(admits(Priority::Batch, 9));
+        EXPECT_TRUE(admits(Priority::Normal, 10));
+        EXPECT_FALSE(admits(Priority::Normal, 11));
+        EXPECT_TRUE(admits(Priority::Urgent, 14));
+        EXPECT_FALSE(admits(Priority::Urgent, 15));
+    }
+
+    TEST_F(ACapacityGate, CountsOnlyServersThatMayServe)
+    {
+        states[1].leaving = true;
+        EXPECT_FALSE(admits(Priority::Normal, 11));
+        states[1].leaving = false;
+        states[1].availableSince = now;
+        EXPECT_FALSE(admits(Priority::Normal, 7));
+    }
+
+    TEST_F(ACapacityGate, ExpectsAdmissionsAtTheRateOfItsShareOfTheSlots)
+    {
+        EXPECT_EQ(admissionInterval(request, states, now), milliseconds(50));
+        for (auto& state : states)
+            state.senders = 4;
+        EXPECT_EQ(admissionInterval(request, states, now), milliseconds(200));
+    }
+
+    TEST_F(ACapacityGate, ReconsidersARegionAfterHalfOfTheTimeThatIsLeft)
+    {
+        WaitingRequest waiting;
+        waiting.deadline = now + seconds(9);
+        waiting.expectedService = seconds(1);
+        EXPECT_EQ(reconsiderAt(waiting, now), now + seconds(4));
+        EXPECT_EQ(reconsiderAt(waiting, now + seconds(20)), now + seconds(20));
+    }
+
+} // namespace
+} // namespace yuccashift
--- a/tests/routing/policies_test.cpp
+++ b/tests/routing/policies_test.cpp
@@ -173,6 +173,21 @@
         EXPECT_EQ(countAway("expected-latency"), 0);
     }
 
+    TEST_F(ARegionPolicy, LetsWorkThatCanWaitAtHomeDoSo)
+    {
+        states[0].queueWait = seconds(3);
+        request.deadline = now + seconds(60);
+        request.priority = Priority::Urgent;
+        const int urgent = countAway("expected-latency");
+        request.priority = Priority::Normal;
+        EXPECT_EQ(countAway("expected-latency"), 0);
+        request.priority = Priority::Batch;
+        EXPECT_EQ(countAway("expected-latency"), 0);
+        EXPECT_GT(urgent, 100);
+        request.deadline = now + seconds(10);
+        EXPECT_GT(countAway("expected-latency"), 0);
+    }
+
     TEST_F(ARegionPolicy, SendsAwayFewerWhereTheOtherRegionIsLessFit)
     {
         states[0].queueWait = seconds(1);
