--- a/benchmarks/capacity/capacity.cpp
+++ b/benchmarks/capacity/capacity.cpp
@@ -33,6 +33,8 @@
     Slopes slopes = slopesFromJson(readFile(path));
     addWireSlopes(slopes);
     addDocumentSlopes(slopes);
+    addStateSlopes(slopes);
+    addPlatformSlopes(slopes);
     addDecisionSlopes(slopes);
     addObserveSlopes(slopes);
     writeFile(path, slopesToJson(slopes));
--- a/src/yuccashift/config/config_spread.hpp
+++ b/src/yuccashift/config/config_spread.hpp
@@ -26,6 +26,8 @@
     /** Least time between two such exchanges; doubled for peers that had nothing. */
     Duration exchangeInterval = seconds(2);
     Duration longestExchangeInterval = seconds(30);
+    /** Time for which a difference is believed without another heartbeat. */
+    Duration mismatchLifetime = seconds(10);
     /** Time for which heartbeats name a document that changed. */
     Duration recent = seconds(6);
     /** Time after which an instance starts without an answer of its peers. */
@@ -46,7 +48,7 @@
 /**
  * Brings every instance to the newest documents that any of them holds. A new
  * document goes down a tree over the region whose shape differs for each
- * revision; heartbeats name recent changes and carry a digest, by which whatever
+ * revision, as a delta to whoever holds the one before; heartbeats name recent changes and carry a digest, by which whatever
  * the tree missed is asked for. Not thread safe; Coordinator guards it.
  */
 class ConfigSpread {
@@ -82,12 +84,16 @@
     };
 
     struct Mismatch {
-        Instant since;
+        Instant confirmedAt;
         Instant nextExchange;
         Duration interval;
     };
 
+    Result<Acceptance> accept(std::string text, const ServiceName& publishedAs);
+    wire::DocumentText textOver(const ServiceName&, const HeldDocument&, std::uint64_t baseHash) const;
+    std::optional<std::string> wholeText(const wire::DocumentText&) const;
     void passOn(const ServiceName&, const InstanceId& source, const SpreadPeers&, Instant now, OutgoingFrames&);
+    void noticeGrandchildren(std::span<const InstanceId> order, const ServiceName&, const DocumentVersion&, const InstanceId& self, OutgoingFrames&) const;
     void want(const InstanceId& from, const wire::DocumentRevision&, Instant due);
     bool holds(const ServiceName&, const DocumentVersion&) const;
     void pushTexts(const InstanceId& to, std::vector<wire::DocumentText>, bool answer, OutgoingFrames&) const;
@@ -103,6 +109,8 @@
     SpreadTiming m_timing;
     std::map<ServiceName, Wanted> m_wanted;
     std::map<InstanceId, Mismatch> m_mismatches;
+    /** What each document in force replaced; the base of deltas. */
+    std::map<ServiceName, HeldDocument> m_replaced;
     /** When each document last changed here. */
     std::map<ServiceName, Instant> m_changedAt;
     std::optional<Instant> m_startedAt;
--- a/src/yuccashift/membership/coordinator.hpp
+++ b/src/yuccashift/membership/coordinator.hpp
@@ -18,6 +18,7 @@
 class LoadExchange;
 class Quarantine;
 class SummaryExchange;
+enum class SpeakerTurn;
 
 /** What heartbeats carry for other modules; null where nothing is exchanged. All outlive the coordinator. */
 struct CoordinatorHooks {
@@ -82,13 +83,15 @@
     std::optional<Instant> regionHeardAt(const RegionName&) const;
 
 private:
-    SpreadPeers spreadPeers() const;
-    void onHeartbeat(const InstanceId& from, const wire::Heartbeat&, Instant now);
+    const SpreadPeers& spreadPeers();
+    void onHeartbeat(const InstanceId& from, const wire::Heartbeat&, Instant now, OutgoingFrames&);
+    void answerReplaced(const MemberState&, Instant now, OutgoingFrames&);
     void takeExchanges(const InstanceId& from, const wire::Heartbeat&, bool sameRegion, Instant now);
     void beatRegion(Instant now, OutgoingFrames&);
+    void beatLoads(Instant now, OutgoingFrames&);
     void beatOtherRegions(Instant now, OutgoingFrames&);
     void noticeOtherRegions(Instant now, OutgoingFrames&);
-    void sendAcross(const wire::Heartbeat&, Instant now, OutgoingFrames&);
+    void sendAcross(const wire::Heartbeat&, SpeakerTurn, OutgoingFrames&);
     wire::Heartbeat makeHeartbeat(std::size_t revisions, Instant now);
     wire::Heartbeat makeRegionHeartbeat(const HeartbeatBudget&, Instant now);
     wire::Heartbeat makeCrossHeartbeat(const HeartbeatBudget&, Instant now);
@@ -109,10 +112,16 @@
     /** Heartbeats up to this one name the sender's addresses. */
     std::uint64_t m_introduceUntil = 0;
     Instant m_nextRegion {};
+    Instant m_nextLoads {};
     Instant m_nextCross {};
     Instant m_lastNotice {};
     bool m_confirmed = true;
     MemberViewPtr m_view;
+    SpreadPeers m_peers;
+    /** Of the member table, when m_peers was made. */
+    std::optional<std::uint64_t> m_peersGeneration;
+    /** Of the member table, when m_view was made. */
+    std::uint64_t m_viewGeneration = 0;
 };
 
 } // namespace yuccashift
