--- a/fuzzing/limits_fuzz.cpp
+++ b/fuzzing/limits_fuzz.cpp
@@ -243,7 +243,11 @@
                     }
                     const bool idempotent = step.b % 2 == 0;
                     const bool asked = idempotent || mutant == "other work is hedged";
-                    if (hedges.tryHedge("s", organisation, hedge, asked) && !idempotent)
+                    RequestTraits traits;
+                    traits.service = "s";
+                    traits.organisation = organisation;
+                    traits.idempotent = asked;
+                    if (hedges.tryHedge(traits, hedge) && !idempotent)
                         return "non-idempotent work was hedged";
                 }
                 if (extra > saved + requests * retry.budgetPercent / 100)
