--- a/tests/resilience/budgets_test.cpp
+++ b/tests/resilience/budgets_test.cpp
@@ -49,7 +49,7 @@
         EXPECT_FALSE(budget.tryRetry("pass", "museum", spec, 2));
     }
 
-    TEST(AHedgeBudget, NeverSendsWorkTwiceThatIsBatchOrNotIdempotent)
+    TEST(AHedgeBudget, NeverSendsWorkTwiceThatIsNotIdempotent)
     {
         HedgeBudget budget;
         const HedgeSpec spec { milliseconds(50), 100 };
