Tell other regions of every change, whatever the clock reading

Cause: notices compared times. A document accepted at the same reading as the last heartbeat (two threads, or the lock held meanwhile) seemed told already; only the digests found it, after 3.4 s against the 3 s promised. Change: changes are counted instead.

--- a/src/yuccashift/config/config_spread.cpp
+++ b/src/yuccashift/config/config_spread.cpp
@@ -144,6 +144,7 @@
 void ConfigSpread::passOn(const ServiceName& service, const InstanceId& source, const SpreadPeers& peers, Instant now, OutgoingFrames& out)
 {
     m_changedAt[service] = now;
+    ++m_changes;
     m_wanted.erase(service);
     const auto set = m_store.snapshot();
     const auto& held = set->documents.at(service);
@@ -385,11 +386,6 @@
     }
 }
 
-bool ConfigSpread::changedSince(Instant moment) const
-{
-    return std::ranges::any_of(m_changedAt, [&](const auto& item) { return item.second > moment; });
-}
-
 void ConfigSpread::doubtAll()
 {
     m_mismatches.clear();
--- a/src/yuccashift/config/config_spread.hpp
+++ b/src/yuccashift/config/config_spread.hpp
@@ -65,8 +65,8 @@
 
     /** Digest, recent changes and readiness. */
     void fill(wire::Heartbeat&, std::size_t recentLimit, Instant now) const;
-    /** Whether a document was accepted after this moment. */
-    bool changedSince(Instant) const;
+    /** Counts the documents accepted so far. */
+    std::uint64_t changes() const { return m_changes; }
     /** Whether the peers have been asked for their documents; stays true. */
     bool ready() const { return m_ready; }
     /** After a pause: differences are looked for afresh. */
@@ -111,6 +111,7 @@
     std::map<InstanceId, Mismatch> m_mismatches;
     /** What each document in force replaced; the base of deltas. */
     std::map<ServiceName, HeldDocument> m_replaced;
+    std::uint64_t m_changes = 0;
     /** When each document last changed here. */
     std::map<ServiceName, Instant> m_changedAt;
     std::optional<Instant> m_startedAt;
--- a/src/yuccashift/membership/coordinator.cpp
+++ b/src/yuccashift/membership/coordinator.cpp
@@ -257,16 +257,18 @@
     if (now < m_nextCross)
         return;
     m_nextCross = now + m_timing.crossRegionInterval;
-    m_lastNotice = now;
     ++m_crossRound;
     sendAcross(makeCrossHeartbeat(crossRegionBudget(), now), SpeakerTurn::InTurn, out);
 }
 
 void Coordinator::noticeOtherRegions(Instant now, OutgoingFrames& out)
 {
-    if (now - m_lastNotice < m_timing.noticeInterval || !m_spread.changedSince(m_lastNotice))
+    // Counted, not timed: a document may be accepted by the clock reading of a
+    // thread that waited while another one sent heartbeats of a later moment.
+    if (now - m_lastNotice < m_timing.noticeInterval || m_spread.changes() == m_noticedChanges)
         return;
     m_lastNotice = now;
+    m_noticedChanges = m_spread.changes();
     sendAcross(makeHeartbeat(crossRegionBudget().revisions, now), SpeakerTurn::All, out);
 }
 
--- a/src/yuccashift/membership/coordinator.hpp
+++ b/src/yuccashift/membership/coordinator.hpp
@@ -114,6 +114,8 @@
     Instant m_nextLoads {};
     Instant m_nextCross {};
     Instant m_lastNotice {};
+    /** ConfigSpread::changes() that other regions were told of. */
+    std::uint64_t m_noticedChanges = 0;
     bool m_confirmed = true;
     MemberViewPtr m_view;
     SpreadPeers m_peers;
