--- a/benchmarks/runner/policy_runner.cpp
+++ b/benchmarks/runner/policy_runner.cpp
@@ -1,9 +1,12 @@
 // Measures the shipped decision modules in fixed scenarios under a virtual clock.
 #include "benchmarks/runner/bound.hpp"
 #include "benchmarks/runner/fleet.hpp"
+#include "benchmarks/runner/plot.hpp"
 #include "benchmarks/runner/tables.hpp"
+#include "benchmarks/runner/targets.hpp"
 
 #include <atomic>
+#include <fstream>
 #include <iostream>
 #include <mutex>
 #include <tclap/CmdLine.h>
@@ -82,13 +85,23 @@
         TCLAP::ValueArg<std::string> contenderName("c", "contender", "only this contender, and the bound", false, "", "name", line);
         TCLAP::ValueArg<unsigned> threads("t", "threads", "threads to run on", false, 4, "count", line);
         TCLAP::SwitchArg held("", "held", "use the seeds that are kept for the last run", line);
+        TCLAP::SwitchArg targets("", "targets", "write the table of targets too; needs all contenders", line);
+        TCLAP::ValueArg<std::string> plots("p", "plots", "write a plot per scenario into this folder", false, "", "folder", line);
         line.parse(argc, argv);
         auto scenarios = allScenarios();
         std::erase_if(scenarios, [&](const Scenario& scenario) { return scenarioName.isSet() && scenario.name != scenarioName.getValue(); });
         auto contenders = allContenders();
         std::erase_if(contenders, [&](const Contender& contender) { return contenderName.isSet() && contender.name != contenderName.getValue(); });
-        for (const auto& result : measure(scenarios, contenders, held.getValue() ? heldSeeds : openSeeds, threads.getValue()))
+        const auto results = measure(scenarios, contenders, held.getValue() ? heldSeeds : openSeeds, threads.getValue());
+        if (targets.getValue())
+            writeTargets(std::cout, results);
+        for (const auto& result : results) {
             writeTable(std::cout, result);
+            if (!plots.isSet())
+                continue;
+            std::ofstream file(plots.getValue() + "/" + result.name + ".svg");
+            writePlot(file, result);
+        }
         return 0;
     }
 
--- a/tests/limits/shared_limits_test.cpp
+++ b/tests/limits/shared_limits_test.cpp
@@ -153,6 +153,16 @@
         ASSERT_EQ(limits.takeDemands(1, now).size(), 1u);
     }
 
+    TEST_F(SharedLimitsOfAFleet, KeepTheSumNearTheLimitWhenDemandShiftsWhileSplit)
+    {
+        const std::vector<double> evenly(count, 100);
+        run(evenly, 10);
+        split = true;
+        run(evenly, 6);
+        const std::vector<double> shifted { 400, 400, 400, 400, 30, 30, 30, 30 };
+        EXPECT_LE(run(shifted, 20), limit * 1.1);
+    }
+
     TEST_F(SharedLimitsOfAFleet, ExceedTheLimitByABoundedAmountWhenInstancesAreReplaced)
     {
         const std::vector<double> evenly(count, 100);
