Count a model's servers when no model is asked for

Cause: capacity of admission and the region's summary ask for the states of a whole service, and such a question found no server to hold the model it did not name; a model service had no slots, and an instance ran one stream at a time. Change: without a model in the question every server counts as loaded.

--- a/src/yuccashift/routing/load_book.cpp
+++ b/src/yuccashift/routing/load_book.cpp
@@ -185,7 +185,7 @@
     state.role = backend.role;
     state.slots = backend.slots;
     state.senders = m_senders;
-    state.modelLoaded = document.kind == ServiceKind::Plain || holdsModel(backend, request.model);
+    state.modelLoaded = document.kind == ServiceKind::Plain || request.model.empty() || holdsModel(backend, request.model);
     state.slowdown = 0;
     if (backend.datacentre != m_settings.datacentre)
         state.roundTrip = m_settings.datacentreRoundTrip;
@@ -251,7 +251,7 @@
             forgetBefore(it->second, now - memory);
             fillFrom(it->second, state);
             const auto& models = it->second.report.models;
-            if (document.kind != ServiceKind::Model || models.empty())
+            if (document.kind != ServiceKind::Model || models.empty() || request.model.empty())
                 return;
             state.modelLoaded = listsModel(models, request.model);
             state.adapterLoaded = request.adapter.empty() || listsAdapter(models, request.model, request.adapter);
--- a/tests/routing/books_test.cpp
+++ b/tests/routing/books_test.cpp
@@ -81,6 +81,18 @@
         EXPECT_TRUE(state(0).leaving);
     }
 
+    TEST_F(ALoadBook, CountsEveryServerForAServiceWhenNoModelIsAskedFor)
+    {
+        document.backends[1].models = { "m" };
+        LoadReport report;
+        report.models = { { "m", "1", {} } };
+        book.onReport(a, report, now);
+        request.model.clear();
+        EXPECT_TRUE(state(0).modelLoaded);
+        EXPECT_TRUE(state(1).modelLoaded);
+        EXPECT_EQ(summarise(book.states(document, request, now), now).slots, 8u);
+    }
+
     TEST_F(ALoadBook, MeasuresASlowServerAgainstTheOthers)
     {
         for (int n = 0; n < 10; ++n) {
