Run an entry instance: gateway, background loops, operators' listener, daemon

Cause: the modules stood side by side without a way for a request through them. Change: a request is resolved and authenticated, placed in a region, admitted, attempted on backend servers and relayed event by event; keyed requests go to the instance that minted the key; the node reads the platform, exchanges heartbeats, polls loads, gives orders and drains on SIGTERM. Measured: nothing yet; it builds and the tests pass. Conclusion: next is the first request over real processes.

--- a/src/yuccashift/answers/sse_tracker.cpp
+++ b/src/yuccashift/answers/sse_tracker.cpp
@@ -51,8 +51,10 @@
 
 } // namespace
 
-SseTracker::SseTracker(std::size_t maxEventBytes)
+SseTracker::SseTracker(std::size_t maxEventBytes, std::uint32_t firstToken)
     : m_maxEventBytes(maxEventBytes)
+    , m_tokens(firstToken)
+    , m_resumed(firstToken > 0)
 {
 }
 
--- a/src/yuccashift/answers/sse_tracker.hpp
+++ b/src/yuccashift/answers/sse_tracker.hpp
@@ -18,8 +18,11 @@
  */
 class SseTracker {
 public:
-    /** No single event may be longer than this, in bytes. */
-    explicit SseTracker(std::size_t maxEventBytes);
+    /**
+     * No single event may be longer than this, in bytes. A stream that starts
+     * at a later token than the first is a resumed one.
+     */
+    explicit SseTracker(std::size_t maxEventBytes, std::uint32_t firstToken = 0);
 
     /**
      * Takes the next bytes and appends the events they complete to `whole`.
--- /dev/null
+++ b/src/yuccashift/gateway/attempt.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "yuccashift/gateway/answer_relay.hpp"
+#include "yuccashift/gateway/request_context.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace yuccashift {
+
+struct Parts;
+
+/** One sending of a request to one backend server. */
+class Attempt {
+public:
+    Attempt(Parts&, const RequestContext&, const BackendSpec&, AnswerRelay&);
+
+    /** Sends the request and relays its answer; keeps the books of load, outliers and crashes. */
+    boost::asio::awaitable<Result<void>> run();
+
+private:
+    boost::asio::awaitable<Result<void>> exchange(const TraceContext&);
+    boost::asio::awaitable<void> noteLoss(const Error&);
+    void noteOutcome(const Result<void>&);
+    std::uint64_t expectedTokens() const;
+
+    Parts& m_parts;
+    const RequestContext& m_context;
+    const BackendSpec& m_backend;
+    AnswerRelay& m_relay;
+};
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/gateway/entry_answer.cpp
@@ -0,0 +1,87 @@
+#include "yuccashift/gateway/entry_answer.hpp"
+
+#include "yuccashift/gateway/parts.hpp"
+#include "yuccashift/membership/coordinator.hpp"
+#include "yuccashift/routing/entry_policy.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <set>
+
+namespace yuccashift {
+
+namespace json = boost::json;
+
+namespace {
+
+    constexpr std::string_view bearerPrefix = "Bearer ";
+
+    /** The organisation behind a credential and the regions that may serve it anywhere. */
+    struct EntryCaller {
+        OrganisationName organisation;
+        std::set<RegionName> regions;
+    };
+
+    Result<EntryCaller> identify(Parts& parts, const RequestMessage& message)
+    {
+        auto credential = findHeader(message.headers, "Authorization").value_or("");
+        if (credential.starts_with(bearerPrefix))
+            credential.remove_prefix(bearerPrefix.size());
+        EntryCaller caller;
+        for (const auto& document : parts.documents.all()) {
+            const auto organisation = findByCredential(*document, credential);
+            if (!organisation)
+                continue;
+            caller.organisation = (*organisation)->name;
+            const auto& regions = (*organisation)->residency.empty() ? document->regions : (*organisation)->residency;
+            caller.regions.insert(regions.begin(), regions.end());
+        }
+        if (caller.organisation.empty())
+            return fail(ErrorKind::Unauthenticated);
+        return caller;
+    }
+
+    EntryState toEntry(const MemberState& member)
+    {
+        EntryState entry { member.info.instance, member.info.region, member.info.datacentre, member.info.callers, false, false, 1 };
+        entry.draining = member.liveness == Liveness::Draining || member.liveness == Liveness::Leaving || member.liveness == Liveness::Gone;
+        entry.suspect = member.liveness == Liveness::Suspect;
+        return entry;
+    }
+
+    std::vector<EntryState> knownEntries(const Parts& parts, const Coordinator& coordinator)
+    {
+        std::vector<EntryState> entries;
+        const auto view = coordinator.view();
+        for (const auto& [instance, member] : view->members) {
+            if (instance != parts.self.instance)
+                entries.push_back(toEntry(member));
+        }
+        const auto self = coordinator.self();
+        entries.push_back({ self.instance, self.region, self.datacentre, self.callers, parts.lifecycle.draining(), false, 1 });
+        return entries;
+    }
+
+} // namespace
+
+Result<std::string> entryAnswer(Parts& parts, const Coordinator& coordinator, const RequestMessage& message)
+{
+    const auto caller = identify(parts, message);
+    if (!caller)
+        return tl::unexpected(caller.error());
+    const auto entries = knownEntries(parts, coordinator);
+    EntryRequest request;
+    request.caller = caller->organisation;
+    request.region = parts.settings.region;
+    request.datacentre = parts.settings.datacentre;
+    request.allowedRegions = { caller->regions.begin(), caller->regions.end() };
+    json::array addresses;
+    for (const auto index : parts.policies.entry->rank(request, entries))
+        addresses.emplace_back(toString(entries[index].callers));
+    json::object answer { { "entries", std::move(addresses) }, { "instance", parts.self.instance } };
+    if (caller->regions.contains(parts.settings.region) && !parts.lifecycle.draining())
+        answer["idempotencyKey"] = toString(parts.minter.mint(caller->organisation, parts.clock.now(), threadRandom()));
+    return json::serialize(answer);
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/gateway/feeds.cpp
@@ -0,0 +1,205 @@
+#include "yuccashift/gateway/feeds.hpp"
+
+#include "peer_types.h"
+#include "yuccashift/gateway/parts.hpp"
+#include "yuccashift/kernel/hash.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace yuccashift {
+
+namespace {
+
+    std::int64_t hashOf(const BackendKey& key)
+    {
+        const std::array<std::string_view, 2> names { key.service, key.backend };
+        return static_cast<std::int64_t>(hash64(names));
+    }
+
+    std::int32_t toInt(double value)
+    {
+        return static_cast<std::int32_t>(std::clamp(std::round(value), 0.0, 2e9));
+    }
+
+    wire::BackendLoad toWire(std::int64_t hash, const LoadReport& report, Duration age)
+    {
+        wire::BackendLoad load;
+        load.backend = hash;
+        load.running = static_cast<std::int32_t>(report.running);
+        load.waiting = static_cast<std::int32_t>(report.waiting);
+        load.queuedTokens = toInt(static_cast<double>(report.queuedTokens));
+        load.ageMs = static_cast<std::int32_t>(toMilliseconds(age));
+        load.decodeTokensPerSecond = toInt(report.decodeTokensPerSecond);
+        load.leaving = report.leaving;
+        return load;
+    }
+
+    LoadReport fromWire(const wire::BackendLoad& load)
+    {
+        LoadReport report;
+        report.running = static_cast<std::uint32_t>(std::max(load.running, 0));
+        report.waiting = static_cast<std::uint32_t>(std::max(load.waiting, 0));
+        report.queuedTokens = static_cast<std::uint64_t>(std::max(load.queuedTokens, 0));
+        report.decodeTokensPerSecond = load.decodeTokensPerSecond;
+        report.leaving = load.leaving;
+        return report;
+    }
+
+    wire::Demand toWire(const DemandRate& rate)
+    {
+        wire::Demand demand;
+        demand.organisation = rate.key;
+        // Rounded up, so that a small demand is not taken for none.
+        demand.requestsPerSecond = toInt(std::ceil(rate.requestsPerSecond));
+        demand.tokensPerSecond = toInt(std::ceil(rate.tokensPerSecond));
+        return demand;
+    }
+
+    std::vector<DemandRate> fromWire(std::span<const wire::Demand> demands)
+    {
+        std::vector<DemandRate> rates;
+        for (const auto& demand : demands)
+            rates.push_back({ demand.organisation, static_cast<double>(demand.requestsPerSecond), static_cast<double>(demand.tokensPerSecond) });
+        return rates;
+    }
+
+} // namespace
+
+Feeds::Feeds(Parts& parts)
+    : m_parts(parts)
+{
+}
+
+void Feeds::onOwnReport(const BackendKey& backend, const LoadReport& report, Instant takenAt)
+{
+    const std::lock_guard lock(m_mutex);
+    m_reports[hashOf(backend)] = { backend, report, takenAt, false };
+}
+
+std::vector<wire::BackendLoad> Feeds::takeLoads(Instant now, std::size_t limit)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<wire::BackendLoad> loads;
+    // Goes round from where the last heartbeat stopped, so that none is left out for long.
+    auto it = m_reports.upper_bound(m_lastTaken);
+    for (std::size_t n = 0; n < m_reports.size() && loads.size() < limit; ++n) {
+        if (it == m_reports.end())
+            it = m_reports.begin();
+        if (!it->second.told) {
+            loads.push_back(toWire(it->first, it->second.report, now - it->second.takenAt));
+            it->second.told = true;
+            m_lastTaken = it->first;
+        }
+        ++it;
+    }
+    return loads;
+}
+
+const BackendKey* Feeds::findBackend(std::int64_t hash)
+{
+    const auto documents = m_parts.documents.snapshot();
+    if (documents->generation != m_namesGeneration) {
+        m_namesGeneration = documents->generation;
+        m_names.clear();
+        for (const auto& [service, held] : documents->documents) {
+            for (const auto& backend : held.document->backends)
+                m_names.emplace(hashOf({ service, backend.name }), BackendKey { service, backend.name });
+        }
+    }
+    const auto it = m_names.find(hash);
+    return it == m_names.end() ? nullptr : &it->second;
+}
+
+void Feeds::onLoads(const InstanceId&, std::span<const wire::BackendLoad> loads, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto& load : loads) {
+        if (const auto* backend = findBackend(load.backend))
+            m_parts.loads.onReport(*backend, fromWire(load), now - milliseconds(std::max(load.ageMs, 0)));
+    }
+}
+
+std::vector<wire::RegionSummary> Feeds::ownSummaries(Instant now)
+{
+    std::vector<wire::RegionSummary> summaries;
+    for (const auto& document : m_parts.documents.all()) {
+        const auto load = summarise(m_parts.backendStates(*document, {}), now);
+        if (load.slots == 0)
+            continue;
+        wire::RegionSummary summary;
+        summary.region = m_parts.settings.region;
+        summary.serviceName = document->service;
+        summary.slots = static_cast<std::int32_t>(load.slots);
+        summary.busySlots = static_cast<std::int32_t>(load.busySlots);
+        summary.queueWaitMs = static_cast<std::int32_t>(toMilliseconds(load.queueWait));
+        summary.ageMs = 0;
+        summary.meanServiceMs = static_cast<std::int32_t>(toMilliseconds(load.meanService));
+        summaries.push_back(std::move(summary));
+    }
+    return summaries;
+}
+
+void Feeds::onSummaries(std::span<const wire::RegionSummary> summaries, Instant now)
+{
+    for (const auto& summary : summaries) {
+        RegionLoad load;
+        load.slots = static_cast<std::uint32_t>(std::max(summary.slots, 0));
+        load.busySlots = static_cast<std::uint32_t>(std::max(summary.busySlots, 0));
+        load.queueWait = milliseconds(summary.queueWaitMs);
+        load.meanService = milliseconds(summary.meanServiceMs);
+        m_parts.regions.onSummary(summary.region, summary.serviceName, load, now - milliseconds(std::max(summary.ageMs, 0)));
+    }
+}
+
+std::vector<wire::Demand> Feeds::takeDemands(Instant now, std::size_t limit)
+{
+    std::vector<wire::Demand> demands;
+    for (const auto& rate : m_parts.limits.demands(limit, now))
+        demands.push_back(toWire(rate));
+    return demands;
+}
+
+std::vector<wire::Demand> Feeds::regionDemands(Instant now, std::size_t limit)
+{
+    std::map<std::int64_t, wire::Demand> sums;
+    const auto add = [&](const wire::Demand& demand) {
+        auto& sum = sums[demand.organisation];
+        sum.organisation = demand.organisation;
+        sum.requestsPerSecond += demand.requestsPerSecond;
+        sum.tokensPerSecond += demand.tokensPerSecond;
+    };
+    for (const auto& rate : m_parts.limits.demands(limit, now))
+        add(toWire(rate));
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& [instance, demands] : m_peerDemands)
+            std::ranges::for_each(demands, add);
+    }
+    std::vector<wire::Demand> largest;
+    for (const auto& [key, sum] : sums)
+        largest.push_back(sum);
+    std::ranges::sort(largest, std::greater {}, &wire::Demand::requestsPerSecond);
+    largest.resize(std::min(largest.size(), limit));
+    return largest;
+}
+
+void Feeds::onDemands(const InstanceId& from, std::span<const wire::Demand> demands, Instant now)
+{
+    m_parts.limits.onPeerDemand(from, fromWire(demands), now);
+    const std::lock_guard lock(m_mutex);
+    m_peerDemands[from] = { demands.begin(), demands.end() };
+}
+
+void Feeds::onRegionDemands(const RegionName& region, std::span<const wire::Demand> demands, Duration, Instant now)
+{
+    if (region != m_parts.settings.region)
+        m_parts.limits.onPeerDemand(regionPeer(region), fromWire(demands), now);
+}
+
+InstanceId Feeds::regionPeer(const RegionName& region)
+{
+    return "region/" + region;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/gateway/forwarder.cpp
@@ -0,0 +1,126 @@
+#include "yuccashift/gateway/forwarder.hpp"
+
+#include "peer_types.h"
+#include "yuccashift/answers/resume_plan.hpp"
+#include "yuccashift/gateway/answer_relay.hpp"
+#include "yuccashift/gateway/parts.hpp"
+#include "yuccashift/membership/coordinator.hpp"
+#include "yuccashift/peer/peer_hub.hpp"
+
+#include <algorithm>
+
+namespace yuccashift {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    /** Instances of a region that are tried for one request. */
+    constexpr std::uint32_t mostInstances = 2;
+
+    /** Sends one request to one instance and relays the answer. */
+    asio::awaitable<Result<void>> forwardOnce(Parts& parts, PeerHub& hub, const RequestContext& context, InstanceId instance, ForwardPurpose purpose, bool crossesRegion, AnswerRelay& relay)
+    {
+        auto span = parts.startSpan(context.trace, "forward");
+        span.attributes = { { "to", instance } };
+        RequestContext traced = context;
+        traced.trace = span.context;
+        traced.resumeOffset = relay.tokens();
+        auto forward = makeForward(traced, purpose, parts.clock.now(), crossesRegion);
+        auto answer = co_await hub.forward(instance, std::move(forward), context.traits.deadline);
+        Result<void> result;
+        if (answer)
+            result = co_await relay.run(**answer);
+        else
+            result = tl::unexpected(std::move(answer.error()));
+        if (!result)
+            span.attributes.emplace_back("error", std::string(result.error().code()));
+        parts.endSpan(std::move(span), !result);
+        co_return result;
+    }
+
+    bool mayGoOn(const RequestContext& context, const AnswerRelay& relay, const Error& error, std::uint32_t attempts, Instant now)
+    {
+        if (error.kind == ErrorKind::Cancelled || error.kind == ErrorKind::DeadlineExceeded)
+            return false;
+        if (error.effectiveRunState() == RunState::NotRun && !relay.started())
+            return error.kind == ErrorKind::PeerLost || error.kind == ErrorKind::Draining || error.kind == ErrorKind::NotReady;
+        if (error.kind != ErrorKind::PeerLost)
+            return false;
+        BrokenAnswer broken;
+        broken.cause = error.kind;
+        broken.idempotent = context.traits.idempotent;
+        broken.tokenStream = relay.isTokenStream();
+        broken.started = relay.started();
+        broken.tokens = relay.tokens();
+        broken.attempts = attempts;
+        broken.maxAttempts = mostInstances;
+        broken.budgetAllows = true;
+        broken.otherServerFit = true;
+        broken.remaining = context.traits.deadline - now;
+        return planResume(broken).action != ResumeAction::Fail;
+    }
+
+    void shuffle(std::vector<InstanceId>& instances)
+    {
+        for (std::size_t n = instances.size(); n > 1; --n)
+            std::swap(instances[n - 1], instances[threadRandom().below(n)]);
+    }
+
+} // namespace
+
+Forwarder::Forwarder(Parts& parts, const Coordinator& coordinator, PeerHub& hub)
+    : m_parts(parts)
+    , m_coordinator(coordinator)
+    , m_hub(hub)
+{
+}
+
+std::vector<InstanceId> Forwarder::reachableIn(const RegionName& region) const
+{
+    std::vector<InstanceId> instances;
+    const auto view = m_coordinator.view();
+    for (const auto& [instance, member] : view->members) {
+        if (member.info.region == region && member.liveness == Liveness::Alive && m_hub.connected(instance))
+            instances.push_back(instance);
+    }
+    return instances;
+}
+
+asio::awaitable<Result<void>> Forwarder::toRegion(const RequestContext& context, const RegionName& region, AnswerSink& sink)
+{
+    auto instances = reachableIn(region);
+    shuffle(instances);
+    AnswerRelay relay(sink, context.resumeOffset);
+    Error error { ErrorKind::PeerLost, "no instance of " + region + " can be reached", RunState::NotRun, {} };
+    bool mayHaveRun = false;
+    std::uint32_t attempts = 0;
+    for (const auto& instance : instances) {
+        m_parts.regions.onSent(region, context.traits.service, m_parts.clock.now());
+        const auto result = co_await forwardOnce(m_parts, m_hub, context, instance, ForwardPurpose::Execute, true, relay);
+        if (result)
+            co_return result;
+        error = result.error();
+        mayHaveRun = mayHaveRun || error.effectiveRunState() != RunState::NotRun;
+        if (++attempts >= mostInstances || !mayGoOn(context, relay, error, attempts, m_parts.clock.now()))
+            break;
+    }
+    if (mayHaveRun && error.effectiveRunState() == RunState::NotRun)
+        error.runState = RunState::OutcomeUnknown;
+    co_return tl::unexpected(std::move(error));
+}
+
+asio::awaitable<Result<void>> Forwarder::toMinter(const RequestContext& context, const InstanceId& minter, AnswerSink& sink)
+{
+    const auto view = m_coordinator.view();
+    const auto it = view->members.find(minter);
+    const bool crossesRegion = it == view->members.end() || it->second.info.region != m_parts.settings.region;
+    AnswerRelay relay(sink, 0);
+    auto result = co_await forwardOnce(m_parts, m_hub, context, minter, ForwardPurpose::CheckKey, crossesRegion, relay);
+    // An earlier sending of the same key may have run there, whatever became of this one.
+    if (!result && result.error().kind == ErrorKind::PeerLost)
+        result.error().runState = RunState::OutcomeUnknown;
+    co_return result;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/gateway/operator_api.cpp
@@ -0,0 +1,114 @@
+#include "yuccashift/gateway/operator_api.hpp"
+
+#include "yuccashift/gateway/gateway.hpp"
+#include "yuccashift/gateway/parts.hpp"
+#include "yuccashift/gateway/status.hpp"
+#include "yuccashift/membership/coordinator.hpp"
+
+#include <openssl/crypto.h>
+
+namespace yuccashift {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::string_view tracePrefix = "/v1/trace/";
+    constexpr int httpOk = 200;
+    constexpr int httpUnavailable = 503;
+
+    AnswerHead plainHead(int status, std::string contentType)
+    {
+        return { status, { { "Content-Type", std::move(contentType) } }, {} };
+    }
+
+} // namespace
+
+HealthApi::HealthApi(Parts& parts, const Coordinator& coordinator)
+    : m_parts(parts)
+    , m_coordinator(coordinator)
+{
+}
+
+asio::awaitable<bool> HealthApi::tryHandle(const RequestMessage& message, AnswerSink& sink)
+{
+    if (message.target == "/healthz") {
+        co_await sendWhole(sink, plainHead(httpOk, "text/plain"), "ok\n");
+        co_return true;
+    }
+    if (message.target == "/readyz") {
+        const bool ready = m_coordinator.ready() && !m_coordinator.superseded() && !m_parts.lifecycle.draining();
+        co_await sendWhole(sink, plainHead(ready ? httpOk : httpUnavailable, "text/plain"), ready ? "ready\n" : "not ready\n");
+        co_return true;
+    }
+    if (message.target == "/metrics") {
+        m_parts.metrics.gauge("yuccashift_in_progress").set(m_parts.lifecycle.inProgress());
+        m_parts.metrics.gauge("yuccashift_keys").set(static_cast<std::int64_t>(m_parts.keys.size()));
+        m_parts.metrics.gauge("yuccashift_members").set(static_cast<std::int64_t>(m_coordinator.view()->members.size()));
+        const auto text = m_parts.metrics.renderPrometheus();
+        co_await sendWhole(sink, plainHead(httpOk, "text/plain; version=0.0.4"), text);
+        co_return true;
+    }
+    co_return false;
+}
+
+OperatorApi::OperatorApi(Parts& parts, Coordinator& coordinator, Gateway& gateway, std::function<void()> drain)
+    : m_parts(parts)
+    , m_coordinator(coordinator)
+    , m_gateway(gateway)
+    , m_drain(std::move(drain))
+    , m_health(parts, coordinator)
+{
+}
+
+bool OperatorApi::authorised(const RequestMessage& message) const
+{
+    const auto expected = "Bearer " + m_parts.settings.operatorToken;
+    const auto given = findHeader(message.headers, "Authorization").value_or("");
+    return given.size() == expected.size() && CRYPTO_memcmp(given.data(), expected.data(), expected.size()) == 0;
+}
+
+asio::awaitable<void> OperatorApi::handle(RequestMessage message, AnswerSink& sink)
+{
+    if (co_await m_health.tryHandle(message, sink))
+        co_return;
+    Result<std::string> body = fail(ErrorKind::Unauthenticated);
+    if (authorised(message))
+        body = answer(message);
+    if (!body)
+        co_await sink.fail(body.error(), {});
+    else
+        co_await sendWhole(sink, plainHead(httpOk, "application/json"), *body);
+}
+
+Result<std::string> OperatorApi::answer(const RequestMessage& message)
+{
+    const std::string_view target = message.target;
+    if (message.method == "GET" && target == "/v1/status")
+        return statusJson(m_parts, m_coordinator);
+    if (message.method == "POST" && target == "/v1/explain")
+        return explainJson(m_parts, m_gateway, message.body);
+    if (message.method == "GET" && target.starts_with(tracePrefix)) {
+        return parseTraceId(target.substr(tracePrefix.size())).map([&](const TraceId& id) { return traceJson(m_parts, id); });
+    }
+    if (message.method == "POST" && target == "/v1/drain") {
+        m_drain();
+        return statusJson(m_parts, m_coordinator);
+    }
+    return fail(ErrorKind::UnknownRoute);
+}
+
+CallerApi::CallerApi(Parts& parts, const Coordinator& coordinator, Gateway& gateway)
+    : m_health(parts, coordinator)
+    , m_gateway(gateway)
+{
+}
+
+asio::awaitable<void> CallerApi::handle(RequestMessage message, AnswerSink& sink)
+{
+    if (co_await m_health.tryHandle(message, sink))
+        co_return;
+    co_await m_gateway.handle(std::move(message), sink);
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/gateway/parts.cpp
@@ -0,0 +1,153 @@
+#include "yuccashift/gateway/parts.hpp"
+
+#include "yuccashift/kernel/registry.hpp"
+#include "yuccashift/routing/entry_policy.hpp"
+
+namespace yuccashift {
+
+namespace {
+
+    constexpr std::size_t heldSpans = 16384;
+
+    template <typename Interface>
+    Result<std::unique_ptr<Interface>> createPolicy(const char* kind, const std::string& name)
+    {
+        auto policy = Registry<Interface>::instance().create(name);
+        if (policy)
+            return policy;
+        std::string known;
+        for (const auto& it : Registry<Interface>::instance().names())
+            known += " " + it;
+        return fail(ErrorKind::BadSettings, std::string("policies.") + kind + ": no such policy '" + name + "'; known:" + known);
+    }
+
+    KeyOwner ownerOf(const PeerIdentity& self, const Settings& settings, Instant startedAt)
+    {
+        return { self.instance, self.incarnation, startedAt, settings.bounds.keyLifetime };
+    }
+
+    KeyTableBounds keyBounds(const Settings& settings)
+    {
+        KeyTableBounds bounds;
+        bounds.keys = settings.bounds.keys;
+        return bounds;
+    }
+
+    LoadBookSettings loadSettings(const Settings& settings)
+    {
+        LoadBookSettings load;
+        load.here = settings.region;
+        load.datacentre = settings.datacentre;
+        return load;
+    }
+
+    RegionBookSettings regionSettings(const Settings& settings)
+    {
+        RegionBookSettings region;
+        region.here = settings.region;
+        return region;
+    }
+
+} // namespace
+
+RandomSource& threadRandom()
+{
+    thread_local const auto random = makeSystemRandom();
+    return *random;
+}
+
+Result<Policies> makePolicies(const PolicySettings& settings)
+{
+    auto backend = createPolicy<BackendPolicy>("backend", settings.backend);
+    if (!backend)
+        return tl::unexpected(backend.error());
+    auto region = createPolicy<RegionPolicy>("region", settings.region);
+    if (!region)
+        return tl::unexpected(region.error());
+    auto entry = createPolicy<EntryPolicy>("entry", settings.entry);
+    if (!entry)
+        return tl::unexpected(entry.error());
+    return Policies { std::move(*backend), std::move(*region), std::move(*entry) };
+}
+
+Parts::Parts(Settings nodeSettings, Policies nodePolicies, const Clock& nodeClock)
+    : settings(std::move(nodeSettings))
+    , clock(nodeClock)
+    , policies(std::move(nodePolicies))
+    , self { settings.instance, makeIncarnation(clock.wallNow(), threadRandom()) }
+    , startedAt(clock.now())
+    , minter(self.instance, self.incarnation, startedAt, settings.peerKey)
+    , keys(ownerOf(self, settings, startedAt), keyBounds(settings))
+    , loads(loadSettings(settings))
+    , regions(regionSettings(settings))
+    , limits(self.instance)
+    , spans(heldSpans)
+    , backends(makeHttpBackendClient(clock))
+    , m_routes(std::make_shared<RouteTable>(documents.snapshot()))
+{
+}
+
+Parts::~Parts() = default;
+
+std::shared_ptr<const RouteTable> Parts::routes()
+{
+    const auto current = documents.snapshot();
+    const std::lock_guard lock(m_routesMutex);
+    if (m_routes->documents()->generation != current->generation)
+        m_routes = std::make_shared<RouteTable>(current);
+    return m_routes;
+}
+
+AdmissionGate& Parts::gate(const ServiceName& service)
+{
+    const std::lock_guard lock(m_gatesMutex);
+    auto& gate = m_gates[service];
+    if (!gate)
+        gate = std::make_unique<AdmissionGate>(clock, [this, service] { return gateCapacity(service); });
+    return *gate;
+}
+
+void Parts::pollGates()
+{
+    const std::lock_guard lock(m_gatesMutex);
+    for (auto& [service, gate] : m_gates)
+        gate->poll();
+}
+
+GateCapacity Parts::gateCapacity(const ServiceName& service)
+{
+    const auto document = documents.find(service);
+    if (!document || document->deleted)
+        return {};
+    const auto load = summarise(backendStates(*document, {}), clock.now());
+    const auto share = (load.slots + senders - 1) / senders;
+    return { load.slots - std::min(load.slots, load.busySlots), std::max(share, 1U) };
+}
+
+std::vector<BackendState> Parts::backendStates(const Document& document, const RequestTraits& traits)
+{
+    const auto now = clock.now();
+    auto states = loads.states(document, traits, now, &caches);
+    ejection.apply(document.service, states, now);
+    return states;
+}
+
+Span Parts::startSpan(const TraceContext& parent, std::string name) const
+{
+    Span span;
+    span.context = childOf(parent, threadRandom());
+    span.parentId = parent.spanId;
+    span.name = std::move(name);
+    span.instance = self.instance;
+    span.start = clock.wallNow();
+    return span;
+}
+
+void Parts::endSpan(Span span, bool failed)
+{
+    span.duration = std::chrono::duration_cast<Duration>(clock.wallNow() - span.start);
+    span.failed = failed;
+    spans.add(std::move(span));
+}
+
+} // namespace yuccashift
--- a/src/yuccashift/http/backend_client.cpp
+++ b/src/yuccashift/http/backend_client.cpp
@@ -78,6 +78,12 @@
                 idle.push_back(std::move(connection));
         }
 
+        void clear()
+        {
+            const std::lock_guard lock(m_mutex);
+            m_idle.clear();
+        }
+
         /** Closes what is idle on this loop: a connection has failed, and its siblings may have too. */
         void drop(asio::execution_context& loop, const Endpoint& endpoint)
         {
@@ -242,6 +248,8 @@
             co_return co_await exchange(std::move(connection), std::move(call));
         }
 
+        void closeIdle() override { m_pool.clear(); }
+
     private:
         ConnectionPtr takeIdle(asio::execution_context& loop, const BackendCall& call)
         {
--- a/src/yuccashift/http/backend_client.hpp
+++ b/src/yuccashift/http/backend_client.hpp
@@ -29,6 +29,8 @@
      * means that no byte of the request can have arrived; BackendLost that it may have run.
      */
     virtual boost::asio::awaitable<Result<std::unique_ptr<IncomingAnswer>>> send(BackendCall) = 0;
+    /** Closes idle connections; to be called once the loops have ended and before they are destroyed. */
+    virtual void closeIdle() = 0;
 };
 
 /** BackendClient over HTTP/1.1 with a pool of connections for each loop and endpoint. */
--- a/src/yuccashift/http/error_answer.cpp
+++ b/src/yuccashift/http/error_answer.cpp
@@ -18,6 +18,11 @@
     return boost::json::serialize(boost::json::object { { "error", fields } });
 }
 
+std::string errorEvent(const Error& error, std::string_view traceId)
+{
+    return "data: " + errorBody(error, traceId) + "\n\n";
+}
+
 AnswerHead errorHead(const Error& error)
 {
     const auto& row = traits(error.kind);
--- a/src/yuccashift/http/server.cpp
+++ b/src/yuccashift/http/server.cpp
@@ -76,6 +76,7 @@
         asio::awaitable<bool> head(AnswerHead head) override
         {
             m_started = true;
+            m_events = findHeader(head.headers, "Content-Type").value_or("").starts_with("text/event-stream");
             m_chunked = !head.length && m_version >= http11;
             m_keepAlive = m_keepAlive && !m_session.closing() && (head.length || m_chunked);
             http::response<http::empty_body> response(static_cast<http::status>(head.status), m_version);
@@ -118,11 +119,36 @@
             co_return note(ec);
         }
 
+        asio::awaitable<void> fail(const Error& error, const HeaderFields& extra) override
+        {
+            const auto traceId = traceIdOf(extra);
+            if (m_started) {
+                // The missing last chunk tells the caller that the answer is not whole.
+                if (m_events && !m_ended)
+                    co_await chunk(errorEvent(error, traceId));
+                m_failed = true;
+                co_return;
+            }
+            auto head = errorHead(error);
+            head.headers.insert(head.headers.end(), extra.begin(), extra.end());
+            const auto body = errorBody(error, traceId);
+            co_await sendWhole(*this, std::move(head), body);
+        }
+
         bool started() const override { return m_started; }
         /** Whether the connection can carry another request. */
         bool reusable() const { return m_ended && !m_failed && m_keepAlive; }
 
     private:
+        // `00-<trace id>-...`
+        static std::string traceIdOf(const HeaderFields& extra)
+        {
+            constexpr std::size_t versionLength = 3;
+            constexpr std::size_t traceIdLength = 32;
+            const auto traceparent = findHeader(extra, "traceparent").value_or("");
+            return traceparent.size() < versionLength + traceIdLength ? std::string() : std::string(traceparent.substr(versionLength, traceIdLength));
+        }
+
         bool note(const beast::error_code& ec)
         {
             m_failed = m_failed || ec;
@@ -134,6 +160,7 @@
         bool m_keepAlive;
         bool m_started = false;
         bool m_chunked = false;
+        bool m_events = false;
         bool m_ended = false;
         bool m_failed = false;
     };
@@ -181,8 +208,7 @@
     asio::awaitable<void> refuse(Session& session, ErrorKind kind)
     {
         HttpAnswerSink sink(session, http11, false);
-        const Error error { kind, {}, {}, {} };
-        co_await sendWhole(sink, errorHead(error), errorBody(error, ""));
+        co_await sink.fail({ kind, {}, {}, {} }, {});
         beast::error_code ec;
         session.stream().socket().shutdown(tcp::socket::shutdown_send, ec);
         co_await drainInput(session);
@@ -227,7 +253,7 @@
         co_return std::nullopt;
     }
 
-    asio::awaitable<void> serve(Session& session, RequestHandler& handler)
+    asio::awaitable<void> serveSession(Session& session, RequestHandler& handler)
     {
         for (;;) {
             auto request = co_await readRequest(session);
@@ -248,11 +274,10 @@
 RequestHandler::~RequestHandler() = default;
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
-    State(WorkerPool& pool, ServerBounds serverBounds, RequestHandler& requestHandler)
+    State(WorkerPool& pool, ServerBounds serverBounds)
         : workers(pool)
         , acceptor(pool.first())
         , bounds(serverBounds)
-        , handler(requestHandler)
     {
     }
 
@@ -262,7 +287,7 @@
     WorkerPool& workers;
     tcp::acceptor acceptor;
     const ServerBounds bounds;
-    RequestHandler& handler;
+    RequestHandler* handler = nullptr;
     std::atomic<std::uint32_t> open { 0 };
     std::mutex mutex;
     std::set<std::shared_ptr<Session>> sessions;
@@ -280,7 +305,7 @@
             const std::lock_guard lock(mutex);
             sessions.insert(session);
         }
-        co_await serve(*session, handler);
+        co_await serveSession(*session, *handler);
         const std::lock_guard lock(mutex);
         sessions.erase(session);
     }
@@ -308,14 +333,14 @@
     }
 }
 
-HttpServer::HttpServer(WorkerPool& workers, ServerBounds bounds, RequestHandler& handler)
-    : m_state(std::make_shared<State>(workers, bounds, handler))
+HttpServer::HttpServer(WorkerPool& workers, ServerBounds bounds)
+    : m_state(std::make_shared<State>(workers, bounds))
 {
 }
 
 HttpServer::~HttpServer() = default;
 
-Result<Endpoint> HttpServer::start(const Endpoint& endpoint)
+Result<Endpoint> HttpServer::listen(const Endpoint& endpoint)
 {
     beast::error_code ec;
     const auto address = asio::ip::make_address(endpoint.host, ec);
@@ -331,11 +356,16 @@
         acceptor.listen(asio::socket_base::max_listen_connections, ec);
     if (ec)
         return fail(ErrorKind::BadSettings, "cannot listen on " + toString(endpoint) + ": " + ec.message());
-    asio::co_spawn(
-        acceptor.get_executor(), [state = m_state] { return state->accept(); }, asio::detached);
     return Endpoint { endpoint.host, acceptor.local_endpoint().port() };
 }
 
+void HttpServer::serve(RequestHandler& handler)
+{
+    m_state->handler = &handler;
+    asio::co_spawn(
+        m_state->acceptor.get_executor(), [state = m_state] { return state->accept(); }, asio::detached);
+}
+
 void HttpServer::stop()
 {
     asio::post(m_state->acceptor.get_executor(), [state = m_state] {
--- a/src/yuccashift/http/server.hpp
+++ b/src/yuccashift/http/server.hpp
@@ -33,16 +33,18 @@
     std::chrono::milliseconds sendTimeout { 30000 };
 };
 
-/** HTTP/1.1 listener. The handler must outlive the workers' run. */
+/** HTTP/1.1 listener. */
 class HttpServer {
 public:
-    HttpServer(WorkerPool&, ServerBounds, RequestHandler&);
+    HttpServer(WorkerPool&, ServerBounds);
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
 
-    /** Binds, listens and accepts; returns the endpoint in force, since port 0 picks one. */
-    Result<Endpoint> start(const Endpoint&);
+    /** Binds and listens; returns the endpoint in force, since port 0 picks one. */
+    Result<Endpoint> listen(const Endpoint&);
+    /** Accepts connections from now on. The handler must outlive the workers' run. */
+    void serve(RequestHandler&);
     /** Closes the listener and idle connections; answers in progress go on. */
     void stop();
     std::uint32_t connections() const;
--- a/src/yuccashift/membership/coordinator.cpp
+++ b/src/yuccashift/membership/coordinator.cpp
@@ -309,6 +309,12 @@
     return belief;
 }
 
+MemberInfo Coordinator::self() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_table.self();
+}
+
 bool Coordinator::ready() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/yuccashift/membership/coordinator.hpp
+++ b/src/yuccashift/membership/coordinator.hpp
@@ -72,6 +72,8 @@
     void setDraining();
 
     MemberViewPtr view() const;
+    /** This instance as it tells others of itself. */
+    MemberInfo self() const;
     /** What routeKey() needs to know of a key's minter; reachability and residency are the caller's to add. */
     MinterBelief beliefAbout(const InstanceId&) const;
     /** Whether the peers were asked for their documents, or none of them answered in time. */
--- /dev/null
+++ b/src/yuccashift/node/load_loop.cpp
@@ -0,0 +1,87 @@
+#include "yuccashift/node/load_loop.hpp"
+
+#include "yuccashift/gateway/feeds.hpp"
+#include "yuccashift/gateway/parts.hpp"
+#include "yuccashift/kernel/detail/await.hpp"
+#include "yuccashift/membership/coordinator.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+
+namespace yuccashift {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr milliseconds pollInterval { 500 };
+
+} // namespace
+
+LoadLoop::LoadLoop(LoopContext context, EngineControl& control)
+    : m_context(context)
+    , m_control(control)
+{
+}
+
+std::vector<OwnerCandidate> ownerCandidates(const LoopContext& context)
+{
+    std::vector<OwnerCandidate> candidates;
+    for (const auto& instance : context.coordinator.view()->liveInRegion)
+        candidates.push_back({ instance, context.parts.settings.region });
+    return candidates;
+}
+
+std::vector<LoadLoop::Watched> LoadLoop::watched() const
+{
+    const auto candidates = ownerCandidates(m_context);
+    const auto& region = m_context.parts.settings.region;
+    std::vector<Watched> watched;
+    for (const auto& document : m_context.parts.documents.all()) {
+        for (const auto& backend : document->backends) {
+            if (backend.region != region)
+                continue;
+            if (ownerOf({ document->service, backend.name, region }, candidates) == m_context.parts.self.instance)
+                watched.push_back({ { document->service, backend.name }, backend.address, document->kind == ServiceKind::Model });
+        }
+    }
+    return watched;
+}
+
+asio::awaitable<void> LoadLoop::run()
+{
+    const auto executor = co_await asio::this_coro::executor;
+    for (;;) {
+        for (auto& it : watched()) {
+            // A poll that hangs is not doubled; its own timeout ends it.
+            if (m_polling.insert(it.key.service + "/" + it.key.backend).second)
+                asio::co_spawn(executor, poll(std::move(it)), asio::detached);
+        }
+        co_await sleepFor(pollInterval);
+    }
+}
+
+asio::awaitable<void> LoadLoop::poll(Watched backend)
+{
+    auto& parts = m_context.parts;
+    const auto begun = parts.clock.now();
+    const auto report = co_await m_control.load(backend.address);
+    if (report) {
+        parts.loads.onReport(backend.key, *report, begun);
+        m_context.feeds.onOwnReport(backend.key, *report, begun);
+        m_views[backend.key] = { *report, begun };
+    }
+    if (report && backend.hasCache) {
+        const auto events = co_await m_control.cacheEvents(backend.address, parts.caches.lastSequence(backend.key));
+        if (events)
+            parts.caches.onEvents(backend.key, *events);
+    }
+    m_polling.erase(backend.key.service + "/" + backend.key.backend);
+}
+
+std::optional<EngineView> LoadLoop::viewOf(const BackendKey& key) const
+{
+    const auto it = m_views.find(key);
+    return it == m_views.end() ? std::nullopt : std::optional(it->second);
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/node/load_loop.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "yuccashift/node/loop_context.hpp"
+#include "yuccashift/orders/order_planner.hpp"
+#include "yuccashift/orders/ownership.hpp"
+#include "yuccashift/platform/engine_control.hpp"
+#include "yuccashift/routing/backend_key.hpp"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace yuccashift {
+
+/**
+ * Reads the load reports and cache events of those backend servers of the
+ * region that this instance watches; the watching is split among its instances.
+ */
+class LoadLoop {
+public:
+    LoadLoop(LoopContext, EngineControl&);
+
+    boost::asio::awaitable<void> run();
+    /** The last report that this instance read itself. */
+    std::optional<EngineView> viewOf(const BackendKey&) const;
+
+private:
+    struct Watched {
+        BackendKey key;
+        Endpoint address;
+        bool hasCache = false;
+    };
+
+    std::vector<Watched> watched() const;
+    boost::asio::awaitable<void> poll(Watched);
+
+    LoopContext m_context;
+    EngineControl& m_control;
+    std::set<std::string> m_polling;
+    std::unordered_map<BackendKey, EngineView> m_views;
+};
+
+/** Instances of the own region that take part in owning backend servers. */
+std::vector<OwnerCandidate> ownerCandidates(const LoopContext&);
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/node/membership_loop.cpp
@@ -0,0 +1,110 @@
+#include "yuccashift/node/membership_loop.hpp"
+
+#include "yuccashift/gateway/feeds.hpp"
+#include "yuccashift/gateway/parts.hpp"
+#include "yuccashift/kernel/log.hpp"
+#include "yuccashift/membership/coordinator.hpp"
+#include "yuccashift/peer/peer_hub.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace yuccashift {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr milliseconds tickInterval { 100 };
+    constexpr milliseconds listingInterval { 1000 };
+    /** Ticks between two rounds of slower upkeep. */
+    constexpr std::uint64_t upkeepTicks = 10;
+
+} // namespace
+
+MembershipLoop::MembershipLoop(LoopContext context, InstanceList& list)
+    : m_context(context)
+    , m_list(list)
+{
+}
+
+asio::awaitable<void> MembershipLoop::runListing()
+{
+    bool failed = false;
+    for (;;) {
+        const auto listing = co_await m_list.read();
+        if (listing)
+            takeListing(*listing);
+        else if (!failed)
+            logWarning("instance list cannot be read", { { "reason", listing.error().detail } });
+        failed = !listing;
+        // Jitter keeps instances that started together from reading together.
+        const auto jitter = milliseconds(threadRandom().below(listingInterval.count()));
+        co_await sleepFor(listingInterval / 2 + jitter);
+    }
+}
+
+void MembershipLoop::takeListing(const Listing& listing)
+{
+    m_context.coordinator.onListing(listing, m_context.parts.clock.now());
+    for (const auto& backend : listing.backends)
+        m_context.parts.loads.onLeaving({ backend.service, backend.backend }, backend.leaving);
+    updatePeers();
+}
+
+void MembershipLoop::updatePeers()
+{
+    std::vector<PeerAddress> peers;
+    const auto view = m_context.coordinator.view();
+    for (const auto& [instance, member] : view->members) {
+        if (member.liveness != Liveness::Gone && member.info.peers.port != 0)
+            peers.push_back({ instance, member.info.peers });
+    }
+    m_context.hub.setPeers(peers);
+}
+
+void MembershipLoop::updateSenders()
+{
+    auto& parts = m_context.parts;
+    const auto view = m_context.coordinator.view();
+    const auto live = static_cast<std::uint32_t>(std::max<std::size_t>(view->liveInRegion.size(), 1));
+    parts.senders = live;
+    parts.loads.setSenders(live);
+    parts.regions.setObservers(live);
+    std::set<RegionName> others;
+    std::set<RegionName> reachable;
+    std::vector<InstanceId> limitPeers { parts.self.instance };
+    for (const auto& [instance, member] : view->members) {
+        if (member.liveness == Liveness::Gone)
+            continue;
+        if (member.info.region == parts.settings.region) {
+            limitPeers.push_back(instance);
+            continue;
+        }
+        others.insert(member.info.region);
+        if (member.liveness == Liveness::Alive && m_context.hub.connected(instance))
+            reachable.insert(member.info.region);
+    }
+    for (const auto& region : others) {
+        limitPeers.push_back(Feeds::regionPeer(region));
+        parts.regions.onReachable(region, reachable.contains(region), parts.clock.now());
+    }
+    parts.limits.setInstances(limitPeers);
+}
+
+asio::awaitable<void> MembershipLoop::runTicks()
+{
+    for (std::uint64_t ticks = 0;; ++ticks) {
+        const auto now = m_context.parts.clock.now();
+        m_context.send(m_context.coordinator.tick(now));
+        m_context.parts.pollGates();
+        if (ticks % upkeepTicks == 0) {
+            updateSenders();
+            m_context.parts.keys.expire(now);
+            m_context.parts.quarantine.expire(now);
+        }
+        co_await sleepFor(tickInterval);
+    }
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/node/order_loop.cpp
@@ -0,0 +1,82 @@
+#include "yuccashift/node/order_loop.hpp"
+
+#include "yuccashift/gateway/parts.hpp"
+#include "yuccashift/kernel/log.hpp"
+#include "yuccashift/membership/coordinator.hpp"
+
+#include <algorithm>
+
+namespace yuccashift {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr milliseconds roundInterval { 1000 };
+
+} // namespace
+
+OrderLoop::OrderLoop(LoopContext context, EngineControl& control, const LoadLoop& loads)
+    : m_context(context)
+    , m_control(control)
+    , m_loads(loads)
+    , m_ownership(context.parts.self.instance, {})
+    , m_planner({})
+    , m_pacer({})
+{
+}
+
+asio::awaitable<void> OrderLoop::run()
+{
+    for (;;) {
+        // An instance that stops, or that has not heard anyone since it slept, leaves orders to others.
+        const auto view = m_context.coordinator.view();
+        if (m_context.coordinator.ready() && view->confirmed && !m_context.parts.lifecycle.draining())
+            co_await round();
+        co_await sleepFor(roundInterval);
+    }
+}
+
+std::vector<DesiredEngine> OrderLoop::regionPlacement() const
+{
+    const auto documents = m_context.parts.documents.all();
+    auto placement = desiredPlacement(documents);
+    std::erase_if(placement, [&](const DesiredEngine& engine) { return engine.region != m_context.parts.settings.region; });
+    return placement;
+}
+
+asio::awaitable<void> OrderLoop::round()
+{
+    const auto placement = regionPlacement();
+    std::vector<RegionalBackend> backends;
+    for (const auto& engine : placement)
+        backends.push_back({ engine.service, engine.backend, engine.region });
+    m_ownership.update(backends, ownerCandidates(m_context), m_context.parts.clock.now());
+    m_planner.retain(placement);
+    for (const auto& engine : placement)
+        co_await bringUpToDate(engine);
+}
+
+asio::awaitable<void> OrderLoop::bringUpToDate(const DesiredEngine& engine)
+{
+    const auto view = m_loads.viewOf({ engine.service, engine.backend });
+    if (!view)
+        co_return;
+    const auto now = m_context.parts.clock.now();
+    const auto actingSince = m_ownership.actingSince({ engine.service, engine.backend, engine.region }, now);
+    const auto orders = m_planner.next(engine, *view, actingSince, now);
+    for (const auto& order : orders) {
+        if (order.kind == OrderKind::LoadModel && !m_pacer.tryStart(m_context.parts.senders, m_context.parts.clock.now())) {
+            m_planner.withdraw(engine);
+            co_return;
+        }
+        const auto given = co_await m_control.order(engine.address, order);
+        logInfo("order given", { { "backend", engine.backend }, { "kind", toString(order.kind) }, { "fence", order.fence }, { "outcome", given ? "ok" : given.error().code() } });
+        if (!given) {
+            m_planner.withdraw(engine);
+            co_return;
+        }
+    }
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/node/order_loop.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "yuccashift/node/load_loop.hpp"
+#include "yuccashift/orders/pacing.hpp"
+#include "yuccashift/orders/placement.hpp"
+
+namespace yuccashift {
+
+/** Gives engines the orders that lead to what the documents ask for, where this instance is the owner. */
+class OrderLoop {
+public:
+    OrderLoop(LoopContext, EngineControl&, const LoadLoop&);
+
+    boost::asio::awaitable<void> run();
+
+private:
+    boost::asio::awaitable<void> round();
+    boost::asio::awaitable<void> bringUpToDate(const DesiredEngine&);
+    std::vector<DesiredEngine> regionPlacement() const;
+
+    LoopContext m_context;
+    EngineControl& m_control;
+    const LoadLoop& m_loads;
+    Ownership m_ownership;
+    OrderPlanner m_planner;
+    LoadPacer m_pacer;
+};
+
+} // namespace yuccashift
--- a/src/yuccashift/peer/peer.thrift
+++ b/src/yuccashift/peer/peer.thrift
@@ -53,6 +53,7 @@
   4: i32 busySlots
   5: i32 queueWaitMs
   6: i32 ageMs
+  7: i32 meanServiceMs
 }
 
 // Use of one organisation's limit by the sender.
@@ -123,6 +124,9 @@
   13: i32 localHops
   14: string traceparent
   15: i64 revision
+  16: string requestId
+  17: i32 resumeOffset // whole tokens that the caller already has
+  18: string backendKey // passed on to the backend server; key is empty then
 }
 
 struct AnswerHead {
--- a/src/yuccashift/peer/peer_hub.cpp
+++ b/src/yuccashift/peer/peer_hub.cpp
@@ -47,11 +47,10 @@
 } // namespace
 
 struct PeerHub::State : std::enable_shared_from_this<PeerHub::State> {
-    State(WorkerPool& pool, LinkSettings linkSettings, PeerHandler& peerHandler, const Clock& hubClock)
+    State(WorkerPool& pool, LinkSettings linkSettings, const Clock& hubClock)
         : workers(pool)
         , acceptor(pool.first())
         , settings(std::move(linkSettings))
-        , handler(peerHandler)
         , clock(hubClock)
     {
     }
@@ -65,7 +64,7 @@
     WorkerPool& workers;
     tcp::acceptor acceptor;
     LinkSettings settings;
-    PeerHandler& handler;
+    PeerHandler* handler = nullptr;
     const Clock& clock;
     mutable std::mutex mutex;
     std::map<InstanceId, std::shared_ptr<Dialled>> dialled;
@@ -87,7 +86,7 @@
 
 asio::awaitable<void> PeerHub::State::serve(tcp::socket socket)
 {
-    const auto link = std::make_shared<PeerLink>(std::move(socket), settings, handler, clock);
+    const auto link = std::make_shared<PeerLink>(std::move(socket), settings, *handler, clock);
     const auto other = co_await link->handshake(LinkEnd::Listener);
     if (other)
         co_await link->run();
@@ -104,7 +103,7 @@
     const auto [connectEc] = co_await stream.async_connect(tcp::endpoint(address, peer->address.endpoint.port), awaitTuple);
     if (connectEc)
         co_return;
-    const auto link = std::make_shared<PeerLink>(stream.release_socket(), settings, handler, clock);
+    const auto link = std::make_shared<PeerLink>(stream.release_socket(), settings, *handler, clock);
     const auto other = co_await link->handshake(LinkEnd::Dialler);
     // An address may have passed to another instance since it was listed.
     if (!other || other->instance != peer->address.instance || !peer->wanted)
@@ -138,14 +137,14 @@
     return it == dialled.end() ? nullptr : it->second->current();
 }
 
-PeerHub::PeerHub(WorkerPool& workers, LinkSettings settings, PeerHandler& handler, const Clock& clock)
-    : m_state(std::make_shared<State>(workers, std::move(settings), handler, clock))
+PeerHub::PeerHub(WorkerPool& workers, LinkSettings settings, const Clock& clock)
+    : m_state(std::make_shared<State>(workers, std::move(settings), clock))
 {
 }
 
 PeerHub::~PeerHub() = default;
 
-Result<Endpoint> PeerHub::start(const Endpoint& endpoint)
+Result<Endpoint> PeerHub::listen(const Endpoint& endpoint)
 {
     error_code ec;
     const auto address = asio::ip::make_address(endpoint.host, ec);
@@ -161,11 +160,16 @@
         acceptor.listen(asio::socket_base::max_listen_connections, ec);
     if (ec)
         return fail(ErrorKind::BadSettings, "cannot listen on " + toString(endpoint) + ": " + ec.message());
-    asio::co_spawn(
-        acceptor.get_executor(), [state = m_state] { return state->accept(); }, asio::detached);
     return Endpoint { endpoint.host, acceptor.local_endpoint().port() };
 }
 
+void PeerHub::serve(PeerHandler& handler)
+{
+    m_state->handler = &handler;
+    asio::co_spawn(
+        m_state->acceptor.get_executor(), [state = m_state] { return state->accept(); }, asio::detached);
+}
+
 void PeerHub::setPeers(std::span<const PeerAddress> peers)
 {
     std::map<InstanceId, std::shared_ptr<Dialled>> kept;
--- a/src/yuccashift/peer/peer_hub.hpp
+++ b/src/yuccashift/peer/peer_hub.hpp
@@ -19,13 +19,15 @@
 /** Links to other instances: dials those it is told of, and accepts theirs. */
 class PeerHub {
 public:
-    PeerHub(WorkerPool&, LinkSettings, PeerHandler&, const Clock&);
+    PeerHub(WorkerPool&, LinkSettings, const Clock&);
     ~PeerHub();
     PeerHub(const PeerHub&) = delete;
     PeerHub& operator=(const PeerHub&) = delete;
 
-    /** Listens; returns the endpoint in force, since port 0 picks one. */
-    Result<Endpoint> start(const Endpoint&);
+    /** Binds and listens; returns the endpoint in force, since port 0 picks one. */
+    Result<Endpoint> listen(const Endpoint&);
+    /** Accepts links from now on. Call before setPeers(); the handler must outlive the workers' run. */
+    void serve(PeerHandler&);
     /** Keeps links to these instances and drops the others. */
     void setPeers(std::span<const PeerAddress>);
     /** Sends a control frame; false where no link is up. Any thread. */
--- a/src/yuccashift/peer/peer_link.cpp
+++ b/src/yuccashift/peer/peer_link.cpp
@@ -144,8 +144,12 @@
 
         asio::awaitable<bool> end() override
         {
-            m_ended = true;
-            co_return co_await writeEnd({});
+            co_return co_await writeEnd({}, RunState::Ran);
+        }
+
+        asio::awaitable<void> fail(const Error& error, const HeaderFields&) override
+        {
+            co_await writeEnd(error, error.effectiveRunState());
         }
 
         bool started() const override { return m_started; }
@@ -154,7 +158,7 @@
         asio::awaitable<void> finish()
         {
             if (!m_ended)
-                co_await writeEnd(std::string(traits(ErrorKind::AnswerIncomplete).code));
+                co_await fail({ ErrorKind::AnswerIncomplete, "the answer was not finished", {}, {} }, {});
         }
 
     private:
@@ -165,11 +169,15 @@
             return frame;
         }
 
-        asio::awaitable<bool> writeEnd(std::string code)
+        asio::awaitable<bool> writeEnd(std::optional<Error> error, RunState runState)
         {
+            m_ended = true;
             wire::AnswerEnd end;
-            end.errorCode = std::move(code);
-            end.runState = static_cast<int>(RunState::OutcomeUnknown);
+            if (error) {
+                end.errorCode = error->code();
+                end.detail = error->detail;
+            }
+            end.runState = static_cast<int>(runState);
             end.length = m_offset;
             auto frame = newFrame();
             frame.__set_answerEnd(end);
