--- a/src/yuccashift/gateway/gateway.cpp
+++ b/src/yuccashift/gateway/gateway.cpp
@@ -317,7 +317,7 @@
         result = co_await serve(*context, sink, true);
     if (!result) {
         span.attributes.emplace_back("error", std::string(result.error().code()));
-        co_await sink.fail(result.error(), {});
+        co_await sink.fail(result.error(), HeaderFields());
     }
     m_parts.metrics.counter("yuccashift_forwards_total", { { "outcome", result ? std::string_view("ok") : result.error().code() } }).add();
     m_parts.endSpan(std::move(span), !result);
--- a/src/yuccashift/gateway/operator_api.cpp
+++ b/src/yuccashift/gateway/operator_api.cpp
@@ -33,12 +33,14 @@
 asio::awaitable<bool> HealthApi::tryHandle(const RequestMessage& message, AnswerSink& sink)
 {
     if (message.target == "/healthz") {
-        co_await sendWhole(sink, plainHead(httpOk, "text/plain"), "ok\n");
+        auto head = plainHead(httpOk, "text/plain");
+        co_await sendWhole(sink, std::move(head), "ok\n");
         co_return true;
     }
     if (message.target == "/readyz") {
         const bool ready = m_coordinator.ready() && !m_coordinator.superseded() && !m_parts.lifecycle.draining();
-        co_await sendWhole(sink, plainHead(ready ? httpOk : httpUnavailable, "text/plain"), ready ? "ready\n" : "not ready\n");
+        auto head = plainHead(ready ? httpOk : httpUnavailable, "text/plain");
+        co_await sendWhole(sink, std::move(head), ready ? "ready\n" : "not ready\n");
         co_return true;
     }
     if (message.target == "/metrics") {
@@ -46,7 +48,8 @@
         m_parts.metrics.gauge("yuccashift_keys").set(static_cast<std::int64_t>(m_parts.keys.size()));
         m_parts.metrics.gauge("yuccashift_members").set(static_cast<std::int64_t>(m_coordinator.view()->members.size()));
         const auto text = m_parts.metrics.renderPrometheus();
-        co_await sendWhole(sink, plainHead(httpOk, "text/plain; version=0.0.4"), text);
+        auto head = plainHead(httpOk, "text/plain; version=0.0.4");
+        co_await sendWhole(sink, std::move(head), text);
         co_return true;
     }
     co_return false;
@@ -70,15 +73,18 @@
 
 asio::awaitable<void> OperatorApi::handle(RequestMessage message, AnswerSink& sink)
 {
-    if (co_await m_health.tryHandle(message, sink))
+    const bool handled = co_await m_health.tryHandle(message, sink);
+    if (handled)
         co_return;
     Result<std::string> body = fail(ErrorKind::Unauthenticated);
     if (authorised(message))
         body = answer(message);
-    if (!body)
-        co_await sink.fail(body.error(), {});
-    else
-        co_await sendWhole(sink, plainHead(httpOk, "application/json"), *body);
+    if (!body) {
+        co_await sink.fail(body.error(), HeaderFields());
+        co_return;
+    }
+    auto head = plainHead(httpOk, "application/json");
+    co_await sendWhole(sink, std::move(head), *body);
 }
 
 Result<std::string> OperatorApi::answer(const RequestMessage& message)
@@ -106,7 +112,8 @@
 
 asio::awaitable<void> CallerApi::handle(RequestMessage message, AnswerSink& sink)
 {
-    if (co_await m_health.tryHandle(message, sink))
+    const bool handled = co_await m_health.tryHandle(message, sink);
+    if (handled)
         co_return;
     co_await m_gateway.handle(std::move(message), sink);
 }
--- a/src/yuccashift/http/backend_client.cpp
+++ b/src/yuccashift/http/backend_client.cpp
@@ -207,7 +207,8 @@
             if (!m_connection || !m_parser.get().keep_alive() || m_connection->buffer.size() > 0)
                 return;
             m_connection->stream.expires_never();
-            m_pool.give(loop(), m_endpoint, std::move(m_connection));
+            auto& here = loop();
+            m_pool.give(here, m_endpoint, std::move(m_connection));
         }
 
         asio::execution_context& loop()
--- a/src/yuccashift/http/server.cpp
+++ b/src/yuccashift/http/server.cpp
@@ -208,7 +208,8 @@
     asio::awaitable<void> refuse(Session& session, ErrorKind kind)
     {
         HttpAnswerSink sink(session, http11, false);
-        co_await sink.fail({ kind, {}, {}, {} }, {});
+        const Error error { kind, {}, {}, {} };
+        co_await sink.fail(error, HeaderFields());
         beast::error_code ec;
         session.stream().socket().shutdown(tcp::socket::shutdown_send, ec);
         co_await drainInput(session);
@@ -263,7 +264,8 @@
             HttpAnswerSink sink(session, request->version(), keepAlive);
             // The handler's own deadlines apply from here on.
             session.stream().expires_never();
-            co_await handler.handle(toMessage(std::move(*request)), sink);
+            auto message = toMessage(std::move(*request));
+        co_await handler.handle(std::move(message), sink);
             if (!sink.reusable())
                 co_return;
         }
--- a/src/yuccashift/kernel/settings.cpp
+++ b/src/yuccashift/kernel/settings.cpp
@@ -27,7 +27,7 @@
         reader.endpoint("instance_list", platform.instanceList, true);
         Endpoint collector;
         reader.endpoint("collector", collector);
-        if (collector.port != 0)
+        if (!collector.host.empty())
             platform.collector = collector;
     }
 
@@ -69,9 +69,9 @@
         reader.section("bounds", [&](YamlReader& section) { readBounds(section, settings.bounds); });
         reader.section("policies", [&](YamlReader& section) { readPolicies(section, settings.policies); });
         reader.name("log_level", settings.logLevel, false);
-        if (settings.listen.callers.port == 0)
+        if (settings.listen.callers.host.empty())
             reader.fault("listen", "callers, peers and operators");
-        if (settings.platform.configService.port == 0)
+        if (settings.platform.configService.host.empty())
             reader.fault("platform", "config_service and instance_list");
     }
 
--- a/src/yuccashift/peer/peer_link.cpp
+++ b/src/yuccashift/peer/peer_link.cpp
@@ -144,7 +144,7 @@
 
         asio::awaitable<bool> end() override
         {
-            co_return co_await writeEnd({}, RunState::Ran);
+            co_return co_await writeEnd(std::nullopt, RunState::Ran);
         }
 
         asio::awaitable<void> fail(const Error& error, const HeaderFields&) override
@@ -157,8 +157,10 @@
         /** Ends an answer that its executor left without an end. */
         asio::awaitable<void> finish()
         {
-            if (!m_ended)
-                co_await fail({ ErrorKind::AnswerIncomplete, "the answer was not finished", {}, {} }, {});
+            if (!m_ended) {
+                const Error error { ErrorKind::AnswerIncomplete, "the answer was not finished", {}, {} };
+                co_await fail(error, HeaderFields());
+            }
         }
 
     private:
@@ -514,7 +516,11 @@
     mine.instance = m_state->settings.self.instance;
     mine.incarnation = static_cast<std::int64_t>(m_state->settings.self.incarnation);
     mine.nonce = makeNonce(*random);
-    auto other = end == LinkEnd::Dialler ? co_await m_state->dial(std::move(mine)) : co_await m_state->listen(std::move(mine));
+    Result<PeerIdentity> other = fail(ErrorKind::PeerLost);
+    if (end == LinkEnd::Dialler)
+        other = co_await m_state->dial(std::move(mine));
+    else
+        other = co_await m_state->listen(std::move(mine));
     if (other)
         m_state->other = *other;
     co_return other;
--- a/src/yuccashift/platform/http_platform.cpp
+++ b/src/yuccashift/platform/http_platform.cpp
@@ -45,7 +45,8 @@
 
         asio::awaitable<Result<std::string>> read(ServiceName service) override
         {
-            co_return co_await call(m_client, m_clock, m_endpoint, { "GET", "/v1/documents/" + service, {}, {} }, platformTimeout);
+            RequestMessage request { "GET", "/v1/documents/" + service, {}, {} };
+            co_return co_await call(m_client, m_clock, m_endpoint, std::move(request), platformTimeout);
         }
 
         asio::awaitable<Result<ConfigListing>> watch(std::uint64_t index, Duration wait) override
--- a/standins/common/http_server.cpp
+++ b/standins/common/http_server.cpp
@@ -1,5 +1,6 @@
 #include "standins/common/http_server.hpp"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -15,7 +16,6 @@
 #include <boost/beast/http/write.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <array>
 #include <iostream>
 
 namespace standins {
--- a/standins/common/http_server.hpp
+++ b/standins/common/http_server.hpp
@@ -50,7 +50,7 @@
         std::uint64_t silentUpTo = 0;
         std::uint64_t accepted = 0;
     };
-}
+} // namespace detail
 
 /** One request and the means to answer it. Every write throws when the client is gone. */
 class Exchange {
