Destroy what waits on any loop before the first loop goes

Cause: at exit, suspended coroutines of one loop owned connections and listeners of another that was already destroyed; the daemon ended with SIGSEGV (ASan: heap-use-after-free in the listener of links). Change: all loops are shut down before any is destroyed.

--- a/src/yuccashift/http/server.cpp
+++ b/src/yuccashift/http/server.cpp
@@ -266,7 +266,7 @@
             // The handler's own deadlines apply from here on.
             session.stream().expires_never();
             auto message = toMessage(std::move(*request));
-        co_await handler.handle(std::move(message), sink);
+            co_await handler.handle(std::move(message), sink);
             if (!sink.reusable())
                 co_return;
         }
--- a/src/yuccashift/kernel/worker_pool.cpp
+++ b/src/yuccashift/kernel/worker_pool.cpp
@@ -12,6 +12,7 @@
 {
     stop();
     join();
+    abandon();
 }
 
 boost::asio::io_context& WorkerPool::next()
@@ -36,6 +37,14 @@
         worker->io.stop();
 }
 
+// A suspended coroutine on one loop may own connections of another, so all
+// must be destroyed before the first loop is.
+void WorkerPool::abandon()
+{
+    for (auto& worker : m_workers)
+        worker->io.shutdown();
+}
+
 void WorkerPool::join()
 {
     for (auto& worker : m_workers) {
--- a/src/yuccashift/kernel/worker_pool.hpp
+++ b/src/yuccashift/kernel/worker_pool.hpp
@@ -29,10 +29,21 @@
     void stop();
     /** Waits until all loops have ended. */
     void join();
+    /** Destroys what still waits on any loop; to be called after join() and before the loops go. */
+    void abandon();
 
 private:
+    /** A loop whose waiting handlers can be destroyed while the other loops still exist. */
+    struct Loop : boost::asio::io_context {
+        Loop()
+            : io_context(1)
+        {
+        }
+        using execution_context::shutdown;
+    };
+
     struct Worker {
-        boost::asio::io_context io { 1 };
+        Loop io;
         boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard { io.get_executor() };
         std::thread thread;
     };
