--- a/src/yuccashift/peer/peer_link.cpp
+++ b/src/yuccashift/peer/peer_link.cpp
@@ -144,8 +144,12 @@
 
         asio::awaitable<bool> end() override
         {
-            m_ended = true;
-            co_return co_await writeEnd({});
+            co_return co_await writeEnd(std::nullopt, RunState::Ran);
+        }
+
+        asio::awaitable<void> fail(const Error& error, const HeaderFields&) override
+        {
+            co_await writeEnd(error, error.effectiveRunState());
         }
 
         bool started() const override { return m_started; }
@@ -153,8 +157,10 @@
         /** Ends an answer that its executor left without an end. */
         asio::awaitable<void> finish()
         {
-            if (!m_ended)
-                co_await writeEnd(std::string(traits(ErrorKind::AnswerIncomplete).code));
+            if (!m_ended) {
+                const Error error { ErrorKind::AnswerIncomplete, "the answer was not finished", {}, {} };
+                co_await fail(error, HeaderFields());
+            }
         }
 
     private:
@@ -165,11 +171,15 @@
             return frame;
         }
 
-        asio::awaitable<bool> writeEnd(std::string code)
+        asio::awaitable<bool> writeEnd(std::optional<Error> error, RunState runState)
         {
+            m_ended = true;
             wire::AnswerEnd end;
-            end.errorCode = std::move(code);
-            end.runState = static_cast<int>(RunState::OutcomeUnknown);
+            if (error) {
+                end.errorCode = error->code();
+                end.detail = error->detail;
+            }
+            end.runState = static_cast<int>(runState);
             end.length = m_offset;
             auto frame = newFrame();
             frame.__set_answerEnd(end);
@@ -313,7 +323,8 @@
 // Dialler: hello; listener: hello with proof; dialler: hello with proof.
 asio::awaitable<Result<PeerIdentity>> PeerLink::State::dial(wire::Hello mine)
 {
-    if (!co_await writeHello(mine))
+    const bool greeted = co_await writeHello(mine);
+    if (!greeted)
         co_return fail(ErrorKind::PeerLost);
     const auto theirs = co_await readHello();
     if (!theirs)
@@ -321,7 +332,8 @@
     if (!checkProof(settings.key, LinkEnd::Listener, *theirs, mine, theirs->proof))
         co_return fail(ErrorKind::Unauthenticated, "the listener's proof is wrong");
     mine.proof = makeProof(settings.key, LinkEnd::Dialler, mine, *theirs);
-    if (!co_await writeHello(mine))
+    const bool taken = co_await writeHello(mine);
+    if (!taken)
         co_return fail(ErrorKind::PeerLost);
     co_return PeerIdentity { theirs->instance, static_cast<Incarnation>(theirs->incarnation) };
 }
@@ -332,7 +344,8 @@
     if (!theirs)
         co_return tl::unexpected(theirs.error());
     mine.proof = makeProof(settings.key, LinkEnd::Listener, mine, *theirs);
-    if (!co_await writeHello(mine))
+    const bool taken = co_await writeHello(mine);
+    if (!taken)
         co_return fail(ErrorKind::PeerLost);
     const auto proven = co_await readHello();
     if (!proven)
@@ -506,7 +519,11 @@
     mine.instance = m_state->settings.self.instance;
     mine.incarnation = static_cast<std::int64_t>(m_state->settings.self.incarnation);
     mine.nonce = makeNonce(*random);
-    auto other = end == LinkEnd::Dialler ? co_await m_state->dial(std::move(mine)) : co_await m_state->listen(std::move(mine));
+    Result<PeerIdentity> other = fail(ErrorKind::PeerLost);
+    if (end == LinkEnd::Dialler)
+        other = co_await m_state->dial(std::move(mine));
+    else
+        other = co_await m_state->listen(std::move(mine));
     if (other)
         m_state->other = *other;
     co_return other;
