--- a/src/yuccashift/peer/peer_link.cpp
+++ b/src/yuccashift/peer/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "yuccashift/peer/peer_link.hpp"
 
 #include "peer_types.h"
+#include "yuccashift/answers/stream_intake.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
 #include "yuccashift/kernel/random.hpp"
 #include "yuccashift/peer/codec.hpp"
@@ -102,6 +103,7 @@
     std::int64_t lastStream = 0;
     std::unordered_map<std::int64_t, std::shared_ptr<FrameChannel>> awaited;
     std::unordered_set<std::int64_t> executing;
+    StreamIntake intake;
 };
 
 namespace {
@@ -444,8 +446,10 @@
     }
     {
         const std::lock_guard lock(mutex);
-        if (!executing.insert(frame.stream).second)
+        // Not only what is executing counts: a late double of a refused one must not run.
+        if (!intake.accept(frame.stream))
             return;
+        executing.insert(frame.stream);
     }
     asio::co_spawn(
         stream.get_executor(),
