Refuse what cannot finish, keep silence on pooled connections short

Cause: a request with 1 ms left was sent and ended with an unknown outcome; whole chats longer than the progress timeout were cut off; a pooled connection that swallows everything cost the whole deadline. Change: the time to the first token of an idle server decides on early refusal; model requests use new connections and may wait until their deadline for the head; plain idempotent ones give a pooled connection a third of their time, then use a new one to the same server. Refusals for load no longer eject. Retry-After is spread at random.

--- a/src/yuccashift/gateway/attempt.cpp
+++ b/src/yuccashift/gateway/attempt.cpp
@@ -13,6 +13,8 @@
     constexpr int httpServiceUnavailable = 503;
     /** Time in which a backend server that was lost must accept a connection to count as running. */
     constexpr milliseconds probeTimeout { 500 };
+    /** A pooled connection may stay silent for this part of the remaining time. */
+    constexpr int reuseShare = 3;
 
     bool refusedBeforeRun(const AnswerHead& head)
     {
@@ -40,14 +42,20 @@
 
 } // namespace
 
-Attempt::Attempt(Parts& parts, const RequestContext& context, const BackendSpec& backend, AnswerRelay& relay)
+Attempt::Attempt(Parts& parts, const RequestContext& context, const BackendSpec& backend, AnswerRelay& relay, bool fresh)
     : m_parts(parts)
     , m_context(context)
     , m_backend(backend)
     , m_relay(relay)
+    , m_fresh(fresh)
 {
 }
 
+bool mayReuseConnection(const RequestContext& context)
+{
+    return context.traits.idempotent && context.resolved.model == nullptr;
+}
+
 std::uint64_t Attempt::expectedTokens() const
 {
     return m_context.traits.promptTokens + m_context.traits.expectedTokens;
@@ -78,12 +86,7 @@
 
 asio::awaitable<Result<void>> Attempt::exchange(const TraceContext& trace)
 {
-    BackendCall call;
-    call.endpoint = m_backend.address;
-    call.request = makeBackendRequest(m_context, trace, m_relay.tokens());
-    call.deadline = m_context.traits.deadline;
-    call.progressTimeout = m_parts.settings.bounds.progressTimeout;
-    call.freshConnection = !m_context.traits.idempotent;
+    auto call = makeCall(trace);
     auto answer = co_await m_parts.backends->send(std::move(call));
     if (!answer)
         co_return tl::unexpected(std::move(answer.error()));
@@ -91,11 +94,27 @@
         // Leaving servers refuse; reports and the list say later whether it is leaving.
         if (findHeader((*answer)->head().headers, "X-Leaving"))
             m_parts.loads.onLeaving({ m_context.traits.service, m_backend.name }, true);
-        co_return fail(ErrorKind::BackendRefused, "backend server " + m_backend.name + " refused the request");
+        // A refusal for load is no failure of the server.
+        co_return fail(ErrorKind::Overloaded, "backend server " + m_backend.name + " refused the request");
     }
     co_return co_await m_relay.run(**answer);
 }
 
+BackendCall Attempt::makeCall(const TraceContext& trace) const
+{
+    BackendCall call;
+    call.endpoint = m_backend.address;
+    call.request = makeBackendRequest(m_context, trace, m_relay.tokens());
+    call.deadline = m_context.traits.deadline;
+    call.progressTimeout = m_parts.settings.bounds.progressTimeout;
+    call.freshConnection = m_fresh || !mayReuseConnection(m_context);
+    const auto remaining = call.deadline - m_parts.clock.now();
+    // A queue or a whole generation may lie before the first byte on a new
+    // connection; on a pooled one early silence leaves time for another try.
+    call.headTimeout = call.freshConnection ? remaining : std::min<Duration>(call.progressTimeout, remaining / reuseShare);
+    return call;
+}
+
 asio::awaitable<void> Attempt::noteLoss(const Error& error)
 {
     if (error.kind != ErrorKind::BackendLost && error.kind != ErrorKind::AnswerIncomplete)
--- a/src/yuccashift/gateway/executor.cpp
+++ b/src/yuccashift/gateway/executor.cpp
@@ -5,6 +5,7 @@
 #include "yuccashift/gateway/parts.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace yuccashift {
 
@@ -31,13 +32,13 @@
                 if (backend == nullptr)
                     co_return tl::unexpected(final({ m_failure ? m_failure->kind : ErrorKind::NoBackend, m_failure ? m_failure->detail : "", {}, {} }));
                 ++m_attempts;
-                Attempt attempt(m_parts, m_context, *backend, m_relay);
+                Attempt attempt(m_parts, m_context, *backend, m_relay, m_fresh);
                 const auto result = co_await attempt.run();
                 if (result)
                     break;
                 m_failure = result.error();
                 m_mayHaveRun = m_mayHaveRun || m_failure->effectiveRunState() != RunState::NotRun;
-                m_traits.excluded.push_back(backend->name);
+                noteFailed(*backend);
                 if (!mayRetry())
                     co_return tl::unexpected(final(*m_failure));
             }
@@ -67,6 +68,16 @@
             return m_parts.quarantine.mayJoin(m_context.fingerprint, others, now);
         }
 
+        // A pooled connection that went silent says nothing of its server, which
+        // gets another try over a new one.
+        void noteFailed(const BackendSpec& backend)
+        {
+            if (!m_fresh && mayReuseConnection(m_context) && m_failure->kind == ErrorKind::BackendLost)
+                m_fresh = true;
+            else
+                m_traits.excluded.push_back(backend.name);
+        }
+
         bool mayRetry()
         {
             const auto& error = *m_failure;
@@ -118,9 +129,23 @@
         AnswerRelay m_relay;
         std::uint32_t m_attempts = 0;
         bool m_mayHaveRun = false;
+        bool m_fresh = false;
         std::optional<Error> m_failure;
     };
 
+    /** Time that even an idle backend server needs until the first token; zero where none is known. */
+    Duration leastServiceTime(std::span<const BackendState> states, const RequestTraits& traits)
+    {
+        if (traits.model.empty() || states.empty())
+            return Duration::zero();
+        double least = std::numeric_limits<double>::max();
+        for (const auto& state : states) {
+            const auto uncached = traits.promptTokens - std::min(traits.promptTokens, state.cachedTokens);
+            least = std::min(least, uncached / std::max(state.prefillTokensPerSecond, 1.0) + 1 / std::max(state.decodeTokensPerSecond, 1.0));
+        }
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(least));
+    }
+
     WaitingRequest waitingOf(const RequestContext& context)
     {
         WaitingRequest waiting;
@@ -143,8 +168,11 @@
     auto span = m_parts.startSpan(context.trace, "execute");
     span.attributes = { { "region", m_parts.settings.region }, { "service", context.traits.service } };
     Result<void> result;
-    if (m_parts.quarantine.isQuarantined(context.fingerprint, m_parts.clock.now())) {
+    const auto now = m_parts.clock.now();
+    if (m_parts.quarantine.isQuarantined(context.fingerprint, now)) {
         result = fail(ErrorKind::Quarantined);
+    } else if (now + leastServiceTime(m_parts.backendStates(context.document(), context.traits), context.traits) > context.traits.deadline) {
+        result = fail(ErrorKind::DeadlineUnreachable);
     } else {
         const auto permit = co_await m_parts.gate(context.traits.service).admit(waitingOf(context), context.document().queueLimit);
         if (permit) {
--- a/src/yuccashift/gateway/feeds.cpp
+++ b/src/yuccashift/gateway/feeds.cpp
@@ -177,6 +177,7 @@
             std::ranges::for_each(demands, add);
     }
     std::vector<wire::Demand> largest;
+    largest.reserve(sums.size());
     for (const auto& [key, sum] : sums)
         largest.push_back(sum);
     std::ranges::sort(largest, std::greater {}, &wire::Demand::requestsPerSecond);
--- a/src/yuccashift/gateway/gateway.cpp
+++ b/src/yuccashift/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 #include "yuccashift/kernel/log.hpp"
 #include "yuccashift/membership/coordinator.hpp"
 #include "yuccashift/peer/peer_hub.hpp"
+#include "yuccashift/resilience/backoff.hpp"
 
 #include <algorithm>
 
@@ -68,15 +69,26 @@
                 m_keys.finish(m_ticket, std::move(*answer));
             else if (result)
                 m_keys.finishWithoutAnswer(m_ticket);
-            else if (result.error().effectiveRunState() == RunState::NotRun)
-                m_keys.releaseNotRun(m_ticket);
-            else if (result.error().effectiveRunState() == RunState::Ran)
-                m_keys.finishWithoutAnswer(m_ticket);
             else
-                m_keys.finishUnknown(m_ticket, result.error().kind);
+                closeFailed(result.error());
         }
 
     private:
+        void closeFailed(const Error& error)
+        {
+            switch (error.effectiveRunState()) {
+            case RunState::NotRun:
+                m_keys.releaseNotRun(m_ticket);
+                break;
+            case RunState::Ran:
+                m_keys.finishWithoutAnswer(m_ticket);
+                break;
+            case RunState::OutcomeUnknown:
+                m_keys.finishUnknown(m_ticket, error.kind);
+                break;
+            }
+        }
+
         KeyTable& m_keys;
         KeyTicket m_ticket;
         bool m_open = true;
@@ -101,6 +113,14 @@
         return error.kind == ErrorKind::NoBackend || error.kind == ErrorKind::QueueFull || error.kind == ErrorKind::Overloaded;
     }
 
+    // Callers refused together must not come back together.
+    void spreadReturn(Error& error)
+    {
+        const auto wait = seconds(traits(error.kind).retryAfterSeconds);
+        if (wait > seconds(0) || error.retryAfter)
+            error.retryAfter = jitteredRetryAfter(error.retryAfter.value_or(wait), threadRandom());
+    }
+
     bool contains(std::span<const RegionName> regions, const RegionName& region)
     {
         return std::ranges::find(regions, region) != regions.end();
@@ -130,8 +150,9 @@
     HeaderFields extra { { "traceparent", formatTraceparent(span.context) } };
     TracedSink traced(sink, extra.front().value);
     const auto begun = m_parts.clock.now();
-    const auto result = co_await handleCaller(std::move(message), traced, span.context, extra);
+    auto result = co_await handleCaller(std::move(message), traced, span.context, extra);
     if (!result) {
+        spreadReturn(result.error());
         span.attributes.emplace_back("error", std::string(result.error().code()));
         co_await sink.fail(result.error(), extra);
     }
--- a/src/yuccashift/http/backend_client.cpp
+++ b/src/yuccashift/http/backend_client.cpp
@@ -139,6 +139,7 @@
             , m_endpoint(call.endpoint)
             , m_deadline(call.deadline)
             , m_progressTimeout(call.progressTimeout)
+            , m_headTimeout(call.headTimeout)
         {
             m_parser.header_limit(headerLimit);
             m_parser.body_limit(boost::none);
@@ -148,7 +149,7 @@
 
         asio::awaitable<Result<void>> readHead()
         {
-            expire();
+            expireAfter(m_headTimeout);
             const auto [ec, n] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, m_parser, awaitTuple);
             if (ec)
                 co_return tl::unexpected(lost(ec, ErrorKind::BackendLost));
@@ -171,7 +172,7 @@
                 auto& body = m_parser.get().body();
                 body.data = m_chunk.data();
                 body.size = m_chunk.size();
-                expire();
+                expireAfter(m_progressTimeout);
                 auto [ec, n] = co_await http::async_read_some(m_connection->stream, m_connection->buffer, m_parser, awaitTuple);
                 if (ec == http::error::need_buffer)
                     ec = {};
@@ -188,10 +189,10 @@
         }
 
     private:
-        void expire()
+        void expireAfter(Duration longest)
         {
             const auto untilDeadline = m_deadline - m_clock.now();
-            m_connection->stream.expires_after(std::max<Duration>(std::min<Duration>(m_progressTimeout, untilDeadline), milliseconds(1)));
+            m_connection->stream.expires_after(std::max<Duration>(std::min<Duration>(longest, untilDeadline), milliseconds(1)));
         }
 
         Error lost(const beast::error_code& ec, ErrorKind kind)
@@ -223,6 +224,7 @@
         Endpoint m_endpoint;
         Instant m_deadline;
         Duration m_progressTimeout;
+        Duration m_headTimeout;
         http::response_parser<http::buffer_body> m_parser;
         AnswerHead m_head;
         bool m_endMarked = false;
--- a/src/yuccashift/http/backend_client.hpp
+++ b/src/yuccashift/http/backend_client.hpp
@@ -14,8 +14,10 @@
     Endpoint endpoint;
     RequestMessage request;
     Instant deadline;
-    /** Longest time without any byte of the answer. */
+    /** Longest time without a byte once the answer has begun. */
     Duration progressTimeout = seconds(10);
+    /** Longest time to the head of the answer. */
+    Duration headTimeout = seconds(10);
     /** Uses a new connection, so that a stale pooled one cannot leave the outcome unknown. */
     bool freshConnection = false;
 };
--- a/src/yuccashift/node/membership_loop.cpp
+++ b/src/yuccashift/node/membership_loop.cpp
@@ -102,6 +102,8 @@
             updateSenders();
             m_context.parts.keys.expire(now);
             m_context.parts.quarantine.expire(now);
+            for (const auto& document : m_context.parts.documents.all())
+                m_context.parts.loads.retain(*document);
         }
         co_await sleepFor(tickInterval);
     }
--- a/src/yuccashift/node/order_loop.cpp
+++ b/src/yuccashift/node/order_loop.cpp
@@ -49,6 +49,7 @@
 {
     const auto placement = regionPlacement();
     std::vector<RegionalBackend> backends;
+    backends.reserve(placement.size());
     for (const auto& engine : placement)
         backends.push_back({ engine.service, engine.backend, engine.region });
     m_ownership.update(backends, ownerCandidates(m_context), m_context.parts.clock.now());
--- a/src/yuccashift/platform/http_platform.cpp
+++ b/src/yuccashift/platform/http_platform.cpp
@@ -16,7 +16,7 @@
     /** One call to the platform: its body where the status is 200, otherwise an error of this kind. */
     asio::awaitable<Result<std::string>> call(BackendClient& client, const Clock& clock, Endpoint endpoint, RequestMessage request, Duration timeout)
     {
-        BackendCall call { std::move(endpoint), std::move(request), clock.now() + timeout, timeout, false };
+        BackendCall call { std::move(endpoint), std::move(request), clock.now() + timeout, timeout, timeout, false };
         auto answer = co_await sendForWhole(client, std::move(call), mostBodyBytes);
         if (!answer)
             co_return tl::unexpected(std::move(answer.error()));
