Reach below a stopped root, and test what mutations showed untested

Cause: trial mutations of the state modules (42 in all, in the worktree, each reverted) left four unnoticed: a digest without the text, no notice below a stopped parent, a start without the list, a heartbeat in another's name. A root that had stopped still cost a heartbeat. Change: whoever starts the tree also tells the children of its root. A test for each of the four and for this.

--- a/src/yuccashift/config/config_spread.cpp
+++ b/src/yuccashift/config/config_spread.cpp
@@ -62,6 +62,11 @@
         return hash64(service) ^ mix64(version.revision ^ version.textHash);
     }
 
+    std::size_t firstChild(std::size_t position)
+    {
+        return position * ConfigSpread::treeFanOut + 1;
+    }
+
     // The instances that `self` passes a document on to: its children, and the
     // root where it heard from outside the tree.
     std::vector<InstanceId> receivers(const std::vector<InstanceId>& order, const InstanceId& self)
@@ -73,7 +78,7 @@
         const auto position = static_cast<std::size_t>(it - order.begin());
         if (position != 0)
             to.push_back(order.front());
-        const auto first = position * ConfigSpread::treeFanOut + 1;
+        const auto first = firstChild(position);
         for (auto n = first; n < std::min(first + ConfigSpread::treeFanOut, order.size()); ++n)
             to.push_back(order[n]);
         return to;
@@ -158,22 +163,28 @@
             continue;
         pushTexts(to, { text }, false, out);
     }
-    noticeGrandchildren(order, service, held.version, peers.self, out);
+    const auto it = std::ranges::find(order, peers.self);
+    const auto position = static_cast<std::size_t>(it - order.begin());
+    if (it != order.end())
+        noticeGrandchildren(order, position, service, held.version, out);
+    // Whoever starts the tree stands in for a root that may have stopped.
+    if (!heardFromTree && position != 0)
+        notice(order, firstChild(0), treeFanOut, service, held.version, out);
 }
 
-void ConfigSpread::noticeGrandchildren(std::span<const InstanceId> order, const ServiceName& service, const DocumentVersion& version, const InstanceId& self, OutgoingFrames& out) const
+void ConfigSpread::noticeGrandchildren(std::span<const InstanceId> order, std::size_t position, const ServiceName& service, const DocumentVersion& version, OutgoingFrames& out) const
 {
-    const auto it = std::ranges::find(order, self);
-    if (it == order.end())
-        return;
     // A child that has stopped, or a lost frame, would cut off all below it until
     // the next heartbeats; so those below hear from here what they are to get.
-    wire::DocumentPush notice;
-    notice.__set_notices({ toWire(service, version) });
-    const auto firstChild = static_cast<std::size_t>(it - order.begin()) * treeFanOut + 1;
-    const auto first = firstChild * treeFanOut + 1;
-    for (auto n = first; n < std::min(first + treeFanOut * treeFanOut, order.size()); ++n)
-        out.push_back({ order[n], pushFrame(notice) });
+    notice(order, firstChild(firstChild(position)), treeFanOut * treeFanOut, service, version, out);
+}
+
+void ConfigSpread::notice(std::span<const InstanceId> order, std::size_t first, std::size_t count, const ServiceName& service, const DocumentVersion& version, OutgoingFrames& out) const
+{
+    wire::DocumentPush push;
+    push.__set_notices({ toWire(service, version) });
+    for (auto n = first; n < std::min(first + count, order.size()); ++n)
+        out.push_back({ order[n], pushFrame(push) });
 }
 
 void ConfigSpread::pushTexts(const InstanceId& to, std::vector<wire::DocumentText> texts, bool answer, OutgoingFrames& out) const
--- a/src/yuccashift/config/config_spread.hpp
+++ b/src/yuccashift/config/config_spread.hpp
@@ -93,7 +93,8 @@
     wire::DocumentText textOver(const ServiceName&, const HeldDocument&, std::uint64_t baseHash) const;
     std::optional<std::string> wholeText(const wire::DocumentText&) const;
     void passOn(const ServiceName&, const InstanceId& source, const SpreadPeers&, Instant now, OutgoingFrames&);
-    void noticeGrandchildren(std::span<const InstanceId> order, const ServiceName&, const DocumentVersion&, const InstanceId& self, OutgoingFrames&) const;
+    void noticeGrandchildren(std::span<const InstanceId> order, std::size_t position, const ServiceName&, const DocumentVersion&, OutgoingFrames&) const;
+    void notice(std::span<const InstanceId> order, std::size_t first, std::size_t count, const ServiceName&, const DocumentVersion&, OutgoingFrames&) const;
     void want(const InstanceId& from, const wire::DocumentRevision&, Instant due);
     bool holds(const ServiceName&, const DocumentVersion&) const;
     void pushTexts(const InstanceId& to, std::vector<wire::DocumentText>, bool answer, OutgoingFrames&) const;
--- a/tests/config/config_spread_test.cpp
+++ b/tests/config/config_spread_test.cpp
@@ -1,6 +1,8 @@
 #include "tests/support/mesh.hpp"
 
+#include <algorithm>
 #include <gtest/gtest.h>
+#include <set>
 
 namespace yuccashift {
 namespace {
@@ -69,6 +71,47 @@
         EXPECT_LT(publish("lagos-20", 1), inForceWithin);
     }
 
+    TEST_F(ConfigSpreading, DoesNotWaitForHeartbeatsBelowAStoppedParent)
+    {
+        start(50, 0);
+        m_mesh.at("lagos-3").stopped = true;
+        // The tree of each revision is another one; in some the stopped instance has children.
+        for (Revision revision = 1; revision <= 12; ++revision)
+            EXPECT_LT(publish("lagos-20", revision), milliseconds(700)) << revision;
+    }
+
+    TEST_F(ConfigSpreading, TellsTheChildrenOfTheRootFromWhereverItStarts)
+    {
+        SpreadPeers peers;
+        for (int n = 0; n < 30; ++n)
+            peers.region.push_back("lagos-" + std::to_string(n));
+        std::map<InstanceId, std::set<InstanceId>> texts;
+        std::map<InstanceId, std::set<InstanceId>> told;
+        for (const auto& self : peers.region) {
+            DocumentStore store;
+            SeededRandom random(1);
+            ConfigSpread spread(store, random);
+            peers.self = self;
+            OutgoingFrames out;
+            EXPECT_TRUE(spread.offer(documentText("desk", 1), {}, peers, Instant {}, out));
+            for (const auto& outgoing : out) {
+                told[self].insert(outgoing.to);
+                if (!outgoing.frame.documentPush.documents.empty())
+                    texts[self].insert(outgoing.to);
+            }
+        }
+        const auto getsAll = [&](const InstanceId& instance) {
+            return std::ranges::all_of(peers.region, [&](const auto& self) { return self == instance || texts[self].contains(instance); });
+        };
+        const auto root = std::ranges::find_if(peers.region, getsAll);
+        ASSERT_NE(root, peers.region.end());
+        EXPECT_EQ(texts[*root].size(), ConfigSpread::treeFanOut);
+        for (const auto& child : texts[*root]) {
+            for (const auto& self : peers.region)
+                EXPECT_TRUE(self == child || told[self].contains(child)) << self;
+        }
+    }
+
     TEST_F(ConfigSpreading, NeverGoesBackToAnOlderRevisionOfAStaleSource)
     {
         start(5, 2);
@@ -147,6 +190,16 @@
         EXPECT_EQ(m_mesh.at("lagos-2").traffic.sentDocuments, 0u);
     }
 
+    TEST_F(ConfigSpreading, AStartingInstanceWaitsForTheListOfItsPeers)
+    {
+        m_mesh.add("early", "varna");
+        m_mesh.run(seconds(1));
+        EXPECT_FALSE(m_mesh.at("early").coordinator->ready());
+        m_mesh.list();
+        m_mesh.run(milliseconds(200));
+        EXPECT_TRUE(m_mesh.at("early").coordinator->ready());
+    }
+
     TEST_F(ConfigSpreading, AnInstanceWithoutAnyPeerIsReadyAtOnceAndACutOffOneAfterAWait)
     {
         m_mesh.add("alone", "varna");
--- a/tests/config/document_store_test.cpp
+++ b/tests/config/document_store_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <set>
 #include <thread>
 
 namespace yuccashift {
@@ -88,6 +89,17 @@
         EXPECT_EQ(m_store.conflicts().front().keptHash, m_store.revisions().at("desk").textHash);
     }
 
+    TEST_F(DocumentsInForce, HaveAnotherDigestForAnotherRevisionTextOrService)
+    {
+        std::set<std::uint64_t> digests;
+        for (const auto& text : { documentText("desk", 2), documentText("desk", 2, 900), documentText("desk", 3), documentText("gate", 2) }) {
+            DocumentStore store;
+            EXPECT_TRUE(store.accept(text));
+            digests.insert(store.digest());
+        }
+        EXPECT_EQ(digests.size(), 4u);
+    }
+
     TEST_F(DocumentsInForce, NeverGoBackInTheEyesOfAReader)
     {
         std::atomic<bool> done = false;
--- a/tests/membership/coordinator_test.cpp
+++ b/tests/membership/coordinator_test.cpp
@@ -112,6 +112,7 @@
         forged.heartbeat.sequence = 1000;
         forged.__isset.heartbeat = true;
         m_mesh.at("lagos-0").coordinator->receive("lagos-2", forged, m_mesh.now());
+        m_mesh.run(seconds(2));
         EXPECT_EQ(seen("lagos-0", "lagos-1"), Liveness::Alive);
     }
 
