--- a/src/yuccashift/membership/coordinator.hpp
+++ b/src/yuccashift/membership/coordinator.hpp
@@ -73,6 +73,8 @@
     void setDraining();
 
     MemberViewPtr view() const;
+    /** This instance as it tells others of itself. */
+    MemberInfo self() const;
     /** What routeKey() needs to know of a key's minter; reachability and residency are the caller's to add. */
     MinterBelief beliefAbout(const InstanceId&) const;
     /** Whether the peers were asked for their documents, or none of them answered in time. */
@@ -114,6 +116,8 @@
     Instant m_nextLoads {};
     Instant m_nextCross {};
     Instant m_lastNotice {};
+    /** ConfigSpread::changes() that other regions were told of. */
+    std::uint64_t m_noticedChanges = 0;
     bool m_confirmed = true;
     MemberViewPtr m_view;
     SpreadPeers m_peers;
