Blame each request once for the death of its server

Cause: requests on a server that dies silently notice it one by one, up to a progress timeout apart. Each then blamed all that were still in progress, and reports more than 5 s apart count as two deaths, so an innocent request could be refused after a single death. Change: the book hands out a request for a death once. Conclusion: read from the code, not seen in a running daemon.

--- a/src/yuccashift/gateway/attempt.cpp
+++ b/src/yuccashift/gateway/attempt.cpp
@@ -113,7 +113,7 @@
     const BackendKey key { m_context.traits.service, m_backend.name };
     const std::array<std::string_view, 2> names { key.service, key.backend };
     const auto now = m_parts.clock.now();
-    m_parts.quarantine.onBackendDeath(hash64(names), m_parts.inProgress.on(key), now);
+    m_parts.quarantine.onBackendDeath(hash64(names), m_parts.inProgress.takeForDeath(key), now);
     m_parts.loads.onLost(key, now);
     m_parts.caches.onLost(key);
     logWarning("backend server died with requests in progress", { { "service", key.service }, { "backend", key.backend } });
--- a/src/yuccashift/gateway/in_progress_book.hpp
+++ b/src/yuccashift/gateway/in_progress_book.hpp
@@ -26,9 +26,17 @@
     };
 
     std::vector<std::uint64_t> on(const BackendKey&);
+    /** Those that were in progress at a death which has not been taken before; each is returned once. */
+    std::vector<std::uint64_t> takeForDeath(const BackendKey&);
 
 private:
-    ShardedMap<BackendKey, std::vector<std::uint64_t>> m_fingerprints;
+    struct Listed {
+        std::uint64_t fingerprint = 0;
+        const Entry* entry = nullptr;
+        bool taken = false;
+    };
+
+    ShardedMap<BackendKey, std::vector<Listed>> m_listed;
 };
 
 } // namespace yuccashift
