Hold few links between regions and dial the others when needed

Cause: a node of 370 would hold 369 links and ping each of them every second. Change: links inside the region are held, to every other region two, chosen by a hash that differs from node to node; a key's minter elsewhere is dialled on demand and its link closed after a minute without use. Worked out: about 50 + 46 links in the largest region instead of 369.

--- a/src/yuccashift/gateway/forwarder.cpp
+++ b/src/yuccashift/gateway/forwarder.cpp
@@ -81,7 +81,7 @@
     std::vector<InstanceId> instances;
     const auto view = m_coordinator.view();
     for (const auto& [instance, member] : view->members) {
-        if (member.info.region == region && member.liveness == Liveness::Alive && m_hub.connected(instance))
+        if (member.info.region == region && member.liveness == Liveness::Alive && m_hub.reachable(instance))
             instances.push_back(instance);
     }
     return instances;
--- a/src/yuccashift/gateway/gateway.cpp
+++ b/src/yuccashift/gateway/gateway.cpp
@@ -239,7 +239,7 @@
 MinterBelief Gateway::beliefAbout(const InstanceId& instance, const RequestContext& context) const
 {
     auto belief = m_coordinator.beliefAbout(instance);
-    belief.reachable = m_hub.connected(instance);
+    belief.reachable = m_hub.reachable(instance);
     const auto view = m_coordinator.view();
     const auto it = view->members.find(instance);
     belief.regionAllowed = it == view->members.end() || contains(context.traits.allowedRegions, it->second.info.region);
--- a/src/yuccashift/node/membership_loop.cpp
+++ b/src/yuccashift/node/membership_loop.cpp
@@ -2,11 +2,13 @@
 
 #include "yuccashift/gateway/feeds.hpp"
 #include "yuccashift/gateway/parts.hpp"
+#include "yuccashift/kernel/hash.hpp"
 #include "yuccashift/kernel/log.hpp"
 #include "yuccashift/membership/coordinator.hpp"
 #include "yuccashift/peer/peer_hub.hpp"
 
 #include <algorithm>
+#include <array>
 #include <set>
 
 namespace yuccashift {
@@ -19,6 +21,8 @@
     constexpr milliseconds listingInterval { 1000 };
     /** Ticks between two rounds of slower upkeep. */
     constexpr std::uint64_t upkeepTicks = 10;
+    /** Links that are always held to each other region. */
+    constexpr std::size_t linksPerRegion = 2;
 
 } // namespace
 
@@ -52,13 +56,36 @@
     updatePeers();
 }
 
+// Links inside the region are always held. To each other region a few are, to
+// instances that differ from one holder to the next; the rest are dialled when needed.
+std::set<InstanceId> MembershipLoop::keptLinks(const std::map<InstanceId, MemberState>& members) const
+{
+    std::set<InstanceId> kept;
+    std::map<RegionName, std::vector<std::pair<std::uint64_t, InstanceId>>> others;
+    for (const auto& [instance, member] : members) {
+        const std::array<std::string_view, 2> names { m_context.parts.self.instance, instance };
+        if (member.info.region == m_context.parts.settings.region)
+            kept.insert(instance);
+        else if (member.liveness != Liveness::Gone)
+            others[member.info.region].emplace_back(hash64(names), instance);
+    }
+    for (auto& [region, candidates] : others) {
+        std::ranges::sort(candidates, std::greater {});
+        candidates.resize(std::min(candidates.size(), linksPerRegion));
+        for (auto& [weight, instance] : candidates)
+            kept.insert(std::move(instance));
+    }
+    return kept;
+}
+
 void MembershipLoop::updatePeers()
 {
     std::vector<PeerAddress> peers;
     const auto view = m_context.coordinator.view();
+    const auto kept = keptLinks(view->members);
     for (const auto& [instance, member] : view->members) {
         if (member.liveness != Liveness::Gone && member.info.peers.port != 0)
-            peers.push_back({ instance, member.info.peers });
+            peers.push_back({ instance, member.info.peers, kept.contains(instance) });
     }
     m_context.hub.setPeers(peers);
 }
--- a/src/yuccashift/node/membership_loop.hpp
+++ b/src/yuccashift/node/membership_loop.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "yuccashift/membership/member_table.hpp"
 #include "yuccashift/node/loop_context.hpp"
 #include "yuccashift/platform/instance_list.hpp"
 
 #include <map>
+#include <set>
 
 namespace yuccashift {
 
@@ -20,11 +22,12 @@
 private:
     void takeListing(const Listing&);
     void updatePeers();
+    /** Instances to which a link is always held. */
+    std::set<InstanceId> keptLinks(const std::map<InstanceId, MemberState>&) const;
     void updateSenders();
 
     LoopContext m_context;
     InstanceList& m_list;
-    std::map<BackendName, bool> m_leaving;
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/peer/peer_hub.cpp
+++ b/src/yuccashift/peer/peer_hub.cpp
@@ -24,13 +24,25 @@
     constexpr milliseconds firstRedial { 100 };
     constexpr milliseconds slowestRedial { 2000 };
 
+    /** Links that are not kept are closed after this time without use. */
+    constexpr seconds unusedLifetime { 60 };
+    /** Longest wait of a request for a link that is being dialled. */
+    constexpr milliseconds longestDialWait { 1000 };
+    constexpr milliseconds dialCheck { 10 };
+
     /** A peer that links are dialled to, until it is no longer wanted. */
     struct Dialled {
         PeerAddress address;
+        std::atomic<bool> keep { true };
         std::atomic<bool> wanted { true };
+        std::atomic<bool> dialling { false };
+        std::atomic<bool> lastDialFailed { false };
+        std::atomic<Instant> usedAt { Instant {} };
         std::mutex mutex;
         std::shared_ptr<PeerLink> link;
 
+        bool needed(Instant now) const { return wanted && (keep || now - usedAt.load() < unusedLifetime); }
+
         std::shared_ptr<PeerLink> current()
         {
             const std::lock_guard lock(mutex);
@@ -59,7 +71,10 @@
     asio::awaitable<void> serve(tcp::socket);
     asio::awaitable<void> keepDialled(std::shared_ptr<Dialled>);
     asio::awaitable<void> dialOnce(std::shared_ptr<Dialled>);
+    std::shared_ptr<Dialled> find(const InstanceId&) const;
     std::shared_ptr<PeerLink> linkTo(const InstanceId&) const;
+    void startDialling(const std::shared_ptr<Dialled>&);
+    asio::awaitable<std::shared_ptr<PeerLink>> awaitLink(std::shared_ptr<Dialled>, Instant deadline);
 
     WorkerPool& workers;
     tcp::acceptor acceptor;
@@ -99,6 +114,7 @@
     if (ec)
         co_return;
     boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
+    peer->lastDialFailed = true;
     stream.expires_after(dialTimeout);
     const auto [connectEc] = co_await stream.async_connect(tcp::endpoint(address, peer->address.endpoint.port), awaitTuple);
     if (connectEc)
@@ -108,6 +124,7 @@
     // An address may have passed to another instance since it was listed.
     if (!other || other->instance != peer->address.instance || !peer->wanted)
         co_return;
+    peer->lastDialFailed = false;
     peer->set(link);
     co_await link->run();
     peer->set(nullptr);
@@ -119,7 +136,7 @@
     const auto random = makeSystemRandom();
     asio::steady_timer timer(co_await asio::this_coro::executor);
     Duration wait = firstRedial;
-    while (peer->wanted) {
+    while (peer->needed(clock.now())) {
         const auto begun = clock.now();
         co_await dialOnce(peer);
         // A link that held for a while starts the back-off anew.
@@ -128,13 +145,43 @@
         timer.expires_after(jittered);
         co_await timer.async_wait(awaitTuple);
     }
+    peer->dialling = false;
 }
 
-std::shared_ptr<PeerLink> PeerHub::State::linkTo(const InstanceId& instance) const
+void PeerHub::State::startDialling(const std::shared_ptr<Dialled>& peer)
+{
+    if (peer->dialling.exchange(true))
+        return;
+    asio::co_spawn(
+        workers.next(), [self = shared_from_this(), peer] { return self->keepDialled(peer); }, asio::detached);
+}
+
+// A kept link that is down has been tried already; only one that was never
+// asked for is worth a wait.
+asio::awaitable<std::shared_ptr<PeerLink>> PeerHub::State::awaitLink(std::shared_ptr<Dialled> peer, Instant deadline)
+{
+    peer->usedAt = clock.now();
+    startDialling(peer);
+    const auto until = std::min(deadline, clock.now() + longestDialWait);
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (!peer->keep && !peer->current() && clock.now() < until) {
+        timer.expires_after(dialCheck);
+        co_await timer.async_wait(awaitTuple);
+    }
+    co_return peer->current();
+}
+
+std::shared_ptr<Dialled> PeerHub::State::find(const InstanceId& instance) const
 {
     const std::lock_guard lock(mutex);
     const auto it = dialled.find(instance);
-    return it == dialled.end() ? nullptr : it->second->current();
+    return it == dialled.end() ? nullptr : it->second;
+}
+
+std::shared_ptr<PeerLink> PeerHub::State::linkTo(const InstanceId& instance) const
+{
+    const auto peer = find(instance);
+    return peer ? peer->current() : nullptr;
 }
 
 PeerHub::PeerHub(WorkerPool& workers, LinkSettings settings, const Clock& clock)
@@ -173,39 +220,43 @@
 void PeerHub::setPeers(std::span<const PeerAddress> peers)
 {
     std::map<InstanceId, std::shared_ptr<Dialled>> kept;
-    std::vector<std::shared_ptr<Dialled>> added;
+    const auto now = m_state->clock.now();
     const std::lock_guard lock(m_state->mutex);
     for (const auto& address : peers) {
         if (address.instance == m_state->settings.self.instance)
             continue;
         const auto it = m_state->dialled.find(address.instance);
-        if (it != m_state->dialled.end() && it->second->address.endpoint == address.endpoint) {
-            kept.emplace(address.instance, it->second);
-            continue;
-        }
-        auto peer = std::make_shared<Dialled>();
-        peer->address = address;
-        added.push_back(peer);
-        kept.emplace(address.instance, std::move(peer));
+        const bool known = it != m_state->dialled.end() && it->second->address.endpoint == address.endpoint;
+        const auto peer = known ? it->second : std::make_shared<Dialled>();
+        if (!known)
+            peer->address = address;
+        peer->keep = address.keep;
+        kept.emplace(address.instance, peer);
+        if (address.keep)
+            m_state->startDialling(peer);
     }
     for (auto& [instance, peer] : m_state->dialled) {
         const auto it = kept.find(instance);
-        if (it != kept.end() && it->second == peer)
+        const bool known = it != kept.end() && it->second == peer;
+        if (known && peer->needed(now))
             continue;
-        peer->wanted = false;
+        if (!known)
+            peer->wanted = false;
         if (const auto link = peer->current())
             link->close();
     }
     m_state->dialled = std::move(kept);
-    for (const auto& peer : added) {
-        asio::co_spawn(
-            m_state->workers.next(), [state = m_state, peer] { return state->keepDialled(peer); }, asio::detached);
-    }
 }
 
 bool PeerHub::send(const InstanceId& instance, const wire::Frame& frame)
 {
-    const auto link = m_state->linkTo(instance);
+    const auto peer = m_state->find(instance);
+    if (!peer)
+        return false;
+    peer->usedAt = m_state->clock.now();
+    const auto link = peer->current();
+    if (!link)
+        m_state->startDialling(peer);
     return link && link->send(frame);
 }
 
@@ -216,12 +267,21 @@
 
 asio::awaitable<Result<std::unique_ptr<IncomingAnswer>>> PeerHub::forward(InstanceId instance, wire::Forward forward, Instant deadline)
 {
-    const auto link = m_state->linkTo(instance);
+    std::shared_ptr<PeerLink> link;
+    const auto peer = m_state->find(instance);
+    if (peer)
+        link = co_await m_state->awaitLink(peer, deadline);
     if (!link)
         co_return tl::unexpected(Error { ErrorKind::PeerLost, "no link to " + instance, RunState::NotRun, {} });
     co_return co_await link->forward(std::move(forward), deadline);
 }
 
+bool PeerHub::reachable(const InstanceId& instance) const
+{
+    const auto peer = m_state->find(instance);
+    return peer && (peer->current() || (!peer->keep && !peer->lastDialFailed));
+}
+
 void PeerHub::stop()
 {
     asio::post(m_state->acceptor.get_executor(), [state = m_state] {
--- a/src/yuccashift/peer/peer_hub.hpp
+++ b/src/yuccashift/peer/peer_hub.hpp
@@ -14,6 +14,8 @@
 struct PeerAddress {
     InstanceId instance;
     Endpoint endpoint;
+    /** Whether a link is always held; others are dialled when they are needed. */
+    bool keep = true;
 };
 
 /** Links to other instances: dials those it is told of, and accepts theirs. */
@@ -28,11 +30,13 @@
     Result<Endpoint> listen(const Endpoint&);
     /** Accepts links from now on. Call before setPeers(); the handler must outlive the workers' run. */
     void serve(PeerHandler&);
-    /** Keeps links to these instances and drops the others. */
+    /** All instances that links may lead to; links to others are dropped, and so are unused ones that are not kept. */
     void setPeers(std::span<const PeerAddress>);
-    /** Sends a control frame; false where no link is up. Any thread. */
+    /** Sends a control frame; where no link is up it is lost, and a link is dialled for the next one. Any thread. */
     bool send(const InstanceId&, const wire::Frame&);
     bool connected(const InstanceId&) const;
+    /** Whether a link is up, or may come up when it is needed. */
+    bool reachable(const InstanceId&) const;
     /** Sends a request to another instance and waits for the head of its answer. PeerLost with `not run` where no link is up. */
     boost::asio::awaitable<Result<std::unique_ptr<IncomingAnswer>>> forward(InstanceId, wire::Forward, Instant deadline);
     void stop();
