--- a/fuzzing/parsers_fuzz.cpp
+++ b/fuzzing/parsers_fuzz.cpp
@@ -2,6 +2,7 @@
 #include "peer_types.h"
 #include "yuccashift/answers/sse_tracker.hpp"
 #include "yuccashift/document/parser.hpp"
+#include "yuccashift/gateway/chat_request.hpp"
 #include "yuccashift/kernel/random.hpp"
 #include "yuccashift/kernel/settings.hpp"
 #include "yuccashift/keys/minted_key.hpp"
@@ -53,6 +54,8 @@
     constexpr std::string_view loadText = R"({"sequence":1,"running":2,"waiting":3,"queued_tokens":4,"prefill_tokens_per_second":5.5,"leaving":false,"role":"both","fence":6,"models":[{"name":"m","version":"1","adapters":["a"]}]})";
     constexpr std::string_view cacheText = R"({"events":[{"sequence":1,"kind":"stored","block":"00ff00ff00ff00ff"}]})";
 
+    constexpr std::string_view chatText = R"({"model":"m:tax","messages":[{"role":"user","content":"a car"},{"role":"user","content":"b"}],"max_tokens":20,"stream":true})";
+
     wire::Frame sampleFrame()
     {
         wire::Heartbeat heartbeat;
@@ -190,7 +193,9 @@
 
     std::optional<std::string> checkBody(std::uint32_t which, std::span<const Step> changes)
     {
-        switch (pick(which, 4)) {
+        switch (pick(which, 5)) {
+        case 4:
+            return checkKind(parseChatRequest(mutated(std::string(chatText), changes)));
         case 0:
             return checkKind(detail::parseConfigListing(mutated(std::string(listingText), changes)));
         case 1:
