Read documents by SourceReader in the daemon

Cause: the daemon's loop marked a revision as read although the text was older (a stale replica), so it was not read again before the next revision; it read what peers had brought meanwhile; and all instances read in one order. SourceReader did none of this, but a document that could not be read would have held up all others. Change: the loop performs what SourceReader decides. A read that fails is left out until the next listing. Conclusion: one place decides calls to the configuration service.

--- a/src/yuccashift/config/source_reader.cpp
+++ b/src/yuccashift/config/source_reader.cpp
@@ -59,6 +59,8 @@
     const auto held = set.documents.find(published.service);
     if (held != set.documents.end() && held->second.version.revision >= published.revision)
         return false;
+    if (m_unreadable.contains(published.service))
+        return false;
     const auto read = m_read.find(published.service);
     return read == m_read.end() || read->second < published.revision;
 }
@@ -81,7 +83,7 @@
             chosenWeight = weight;
         }
     }
-    m_complete = m_complete || chosen == nullptr;
+    m_complete = m_complete || (chosen == nullptr && m_unreadable.empty());
     if (chosen == nullptr || leaveToPeers(now))
         return std::nullopt;
     return chosen->service;
@@ -95,6 +97,7 @@
 void SourceReader::onListing(const ConfigListing& listing, Instant now)
 {
     m_failures = 0;
+    m_unreadable.clear();
     m_listing = listing;
     m_listedAt = now;
     m_nextListing = m_watcher ? now : now + nextPollDelay(m_timing.poll, 0, m_random);
@@ -114,8 +117,10 @@
         m_read[service] = it->revision;
 }
 
-void SourceReader::onFailure(Instant now)
+void SourceReader::onFailure(const ServiceName& service, Instant now)
 {
+    if (!service.empty())
+        m_unreadable.insert(service);
     // An instance that knows nothing yet cannot wait for the next poll either.
     const auto& timing = m_watcher || !m_listing ? m_timing.watcherRetry : m_timing.poll;
     m_heldOffUntil = now + nextPollDelay(timing, m_failures, m_random);
--- a/src/yuccashift/config/source_reader.hpp
+++ b/src/yuccashift/config/source_reader.hpp
@@ -5,6 +5,7 @@
 #include "yuccashift/platform/listing.hpp"
 
 #include <optional>
+#include <set>
 
 namespace yuccashift {
 
@@ -57,9 +58,10 @@
     SourceStep next(Instant now);
 
     void onListing(const ConfigListing&, Instant now);
-    /** The text was read, and the coordinator made this of it; a service without a text counts as BadDocument. */
+    /** The text was read, and the coordinator made this of it; a service without a text counts as a failure. */
     void onText(const ServiceName&, const Result<Acceptance>&, Instant now);
-    void onFailure(Instant now);
+    /** The call failed; `service` is empty unless it was a read. */
+    void onFailure(const ServiceName& service, Instant now);
 
     /** Whether everything listed was read or brought by peers at least once. */
     bool complete() const { return m_complete; }
@@ -89,6 +91,8 @@
     Instant m_heldOffUntil {};
     /** Revision of each service that was read last, so that a rejected text is not read again and again. */
     std::map<ServiceName, Revision> m_read;
+    /** Services that could not be read since the last listing; the others must not wait for them. */
+    std::set<ServiceName> m_unreadable;
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/node/config_loop.cpp
+++ b/src/yuccashift/node/config_loop.cpp
@@ -2,8 +2,10 @@
 
 #include "yuccashift/gateway/parts.hpp"
 #include "yuccashift/kernel/log.hpp"
+#include "yuccashift/kernel/random.hpp"
 #include "yuccashift/membership/coordinator.hpp"
-#include "yuccashift/resilience/backoff.hpp"
+
+#include <algorithm>
 
 namespace yuccashift {
 
@@ -11,102 +13,80 @@
 
 namespace {
 
-    constexpr seconds watchWait { 20 };
-    /** How often an instance that polls looks whether it has become a watcher. */
-    constexpr milliseconds watcherCheck { 500 };
+    // A step may be due at once; the loop still yields to other work.
+    constexpr milliseconds shortestWait { 10 };
 
 } // namespace
 
 ConfigLoop::ConfigLoop(LoopContext context, ConfigSource& source)
     : m_context(context)
     , m_source(source)
-    , m_pacer(context.parts.clock.now())
+    , m_random(makeSystemRandom())
+    , m_reader(context.parts.self.instance, context.parts.documents, *m_random, context.parts.clock.now())
 {
 }
 
 asio::awaitable<void> ConfigLoop::run()
 {
     for (;;) {
-        co_await readOnce();
-        if (m_failures > 0)
-            co_await sleepFor(backoff({}, m_failures, threadRandom()));
-        else if (!isWatcherNow())
-            co_await waitForPoll();
-    }
-}
-
-bool ConfigLoop::isWatcherNow() const
-{
-    return isWatcher(m_context.parts.self.instance, m_context.parts.settings.region, m_context.coordinator.view()->liveInRegion);
-}
-
-asio::awaitable<void> ConfigLoop::waitForPoll()
-{
-    const auto until = m_context.parts.clock.now() + nextPollDelay({}, m_failures, threadRandom());
-    while (m_context.parts.clock.now() < until && !isWatcherNow())
-        co_await sleepFor(watcherCheck);
-}
-
-asio::awaitable<void> ConfigLoop::paced()
-{
-    m_pacer.setFleet(m_context.coordinator.view()->members.size() + 1);
-    for (;;) {
-        const auto wait = m_pacer.reserve(m_context.parts.clock.now());
-        if (wait <= Duration::zero())
-            co_return;
-        co_await sleepFor(wait);
+        const auto view = m_context.coordinator.view();
+        const bool watches = isWatcher(m_context.parts.self.instance, m_context.parts.settings.region, view->liveInRegion);
+        m_reader.setRole(watches, view->members.size() + 1);
+        co_await take(m_reader.next(m_context.parts.clock.now()));
     }
 }
 
-asio::awaitable<Result<ConfigListing>> ConfigLoop::nextListing()
-{
-    co_await paced();
-    if (m_listed && isWatcherNow())
-        co_return co_await m_source.watch(m_index, watchWait);
-    co_return co_await m_source.list();
-}
-
-asio::awaitable<void> ConfigLoop::readOnce()
+asio::awaitable<void> ConfigLoop::take(SourceStep step)
 {
-    const auto listing = co_await nextListing();
-    if (!listing) {
-        if (m_failures++ == 0)
-            logWarning("configuration service cannot be read", { { "reason", listing.error().detail } });
-        co_return;
+    switch (step.action) {
+    case SourceAction::Wait:
+        co_await sleepFor(std::max<Duration>(step.wait, shortestWait));
+        break;
+    case SourceAction::List:
+        takeListing(co_await m_source.list());
+        break;
+    case SourceAction::Watch:
+        takeListing(co_await m_source.watch(step.index, step.wait));
+        break;
+    case SourceAction::Read:
+        takeText(step.service, co_await m_source.read(step.service));
+        break;
     }
-    m_failures = 0;
-    m_listed = true;
-    m_index = listing->index;
-    co_await takeListing(*listing);
 }
 
-asio::awaitable<void> ConfigLoop::takeListing(const ConfigListing& listing)
+void ConfigLoop::takeListing(const Result<ConfigListing>& listing)
 {
-    const auto held = m_context.parts.documents.revisions();
-    for (const auto& published : listing.documents) {
-        const auto it = held.find(published.service);
-        const bool isNews = it == held.end() || it->second.revision < published.revision;
-        if (isNews && m_read[published.service] < published.revision)
-            co_await takeDocument(published);
-    }
+    if (listing)
+        m_reader.onListing(*listing, m_context.parts.clock.now());
+    else
+        noteFailure(listing.error(), {});
+    m_failing = !listing;
 }
 
-asio::awaitable<void> ConfigLoop::takeDocument(const PublishedRevision& published)
+void ConfigLoop::takeText(const ServiceName& service, Result<std::string> text)
 {
-    co_await paced();
-    auto text = co_await m_source.read(published.service);
     if (!text) {
-        ++m_failures;
-        co_return;
+        noteFailure(text.error(), service);
+        m_failing = true;
+        return;
     }
-    m_read[published.service] = published.revision;
+    m_failing = false;
+    const auto now = m_context.parts.clock.now();
     OutgoingFrames frames;
-    const auto acceptance = m_context.coordinator.offer(std::move(*text), published.service, m_context.parts.clock.now(), frames);
+    const auto acceptance = m_context.coordinator.offer(std::move(*text), service, now, frames);
     m_context.send(frames);
+    m_reader.onText(service, acceptance, now);
     if (acceptance)
         logInfo("document read", { { "service", acceptance->service }, { "revision", acceptance->revision }, { "changed", acceptance->changed() ? "yes" : "no" } });
     else
-        logWarning("document rejected", { { "service", published.service }, { "reason", acceptance.error().detail } });
+        logWarning("document rejected", { { "service", service }, { "reason", acceptance.error().detail } });
+}
+
+void ConfigLoop::noteFailure(const Error& error, const ServiceName& service)
+{
+    m_reader.onFailure(service, m_context.parts.clock.now());
+    if (!m_failing)
+        logWarning("configuration service cannot be read", { { "reason", error.detail } });
 }
 
 } // namespace yuccashift
--- a/src/yuccashift/node/config_loop.hpp
+++ b/src/yuccashift/node/config_loop.hpp
@@ -1,13 +1,15 @@
 #pragma once
 
-#include "yuccashift/config/watcher_choice.hpp"
+#include "yuccashift/config/source_reader.hpp"
 #include "yuccashift/node/loop_context.hpp"
 #include "yuccashift/platform/config_source.hpp"
 
-#include <map>
+#include <memory>
 
 namespace yuccashift {
 
+class RandomSource;
+
 /**
  * Reads the configuration service: by a watch where this instance is one of
  * its region's watchers, otherwise by rare polls. Peers bring the rest.
@@ -19,22 +21,17 @@
     boost::asio::awaitable<void> run();
 
 private:
-    boost::asio::awaitable<void> readOnce();
-    boost::asio::awaitable<Result<ConfigListing>> nextListing();
-    boost::asio::awaitable<void> takeListing(const ConfigListing&);
-    boost::asio::awaitable<void> takeDocument(const PublishedRevision&);
-    boost::asio::awaitable<void> paced();
-    boost::asio::awaitable<void> waitForPoll();
-    bool isWatcherNow() const;
+    boost::asio::awaitable<void> take(SourceStep);
+    void takeListing(const Result<ConfigListing>&);
+    void takeText(const ServiceName&, Result<std::string>);
+    void noteFailure(const Error&, const ServiceName&);
 
     LoopContext m_context;
     ConfigSource& m_source;
-    ReadPacer m_pacer;
-    std::uint64_t m_index = 0;
-    bool m_listed = false;
-    std::uint32_t m_failures = 0;
-    /** Revisions read here, so that a rejected text is read only once. */
-    std::map<ServiceName, Revision> m_read;
+    std::unique_ptr<RandomSource> m_random;
+    SourceReader m_reader;
+    /** Whether the last call failed, so that an outage is logged once. */
+    bool m_failing = false;
 };
 
 } // namespace yuccashift
--- a/tests/config/source_reader_test.cpp
+++ b/tests/config/source_reader_test.cpp
@@ -57,7 +57,7 @@
         {
             ++m_calls;
             if (m_down)
-                it.reader->onFailure(m_now);
+                it.reader->onFailure(step.service, m_now);
             else if (step.action == SourceAction::Read)
                 it.reader->onText(step.service, it.store.accept(documentText(step.service, m_published.index), step.service), m_now);
             else
@@ -153,6 +153,24 @@
         EXPECT_EQ(it.reader->next(m_now + seconds(10)).action, SourceAction::Read);
     }
 
+    TEST_F(ConfigReaders, DoNotLetADocumentThatCannotBeReadHoldUpTheOthers)
+    {
+        add(1, 1);
+        publish(3, 5);
+        auto& it = m_readers.front();
+        it.reader->onListing(m_published, m_now);
+        const auto unreadable = it.reader->next(m_now).service;
+        it.reader->onFailure(unreadable, m_now);
+        EXPECT_EQ(it.reader->next(m_now).action, SourceAction::Wait);
+        const auto later = m_now + seconds(5);
+        const auto other = it.reader->next(later);
+        EXPECT_EQ(other.action, SourceAction::Read);
+        EXPECT_NE(other.service, unreadable);
+        it.reader->onListing(m_published, later);
+        EXPECT_EQ(it.reader->next(later + seconds(1)).service, unreadable);
+        EXPECT_FALSE(it.reader->complete());
+    }
+
     TEST_F(ConfigReaders, ReadAgainWhenATextIsOlderThanItsListing)
     {
         add(1, 1);
