Hedge idempotent requests for whole answers

Cause: the documents' hedge section had a budget but no effect. Change: after the delay a second server is tried; the first whole answer wins and the other sending is cancelled with its connection.

--- a/src/yuccashift/gateway/attempt.cpp
+++ b/src/yuccashift/gateway/attempt.cpp
@@ -72,6 +72,9 @@
     {
         const InProgressBook::Entry entry(m_parts.inProgress, key, m_context.fingerprint);
         result = co_await exchange(span.context);
+        const auto cancellation = co_await asio::this_coro::cancellation_state;
+        if (cancellation.cancelled() != asio::cancellation_type::none)
+            result = fail(ErrorKind::Cancelled, "another sending was quicker");
         // The book still names this request while its server's death is noted.
         if (!result)
             co_await noteLoss(result.error());
--- a/src/yuccashift/gateway/executor.cpp
+++ b/src/yuccashift/gateway/executor.cpp
@@ -2,6 +2,7 @@
 
 #include "yuccashift/answers/resume_plan.hpp"
 #include "yuccashift/gateway/attempt.hpp"
+#include "yuccashift/gateway/hedged_attempt.hpp"
 #include "yuccashift/gateway/parts.hpp"
 
 #include <algorithm>
@@ -20,6 +21,7 @@
             : m_parts(parts)
             , m_context(context)
             , m_traits(context.traits)
+            , m_sink(sink)
             , m_relay(sink, context.resumeOffset)
         {
         }
@@ -27,13 +29,13 @@
         asio::awaitable<Result<void>> run()
         {
             m_parts.retries.onRequest(m_traits.service, m_traits.organisation, m_context.document().retry);
+            m_parts.hedges.onRequest(m_traits.service, m_traits.organisation, m_context.document().hedge);
             for (;;) {
                 const auto* backend = choose();
                 if (backend == nullptr)
                     co_return tl::unexpected(final({ m_failure ? m_failure->kind : ErrorKind::NoBackend, m_failure ? m_failure->detail : "", {}, {} }));
                 ++m_attempts;
-                Attempt attempt(m_parts, m_context, *backend, m_relay, m_fresh);
-                const auto result = co_await attempt.run();
+                const auto result = co_await attempt(*backend);
                 if (result)
                     break;
                 m_failure = result.error();
@@ -47,6 +49,26 @@
         }
 
     private:
+        asio::awaitable<Result<void>> attempt(const BackendSpec& backend)
+        {
+            const auto delay = HedgeBudget::delay(m_context.document().hedge, m_traits, m_expected);
+            if (delay && !m_context.streaming && m_attempts == 1)
+                co_return co_await runHedged(
+                    m_parts, m_context, backend, [this, &backend] { return chooseHedge(backend); }, *delay, m_sink);
+            Attempt single(m_parts, m_context, backend, m_relay, m_fresh);
+            co_return co_await single.run();
+        }
+
+        const BackendSpec* chooseHedge(const BackendSpec& first)
+        {
+            m_traits.excluded.push_back(first.name);
+            const auto* second = choose();
+            if (second == nullptr || !m_parts.hedges.tryHedge(m_traits, m_context.document().hedge))
+                return nullptr;
+            m_traits.excluded.push_back(second->name);
+            return second;
+        }
+
         const BackendSpec* choose()
         {
             const auto now = m_parts.clock.now();
@@ -57,6 +79,7 @@
             const auto decision = m_parts.policies.backend->choose(m_traits, states, now, threadRandom());
             if (!decision.chosen)
                 return nullptr;
+            m_expected = decision.candidates[*decision.chosen].expected.value_or(Duration::zero());
             const auto& backends = m_context.document().backends;
             const auto it = std::ranges::find(backends, states[*decision.chosen].name, &BackendSpec::name);
             return it == backends.end() ? nullptr : &*it;
@@ -126,9 +149,12 @@
         Parts& m_parts;
         const RequestContext& m_context;
         RequestTraits m_traits;
+        AnswerSink& m_sink;
         AnswerRelay m_relay;
         std::uint32_t m_attempts = 0;
         bool m_mayHaveRun = false;
+        /** Expected time to the end of the answer on the server chosen last. */
+        Duration m_expected {};
         bool m_fresh = false;
         std::optional<Error> m_failure;
     };
