Leave more slots free of batch work, and measure with many instances

Cause: urgent and normal model work ran beside full batches, which slow it. The gate's test gives the new fills.

--- a/benchmarks/runner/scenario.cpp
+++ b/benchmarks/runner/scenario.cpp
@@ -56,6 +56,17 @@
         return scenario;
     }
 
+    Scenario manyInstances()
+    {
+        auto scenario = base("many-instances", "fourteen instances per region before 24 engines and 12 ledger servers, at 75% load");
+        scenario.regions = { { 4, 8, 14 }, { 4, 8, 14 }, { 4, 8, 14 } };
+        scenario.workload.regionShares = { 0.36, 0.34, 0.3 };
+        scenario.workload.length = seconds(60);
+        scenario.workload.modelRate = 60;
+        scenario.workload.plainRate = 400;
+        return scenario;
+    }
+
     Scenario lateReports()
     {
         auto scenario = base("late-reports", "reports lag 0.2 to 5 s at 75% load");
@@ -178,7 +189,7 @@
 
 std::vector<Scenario> allScenarios()
 {
-    return { surge(), monthEnd(), shiftedPeaks(), capacitySkew(), lateReports(), cacheGaps(), slowBackend(), deadBackend(), flappingBackend(),
+    return { surge(), monthEnd(), shiftedPeaks(), capacitySkew(), manyInstances(), lateReports(), cacheGaps(), slowBackend(), deadBackend(), flappingBackend(),
         regionLost(), configDown(), crashingRequest(), noisyOrganisation(), retryStorm() };
 }
 
--- a/src/yuccashift/admission/capacity_gate.cpp
+++ b/src/yuccashift/admission/capacity_gate.cpp
@@ -13,13 +13,13 @@
     {
         switch (priority) {
         case Priority::Urgent:
-            return 1.5;
+            return 2.0;
         case Priority::Normal:
-            return 1.1;
+            return 1.0;
         case Priority::Batch:
             break;
         }
-        return 0.9;
+        return 0.8;
     }
 
     struct Pool {
--- a/tests/admission/capacity_gate_test.cpp
+++ b/tests/admission/capacity_gate_test.cpp
@@ -31,18 +31,18 @@
 
     TEST_F(ACapacityGate, LetsMoreUrgentWorkFillTheServersFurther)
     {
-        EXPECT_TRUE(admits(Priority::Batch, 8));
-        EXPECT_FALSE(admits(Priority::Batch, 9));
-        EXPECT_TRUE(admits(Priority::Normal, 10));
-        EXPECT_FALSE(admits(Priority::Normal, 11));
-        EXPECT_TRUE(admits(Priority::Urgent, 14));
-        EXPECT_FALSE(admits(Priority::Urgent, 15));
+        EXPECT_TRUE(admits(Priority::Batch, 7));
+        EXPECT_FALSE(admits(Priority::Batch, 8));
+        EXPECT_TRUE(admits(Priority::Normal, 9));
+        EXPECT_FALSE(admits(Priority::Normal, 10));
+        EXPECT_TRUE(admits(Priority::Urgent, 19));
+        EXPECT_FALSE(admits(Priority::Urgent, 20));
     }
 
     TEST_F(ACapacityGate, CountsOnlyServersThatMayServe)
     {
         states[1].leaving = true;
-        EXPECT_FALSE(admits(Priority::Normal, 11));
+        EXPECT_FALSE(admits(Priority::Normal, 10));
         states[1].leaving = false;
         states[1].availableSince = now;
         EXPECT_FALSE(admits(Priority::Normal, 7));
