Take turns among servers that are expected to be equally fast

Cause: with many instances most servers look idle to each, and drawing at random bunches requests. Change: among ties the server this instance left alone for longest.

--- a/src/yuccashift/routing/expected_latency_backend.cpp
+++ b/src/yuccashift/routing/expected_latency_backend.cpp
@@ -38,18 +38,22 @@
         return static_cast<std::size_t>(end - indexes.begin());
     }
 
-    /** The fastest of the expected times, ties drawn at random. */
-    std::size_t pickFastest(std::span<const std::size_t> sample, std::span<const Candidate> candidates, RandomSource& random)
+    /**
+     * The fastest of the expected times. Among ties the server that this instance has
+     * left alone for longest: taking turns spreads more evenly than drawing.
+     */
+    std::size_t pickFastest(std::span<const std::size_t> sample, std::span<const Candidate> candidates, std::span<const BackendState> states)
     {
         Duration best = Duration::max();
         for (const auto n : sample)
             best = std::min(best, *candidates[n].expected);
-        std::vector<std::size_t> ties;
+        std::optional<std::size_t> picked;
+        // The sample is in random order, which decides between servers never used.
         for (const auto n : sample) {
-            if (*candidates[n].expected <= best + tieWidth)
-                ties.push_back(n);
+            if (*candidates[n].expected <= best + tieWidth && (!picked || states[n].lastStartedAt < states[*picked].lastStartedAt))
+                picked = n;
         }
-        return ties[random.below(ties.size())];
+        return *picked;
     }
 
     /** Shortest expected time to the answer's end. */
@@ -70,7 +74,7 @@
                 decision.candidates[n].expected = estimateLatency(request, states[n], now).total();
                 decision.candidates[n].reason = RejectReason::Costlier;
             }
-            decision.chosen = pickFastest(sample, decision.candidates, random);
+            decision.chosen = pickFastest(sample, decision.candidates, states);
             decision.candidates[*decision.chosen].reason = RejectReason::None;
             return decision;
         }
--- a/src/yuccashift/routing/load_book.cpp
+++ b/src/yuccashift/routing/load_book.cpp
@@ -107,6 +107,7 @@
     m_entries.withShard(key, [&](auto& shard) {
         auto& entry = shard[key];
         ++entry.inFlight;
+        entry.lastStartedAt = now;
         entry.running.insert({ now, tokens });
         entry.starts.push_back({ now, tokens });
         forgetBefore(entry, now - memory);
@@ -196,6 +197,7 @@
 {
     state.leaving = entry.leaving || (entry.reportedAt && entry.report.leaving);
     state.ownInFlight = entry.inFlight;
+    state.lastStartedAt = entry.lastStartedAt;
     state.reportedAt = entry.reportedAt;
     state.availableSince = entry.availableSince;
     for (const auto& start : entry.starts) {
--- a/src/yuccashift/routing/load_book.hpp
+++ b/src/yuccashift/routing/load_book.hpp
@@ -75,6 +75,7 @@
         LoadReport report;
         bool leaving = false;
         std::uint32_t inFlight = 0;
+        Instant lastStartedAt;
         /** Start and tokens of the requests in flight, oldest first. */
         std::multiset<std::pair<Instant, std::uint64_t>> running;
         std::deque<Ended> starts;
--- a/src/yuccashift/routing/types.hpp
+++ b/src/yuccashift/routing/types.hpp
@@ -53,6 +53,8 @@
     std::uint64_t ownTokensSinceReport = 0;
     /** Requests of this instance that ended since the report was taken. */
     std::uint32_t ownEndedSinceReport = 0;
+    /** When this instance last sent a request there; the clock's epoch where never. */
+    Instant lastStartedAt;
     /** Requests of this instance in progress there. */
     std::uint32_t ownInFlight = 0;
     double prefillTokensPerSecond = 8000;
