--- a/fuzzing/parsers_fuzz.cpp
+++ b/fuzzing/parsers_fuzz.cpp
@@ -1,6 +1,7 @@
 #include "fuzzing/support/check.hpp"
 #include "peer_types.h"
 #include "yuccashift/answers/sse_tracker.hpp"
+#include "yuccashift/config/text_delta.hpp"
 #include "yuccashift/document/parser.hpp"
 #include "yuccashift/gateway/chat_request.hpp"
 #include "yuccashift/kernel/random.hpp"
@@ -246,13 +247,31 @@
         return std::ranges::any_of(first, isNegative) ? std::optional<std::string>("a negative load") : std::nullopt;
     }
 
+    // A delta leads to its target, and a damaged one to nothing or to a bounded text.
+    std::optional<std::string> checkDelta(std::span<const Step> changes, std::string_view mutant)
+    {
+        const std::string base(documentText);
+        const auto target = mutated(base, changes);
+        auto parts = makeTextDelta(base, target);
+        if (mutant == "a part of a delta is lost" && !parts.empty())
+            parts.pop_back();
+        if (applyTextDelta(base, parts) != target)
+            return "a delta does not lead to its target";
+        for (std::size_t n = 0; n < parts.size() && n < changes.size(); ++n) {
+            parts[n].offset = static_cast<std::int32_t>(changes[n].a) - static_cast<std::int32_t>(changes[n].b);
+            parts[n].length = static_cast<std::int32_t>(changes[n].c) - static_cast<std::int32_t>(changes[n].b);
+        }
+        const auto damaged = applyTextDelta(base, parts);
+        return damaged && damaged->size() > maxDocumentBytes ? std::optional<std::string>("a text over its bound") : std::nullopt;
+    }
+
     /** Whatever comes from outside, damaged at random. Sanitizers watch these as well. */
     class ParsersCheck final : public Check {
     public:
         std::vector<std::string> mutants() const override
         {
             return { "a document is read differently", "short secrets are accepted", "a frame is cut when it is written", "an event's bound is not kept",
-                "another spelling of a key is taken", "a load is lost when it is packed" };
+                "another spelling of a key is taken", "a load is lost when it is packed", "a part of a delta is lost" };
         }
 
         std::optional<std::string> run(std::span<const Step> steps, std::string_view mutant) override
@@ -260,7 +279,7 @@
             if (steps.empty())
                 return std::nullopt;
             const auto changes = steps.first(steps.size() / 4);
-            switch (pick(steps.back().a, 7)) {
+            switch (pick(steps.back().a, 8)) {
             case 0:
                 return checkDocument(mutated(std::string(documentText), changes), mutant);
             case 1:
@@ -273,6 +292,8 @@
                 return checkKey(changes, mutant);
             case 5:
                 return checkLoads(changes, mutant);
+            case 6:
+                return checkDelta(changes, mutant);
             default:
                 return checkEvents(mutated(std::string(eventsText), changes), steps, mutant);
             }
