--- a/src/cli/operator_client.cpp
+++ b/src/cli/operator_client.cpp
@@ -80,6 +80,8 @@
 {
     try {
         return interpret(exchangeNow(call));
+    } catch (const boost::system::system_error& error) {
+        return tl::unexpected(CallFailure { CallFault::Unreachable, error.code().message() });
     } catch (const std::exception& error) {
         return tl::unexpected(CallFailure { CallFault::Unreachable, error.what() });
     }
--- /dev/null
+++ b/tests/processes/guarantees_test.cpp
@@ -0,0 +1,181 @@
+#include "tests/support/two_regions.hpp"
+#include "tests/support/wait.hpp"
+
+#include <csignal>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace yuccashift::test {
+namespace {
+
+    constexpr std::uint64_t longAnswer = 400;
+
+    class RealProcesses : public testing::Test {
+    protected:
+        ProcessFleet& fleet() { return m_regions.fleet(); }
+
+        /** The engine that runs something now; empty where none does. */
+        std::string busyEngine()
+        {
+            for (const auto* name : { "engine-sofia-1", "engine-sofia-2", "engine-varna-1" }) {
+                const auto load = fleet().read(name, "/v1/load");
+                if (load.contains("running") && load.at("running").to_number<int>() > 0)
+                    return name;
+            }
+            return "";
+        }
+
+        TwoRegions m_regions { "processes" };
+    };
+
+    TEST_F(RealProcesses, ResumeAStreamWhoseEngineDiesAtItsExactToken)
+    {
+        const ChatCall chat { "itinerary", "a long plan", longAnswer, true };
+        bool killed = false;
+        const auto reply = send(chatRequest(m_regions.entry("sofia-1"), anywhereCredential, chat), [&](std::string_view body) {
+            const auto engine = killed || body.empty() ? std::string() : busyEngine();
+            if (!engine.empty()) {
+                fleet().killStandin(engine);
+                killed = true;
+            }
+            return true;
+        });
+        EXPECT_TRUE(killed);
+        EXPECT_EQ(judgeChat(chat, reply), Outcome::Whole) << reply.body.substr(reply.body.size() - std::min<std::size_t>(reply.body.size(), 500));
+    }
+
+    TEST_F(RealProcesses, NeverPresentAStreamAsWholeWhenEveryEngineDies)
+    {
+        const ChatCall chat { "itinerary", "a plan without an end", longAnswer, true };
+        bool killed = false;
+        const auto reply = send(chatRequest(m_regions.entry("sofia-1"), anywhereCredential, chat), [&](std::string_view body) {
+            if (!killed && !body.empty()) {
+                for (const auto* name : { "engine-sofia-1", "engine-sofia-2", "engine-varna-1" })
+                    fleet().killStandin(name);
+                killed = true;
+            }
+            return true;
+        });
+        EXPECT_TRUE(killed);
+        EXPECT_EQ(judgeChat(chat, reply), Outcome::Failed) << reply.body;
+    }
+
+    TEST_F(RealProcesses, FinishAStreamInProgressWhenToldToStop)
+    {
+        const ChatCall chat { "itinerary", "a plan through a planned stop", longAnswer, true };
+        bool told = false;
+        const auto reply = send(chatRequest(m_regions.entry("sofia-2"), anywhereCredential, chat), [&](std::string_view body) {
+            if (!told && !body.empty())
+                fleet().instance("sofia-2").process->signal(SIGTERM);
+            told = told || !body.empty();
+            return true;
+        });
+        EXPECT_EQ(judgeChat(chat, reply), Outcome::Whole);
+        EXPECT_EQ(fleet().instance("sofia-2").process->waitForExit(), 0);
+        EXPECT_TRUE(m_regions.serves({ "sofia-1", "varna-1", "varna-2" }));
+    }
+
+    TEST_F(RealProcesses, RunAKeyOnceThoughItsCallerSendsItAgainThroughEveryEntry)
+    {
+        const auto key = askEntries(m_regions.entry("sofia-1"), anywhereCredential).key;
+        ASSERT_NE(key, "");
+        for (const auto& instance : TwoRegions::allInstances()) {
+            auto request = plainRequest(m_regions.entry(instance), anywhereCredential, "POST", "/ledger/redeem", "one visit");
+            request.headers["Idempotency-Key"] = key;
+            const auto reply = send(request);
+            EXPECT_EQ(judgePlain(request, reply), Outcome::Whole) << instance << ": " << reply.body;
+        }
+        EXPECT_EQ(m_regions.runsOf(key), 1u);
+    }
+
+    TEST_F(RealProcesses, NeverRunAKeyAgainAfterItsMinterDied)
+    {
+        const auto key = askEntries(m_regions.entry("sofia-2"), anywhereCredential).key;
+        fleet().instance("sofia-2").process->signal(SIGKILL);
+        for (const auto& instance : { "sofia-1", "varna-1", "varna-2" }) {
+            auto request = plainRequest(m_regions.entry(instance), anywhereCredential, "POST", "/ledger/redeem", "one visit");
+            request.headers["Idempotency-Key"] = key;
+            EXPECT_NE(send(request).status, 200);
+        }
+        fleet().startInstance(TwoRegions::spec("sofia-2"));
+        ASSERT_TRUE(fleet().waitReady());
+        auto request = plainRequest(m_regions.entry("sofia-2"), anywhereCredential, "POST", "/ledger/redeem", "one visit");
+        request.headers["Idempotency-Key"] = key;
+        EXPECT_NE(send(request).status, 200);
+        EXPECT_EQ(m_regions.runsOf(key), 0u);
+    }
+
+    TEST_F(RealProcesses, SayOutcomeUnknownWhenTheAnswerOfAKeyIsLost)
+    {
+        fleet().control("ledger-sofia", "/control/lose-answers", R"({"count": 1})");
+        fleet().control("ledger-varna", "/control/lose-answers", R"({"count": 1})");
+        const auto call = m_regions.redeem(0, 1, "one visit");
+        ASSERT_EQ(call.replies.size(), 1u);
+        EXPECT_EQ(errorField(call.replies[0], "runState"), "outcome unknown") << call.replies[0].body;
+        EXPECT_EQ(m_regions.runsOf(call.key), 1u);
+    }
+
+    TEST_F(RealProcesses, ServeABoundRequestInItsRegionWhereverItArrives)
+    {
+        const ChatCall chat { "itinerary", "inspection of varna", 4, false };
+        const auto reply = send(chatRequest(m_regions.entry("sofia-1"), varnaCredential, chat));
+        EXPECT_EQ(judgeChat(chat, reply), Outcome::Whole) << reply.body;
+        const auto atVarna = fleet().read("engine-varna-1", "/control/runs");
+        const auto& runs = atVarna.at("runs").as_object();
+        const bool ranThere = std::ranges::any_of(runs, [](const auto& run) { return run.value().template to_number<int>() == 1; });
+        EXPECT_TRUE(ranThere);
+    }
+
+    TEST_F(RealProcesses, RefuseABoundRequestWhileItsRegionIsGone)
+    {
+        fleet().instance("varna-1").process->signal(SIGKILL);
+        fleet().instance("varna-2").process->signal(SIGKILL);
+        const ChatCall chat { "itinerary", "inspection of varna without varna", 4, false };
+        const auto reply = send(chatRequest(m_regions.entry("sofia-1"), varnaCredential, chat));
+        EXPECT_EQ(judgeChat(chat, reply), Outcome::Failed) << reply.body;
+        EXPECT_NE(reply.status, 0);
+    }
+
+    TEST_F(RealProcesses, PutAChangedDocumentInForceEverywhereAndNeverGoBack)
+    {
+        m_regions.publish(2);
+        ASSERT_TRUE(fleet().waitForRevision("ledger", 2));
+        // The service goes back to what it held before, as a stale replica would.
+        m_regions.publish(1);
+        fleet().startInstance(TwoRegions::spec("varna-2"));
+        ASSERT_TRUE(fleet().waitReady());
+        EXPECT_TRUE(fleet().waitForRevision("ledger", 2));
+        m_regions.publish(3);
+        EXPECT_TRUE(fleet().waitForRevision("ledger", 3));
+    }
+
+    TEST_F(RealProcesses, KeepTheDocumentInForceWhenItsSuccessorHasFaults)
+    {
+        m_regions.publish(2, "surprise: 1\n");
+        ASSERT_TRUE(fleet().waitForRevision("assistant", 2));
+        EXPECT_EQ(fleet().revisionAt("sofia-1", "ledger"), 1u);
+        EXPECT_TRUE(m_regions.serves({ "sofia-1", "varna-1" }));
+    }
+
+    TEST_F(RealProcesses, StartFromTheirPeersWhileTheConfigServiceIsDown)
+    {
+        fleet().control("config_service", "/control/mode", R"({"mode": "down"})");
+        fleet().instance("varna-2").process->signal(SIGKILL);
+        fleet().startInstance(TwoRegions::spec("varna-2"));
+        EXPECT_TRUE(fleet().waitReady({ "varna-2" }));
+        EXPECT_TRUE(fleet().waitForRevision("ledger", 1, { "varna-2" }));
+        EXPECT_TRUE(m_regions.serves({ "varna-2" }));
+    }
+
+    TEST_F(RealProcesses, RefuseWhatCannotFinishBeforeItsDeadline)
+    {
+        const ChatCall chat { "itinerary", "too late", longAnswer, false };
+        auto request = chatRequest(m_regions.entry("sofia-1"), anywhereCredential, chat);
+        request.headers["X-Deadline-Ms"] = "20";
+        const auto reply = send(request);
+        EXPECT_GE(reply.status, 500) << reply.body;
+        EXPECT_NE(errorField(reply, "runState"), "ran");
+    }
+
+} // namespace
+} // namespace yuccashift::test
--- /dev/null
+++ b/tests/support/http_call.cpp
@@ -0,0 +1,89 @@
+#include "tests/support/http_call.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <cctype>
+
+namespace yuccashift::test {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr unsigned httpVersion11 = 11;
+
+    http::request<http::string_body> makeRequest(const HttpCall& call)
+    {
+        http::request<http::string_body> request(http::string_to_verb(call.method), call.target, httpVersion11);
+        request.set(http::field::host, toString(call.to));
+        request.keep_alive(false);
+        for (const auto& [name, value] : call.headers)
+            request.set(name, value);
+        request.body() = call.body;
+        request.prepare_payload();
+        return request;
+    }
+
+    void takeHead(const http::response<http::string_body>& response, HttpReply& reply)
+    {
+        reply.status = static_cast<int>(response.result_int());
+        for (const auto& field : response) {
+            std::string name = field.name_string();
+            std::ranges::transform(name, name.begin(), [](unsigned char c) { return std::tolower(c); });
+            reply.headers[name] = field.value();
+        }
+    }
+
+    net::awaitable<void> exchange(const HttpCall& call, const OnProgress& onProgress, HttpReply& reply)
+    {
+        beast::tcp_stream stream(co_await net::this_coro::executor);
+        stream.expires_after(call.timeout);
+        const net::ip::tcp::endpoint endpoint(net::ip::make_address(call.to.host), call.to.port);
+        co_await stream.async_connect(endpoint, net::use_awaitable);
+        const auto request = makeRequest(call);
+        co_await http::async_write(stream, request, net::use_awaitable);
+        beast::flat_buffer buf;
+        http::response_parser<http::string_body> parser;
+        co_await http::async_read_header(stream, buf, parser, net::use_awaitable);
+        takeHead(parser.get(), reply);
+        while (!parser.is_done()) {
+            co_await http::async_read_some(stream, buf, parser, net::use_awaitable);
+            reply.body = parser.get().body();
+            if (onProgress && !onProgress(reply.body))
+                co_return;
+        }
+        reply.body = parser.get().body();
+        reply.complete = true;
+    }
+
+} // namespace
+
+std::string HttpReply::header(const std::string& lowerCaseName) const
+{
+    const auto it = headers.find(lowerCaseName);
+    return it == headers.end() ? std::string() : it->second;
+}
+
+HttpReply send(const HttpCall& call, const OnProgress& onProgress)
+{
+    HttpReply reply;
+    net::io_context context(1);
+    // An exception is a lost connection; what had arrived stays in the reply.
+    net::co_spawn(context, exchange(call, onProgress, reply), net::detached);
+    context.run();
+    return reply;
+}
+
+} // namespace yuccashift::test
--- /dev/null
+++ b/tests/support/relay.cpp
@@ -0,0 +1,111 @@
+#include "tests/support/relay.hpp"
+
+#include <array>
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <set>
+#include <thread>
+
+namespace yuccashift::test {
+
+namespace net = boost::asio;
+using net::ip::tcp;
+
+namespace {
+
+    using SocketPtr = std::shared_ptr<tcp::socket>;
+
+} // namespace
+
+struct Relay::State {
+    net::io_context context { 1 };
+    tcp::acceptor acceptor { context, tcp::endpoint(net::ip::make_address("127.0.0.1"), 0) };
+    std::thread thread;
+    // Everything below belongs to the thread.
+    RelayMode mode = RelayMode::Pass;
+    tcp::endpoint target;
+    std::set<SocketPtr> sockets;
+
+    net::awaitable<void> acceptAll()
+    {
+        while (true) {
+            auto near = std::make_shared<tcp::socket>(co_await acceptor.async_accept(net::use_awaitable));
+            if (mode != RelayMode::Cut)
+                net::co_spawn(context, join(std::move(near)), net::detached);
+        }
+    }
+
+    net::awaitable<void> join(SocketPtr near)
+    {
+        auto far = std::make_shared<tcp::socket>(context);
+        sockets.insert({ near, far });
+        co_await far->async_connect(target, net::use_awaitable);
+        net::co_spawn(context, pump(near, far), net::detached);
+        co_await pump(far, near);
+    }
+
+    net::awaitable<void> pump(SocketPtr from, SocketPtr to)
+    {
+        std::array<char, 16384> buf {};
+        try {
+            while (true) {
+                const auto n = co_await from->async_read_some(net::buffer(buf), net::use_awaitable);
+                if (mode == RelayMode::Pass)
+                    co_await net::async_write(*to, net::buffer(buf.data(), n), net::use_awaitable);
+            }
+        } catch (const std::exception&) {
+            closeAll({ from, to });
+        }
+    }
+
+    void closeAll(const std::set<SocketPtr>& some)
+    {
+        boost::system::error_code ec;
+        for (const auto& socket : some) {
+            socket->close(ec);
+            sockets.erase(socket);
+        }
+    }
+};
+
+Relay::Relay()
+    : m_state(std::make_shared<State>())
+{
+    net::co_spawn(m_state->context, m_state->acceptAll(), net::detached);
+    m_state->thread = std::thread([state = m_state.get()] { state->context.run(); });
+}
+
+Relay::~Relay()
+{
+    m_state->context.stop();
+    m_state->thread.join();
+}
+
+Endpoint Relay::endpoint() const
+{
+    return { "127.0.0.1", m_state->acceptor.local_endpoint().port() };
+}
+
+void Relay::setTarget(const Endpoint& target)
+{
+    const tcp::endpoint endpoint(net::ip::make_address(target.host), target.port);
+    net::post(m_state->context, [state = m_state.get(), endpoint] { state->target = endpoint; });
+}
+
+void Relay::setMode(RelayMode mode)
+{
+    net::post(m_state->context, [state = m_state.get(), mode] {
+        state->mode = mode;
+        // A connection that lost bytes is no use afterwards, so every change closes them but the silent one.
+        if (mode != RelayMode::Swallow)
+            state->closeAll(std::set(state->sockets));
+    });
+}
+
+} // namespace yuccashift::test
