--- a/examples/demo/demo.cpp
+++ b/examples/demo/demo.cpp
@@ -2,6 +2,7 @@
 
 #include "tests/support/wait.hpp"
 
+#include <atomic>
 #include <boost/json/parse.hpp>
 #include <fstream>
 #include <iomanip>
@@ -11,8 +12,13 @@
 namespace yuccashift::demo {
 
 using test::ChatCall;
+using test::chatRequest;
 using test::HttpReply;
+using test::judgeChat;
+using test::judgePlain;
 using test::Outcome;
+using test::plainRequest;
+using test::send;
 
 namespace {
 
@@ -83,7 +89,8 @@
 
 void Demo::check(bool right, const std::string& what)
 {
-    m_out << (right ? "  ok: " : "  WRONG: ") << what << "\n" << std::flush;
+    m_out << (right ? "  ok: " : "  WRONG: ") << what << "\n"
+          << std::flush;
     m_right = m_right && right;
 }
 
@@ -119,7 +126,8 @@
         text = client(arguments).second;
         return text.find("entry @") != std::string::npos;
     });
-    m_out << "  trace " << id << "\n" << indented(text, "    ");
+    m_out << "  trace " << id << "\n"
+          << indented(text, "    ");
     return text;
 }
 
@@ -255,7 +263,11 @@
     for (std::size_t n = 0; n < streamsUnderDrain; ++n)
         whole += judgeChat(chats[n], replies[n]) == Outcome::Whole ? 1 : 0;
     check(drained.first == 0 && whole == streamsUnderDrain, std::to_string(whole) + " of " + std::to_string(streamsUnderDrain) + " streams ended whole");
-    check(fleet.instance(leaving).process->waitForExit() == 0, leaving + " stopped with exit code 0");
+    auto& process = *fleet.instance(leaving).process;
+    const auto exit = process.waitForExit();
+    check(exit == 0, leaving + " stopped with exit code " + (exit ? std::to_string(*exit) : "none"));
+    if (exit != 0)
+        m_out << indented(process.errors(), "    ");
     fleet.removeInstance(leaving);
 }
 
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -12,8 +12,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace yuccashift::test {
 
 namespace {
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -68,7 +68,9 @@
 
 std::string ProcessFleet::program(const std::string& pathBelowBuild)
 {
-    return std::string(YUCCASHIFT_BUILD_FOLDER) + "/" + pathBelowBuild;
+    // Test programs lie one folder below the build's.
+    const auto self = std::filesystem::read_symlink("/proc/self/exe");
+    return self.parent_path().parent_path() / pathBelowBuild;
 }
 
 const std::string& ProcessFleet::operatorToken() const
@@ -82,7 +84,7 @@
     command.insert(command.end(), arguments.begin(), arguments.end());
     auto process = std::make_unique<ChildProcess>(command, "", m_folder, name);
     const std::string start = "listening ";
-    const auto endpoint = endpointOf(process->waitForLine(start).substr(start.size()));
+    auto endpoint = endpointOf(process->waitForLine(start).substr(start.size()));
     m_standins[name] = std::move(process);
     m_endpoints[name] = endpoint;
     return endpoint;
