--- a/src/yuccashift/membership/coordinator.hpp
+++ b/src/yuccashift/membership/coordinator.hpp
@@ -18,6 +18,7 @@
 class LoadExchange;
 class Quarantine;
 class SummaryExchange;
+enum class SpeakerTurn;
 
 /** What heartbeats carry for other modules; null where nothing is exchanged. All outlive the coordinator. */
 struct CoordinatorHooks {
@@ -72,6 +73,8 @@
     void setDraining();
 
     MemberViewPtr view() const;
+    /** This instance as it tells others of itself. */
+    MemberInfo self() const;
     /** What routeKey() needs to know of a key's minter; reachability and residency are the caller's to add. */
     MinterBelief beliefAbout(const InstanceId&) const;
     /** Whether the peers were asked for their documents, or none of them answered in time. */
@@ -82,17 +85,18 @@
     std::optional<Instant> regionHeardAt(const RegionName&) const;
 
 private:
-    SpreadPeers spreadPeers() const;
-    void onHeartbeat(const InstanceId& from, const wire::Heartbeat&, Instant now);
+    const SpreadPeers& spreadPeers();
+    void onHeartbeat(const InstanceId& from, const wire::Heartbeat&, Instant now, OutgoingFrames&);
+    void answerReplaced(const MemberState&, Instant now, OutgoingFrames&);
     void takeExchanges(const InstanceId& from, const wire::Heartbeat&, bool sameRegion, Instant now);
     void beatRegion(Instant now, OutgoingFrames&);
+    void beatLoads(Instant now, OutgoingFrames&);
     void beatOtherRegions(Instant now, OutgoingFrames&);
     void noticeOtherRegions(Instant now, OutgoingFrames&);
-    void sendAcross(const wire::Heartbeat&, Instant now, OutgoingFrames&);
+    void sendAcross(const wire::Heartbeat&, SpeakerTurn, OutgoingFrames&);
     wire::Heartbeat makeHeartbeat(std::size_t revisions, Instant now);
     wire::Heartbeat makeRegionHeartbeat(const HeartbeatBudget&, Instant now);
     wire::Heartbeat makeCrossHeartbeat(const HeartbeatBudget&, Instant now);
-    void fillQuarantine(wire::Heartbeat&, std::size_t limit, Instant now);
     void onPauseEnd(Instant now);
     void publishView();
 
@@ -109,10 +113,18 @@
     /** Heartbeats up to this one name the sender's addresses. */
     std::uint64_t m_introduceUntil = 0;
     Instant m_nextRegion {};
+    Instant m_nextLoads {};
     Instant m_nextCross {};
     Instant m_lastNotice {};
+    /** ConfigSpread::changes() that other regions were told of. */
+    std::uint64_t m_noticedChanges = 0;
     bool m_confirmed = true;
     MemberViewPtr m_view;
+    SpreadPeers m_peers;
+    /** Of the member table, when m_peers was made. */
+    std::optional<std::uint64_t> m_peersGeneration;
+    /** Of the member table, when m_view was made. */
+    std::uint64_t m_viewGeneration = 0;
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/peer/peer.thrift
+++ b/src/yuccashift/peer/peer.thrift
@@ -10,15 +10,16 @@
   4: binary proof
 }
 
-// Where an instance is and how it is reached.
+// Where an instance is and how it is reached. All but the first two are left
+// out of most heartbeats.
 struct Member {
   1: string instance
   2: i64 incarnation
-  3: string region
-  4: string datacentre
-  5: string callerEndpoint
-  6: string peerEndpoint
-  7: bool draining
+  3: optional string region
+  4: optional string datacentre
+  5: optional string callerEndpoint
+  6: optional string peerEndpoint
+  7: optional bool draining
 }
 
 struct DocumentRevision {
@@ -27,11 +28,21 @@
   3: i64 textHash      // tells apart two texts that carry the same revision
 }
 
-// The text of one accepted document.
+// Bytes copied from the text that is replaced, or new ones.
+struct TextPart {
+  1: i32 offset
+  2: i32 length
+  3: optional string text
+}
+
+// The text of one accepted document, whole or as parts over the one it replaces.
 struct DocumentText {
   1: string serviceName
   2: i64 revision
   3: string text
+  4: optional i64 textHash
+  5: optional i64 baseHash
+  6: optional list<TextPart> parts
 }
 
 // Load of one backend server as its watcher in the region saw it.
@@ -53,6 +64,7 @@
   4: i32 busySlots
   5: i32 queueWaitMs
   6: i32 ageMs
+  7: i32 meanServiceMs
 }
 
 // Use of one organisation's limit by the sender.
@@ -81,14 +93,14 @@
   1: Member sender
   2: i64 sequence
   3: i64 revisionDigest
-  4: list<DocumentRevision> revisions
-  5: list<BackendLoad> loads
-  6: list<RegionSummary> summaries
-  7: list<Demand> demands
-  8: list<QuarantineEntry> quarantine
-  9: list<Member> members
+  4: optional list<DocumentRevision> revisions
+  5: optional binary loads // packed, see membership/packed_loads.hpp
+  6: optional list<RegionSummary> summaries
+  7: optional list<Demand> demands
+  8: optional list<QuarantineEntry> quarantine
+  9: optional list<Member> members
   10: bool ready       // the sender has asked its peers for their documents
-  11: list<RegionDemand> regionDemands
+  11: optional list<RegionDemand> regionDemands
 }
 
 // Asks for the documents that are newer than these revisions.
@@ -99,7 +111,9 @@
 
 struct DocumentPush {
   1: list<DocumentText> documents
-  2: bool answer       // answers a pull, also when it is empty
+  2: bool answer       // answers a complete pull, also when it is empty
+  3: bool last         // ends such an answer
+  4: optional list<DocumentRevision> notices // documents that the receiver is about to get from others
 }
 
 struct Header {
@@ -124,6 +138,9 @@
   13: i32 localHops
   14: string traceparent
   15: i64 revision
+  16: string requestId
+  17: i32 resumeOffset // whole tokens that the caller already has
+  18: string backendKey // passed on to the backend server; key is empty then
 }
 
 struct AnswerHead {
