Refuse at once what the chosen backend server cannot finish in time

Change: missesDeadline() judges the chosen server by its own report before the first sending; the answer is deadline_unreachable, not run.

--- a/src/yuccashift/gateway/executor.cpp
+++ b/src/yuccashift/gateway/executor.cpp
@@ -3,6 +3,7 @@
 #include "yuccashift/answers/resume_plan.hpp"
 #include "yuccashift/gateway/attempt.hpp"
 #include "yuccashift/gateway/parts.hpp"
+#include "yuccashift/routing/latency_model.hpp"
 
 #include <algorithm>
 
@@ -56,6 +57,11 @@
             const auto decision = m_parts.policies.backend->choose(m_traits, states, now, threadRandom());
             if (!decision.chosen)
                 return nullptr;
+            // Refused while it certainly has not run, in place of work whose answer nobody waits for.
+            if (m_attempts == 0 && missesDeadline(m_traits, states[*decision.chosen], now)) {
+                m_failure = Error { ErrorKind::DeadlineUnreachable, {}, {}, {} };
+                return nullptr;
+            }
             const auto& backends = m_context.document().backends;
             const auto it = std::ranges::find(backends, states[*decision.chosen].name, &BackendSpec::name);
             return it == backends.end() ? nullptr : &*it;
--- a/src/yuccashift/routing/latency_model.cpp
+++ b/src/yuccashift/routing/latency_model.cpp
@@ -67,6 +67,15 @@
 
 } // namespace
 
+bool missesDeadline(const RequestTraits& request, const BackendState& state, Instant now)
+{
+    if (!state.reportedAt)
+        return false;
+    const auto estimate = estimateLatency(request, state, now);
+    // What recomputing costs others does not delay this request.
+    return now + estimate.total() - estimate.recompute > request.deadline;
+}
+
 double slowStartShare(std::optional<Instant> availableSince, Instant now)
 {
     if (!availableSince || now - *availableSince >= slowStartTime)
--- a/src/yuccashift/routing/latency_model.hpp
+++ b/src/yuccashift/routing/latency_model.hpp
@@ -22,6 +22,12 @@
 /** Expected time of the request on the backend server. */
 LatencyEstimate estimateLatency(const RequestTraits&, const BackendState&, Instant now);
 
+/**
+ * Whether the backend server, by its own report, cannot bring the whole answer
+ * before the request's deadline. False where it has reported nothing.
+ */
+bool missesDeadline(const RequestTraits&, const BackendState&, Instant now);
+
 /** Share of its capacity that a server may take so long after it came up, in (0, 1]. */
 double slowStartShare(std::optional<Instant> availableSince, Instant now);
 
