--- a/tests/routing/deadline_test.cpp
+++ b/tests/routing/deadline_test.cpp
@@ -8,7 +8,8 @@
     const Instant now { seconds(100) };
 
     /** An idle server that generates 100 tokens a second, and a request for 50 of them. */
-    struct IdleServer : testing::Test {
+    class IdleServer : public testing::Test {
+    protected:
         IdleServer()
         {
             m_state.slots = 8;
