--- a/src/yuccashift/gateway/admission_gate.cpp
+++ b/src/yuccashift/gateway/admission_gate.cpp
@@ -1,6 +1,8 @@
 #include "yuccashift/gateway/admission_gate.hpp"
 
+#include "yuccashift/admission/capacity_gate.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
+#include "yuccashift/routing/region_book.hpp"
 
 #include <boost/asio/experimental/concurrent_channel.hpp>
 
@@ -39,42 +41,43 @@
     m_gate.release(m_gate.m_clock.now() - m_admittedAt);
 }
 
-AdmissionGate::AdmissionGate(const Clock& clock, std::function<GateCapacity()> capacity)
+AdmissionGate::AdmissionGate(const Clock& clock, ServiceName service, GateStates states)
     : m_clock(clock)
-    , m_capacity(std::move(capacity))
+    , m_service(std::move(service))
+    , m_states(std::move(states))
     , m_queue(initialLimit)
 {
 }
 
 AdmissionGate::~AdmissionGate() = default;
 
-std::uint32_t AdmissionGate::capacity() const
+// Only a request that goes before all that wait may pass them.
+bool AdmissionGate::mayPass(const RequestTraits& traits) const
 {
-    const auto room = m_capacity();
-    return std::max({ room.share, m_inProgress + room.freeSlots, 1U });
+    const auto next = m_queue.nextPriority();
+    const bool first = !next || traits.priority < *next;
+    return first && hasRoom(traits, m_states(traits), m_clock.now());
 }
 
-Duration AdmissionGate::interval() const
+WaitingRequest AdmissionGate::makeWaiting(const RequestTraits& traits, double weight) const
 {
-    return m_meanService / std::max(capacity(), 1U);
+    return { m_lastId, traits.organisation, weight, traits.priority, traits.deadline, m_meanService };
 }
 
-asio::awaitable<Result<std::unique_ptr<AdmissionGate::Permit>>> AdmissionGate::admit(WaitingRequest request, std::size_t queueLimit)
+asio::awaitable<Result<std::unique_ptr<AdmissionGate::Permit>>> AdmissionGate::admit(const RequestTraits& traits, double weight, std::size_t queueLimit)
 {
     const auto waiter = std::make_shared<Waiter>(co_await asio::this_coro::executor);
     {
         const std::lock_guard lock(m_mutex);
         const auto now = m_clock.now();
-        // Nobody waits, so there is no order to keep.
-        if (m_queue.size() == 0 && m_inProgress < capacity()) {
+        if (mayPass(traits)) {
             ++m_inProgress;
             co_return std::make_unique<Permit>(*this, now);
         }
+        ++m_lastId;
+        const auto request = makeWaiting(traits, weight);
         m_queue.setLimit(queueLimit);
-        request.id = ++m_lastId;
-        if (request.expectedService == Duration::zero())
-            request.expectedService = m_meanService;
-        const auto pushed = m_queue.push(request, interval(), now);
+        const auto pushed = m_queue.push(request, admissionInterval(traits, m_states(traits), now), now);
         if (!pushed)
             co_return tl::unexpected(pushed.error());
         m_waiters.emplace(request.id, waiter);
@@ -96,15 +99,39 @@
     admitDue();
 }
 
+RequestTraits AdmissionGate::traitsOf(Priority priority) const
+{
+    RequestTraits traits;
+    traits.service = m_service;
+    traits.priority = priority;
+    return traits;
+}
+
+/** Requests of this priority that may be admitted at once. */
+std::size_t AdmissionGate::roomFor(Priority priority) const
+{
+    const auto traits = traitsOf(priority);
+    const auto states = m_states(traits);
+    const auto now = m_clock.now();
+    if (!hasRoom(traits, states, now))
+        return 0;
+    const auto load = summarise(states, now);
+    return std::max<std::size_t>(load.slots - std::min(load.slots, load.busySlots), 1);
+}
+
+// What is admitted here counts on the servers only once it was sent, so each
+// round admits no more than the room at its start.
 void AdmissionGate::admitDue()
 {
     const auto now = m_clock.now();
-    while (m_queue.size() > 0 && m_inProgress < capacity()) {
-        const auto next = m_queue.pop(now);
-        if (!next)
+    std::size_t admitted = 0;
+    for (auto next = m_queue.nextPriority(); next && admitted < roomFor(*next); next = m_queue.nextPriority()) {
+        const auto request = m_queue.pop(now);
+        if (!request)
             break;
+        ++admitted;
         ++m_inProgress;
-        tell(next->id, std::nullopt);
+        tell(request->id, std::nullopt);
     }
     for (const auto id : m_queue.expire(now))
         tell(id, ErrorKind::DeadlineUnreachable);
@@ -140,13 +167,10 @@
     return m_inProgress;
 }
 
-Duration AdmissionGate::expectedWait() const
+Duration AdmissionGate::expectedWait(const RequestTraits& traits) const
 {
     const std::lock_guard lock(m_mutex);
-    WaitingRequest request;
-    request.priority = Priority::Normal;
-    request.deadline = Instant::max();
-    return m_queue.expectedWait(request, interval());
+    return m_queue.expectedWait(makeWaiting(traits, 1), admissionInterval(traits, m_states(traits), m_clock.now()));
 }
 
 } // namespace yuccashift
--- a/src/yuccashift/gateway/admission_gate.hpp
+++ b/src/yuccashift/gateway/admission_gate.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "yuccashift/admission/admission_queue.hpp"
+#include "yuccashift/routing/types.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
@@ -10,13 +11,8 @@
 
 namespace yuccashift {
 
-/** Load of one service as its gate needs it. */
-struct GateCapacity {
-    /** Slots believed free on the region's backend servers. */
-    std::uint32_t freeSlots = 0;
-    /** This instance's even share of all slots, which it may always use. */
-    std::uint32_t share = 1;
-};
+/** What a gate believes of the backend servers behind it, for a request of these traits. */
+using GateStates = std::function<std::vector<BackendState>(const RequestTraits&)>;
 
 /**
  * Lets as many requests of one service proceed as its backend servers have
@@ -38,30 +34,33 @@
         Instant m_admittedAt;
     };
 
-    AdmissionGate(const Clock&, std::function<GateCapacity()>);
+    AdmissionGate(const Clock&, ServiceName, GateStates);
     ~AdmissionGate();
 
     /** Waits for room. QueueFull, DeadlineUnreachable or Overloaded where there will be none in time. */
-    boost::asio::awaitable<Result<std::unique_ptr<Permit>>> admit(WaitingRequest, std::size_t queueLimit);
+    boost::asio::awaitable<Result<std::unique_ptr<Permit>>> admit(const RequestTraits&, double weight, std::size_t queueLimit);
     /** Admits and expires what is due; to be called regularly, since reports change the room. */
     void poll();
 
     std::size_t waiting() const;
     std::uint32_t inProgress() const;
-    /** Expected wait of a request of normal priority. */
-    Duration expectedWait() const;
+    /** Expected wait of such a request in this queue. */
+    Duration expectedWait(const RequestTraits&) const;
 
 private:
     struct Waiter;
 
-    std::uint32_t capacity() const;
-    Duration interval() const;
+    bool mayPass(const RequestTraits&) const;
+    WaitingRequest makeWaiting(const RequestTraits&, double weight) const;
+    RequestTraits traitsOf(Priority) const;
+    std::size_t roomFor(Priority) const;
     void admitDue();
     void release(Duration held);
     void tell(std::uint64_t id, std::optional<ErrorKind>);
 
     const Clock& m_clock;
-    const std::function<GateCapacity()> m_capacity;
+    const ServiceName m_service;
+    const GateStates m_states;
     mutable std::mutex m_mutex;
     AdmissionQueue m_queue;
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
--- a/src/yuccashift/gateway/executor.cpp
+++ b/src/yuccashift/gateway/executor.cpp
@@ -4,9 +4,9 @@
 #include "yuccashift/gateway/attempt.hpp"
 #include "yuccashift/gateway/hedged_attempt.hpp"
 #include "yuccashift/gateway/parts.hpp"
+#include "yuccashift/routing/latency_model.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace yuccashift {
 
@@ -79,6 +79,11 @@
             const auto decision = m_parts.policies.backend->choose(m_traits, states, now, threadRandom());
             if (!decision.chosen)
                 return nullptr;
+            // Refused while it certainly has not run, in place of work whose answer nobody waits for.
+            if (m_attempts == 0 && missesDeadline(m_traits, states[*decision.chosen], now)) {
+                m_failure = Error { ErrorKind::DeadlineUnreachable, {}, {}, {} };
+                return nullptr;
+            }
             m_expected = decision.candidates[*decision.chosen].expected.value_or(Duration::zero());
             const auto& backends = m_context.document().backends;
             const auto it = std::ranges::find(backends, states[*decision.chosen].name, &BackendSpec::name);
@@ -159,29 +164,6 @@
         std::optional<Error> m_failure;
     };
 
-    /** Time that even an idle backend server needs until the first token; zero where none is known. */
-    Duration leastServiceTime(std::span<const BackendState> states, const RequestTraits& traits)
-    {
-        if (traits.model.empty() || states.empty())
-            return Duration::zero();
-        double least = std::numeric_limits<double>::max();
-        for (const auto& state : states) {
-            const auto uncached = traits.promptTokens - std::min(traits.promptTokens, state.cachedTokens);
-            least = std::min(least, uncached / std::max(state.prefillTokensPerSecond, 1.0) + 1 / std::max(state.decodeTokensPerSecond, 1.0));
-        }
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(least));
-    }
-
-    WaitingRequest waitingOf(const RequestContext& context)
-    {
-        WaitingRequest waiting;
-        waiting.organisation = context.traits.organisation;
-        waiting.weight = context.organisation->weight;
-        waiting.priority = context.traits.priority;
-        waiting.deadline = context.traits.deadline;
-        return waiting;
-    }
-
 } // namespace
 
 Executor::Executor(Parts& parts)
@@ -194,13 +176,10 @@
     auto span = m_parts.startSpan(context.trace, "execute");
     span.attributes = { { "region", m_parts.settings.region }, { "service", context.traits.service } };
     Result<void> result;
-    const auto now = m_parts.clock.now();
-    if (m_parts.quarantine.isQuarantined(context.fingerprint, now)) {
+    if (m_parts.quarantine.isQuarantined(context.fingerprint, m_parts.clock.now())) {
         result = fail(ErrorKind::Quarantined);
-    } else if (now + leastServiceTime(m_parts.backendStates(context.document(), context.traits), context.traits) > context.traits.deadline) {
-        result = fail(ErrorKind::DeadlineUnreachable);
     } else {
-        const auto permit = co_await m_parts.gate(context.traits.service).admit(waitingOf(context), context.document().queueLimit);
+        const auto permit = co_await m_parts.gate(context.traits.service).admit(context.traits, context.organisation->weight, context.document().queueLimit);
         if (permit) {
             RequestContext traced = context;
             traced.trace = span.context;
--- a/src/yuccashift/gateway/gateway.cpp
+++ b/src/yuccashift/gateway/gateway.cpp
@@ -113,6 +113,17 @@
         return error.kind == ErrorKind::NoBackend || error.kind == ErrorKind::QueueFull || error.kind == ErrorKind::Overloaded;
     }
 
+    /** Why no region can take the request; an allowed region that is out of reach may come back. */
+    Error noRegionError(const Decision& decision, bool allowedHere)
+    {
+        if (allowedHere)
+            return { ErrorKind::Overloaded, {}, {}, {} };
+        const bool outOfReach = std::ranges::any_of(decision.candidates, [](const auto& it) { return it.reason == RejectReason::Unreachable; });
+        if (outOfReach)
+            return { ErrorKind::NoBackend, "the allowed regions cannot be reached from here", {}, {} };
+        return { ErrorKind::ResidencyViolation, {}, {}, {} };
+    }
+
     // Callers refused together must not come back together.
     void spreadReturn(Error& error)
     {
@@ -267,7 +278,8 @@
 Decision Gateway::chooseRegion(const RequestContext& context, std::vector<RegionState>& states)
 {
     const auto now = m_parts.clock.now();
-    const auto here = summarise(m_parts.backendStates(context.document(), context.traits), now);
+    auto here = summarise(m_parts.backendStates(context.document(), context.traits), now);
+    here.queueWait = std::max(here.queueWait, m_parts.gate(context.traits.service).expectedWait(context.traits));
     states = m_parts.regions.states(context.document(), context.traits, here, now);
     return m_parts.policies.region->choose(context.traits, context.document().spill, m_parts.settings.region, states, now, threadRandom());
 }
@@ -284,7 +296,7 @@
     std::vector<RegionState> states;
     const auto decision = chooseRegion(context, states);
     if (!decision.chosen)
-        co_return fail(allowedHere ? ErrorKind::Overloaded : ErrorKind::ResidencyViolation);
+        co_return tl::unexpected(noRegionError(decision, allowedHere));
     const auto& chosen = states[*decision.chosen].name;
     if (chosen != here) {
         m_parts.metrics.counter("yuccashift_sent_away_total", { { "region", chosen } }).add();
--- a/src/yuccashift/gateway/parts.cpp
+++ b/src/yuccashift/gateway/parts.cpp
@@ -103,7 +103,7 @@
     const std::lock_guard lock(m_gatesMutex);
     auto& gate = m_gates[service];
     if (!gate)
-        gate = std::make_unique<AdmissionGate>(clock, [this, service] { return gateCapacity(service); });
+        gate = std::make_unique<AdmissionGate>(clock, service, [this, service](const RequestTraits& traits) { return gateStates(service, traits); });
     return *gate;
 }
 
@@ -114,14 +114,12 @@
         gate->poll();
 }
 
-GateCapacity Parts::gateCapacity(const ServiceName& service)
+std::vector<BackendState> Parts::gateStates(const ServiceName& service, const RequestTraits& traits)
 {
     const auto document = documents.find(service);
     if (!document || document->deleted)
         return {};
-    const auto load = summarise(backendStates(*document, {}), clock.now());
-    const auto share = (load.slots + senders - 1) / senders;
-    return { load.slots - std::min(load.slots, load.busySlots), std::max(share, 1U) };
+    return backendStates(*document, traits);
 }
 
 std::vector<BackendState> Parts::backendStates(const Document& document, const RequestTraits& traits)
--- a/src/yuccashift/gateway/parts.hpp
+++ b/src/yuccashift/gateway/parts.hpp
@@ -81,7 +81,7 @@
     std::atomic<std::uint32_t> senders { 1 };
 
 private:
-    GateCapacity gateCapacity(const ServiceName&);
+    std::vector<BackendState> gateStates(const ServiceName&, const RequestTraits&);
 
     std::mutex m_routesMutex;
     std::shared_ptr<const RouteTable> m_routes;
