--- /dev/null
+++ b/benchmarks/speed/speed.cpp
@@ -0,0 +1,200 @@
+#include "benchmarks/speed/load_driver.hpp"
+
+#include "standins/common/answer_text.hpp"
+#include "tests/support/process_fleet.hpp"
+
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+namespace {
+
+using namespace yuccashift;
+using namespace yuccashift::speed;
+
+constexpr const char* credential = "credential-of-the-speed-test";
+constexpr const char* engineName = "engine";
+constexpr const char* plainName = "plain";
+
+/** Processor time and memory of a process so far. */
+struct Usage {
+    double microseconds = 0;
+    double residentBytes = 0;
+};
+
+Usage usageOf(pid_t pid)
+{
+    std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+    std::string text;
+    std::getline(stat, text);
+    // Fields are counted after the name in brackets, which may hold blanks.
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    constexpr int userTimeField = 11;
+    std::string skipped;
+    for (int n = 0; n < userTimeField; ++n)
+        fields >> skipped;
+    double user = 0;
+    double system = 0;
+    fields >> user >> system;
+    std::ifstream statm("/proc/" + std::to_string(pid) + "/statm");
+    double pages = 0;
+    statm >> pages >> pages;
+    const auto ticks = static_cast<double>(sysconf(_SC_CLK_TCK));
+    return { (user + system) / ticks * 1e6, pages * static_cast<double>(sysconf(_SC_PAGESIZE)) };
+}
+
+/** One instance before one engine and one plain service. */
+class Setup {
+public:
+    explicit Setup(double decodeRate)
+        : m_fleet("speed")
+    {
+        m_fleet.startStandin(engineName, "engine", { "--model", "draft:1", "--slots", "2048", "--queue", "4096", "--decode", std::to_string(decodeRate), "--prefill", "10000000" });
+        m_fleet.startStandin(plainName, "plain_service", { "--work-ms", "0", "--slots", "4096" });
+        m_fleet.publishDocument("draft", document("draft", "kind: model\nmodels: [{name: draft, version: \"1\"}]\n", engineName, "chat, path: /v1/chat/completions"));
+        m_fleet.publishDocument("ledger", document("ledger", "kind: plain\npath_prefix: /ledger\n", plainName, "all, method: \"*\", path: \"/*\""));
+        m_fleet.startInstance({ "sofia-1", "sofia", "sofia-hall", "threads: 1\n" });
+        if (!m_fleet.waitReady() || !m_fleet.waitForRevision("draft", 1) || !m_fleet.waitForRevision("ledger", 1))
+            throw std::runtime_error("the instance did not become ready");
+    }
+
+    Endpoint entry() { return m_fleet.instance("sofia-1").callers; }
+    Endpoint engine() const { return m_fleet.standin(engineName); }
+    Endpoint plain() const { return m_fleet.standin(plainName); }
+    pid_t pid() { return m_fleet.instance("sofia-1").process->pid(); }
+
+private:
+    std::string document(const std::string& service, const std::string& kind, const std::string& standin, const std::string& route) const
+    {
+        return "service: " + service + "\nowner: speed\nrevision: 1\n" + kind + "regions: [sofia]\n"
+            + "backends: [{name: b, region: sofia, datacentre: sofia-hall, slots: 4096, address: \"" + toString(m_fleet.standin(standin)) + "\"}]\n"
+            + "routes: [{name: " + route + ", deadline_ms: 600000}]\nqueue_limit: 10000\n"
+            + "organisations: [{name: museum, credential_sha256: [\"" + standins::sha256Hex(credential) + "\"]}]\n";
+    }
+
+    test::ProcessFleet m_fleet;
+};
+
+LoadSpec plainLoad(const Endpoint& target, std::size_t connections)
+{
+    LoadSpec spec;
+    spec.target = target;
+    spec.path = "/ledger/balance/7";
+    spec.headers = { { "Authorization", std::string("Bearer ") + credential } };
+    spec.connections = connections;
+    return spec;
+}
+
+LoadSpec chatLoad(const Endpoint& target, std::size_t connections, std::size_t tokens)
+{
+    LoadSpec spec = plainLoad(target, connections);
+    spec.method = "POST";
+    spec.path = "/v1/chat/completions";
+    spec.headers.emplace_back("Content-Type", "application/json");
+    spec.body = R"({"model":"draft","messages":[{"role":"user","content":"a schedule for staff cars, please"}],"stream":true,"max_tokens":)" + std::to_string(tokens) + "}";
+    return spec;
+}
+
+void printRow(const std::string& what, double direct, double through, const char* unit)
+{
+    std::cout << "| " << what << " | " << std::setprecision(3) << direct << " | " << through << " | " << unit << " | " << through / direct << " |\n";
+}
+
+void checkLoad(const LoadResult& result, const char* what)
+{
+    if (result.requests == 0 || result.failures > 0)
+        throw std::runtime_error(std::string(what) + ": " + std::to_string(result.failures) + " of " + std::to_string(result.requests) + " requests failed, the last with " + result.lastFailure);
+}
+
+/** Direct load, then the same load through the instance. */
+struct Pair {
+    LoadResult direct;
+    LoadResult through;
+    /** Processor time of the instance while its load ran. */
+    double instanceMicroseconds = 0;
+};
+
+Pair runPair(Setup& setup, LoadSpec spec, const Endpoint& standin, const char* what)
+{
+    Pair pair;
+    spec.target = standin;
+    pair.direct = runLoad(spec);
+    checkLoad(pair.direct, what);
+    spec.target = setup.entry();
+    const auto before = usageOf(setup.pid());
+    pair.through = runLoad(spec);
+    pair.instanceMicroseconds = usageOf(setup.pid()).microseconds - before.microseconds;
+    checkLoad(pair.through, what);
+    return pair;
+}
+
+void measureLatency(Setup& setup)
+{
+    constexpr double half = 0.5;
+    constexpr double nearlyAll = 0.99;
+    const auto plain = runPair(setup, plainLoad({}, 1), setup.plain(), "plain calls");
+    printRow("plain call, p50", quantile(plain.direct.latencies, half), quantile(plain.through.latencies, half), "us");
+    printRow("plain call, p99", quantile(plain.direct.latencies, nearlyAll), quantile(plain.through.latencies, nearlyAll), "us");
+    const auto chat = runPair(setup, chatLoad({}, 1, 1), setup.engine(), "first tokens");
+    printRow("first token, p50", quantile(chat.direct.firstTokens, half), quantile(chat.through.firstTokens, half), "us");
+    printRow("first token, p99", quantile(chat.direct.firstTokens, nearlyAll), quantile(chat.through.firstTokens, nearlyAll), "us");
+}
+
+void measureThroughput(Setup& setup)
+{
+    constexpr std::size_t connections = 32;
+    constexpr std::size_t tokens = 200;
+    const auto plain = runPair(setup, plainLoad({}, connections), setup.plain(), "plain calls");
+    printRow("plain calls, 32 connections", plain.direct.requestsPerSecond(), plain.through.requestsPerSecond(), "requests/s");
+    const double perRequest = plain.instanceMicroseconds / static_cast<double>(plain.through.requests);
+    const auto chat = runPair(setup, chatLoad({}, connections, tokens), setup.engine(), "streams");
+    printRow("streams of 200 tokens, 32 connections", chat.direct.tokensPerSecond(), chat.through.tokensPerSecond(), "tokens/s");
+    const double perToken = chat.instanceMicroseconds / static_cast<double>(chat.through.tokens);
+    std::cout << "\nInstance: " << perRequest << " us of a core for a plain call, " << 1e6 / perRequest << " requests/s for a core; " << perToken
+              << " us for a token, " << 1e6 / perToken << " tokens/s for a core.\n";
+}
+
+// Slow streams, so that all are open at once when the memory is read.
+void measureMemory()
+{
+    constexpr double tokensPerSecond = 2;
+    Setup setup(tokensPerSecond);
+    for (const std::size_t streams : { 25, 50, 75, 100 }) {
+        auto spec = chatLoad(setup.entry(), streams, 6);
+        spec.duration = std::chrono::milliseconds(200);
+        const auto before = usageOf(setup.pid());
+        LoadResult result;
+        std::jthread load([&] { result = runLoad(spec); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+        const auto during = usageOf(setup.pid());
+        load.join();
+        checkLoad(result, "open streams");
+        std::cout << "Open streams " << streams << ": " << (during.residentBytes - before.residentBytes) / static_cast<double>(streams) << " bytes more each, "
+                  << during.residentBytes / 1e6 << " MB in all.\n";
+    }
+}
+
+} // namespace
+
+// Any argument leaves out the memory of open streams.
+int main(int argc, char**)
+{
+    try {
+        std::cout << "| load | direct | through one instance | unit | ratio |\n|---|---|---|---|---|\n";
+        {
+            constexpr double fastTokens = 2000;
+            Setup setup(fastTokens);
+            measureLatency(setup);
+            measureThroughput(setup);
+        }
+        if (argc == 1)
+            measureMemory();
+    } catch (const std::exception& fault) {
+        std::cerr << "speed: " << fault.what() << "\n";
+        return 1;
+    }
+    return 0;
+}
