Let a queued stream wait for its first byte as long as for its head

Change: up to the first byte of the body the limit of the head applies. The contract tests set both limits, as they did before the limits were split.

--- a/src/yuccashift/http/backend_client.cpp
+++ b/src/yuccashift/http/backend_client.cpp
@@ -172,13 +172,15 @@
                 auto& body = m_parser.get().body();
                 body.data = m_chunk.data();
                 body.size = m_chunk.size();
-                expireAfter(m_progressTimeout);
+                // Servers may send the head at once and keep the request in a queue.
+                expireAfter(m_bodyBegun ? m_progressTimeout : std::max(m_headTimeout, m_progressTimeout));
                 auto [ec, n] = co_await http::async_read_some(m_connection->stream, m_connection->buffer, m_parser, awaitTuple);
                 if (ec == http::error::need_buffer)
                     ec = {};
                 if (ec)
                     co_return tl::unexpected(lost(ec, ErrorKind::AnswerIncomplete));
                 const auto size = m_chunk.size() - body.size;
+                m_bodyBegun = m_bodyBegun || size > 0;
                 if (size > 0)
                     co_return std::string_view(m_chunk.data(), size);
             }
@@ -228,6 +230,7 @@
         http::response_parser<http::buffer_body> m_parser;
         AnswerHead m_head;
         bool m_endMarked = false;
+        bool m_bodyBegun = false;
         std::array<char, chunkBytes> m_chunk {};
     };
 
--- a/src/yuccashift/http/backend_client.hpp
+++ b/src/yuccashift/http/backend_client.hpp
@@ -16,7 +16,7 @@
     Instant deadline;
     /** Longest time without a byte once the answer has begun. */
     Duration progressTimeout = seconds(10);
-    /** Longest time to the head of the answer. */
+    /** Longest time to the head of the answer, and from there to the first byte of its body. */
     Duration headTimeout = seconds(10);
     /** Uses a new connection, so that a stale pooled one cannot leave the outcome unknown. */
     bool freshConnection = false;
--- a/tests/contracts/backend_client_test.cpp
+++ b/tests/contracts/backend_client_test.cpp
@@ -45,6 +45,7 @@
             call.request = { "GET", "/", {}, {} };
             call.deadline = clock.now() + seconds(20);
             call.progressTimeout = progressTimeout;
+            call.headTimeout = progressTimeout;
             return call;
         }
 
@@ -129,6 +130,22 @@
         EXPECT_EQ(get(server)->body, "connection 2");
     }
 
+    TEST_F(ABackendConnection, MayStaySilentBetweenAnEarlyHeadAndTheFirstByteOfTheBody)
+    {
+        constexpr milliseconds queueTime { 100 };
+        const ScriptedServer server([&](ScriptedConnection& connection) {
+            connection.readRequest();
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n");
+            std::this_thread::sleep_for(queueTime);
+            connection.write("queued");
+        });
+        auto call = callTo(server, queueTime / 10);
+        call.headTimeout = seconds(20);
+        const auto answer = await(sendForWhole(*client, std::move(call), mostBytes));
+        ASSERT_TRUE(answer) << answer.error().detail;
+        EXPECT_EQ(answer->body, "queued");
+    }
+
     TEST_F(ABackendConnection, ThatTheServerClosedWhileIdleIsNotUsedAgain)
     {
         std::atomic<bool> closed = false;
