--- a/benchmarks/runner/scenario.cpp
+++ b/benchmarks/runner/scenario.cpp
@@ -25,9 +25,9 @@
         return scenario;
     }
 
-    Scenario monthEnd()
+    Scenario mixedPriorities()
     {
-        auto scenario = base("month-end", "85% load of the model service with all priorities mixed");
+        auto scenario = base("mixed-priorities", "85% load of the model service with all priorities mixed");
         scenario.workload.modelRate = 34;
         return scenario;
     }
@@ -189,7 +189,7 @@
 
 std::vector<Scenario> allScenarios()
 {
-    return { surge(), monthEnd(), shiftedPeaks(), capacitySkew(), manyInstances(), lateReports(), cacheGaps(), slowBackend(), deadBackend(), flappingBackend(),
+    return { surge(), mixedPriorities(), shiftedPeaks(), capacitySkew(), manyInstances(), lateReports(), cacheGaps(), slowBackend(), deadBackend(), flappingBackend(),
         regionLost(), configDown(), crashingRequest(), noisyOrganisation(), retryStorm() };
 }
 
