Split the peer link, bind listeners in one place, hash by the library

Change: the sink and the incoming answer of a link have files of their own in peer/detail; listenOn() serves both listeners; entry ranking, limits and kept links use kernel/hash and kernel/rendezvous.

--- a/src/yuccashift/http/server.cpp
+++ b/src/yuccashift/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "yuccashift/http/error_answer.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
+#include "yuccashift/kernel/detail/listen.hpp"
 #include "yuccashift/kernel/worker_pool.hpp"
 
 #include <array>
@@ -345,21 +346,7 @@
 
 Result<Endpoint> HttpServer::listen(const Endpoint& endpoint)
 {
-    beast::error_code ec;
-    const auto address = asio::ip::make_address(endpoint.host, ec);
-    const tcp::endpoint local(address, endpoint.port);
-    auto& acceptor = m_state->acceptor;
-    if (!ec)
-        acceptor.open(local.protocol(), ec);
-    if (!ec)
-        acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-    if (!ec)
-        acceptor.bind(local, ec);
-    if (!ec)
-        acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec)
-        return fail(ErrorKind::BadSettings, "cannot listen on " + toString(endpoint) + ": " + ec.message());
-    return Endpoint { endpoint.host, acceptor.local_endpoint().port() };
+    return detail::listenOn(m_state->acceptor, endpoint);
 }
 
 void HttpServer::serve(RequestHandler& handler)
--- a/src/yuccashift/limits/shared_limits.cpp
+++ b/src/yuccashift/limits/shared_limits.cpp
@@ -1,6 +1,9 @@
 #include "yuccashift/limits/shared_limits.hpp"
 
+#include "yuccashift/kernel/hash.hpp"
+
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace yuccashift {
@@ -23,17 +26,8 @@
 
 std::int64_t demandKey(const ServiceName& service, const OrganisationName& organisation)
 {
-    std::uint64_t hash = 0xcbf29ce484222325;
-    const auto mix = [&hash](const std::string& text) {
-        for (const char c : text) {
-            hash ^= static_cast<unsigned char>(c);
-            hash *= 0x100000001b3;
-        }
-    };
-    mix(service);
-    mix("\n");
-    mix(organisation);
-    return static_cast<std::int64_t>(hash);
+    const std::array<std::string_view, 2> names { service, organisation };
+    return static_cast<std::int64_t>(hash64(names));
 }
 
 void SharedLimits::Rate::add(double amount, Instant now)
--- a/src/yuccashift/node/membership_loop.cpp
+++ b/src/yuccashift/node/membership_loop.cpp
@@ -4,11 +4,11 @@
 #include "yuccashift/gateway/parts.hpp"
 #include "yuccashift/kernel/hash.hpp"
 #include "yuccashift/kernel/log.hpp"
+#include "yuccashift/kernel/rendezvous.hpp"
 #include "yuccashift/membership/coordinator.hpp"
 #include "yuccashift/peer/peer_hub.hpp"
 
 #include <algorithm>
-#include <array>
 #include <set>
 
 namespace yuccashift {
@@ -61,19 +61,17 @@
 std::set<InstanceId> MembershipLoop::keptLinks(const std::map<InstanceId, MemberState>& members) const
 {
     std::set<InstanceId> kept;
-    std::map<RegionName, std::vector<std::pair<std::uint64_t, InstanceId>>> others;
+    std::map<RegionName, std::vector<InstanceId>> others;
     for (const auto& [instance, member] : members) {
-        const std::array<std::string_view, 2> names { m_context.parts.self.instance, instance };
         if (member.info.region == m_context.parts.settings.region)
             kept.insert(instance);
         else if (member.liveness != Liveness::Gone)
-            others[member.info.region].emplace_back(hash64(names), instance);
+            others[member.info.region].push_back(instance);
     }
-    for (auto& [region, candidates] : others) {
-        std::ranges::sort(candidates, std::greater {});
-        candidates.resize(std::min(candidates.size(), linksPerRegion));
-        for (auto& [weight, instance] : candidates)
-            kept.insert(std::move(instance));
+    const auto purpose = hash64(m_context.parts.self.instance);
+    for (const auto& [region, candidates] : others) {
+        const auto chosen = rendezvousTop(purpose, candidates, linksPerRegion);
+        kept.insert(chosen.begin(), chosen.end());
     }
     return kept;
 }
--- /dev/null
+++ b/src/yuccashift/peer/detail/link_state.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "peer_types.h"
+#include "yuccashift/answers/stream_intake.hpp"
+#include "yuccashift/peer/peer_link.hpp"
+
+#include <atomic>
+#include <boost/asio/experimental/concurrent_channel.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <mutex>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace yuccashift {
+
+namespace detail {
+
+    /** Frames that may wait to be written to a link. */
+    constexpr std::size_t outgoingFrames = 4096;
+
+    using FrameChannel = boost::asio::experimental::concurrent_channel<void(boost::system::error_code, std::shared_ptr<wire::Frame>)>;
+    using BytesChannel = boost::asio::experimental::concurrent_channel<void(boost::system::error_code, std::string)>;
+
+} // namespace detail
+
+/** What the reader, the writer and the streams of one link share. */
+struct PeerLink::State : std::enable_shared_from_this<PeerLink::State> {
+    State(boost::asio::ip::tcp::socket socket, LinkSettings linkSettings, PeerHandler& peerHandler, const Clock& linkClock)
+        : stream(std::move(socket))
+        , outgoing(stream.get_executor(), detail::outgoingFrames)
+        , settings(std::move(linkSettings))
+        , handler(peerHandler)
+        , clock(linkClock)
+    {
+    }
+
+    boost::asio::awaitable<Result<wire::Frame>> readFrame();
+    boost::asio::awaitable<Result<wire::Hello>> readHello();
+    boost::asio::awaitable<bool> writeHello(const wire::Hello&);
+    boost::asio::awaitable<Result<PeerIdentity>> dial(wire::Hello mine);
+    boost::asio::awaitable<Result<PeerIdentity>> listen(wire::Hello mine);
+    boost::asio::awaitable<void> readLoop();
+    boost::asio::awaitable<void> writeLoop();
+    boost::asio::awaitable<void> pingLoop();
+    boost::asio::awaitable<void> execute(std::int64_t stream, wire::Forward);
+    void dispatch(wire::Frame&&);
+    void deliver(wire::Frame&&);
+    bool queue(std::string bytes);
+    void shutDown();
+    std::int64_t openStream(const std::shared_ptr<detail::FrameChannel>&);
+    void forgetStream(std::int64_t stream, bool cancel);
+    bool isCancelled(std::int64_t stream);
+
+    boost::beast::tcp_stream stream;
+    detail::BytesChannel outgoing;
+    LinkSettings settings;
+    PeerHandler& handler;
+    const Clock& clock;
+    PeerIdentity other;
+    std::atomic<bool> closed { false };
+    std::vector<std::uint8_t> buffer;
+    // Answers awaited here, and streams executed here which their origin cancelled.
+    std::mutex mutex;
+    std::int64_t lastStream = 0;
+    std::unordered_map<std::int64_t, std::shared_ptr<detail::FrameChannel>> awaited;
+    std::unordered_set<std::int64_t> executing;
+    StreamIntake intake;
+};
+
+} // namespace yuccashift
--- a/src/yuccashift/peer/peer_link.cpp
+++ b/src/yuccashift/peer/peer_link.cpp
@@ -1,40 +1,33 @@
 #include "yuccashift/peer/peer_link.hpp"
 
-#include "peer_types.h"
-#include "yuccashift/answers/stream_intake.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
 #include "yuccashift/kernel/random.hpp"
 #include "yuccashift/peer/codec.hpp"
+#include "yuccashift/peer/detail/peer_answer.hpp"
+#include "yuccashift/peer/detail/peer_answer_sink.hpp"
 
 #include <array>
-#include <atomic>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/experimental/concurrent_channel.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <mutex>
-#include <unordered_map>
-#include <unordered_set>
 
 namespace yuccashift {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
 using detail::awaitTuple;
+using detail::FrameChannel;
+using detail::PeerAnswer;
+using detail::PeerAnswerSink;
 using tcp = asio::ip::tcp;
 
 namespace {
 
-    constexpr std::size_t outgoingFrames = 4096;
     /** Frames of one answer that may wait for its reader; more cancel the answer. */
     constexpr std::size_t waitingAnswerFrames = 4096;
     constexpr seconds handshakeTimeout { 2 };
 
-    using FrameChannel = asio::experimental::concurrent_channel<void(error_code, std::shared_ptr<wire::Frame>)>;
-    using BytesChannel = asio::experimental::concurrent_channel<void(error_code, std::string)>;
-
     wire::Frame controlFrame()
     {
         wire::Frame frame;
@@ -42,251 +35,10 @@
         return frame;
     }
 
-    Error toError(const wire::AnswerEnd& end)
-    {
-        const auto state = end.runState >= 0 && end.runState <= static_cast<int>(RunState::OutcomeUnknown)
-            ? static_cast<RunState>(end.runState)
-            : RunState::OutcomeUnknown;
-        return { errorKindFromCode(end.errorCode), end.detail, state, {} };
-    }
-
-    AnswerHead toHead(const wire::AnswerHead& wireHead)
-    {
-        AnswerHead head;
-        head.status = wireHead.status;
-        for (const auto& field : wireHead.headers)
-            head.headers.push_back({ field.name, field.value });
-        return head;
-    }
-
 } // namespace
 
 PeerHandler::~PeerHandler() = default;
 
-struct PeerLink::State : std::enable_shared_from_this<PeerLink::State> {
-    State(tcp::socket socket, LinkSettings linkSettings, PeerHandler& peerHandler, const Clock& linkClock)
-        : stream(std::move(socket))
-        , outgoing(stream.get_executor(), outgoingFrames)
-        , settings(std::move(linkSettings))
-        , handler(peerHandler)
-        , clock(linkClock)
-    {
-    }
-
-    asio::awaitable<Result<wire::Frame>> readFrame();
-    asio::awaitable<Result<wire::Hello>> readHello();
-    asio::awaitable<bool> writeHello(const wire::Hello&);
-    asio::awaitable<Result<PeerIdentity>> dial(wire::Hello mine);
-    asio::awaitable<Result<PeerIdentity>> listen(wire::Hello mine);
-    asio::awaitable<void> readLoop();
-    asio::awaitable<void> writeLoop();
-    asio::awaitable<void> pingLoop();
-    asio::awaitable<void> execute(std::int64_t stream, wire::Forward);
-    void dispatch(wire::Frame&&);
-    void deliver(wire::Frame&&);
-    bool queue(std::string bytes);
-    void shutDown();
-    std::int64_t openStream(const std::shared_ptr<FrameChannel>&);
-    void forgetStream(std::int64_t stream, bool cancel);
-    bool isCancelled(std::int64_t stream);
-
-    boost::beast::tcp_stream stream;
-    BytesChannel outgoing;
-    LinkSettings settings;
-    PeerHandler& handler;
-    const Clock& clock;
-    PeerIdentity other;
-    std::atomic<bool> closed { false };
-    std::vector<std::uint8_t> buffer;
-    // Answers awaited here, and streams executed here which their origin cancelled.
-    std::mutex mutex;
-    std::int64_t lastStream = 0;
-    std::unordered_map<std::int64_t, std::shared_ptr<FrameChannel>> awaited;
-    std::unordered_set<std::int64_t> executing;
-    StreamIntake intake;
-};
-
-namespace {
-
-    /** Sends an answer back over the link that brought the request. */
-    class PeerAnswerSink final : public AnswerSink {
-    public:
-        PeerAnswerSink(std::shared_ptr<PeerLink::State> state, std::int64_t stream)
-            : m_state(std::move(state))
-            , m_stream(stream)
-        {
-        }
-
-        asio::awaitable<bool> head(AnswerHead head) override
-        {
-            m_started = true;
-            wire::AnswerHead wireHead;
-            wireHead.status = head.status;
-            for (auto& field : head.headers) {
-                wire::Header header;
-                header.name = std::move(field.name);
-                header.value = std::move(field.value);
-                wireHead.headers.push_back(std::move(header));
-            }
-            auto frame = newFrame();
-            frame.__set_answerHead(wireHead);
-            co_return co_await write(frame);
-        }
-
-        asio::awaitable<bool> chunk(std::string_view data) override
-        {
-            wire::AnswerChunk chunk;
-            chunk.offset = m_offset;
-            chunk.data = std::string(data);
-            m_offset += static_cast<std::int64_t>(data.size());
-            auto frame = newFrame();
-            frame.__set_answerChunk(chunk);
-            co_return co_await write(frame);
-        }
-
-        asio::awaitable<bool> end() override
-        {
-            co_return co_await writeEnd(std::nullopt, RunState::Ran);
-        }
-
-        asio::awaitable<void> fail(const Error& error, const HeaderFields&) override
-        {
-            co_await writeEnd(error, error.effectiveRunState());
-        }
-
-        bool started() const override { return m_started; }
-
-        /** Ends an answer that its executor left without an end. */
-        asio::awaitable<void> finish()
-        {
-            if (!m_ended) {
-                const Error error { ErrorKind::AnswerIncomplete, "the answer was not finished", {}, {} };
-                co_await fail(error, HeaderFields());
-            }
-        }
-
-    private:
-        wire::Frame newFrame() const
-        {
-            wire::Frame frame;
-            frame.stream = m_stream;
-            return frame;
-        }
-
-        asio::awaitable<bool> writeEnd(std::optional<Error> error, RunState runState)
-        {
-            m_ended = true;
-            wire::AnswerEnd end;
-            if (error) {
-                end.errorCode = error->code();
-                end.detail = error->detail;
-            }
-            end.runState = static_cast<int>(runState);
-            end.length = m_offset;
-            auto frame = newFrame();
-            frame.__set_answerEnd(end);
-            co_return co_await write(frame);
-        }
-
-        asio::awaitable<bool> write(const wire::Frame& frame)
-        {
-            if (m_state->closed || m_state->isCancelled(m_stream))
-                co_return false;
-            const auto [ec] = co_await m_state->outgoing.async_send(error_code(), encodeFrame(frame), awaitTuple);
-            co_return !ec;
-        }
-
-        std::shared_ptr<PeerLink::State> m_state;
-        std::int64_t m_stream;
-        std::int64_t m_offset = 0;
-        bool m_started = false;
-        bool m_ended = false;
-    };
-
-    /** An answer that arrives over a link. */
-    class PeerAnswer final : public IncomingAnswer {
-    public:
-        PeerAnswer(std::shared_ptr<PeerLink::State> state, std::int64_t stream, std::shared_ptr<FrameChannel> channel, Instant deadline)
-            : m_state(std::move(state))
-            , m_stream(stream)
-            , m_channel(std::move(channel))
-            , m_deadline(deadline)
-        {
-        }
-
-        ~PeerAnswer() override { m_state->forgetStream(m_stream, !m_ended); }
-
-        const AnswerHead& head() const override { return m_head; }
-
-        asio::awaitable<Result<void>> readHead()
-        {
-            const auto frame = co_await receive();
-            if (!frame)
-                co_return tl::unexpected(frame.error());
-            if ((*frame)->__isset.answerEnd)
-                co_return tl::unexpected(ended(**frame));
-            if (!(*frame)->__isset.answerHead)
-                co_return fail(ErrorKind::AnswerIncomplete, "an answer without its head");
-            m_head = toHead((*frame)->answerHead);
-            co_return Result<void> {};
-        }
-
-        asio::awaitable<Result<std::string_view>> next() override
-        {
-            auto frame = co_await receive();
-            if (!frame)
-                co_return tl::unexpected(frame.error());
-            if ((*frame)->__isset.answerEnd) {
-                if (!(*frame)->answerEnd.errorCode.empty() || (*frame)->answerEnd.length != m_offset)
-                    co_return tl::unexpected(ended(**frame));
-                m_ended = true;
-                co_return std::string_view {};
-            }
-            if (!(*frame)->__isset.answerChunk || (*frame)->answerChunk.offset != m_offset)
-                co_return fail(ErrorKind::AnswerIncomplete, "a part of the answer is missing");
-            m_current = std::move(*frame);
-            m_offset += static_cast<std::int64_t>(m_current->answerChunk.data.size());
-            co_return std::string_view(m_current->answerChunk.data);
-        }
-
-    private:
-        Error ended(const wire::Frame& frame)
-        {
-            m_ended = true;
-            if (frame.answerEnd.errorCode.empty())
-                return { ErrorKind::AnswerIncomplete, "the answer is shorter than it should be", {}, {} };
-            return toError(frame.answerEnd);
-        }
-
-        asio::awaitable<Result<std::shared_ptr<wire::Frame>>> receive()
-        {
-            asio::steady_timer timer(co_await asio::this_coro::executor);
-            timer.expires_at(m_deadline);
-            // The channel outlives the wait, and cancelling an idle channel is harmless.
-            timer.async_wait([channel = m_channel](error_code ec) {
-                if (!ec)
-                    channel->cancel();
-            });
-            auto [ec, frame] = co_await m_channel->async_receive(awaitTuple);
-            if (!ec)
-                co_return std::move(frame);
-            if (ec == asio::experimental::error::channel_cancelled)
-                co_return fail(ErrorKind::DeadlineExceeded, "the executing instance did not answer in time");
-            co_return fail(ErrorKind::PeerLost, "the link to the executing instance was lost");
-        }
-
-        std::shared_ptr<PeerLink::State> m_state;
-        std::int64_t m_stream;
-        std::shared_ptr<FrameChannel> m_channel;
-        Instant m_deadline;
-        AnswerHead m_head;
-        std::shared_ptr<wire::Frame> m_current;
-        std::int64_t m_offset = 0;
-        bool m_ended = false;
-    };
-
-} // namespace
-
 asio::awaitable<Result<wire::Frame>> PeerLink::State::readFrame()
 {
     std::array<std::uint8_t, frameLengthBytes> prefix {};
--- a/src/yuccashift/routing/entry_policy.cpp
+++ b/src/yuccashift/routing/entry_policy.cpp
@@ -1,6 +1,8 @@
 #include "yuccashift/routing/entry_policy.hpp"
 
+#include "yuccashift/kernel/hash.hpp"
 #include "yuccashift/kernel/registry.hpp"
+#include "yuccashift/kernel/rendezvous.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -11,26 +13,11 @@
 
 namespace {
 
-    /** FNV-1a with a final mix: equal on every instance, unlike std::hash. */
-    std::uint64_t stableHash(std::string_view text)
-    {
-        std::uint64_t hash = 0xcbf29ce484222325;
-        for (const char c : text) {
-            hash ^= static_cast<unsigned char>(c);
-            hash *= 0x100000001b3;
-        }
-        hash ^= hash >> 33;
-        hash *= 0xff51afd7ed558ccd;
-        hash ^= hash >> 33;
-        hash *= 0xc4ceb9fe1a85ec53;
-        return hash ^ (hash >> 33);
-    }
-
     /** Weighted rendezvous score; the largest wins, in proportion to capacity. */
     double rendezvousScore(const std::string& caller, const EntryState& state)
     {
         constexpr double range = 18446744073709551616.0;
-        const double unit = (static_cast<double>(stableHash(caller + '\n' + state.instance)) + 1) / (range + 2);
+        const double unit = (static_cast<double>(rendezvousWeight(hash64(caller), state.instance)) + 1) / (range + 2);
         return -std::max(state.capacity, 0.0) / std::log(unit);
     }
 
