Answer keys while stopping, and say 'not run' only where the key was looked up

Cause: a caller who sent its key again to its minter during a graceful shutdown was told 'draining, not run', though the key had run; refusals for limits, readiness and resolution had the same fault. Found in the read-through. Change: a stopping instance still answers keys that it knows and refuses new ones; other refusals before the key table say 'outcome unknown' for keyed requests. Measured: the new test over real processes failed before with 'not run', passes now.

--- a/src/yuccashift/gateway/gateway.cpp
+++ b/src/yuccashift/gateway/gateway.cpp
@@ -124,6 +124,14 @@
         return { ErrorKind::ResidencyViolation, {}, {}, {} };
     }
 
+    // Before its key is looked up, a request may be one that has run already.
+    Error unlessRunBefore(Error error, bool keyed)
+    {
+        if (keyed && error.effectiveRunState() == RunState::NotRun)
+            error.runState = RunState::OutcomeUnknown;
+        return error;
+    }
+
     // Callers refused together must not come back together.
     void spreadReturn(Error& error)
     {
@@ -177,15 +185,18 @@
 {
     if (message.target == entriesPath)
         co_return co_await answerEntries(message, sink);
-    if (const auto ready = checkReady(); !ready)
-        co_return ready;
+    const bool keyed = findHeader(message.headers, "Idempotency-Key").has_value();
     const auto context = admitLocal(std::move(message), trace);
     if (!context)
-        co_return tl::unexpected(context.error());
+        co_return tl::unexpected(unlessRunBefore(context.error(), keyed));
     const auto now = m_parts.clock.now();
     const auto& traits = context->traits;
+    // A key that this instance may have run is still answered while it drains.
+    const bool answersKeys = keyed && !traits.idempotent && m_parts.lifecycle.draining();
+    if (const auto ready = checkReady(); !ready && !answersKeys)
+        co_return tl::unexpected(unlessRunBefore(ready.error(), keyed));
     if (const auto admitted = m_parts.limits.admit(traits.service, *context->organisation, now); !admitted)
-        co_return admitted;
+        co_return tl::unexpected(unlessRunBefore(admitted.error(), keyed));
     auto result = co_await serve(*context, sink, false);
     m_parts.limits.onFinish(traits.service, *context->organisation);
     m_parts.metrics.latency("yuccashift_service_seconds", { { "service", traits.service }, { "priority", toString(traits.priority) } }).record(m_parts.clock.now() - now);
--- a/tests/processes/guarantees_test.cpp
+++ b/tests/processes/guarantees_test.cpp
@@ -85,6 +85,37 @@
         EXPECT_TRUE(m_regions.serves({ "sofia-1", "varna-1", "varna-2" }));
     }
 
+    TEST_F(RealProcesses, StillAnswerTheirKeysWhileTheyStopAndRunNoNewOnes)
+    {
+        const auto entry = m_regions.entry("sofia-2");
+        const auto call = [&](const std::string& key) {
+            auto request = plainRequest(entry, anywhereCredential, "POST", "/ledger/redeem", "one visit");
+            request.headers["Idempotency-Key"] = key;
+            return send(request);
+        };
+        const auto ranKey = askEntries(entry, anywhereCredential).key;
+        const auto newKey = askEntries(entry, anywhereCredential).key;
+        const auto first = call(ranKey);
+        HttpReply again;
+        HttpReply refused;
+        bool told = false;
+        const ChatCall chat { "itinerary", "a plan that keeps the instance busy", longAnswer, true };
+        send(chatRequest(entry, anywhereCredential, chat), [&](std::string_view body) {
+            if (told || body.empty())
+                return true;
+            told = true;
+            fleet().instance("sofia-2").process->signal(SIGTERM);
+            waitUntil([&] { return send(plainRequest(entry, anywhereCredential, "GET", "/ledger/balance/1", "")).body.find("\"draining\"") != std::string::npos; });
+            again = call(ranKey);
+            refused = call(newKey);
+            return true;
+        });
+        EXPECT_EQ(again.body, first.body);
+        EXPECT_NE(refused.body.find("\"runState\":\"not run\""), std::string::npos) << refused.body;
+        EXPECT_EQ(m_regions.runsOf(ranKey), 1u);
+        EXPECT_EQ(m_regions.runsOf(newKey), 0u);
+    }
+
     TEST_F(RealProcesses, RunAKeyOnceThoughItsCallerSendsItAgainThroughEveryEntry)
     {
         const auto key = askEntries(m_regions.entry("sofia-1"), anywhereCredential).key;
