Answer slow senders, and test the listener's bounds

Cause: the stream's own timeout closes the socket, so that a request which did not arrive in time got no answer; no test looked. Change: a timer of its own ends the reading and the answer is sent. Tests for malformed requests, long headers and bodies, slow senders, half-closed sockets and too many connections.

--- a/src/yuccashift/http/server.cpp
+++ b/src/yuccashift/http/server.cpp
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <mutex>
@@ -183,8 +184,6 @@
             return ErrorKind::HeaderTooLarge;
         if (ec == http::error::body_limit)
             return ErrorKind::BodyTooLarge;
-        if (ec == beast::error::timeout)
-            return ErrorKind::SlowSender;
         return ErrorKind::MalformedRequest;
     }
 
@@ -216,6 +215,31 @@
         co_await drainInput(session);
     }
 
+    /**
+     * Ends the reading of a request that does not arrive in time. The stream's own
+     * timeout would close the socket, and the sender would get no answer.
+     */
+    class ReceiveTimer {
+    public:
+        explicit ReceiveTimer(Session& session)
+            : m_timer(session.stream().get_executor(), session.bounds().receiveTimeout)
+        {
+            session.stream().expires_never();
+            m_timer.async_wait([expired = m_expired, self = session.shared_from_this()](beast::error_code ec) {
+                if (ec)
+                    return;
+                *expired = true;
+                self->stream().cancel();
+            });
+        }
+
+        bool expired() const { return *m_expired; }
+
+    private:
+        asio::steady_timer m_timer;
+        std::shared_ptr<bool> m_expired = std::make_shared<bool>(false);
+    };
+
     /** Waits for the first byte of a request; false once the connection is done. */
     asio::awaitable<bool> awaitRequest(Session& session)
     {
@@ -241,7 +265,7 @@
         parser.header_limit(session.bounds().headerBytes);
         parser.body_limit(session.bounds().bodyBytes);
         auto& stream = session.stream();
-        stream.expires_after(session.bounds().receiveTimeout);
+        const ReceiveTimer timer(session);
         auto [ec, n] = co_await http::async_read_header(stream, session.buffer(), parser, awaitTuple);
         if (!ec && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             const http::response<http::empty_body> proceed(http::status::continue_, http11);
@@ -251,7 +275,9 @@
             std::tie(ec, n) = co_await http::async_read(stream, session.buffer(), parser, awaitTuple);
         if (!ec)
             co_return parser.release();
-        if (!isConnectionLoss(ec))
+        if (timer.expired())
+            co_await refuse(session, ErrorKind::SlowSender);
+        else if (!isConnectionLoss(ec))
             co_await refuse(session, kindOfReadFailure(ec));
         co_return std::nullopt;
     }
--- /dev/null
+++ b/tests/http/server_test.cpp
@@ -0,0 +1,162 @@
+#include "yuccashift/http/server.hpp"
+
+#include "yuccashift/kernel/worker_pool.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+// What callers may do to the listener, and what they are answered.
+
+namespace yuccashift {
+namespace {
+
+    namespace asio = boost::asio;
+    using tcp = asio::ip::tcp;
+
+    /** Answers each request with its body. */
+    class Echo final : public RequestHandler {
+    public:
+        asio::awaitable<void> handle(RequestMessage message, AnswerSink& sink) override
+        {
+            AnswerHead head;
+            co_await sendWhole(sink, std::move(head), message.body);
+        }
+    };
+
+    struct AListener : testing::Test {
+        AListener()
+        {
+            bounds.connections = 2;
+            bounds.headerBytes = 1024;
+            bounds.bodyBytes = 1024;
+        }
+
+        ~AListener() override
+        {
+            workers.stop();
+            workers.join();
+        }
+
+        void start()
+        {
+            server = std::make_unique<HttpServer>(workers, bounds);
+            endpoint = server->listen({ "127.0.0.1", 0 }).value();
+            server->serve(echo);
+            workers.start();
+        }
+
+        tcp::socket connect()
+        {
+            tcp::socket socket(io);
+            socket.connect({ asio::ip::make_address(endpoint.host), endpoint.port });
+            return socket;
+        }
+
+        /** Everything that comes until the listener closes the connection. */
+        static std::string readAll(tcp::socket& socket)
+        {
+            std::string answer;
+            boost::system::error_code ec;
+            asio::read(socket, asio::dynamic_buffer(answer), ec);
+            return answer;
+        }
+
+        std::string sendAndRead(const std::string& text)
+        {
+            auto socket = connect();
+            boost::system::error_code ec;
+            asio::write(socket, asio::buffer(text), ec);
+            return readAll(socket);
+        }
+
+        Echo echo;
+        ServerBounds bounds;
+        WorkerPool workers { 1 };
+        std::unique_ptr<HttpServer> server;
+        Endpoint endpoint;
+        asio::io_context io;
+    };
+
+    std::string withBody(const std::string& body)
+    {
+        return "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    struct RefusedCase {
+        const char* name;
+        std::string sent;
+        ErrorKind kind;
+    };
+
+    TEST_F(AListener, RefusesWhatIsOutOfBoundsWithItsOwnAnswer)
+    {
+        const RefusedCase cases[] = {
+            { "no HTTP", "what is this\r\n\r\n", ErrorKind::MalformedRequest },
+            { "a damaged length", "POST / HTTP/1.1\r\nContent-Length: many\r\n\r\n", ErrorKind::MalformedRequest },
+            { "a long header", "GET / HTTP/1.1\r\nX-Long: " + std::string(4096, 'x') + "\r\n\r\n", ErrorKind::HeaderTooLarge },
+            { "a long body", withBody(std::string(4096, 'x')), ErrorKind::BodyTooLarge },
+            { "a long body in chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n" + std::string(4096, 'x') + "\r\n0\r\n\r\n", ErrorKind::BodyTooLarge },
+        };
+        start();
+        for (const auto& it : cases) {
+            const auto answer = sendAndRead(it.sent);
+            EXPECT_TRUE(answer.starts_with("HTTP/1.1 " + std::to_string(traits(it.kind).httpStatus))) << it.name << ": " << answer;
+            EXPECT_NE(answer.find(std::string(traits(it.kind).code)), std::string::npos) << it.name << ": " << answer;
+            EXPECT_NE(answer.find("\"runState\":\"not run\""), std::string::npos) << it.name << ": " << answer;
+        }
+    }
+
+    TEST_F(AListener, RefusesARequestThatDoesNotArriveInTime)
+    {
+        bounds.receiveTimeout = milliseconds(50);
+        start();
+        const auto answer = sendAndRead("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n12345");
+        EXPECT_NE(answer.find("slow_sender"), std::string::npos) << answer;
+    }
+
+    TEST_F(AListener, AnswersACallerThatHasClosedItsSendingSide)
+    {
+        start();
+        auto socket = connect();
+        asio::write(socket, asio::buffer(withBody("whole")));
+        socket.shutdown(tcp::socket::shutdown_send);
+        const auto answer = readAll(socket);
+        EXPECT_TRUE(answer.ends_with("\r\n\r\nwhole")) << answer;
+    }
+
+    TEST_F(AListener, SaysNothingToACallerThatLeavesInsideItsRequest)
+    {
+        start();
+        auto socket = connect();
+        asio::write(socket, asio::buffer(std::string("POST / HTTP/1.1\r\nContent-Le")));
+        socket.shutdown(tcp::socket::shutdown_send);
+        const auto answer = readAll(socket);
+        EXPECT_EQ(answer.find("200"), std::string::npos) << answer;
+    }
+
+    TEST_F(AListener, RefusesConnectionsOverItsBoundAndTakesTheNextOnceOneIsGone)
+    {
+        start();
+        {
+            // Each has been answered once, so both are known to be open.
+            auto first = connect();
+            auto second = connect();
+            for (auto* socket : { &first, &second }) {
+                asio::write(*socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+                std::string head;
+                asio::read(*socket, asio::dynamic_buffer(head), asio::transfer_at_least(1));
+            }
+            auto third = connect();
+            EXPECT_NE(readAll(third).find("too_many_connections"), std::string::npos);
+        }
+        std::string answer;
+        while (answer.find("still here") == std::string::npos)
+            answer = sendAndRead(withBody("still here"));
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+    }
+
+} // namespace
+} // namespace yuccashift
