State the residency of an organisation in one place

Cause: which regions may serve an organisation was worked out by the same expression for requests, for the entry answer and for explanations; a change to one would have let them disagree. Change: allowedRegions() serves all three. Behaviour is the same.

--- a/src/yuccashift/gateway/entry_answer.cpp
+++ b/src/yuccashift/gateway/entry_answer.cpp
@@ -1,6 +1,7 @@
 #include "yuccashift/gateway/entry_answer.hpp"
 
 #include "yuccashift/gateway/parts.hpp"
+#include "yuccashift/gateway/request_context.hpp"
 #include "yuccashift/membership/coordinator.hpp"
 #include "yuccashift/routing/entry_policy.hpp"
 
@@ -33,7 +34,7 @@
             if (!organisation)
                 continue;
             caller.organisation = (*organisation)->name;
-            const auto& regions = (*organisation)->residency.empty() ? document->regions : (*organisation)->residency;
+            const auto& regions = allowedRegions(*document, **organisation);
             caller.regions.insert(regions.begin(), regions.end());
         }
         if (caller.organisation.empty())
--- a/src/yuccashift/gateway/request_context.cpp
+++ b/src/yuccashift/gateway/request_context.cpp
@@ -49,11 +49,6 @@
         return std::min<milliseconds>(route.deadline, milliseconds(count));
     }
 
-    std::vector<RegionName> allowedRegions(const Document& document, const OrganisationSpec& organisation)
-    {
-        return organisation.residency.empty() ? document.regions : organisation.residency;
-    }
-
     /** Reads the body of a chat completion, whose model decides on the service. */
     Result<ChatRequest> chatOf(const RequestMessage& message)
     {
@@ -115,6 +110,11 @@
 
 } // namespace
 
+const std::vector<RegionName>& allowedRegions(const Document& document, const OrganisationSpec& organisation)
+{
+    return organisation.residency.empty() ? document.regions : organisation.residency;
+}
+
 Result<RequestContext> admitRequest(const RouteTable& routes, RequestMessage message, const Arrival& arrival)
 {
     const auto chat = chatOf(message);
--- a/src/yuccashift/gateway/request_context.hpp
+++ b/src/yuccashift/gateway/request_context.hpp
@@ -51,6 +51,9 @@
 
 using RequestContextPtr = std::shared_ptr<const RequestContext>;
 
+/** Regions that may serve the organisation: its residency, or those of the service where it has none. */
+const std::vector<RegionName>& allowedRegions(const Document&, const OrganisationSpec&);
+
 /** What identifies the place and time of arrival. */
 struct Arrival {
     InstanceId instance;
--- a/src/yuccashift/gateway/status.cpp
+++ b/src/yuccashift/gateway/status.cpp
@@ -154,7 +154,7 @@
         traits.priority = context.route().priority;
         traits.idempotent = context.route().idempotent;
         traits.deadline = parts.clock.now() + context.route().deadline;
-        traits.allowedRegions = context.organisation->residency.empty() ? document.regions : context.organisation->residency;
+        traits.allowedRegions = allowedRegions(document, *context.organisation);
         if (context.resolved.model != nullptr) {
             const auto prompt = textOf(body, "prompt");
             traits.model = context.resolved.model->name;
