--- /dev/null
+++ b/src/daemons/yuccashift_entry.cpp
@@ -0,0 +1,73 @@
+#include "platform/dialect.hpp"
+#include "platform/items.hpp"
+#include "platform/node_settings.hpp"
+#include "platform/store_client.hpp"
+#include "yuccashift/entry/entry_node.hpp"
+#include "yuccashift/kernel/log.hpp"
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <tclap/CmdLine.h>
+
+namespace {
+
+constexpr int exitOk = 0;
+constexpr int exitBadSettings = 2;
+
+yuccashift::Result<yuccashift::EntrySettings> readSettings(const std::string& file)
+{
+    std::ifstream in(file);
+    if (!in)
+        return yuccashift::fail(yuccashift::ErrorKind::BadSettings, file + ": cannot be read");
+    std::ostringstream text;
+    text << in.rdbuf();
+    return yuccashift::platform::parseNodeSettings(text.str());
+}
+
+int serve(const std::string& file, const std::string& level)
+{
+    auto settings = readSettings(file);
+    if (!settings) {
+        std::cerr << settings.error().detail << "\n";
+        return exitBadSettings;
+    }
+    yuccashift::initialiseLog(level, settings->instance);
+    const yuccashift::platform::Dialect dialect;
+    const yuccashift::platform::Items items;
+    const auto instance = settings->instance;
+    const yuccashift::EntryAdapters adapters { dialect, items, yuccashift::platform::makeStoreClient, [&] { return readSettings(file); } };
+    yuccashift::EntryNode node(std::move(*settings), adapters);
+    const auto listening = node.listen();
+    if (!listening) {
+        std::cerr << listening.error().detail << "\n";
+        return exitBadSettings;
+    }
+    yuccashift::logInfo("started", { { "instance", instance } });
+    node.run();
+    yuccashift::logInfo("stopped", { { "instance", instance } });
+    return exitOk;
+}
+
+std::string defaultFile()
+{
+    const char* file = std::getenv(yuccashift::platform::settingsVariable);
+    return file ? file : yuccashift::platform::settingsPath;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        TCLAP::CmdLine command("Entry instance of yuccashift on the users' platform", ' ', "0.1.0");
+        TCLAP::ValueArg<std::string> file("s", "settings", "the platform's settings file", false, defaultFile(), "file", command);
+        TCLAP::ValueArg<std::string> level("l", "log", "lowest level written: debug, info, warning or error", false, "info", "level", command);
+        command.parse(argc, argv);
+        return serve(file.getValue(), level.getValue());
+    } catch (const std::exception& e) {
+        std::cerr << e.what() << "\n";
+        return exitBadSettings;
+    }
+}
--- /dev/null
+++ b/src/yuccashift/answers/event_gate.cpp
@@ -0,0 +1,75 @@
+#include "yuccashift/answers/event_gate.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace yuccashift {
+
+namespace {
+
+    /** Length of the first whole event, its empty line included; 0 where it is not complete. */
+    std::size_t eventLength(std::string_view text)
+    {
+        const auto plain = text.find("\n\n");
+        const auto withReturns = text.find("\r\n\r\n");
+        const auto plainEnd = plain == std::string_view::npos ? plain : plain + 2;
+        const auto returnsEnd = withReturns == std::string_view::npos ? withReturns : withReturns + 4;
+        const auto end = std::min(plainEnd, returnsEnd);
+        return end == std::string_view::npos ? 0 : end;
+    }
+
+    std::optional<std::string_view> idOf(std::string_view event)
+    {
+        constexpr std::string_view field = "id:";
+        while (!event.empty()) {
+            const auto end = std::min(event.find('\n'), event.size());
+            auto line = event.substr(0, end);
+            event.remove_prefix(std::min(end + 1, event.size()));
+            if (line.ends_with('\r'))
+                line.remove_suffix(1);
+            if (!line.starts_with(field))
+                continue;
+            line.remove_prefix(field.size());
+            if (line.starts_with(' '))
+                line.remove_prefix(1);
+            return line;
+        }
+        return {};
+    }
+
+    std::optional<std::int64_t> numberOf(std::string_view id)
+    {
+        std::int64_t value = 0;
+        const auto [end, ec] = std::from_chars(id.data(), id.data() + id.size(), value);
+        if (ec != std::errc() || end != id.data() + id.size())
+            return {};
+        return value;
+    }
+
+} // namespace
+
+void EventGate::feed(std::string_view bytes, std::string& whole)
+{
+    m_pending.append(bytes);
+    std::string_view text = m_pending;
+    for (auto n = eventLength(text); n > 0; n = eventLength(text)) {
+        accept(text.substr(0, n), whole);
+        text.remove_prefix(n);
+    }
+    m_pending.erase(0, m_pending.size() - text.size());
+}
+
+void EventGate::accept(std::string_view event, std::string& whole)
+{
+    if (const auto id = idOf(event)) {
+        const auto number = numberOf(*id);
+        if (number && m_lastNumber && *number <= *m_lastNumber)
+            return;
+        m_lastId = std::string(*id);
+        m_lastNumber = number;
+    }
+    ++m_events;
+    whole.append(event);
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/dispatch/placement.cpp
@@ -0,0 +1,56 @@
+#include "yuccashift/dispatch/placement.hpp"
+
+#include <algorithm>
+
+namespace yuccashift {
+
+namespace {
+
+    /** How much sooner another region must answer. */
+    constexpr Duration spillMargin = milliseconds(100);
+    /** A first byte later than this multiple of what is left to the objective is not worth a place in the queue. */
+    constexpr double mostLateness = 1.5;
+    /** Share of the time left that may pass before the first byte, so that the rest of the answer fits. */
+    constexpr double mostOfDeadline = 0.6;
+    /** Callers that come back late still get this long. */
+    constexpr Duration leastPatience = milliseconds(700);
+
+    Duration limitOf(const PlacementInput& input)
+    {
+        const auto late = std::chrono::duration_cast<Duration>(input.objective * mostLateness);
+        const auto dead = std::chrono::duration_cast<Duration>(input.deadline * mostOfDeadline);
+        return std::min(std::max(late, leastPatience), dead);
+    }
+
+} // namespace
+
+Placement place(const PlacementInput& input)
+{
+    Placement placement;
+    if (input.local && *input.local <= input.objective) {
+        placement.where = Placement::Where::Local;
+        placement.predicted = *input.local;
+        return placement;
+    }
+    std::optional<Duration> best;
+    if (input.local) {
+        best = *input.local;
+        placement.where = Placement::Where::Local;
+    }
+    for (std::size_t i = 0; i < input.remotes.size(); ++i) {
+        const auto& room = input.remotes[i];
+        const auto predicted = room.wait + room.coldPrompt + room.roundTrip;
+        const auto handicap = placement.where == Placement::Where::Local ? spillMargin : Duration::zero();
+        if (best && predicted + handicap >= *best)
+            continue;
+        best = predicted;
+        placement.where = Placement::Where::Remote;
+        placement.remote = i;
+    }
+    placement.predicted = best.value_or(Duration::zero());
+    if (!best || *best > limitOf(input))
+        placement.where = Placement::Where::Refuse;
+    return placement;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/dispatch/placement.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "yuccashift/kernel/clock.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <span>
+
+namespace yuccashift {
+
+/** A region that may serve a request, as its heartbeats show it. */
+struct RemoteRoom {
+    /** Wait for the first byte of a small request there. */
+    Duration wait {};
+    /** Reading the whole prompt there, since its prefix lies here. */
+    Duration coldPrompt {};
+    /** To the region and back. */
+    Duration roundTrip {};
+};
+
+struct PlacementInput {
+    /** Time to the first byte in this region; nothing where no server here can take the request. */
+    std::optional<Duration> local;
+    std::span<const RemoteRoom> remotes;
+    /** Time left until the caller counts the answer as late. */
+    Duration objective {};
+    /** Time left until the caller gives up. */
+    Duration deadline {};
+};
+
+struct Placement {
+    enum class Where {
+        Local,
+        Remote,
+        Refuse,
+    };
+    Where where = Where::Refuse;
+    /** Index into the remotes. */
+    std::size_t remote = 0;
+    Duration predicted {};
+};
+
+/**
+ * Decides between this region, another one and an early refusal. Leaving the
+ * region has to pay for the path, the cold prompt and a margin that keeps
+ * requests from wandering; a request that cannot begin in time is refused now.
+ */
+Placement place(const PlacementInput&);
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/dispatch/prefix_memory.cpp
@@ -0,0 +1,61 @@
+#include "yuccashift/dispatch/prefix_memory.hpp"
+
+#include "yuccashift/kernel/hash.hpp"
+
+namespace yuccashift {
+
+namespace {
+
+    std::uint64_t chainKey(std::uint64_t before, const PromptPart& part)
+    {
+        return mix64(before ^ mix64(part.id) ^ part.tokens);
+    }
+
+} // namespace
+
+PrefixMemory::PrefixMemory(std::uint64_t mostTokens)
+    : m_mostTokens(mostTokens)
+{
+}
+
+std::uint32_t PrefixMemory::cachedTokens(std::span<const PromptPart> parts) const
+{
+    std::uint64_t key = 0;
+    std::uint32_t tokens = 0;
+    for (const auto& part : parts) {
+        key = chainKey(key, part);
+        if (!m_entries.contains(key))
+            break;
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
+void PrefixMemory::remember(std::span<const PromptPart> parts)
+{
+    std::uint64_t key = 0;
+    for (const auto& part : parts) {
+        key = chainKey(key, part);
+        if (const auto it = m_entries.find(key); it != m_entries.end()) {
+            m_order.splice(m_order.begin(), m_order, it->second);
+            continue;
+        }
+        m_order.push_front({ key, part.tokens });
+        m_entries[key] = m_order.begin();
+        m_tokens += part.tokens;
+    }
+    while (m_tokens > m_mostTokens && !m_order.empty()) {
+        m_tokens -= m_order.back().tokens;
+        m_entries.erase(m_order.back().key);
+        m_order.pop_back();
+    }
+}
+
+void PrefixMemory::clear()
+{
+    m_order.clear();
+    m_entries.clear();
+    m_tokens = 0;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/dispatch/server_book.cpp
@@ -0,0 +1,196 @@
+#include "yuccashift/dispatch/server_book.hpp"
+
+#include <algorithm>
+
+namespace yuccashift {
+
+namespace {
+
+    /** Weight of the newest sample in running means: about the last ten requests count. */
+    constexpr double sampleWeight = 0.1;
+    /** Ratios beyond these are outliers of one request rather than the pace of a server. */
+    constexpr double leastRatio = 0.3;
+    constexpr double mostRatio = 6.0;
+    /** Predictions below this say little about the pace. */
+    constexpr Duration leastComparable = milliseconds(20);
+
+    double runningMean(double mean, double sample)
+    {
+        return mean + sampleWeight * (sample - mean);
+    }
+
+} // namespace
+
+ServerLoadSum& ServerLoadSum::operator+=(const ServerLoadSum& other)
+{
+    requests += other.requests;
+    waitingPromptTokens += other.waitingPromptTokens;
+    memoryTokens += other.memoryTokens;
+    return *this;
+}
+
+ServerLoadSum& ServerLoadSum::operator-=(const ServerLoadSum& other)
+{
+    requests -= other.requests;
+    waitingPromptTokens -= other.waitingPromptTokens;
+    memoryTokens -= other.memoryTokens;
+    return *this;
+}
+
+ServerLoadSum ServerKnowledge::total() const
+{
+    auto sum = own;
+    sum += peers;
+    return sum;
+}
+
+ServerBook::ServerBook(const Clock& clock)
+    : m_clock(clock)
+{
+}
+
+const ServerKnowledge& ServerBook::of(std::uint64_t server) const
+{
+    static const ServerKnowledge unknown;
+    const auto it = m_records.find(server);
+    return it == m_records.end() ? unknown : it->second.knowledge;
+}
+
+const PrefixMemory* ServerBook::prefixes(std::uint64_t server) const
+{
+    const auto it = m_records.find(server);
+    return it == m_records.end() || !it->second.prefixes ? nullptr : &*it->second.prefixes;
+}
+
+ServerTicket ServerBook::begin(std::uint64_t server, const WorkSize& work, std::uint32_t uncachedTokens, Duration predicted, std::uint64_t memoryBound)
+{
+    ServerTicket ticket;
+    ticket.server = server;
+    ticket.load = { 1, static_cast<std::int32_t>(uncachedTokens), static_cast<std::int32_t>(work.memoryTokens()) };
+    ticket.sentAt = m_clock.now();
+    ticket.predicted = predicted;
+    auto& record = m_records[server];
+    auto& known = record.knowledge;
+    known.own += ticket.load;
+    record.waiting.emplace(ticket.sentAt, 0);
+    known.waitingSince = record.waiting.begin()->first;
+    if (!work.parts.empty()) {
+        if (!record.prefixes)
+            record.prefixes.emplace(memoryBound);
+        record.prefixes->remember(work.parts);
+    }
+    return ticket;
+}
+
+void ServerBook::stopWaiting(Record& record, const ServerTicket& ticket)
+{
+    if (const auto it = record.waiting.find(ticket.sentAt); it != record.waiting.end())
+        record.waiting.erase(it);
+    record.knowledge.waitingSince.reset();
+    if (!record.waiting.empty())
+        record.knowledge.waitingSince = record.waiting.begin()->first;
+}
+
+void ServerBook::firstByte(ServerTicket& ticket)
+{
+    const auto it = m_records.find(ticket.server);
+    if (ticket.firstByteSeen || it == m_records.end())
+        return;
+    ticket.firstByteSeen = true;
+    auto& known = it->second.knowledge;
+    known.own.waitingPromptTokens -= ticket.load.waitingPromptTokens;
+    ticket.load.waitingPromptTokens = 0;
+    stopWaiting(it->second, ticket);
+    if (ticket.predicted < leastComparable)
+        return;
+    const auto took = std::chrono::duration<double>(m_clock.now() - ticket.sentAt);
+    const auto ratio = std::clamp(took / std::chrono::duration<double>(ticket.predicted), leastRatio, mostRatio);
+    known.slowness = runningMean(known.slowness, ratio);
+    m_overallSlowness = runningMean(m_overallSlowness, ratio);
+}
+
+void ServerBook::end(ServerTicket& ticket, ServerOutcome outcome)
+{
+    const auto it = m_records.find(ticket.server);
+    if (ticket.server == 0 || it == m_records.end())
+        return;
+    auto& known = it->second.knowledge;
+    known.own -= ticket.load;
+    if (!ticket.firstByteSeen)
+        stopWaiting(it->second, ticket);
+    ticket.server = 0;
+    if (outcome == ServerOutcome::Abandoned || outcome == ServerOutcome::Rejected)
+        return;
+    ++known.samples;
+    known.failureShare = runningMean(known.failureShare, outcome == ServerOutcome::Succeeded ? 0.0 : 1.0);
+}
+
+void ServerBook::clearSuspicion(std::uint64_t server)
+{
+    const auto it = m_records.find(server);
+    if (it == m_records.end())
+        return;
+    it->second.knowledge.suspect = false;
+    it->second.knowledge.failureShare = 0;
+    it->second.knowledge.samples = 0;
+}
+
+void ServerBook::markSuspect(std::uint64_t server)
+{
+    auto& known = m_records[server].knowledge;
+    if (!known.suspect)
+        known.suspectSince = m_clock.now();
+    known.suspect = true;
+}
+
+void ServerBook::noteProbe(std::uint64_t server)
+{
+    m_records[server].knowledge.lastProbe = m_clock.now();
+}
+
+void ServerBook::noteColdSend(std::uint64_t server)
+{
+    m_records[server].knowledge.lastColdSend = m_clock.now();
+}
+
+void ServerBook::noteFull(std::uint64_t server, Duration wait)
+{
+    m_records[server].knowledge.fullUntil = m_clock.now() + wait;
+}
+
+void ServerBook::setPeerLoads(const InstanceId& instance, std::map<std::uint64_t, ServerLoadSum> loads)
+{
+    auto& held = m_peerLoads[instance];
+    for (const auto& [server, load] : held) {
+        if (const auto it = m_records.find(server); it != m_records.end())
+            it->second.knowledge.peers -= load;
+    }
+    for (const auto& [server, load] : loads)
+        m_records[server].knowledge.peers += load;
+    if (loads.empty())
+        m_peerLoads.erase(instance);
+    else
+        held = std::move(loads);
+}
+
+void ServerBook::forget(std::uint64_t server)
+{
+    const auto it = m_records.find(server);
+    if (it == m_records.end() || it->second.knowledge.own.requests > 0)
+        return;
+    for (auto& [instance, loads] : m_peerLoads)
+        loads.erase(server);
+    m_records.erase(it);
+}
+
+std::vector<std::pair<std::uint64_t, ServerLoadSum>> ServerBook::ownLoads() const
+{
+    std::vector<std::pair<std::uint64_t, ServerLoadSum>> loads;
+    for (const auto& [server, record] : m_records) {
+        if (record.knowledge.own.requests > 0)
+            loads.emplace_back(server, record.knowledge.own);
+    }
+    return loads;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/dispatch/server_book.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "yuccashift/dispatch/prefix_memory.hpp"
+#include "yuccashift/dispatch/work.hpp"
+#include "yuccashift/kernel/clock.hpp"
+#include "yuccashift/kernel/ids.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace yuccashift {
+
+/** What one instance, or several together, have in progress at one backend server. */
+struct ServerLoadSum {
+    std::int32_t requests = 0;
+    /** Prompt tokens to be read before the newest request starts. */
+    std::int32_t waitingPromptTokens = 0;
+    /** Tokens that the requests occupy in the engine's memory. */
+    std::int32_t memoryTokens = 0;
+
+    ServerLoadSum& operator+=(const ServerLoadSum&);
+    ServerLoadSum& operator-=(const ServerLoadSum&);
+};
+
+/** How a request at a server ended, as far as it tells something about the server. */
+enum class ServerOutcome {
+    Succeeded,
+    /** The server answered with a failure of its own. */
+    Failed,
+    /** The connection broke, or none could be had. */
+    Lost,
+    /** The server refused it without running it. */
+    Rejected,
+    /** The caller left, or its time was up; says nothing. */
+    Abandoned,
+};
+
+/** What is known of one server beyond its entry. */
+struct ServerKnowledge {
+    ServerLoadSum own;
+    ServerLoadSum peers;
+    /** Observed over predicted time to the first byte; 1 as predicted. */
+    double slowness = 1.0;
+    /** Share of recent requests that failed or were lost. */
+    double failureShare = 0.0;
+    std::uint32_t samples = 0;
+    /** Connections fail: no requests until a probe or a new entry says otherwise. */
+    bool suspect = false;
+    Instant suspectSince {};
+    /** Answers "full" until then. */
+    Instant fullUntil {};
+    /** Newest request that this instance sent while the server was cold. */
+    Instant lastColdSend {};
+    Instant lastProbe {};
+    /** When the oldest request without a first byte was sent. */
+    std::optional<Instant> waitingSince;
+
+    ServerLoadSum total() const;
+};
+
+/** Ticket of one request at one server, from its sending to its end. */
+struct ServerTicket {
+    std::uint64_t server = 0;
+    ServerLoadSum load;
+    Instant sentAt {};
+    Duration predicted {};
+    bool firstByteSeen = false;
+};
+
+/**
+ * Load and health of the backend servers of a region: own requests at once,
+ * those of other instances from their heartbeats.
+ */
+class ServerBook {
+public:
+    explicit ServerBook(const Clock&);
+
+    const ServerKnowledge& of(std::uint64_t server) const;
+    const PrefixMemory* prefixes(std::uint64_t server) const;
+
+    /** A request goes out; `uncachedTokens` of its prompt are to be read there. */
+    ServerTicket begin(std::uint64_t server, const WorkSize&, std::uint32_t uncachedTokens, Duration predicted, std::uint64_t memoryBound);
+    /** The first byte of a stream's body, or of an answer. */
+    void firstByte(ServerTicket&);
+    void end(ServerTicket&, ServerOutcome);
+
+    /** A probe or a new entry shows that the server takes connections again. */
+    void clearSuspicion(std::uint64_t server);
+    void markSuspect(std::uint64_t server);
+    void noteProbe(std::uint64_t server);
+    void noteColdSend(std::uint64_t server);
+    void noteFull(std::uint64_t server, Duration);
+    /** Replaces what an instance has in progress; an empty list forgets the instance. */
+    void setPeerLoads(const InstanceId&, std::map<std::uint64_t, ServerLoadSum>);
+    /** The server is gone for good. */
+    void forget(std::uint64_t server);
+
+    /** Own requests in progress, for heartbeats. */
+    std::vector<std::pair<std::uint64_t, ServerLoadSum>> ownLoads() const;
+    /** Observed over predicted time to the first byte over all servers. */
+    double overallSlowness() const { return m_overallSlowness; }
+
+private:
+    struct Record {
+        ServerKnowledge knowledge;
+        std::optional<PrefixMemory> prefixes;
+        /** Sending times of requests without a first byte. */
+        std::multimap<Instant, int> waiting;
+    };
+    void stopWaiting(Record&, const ServerTicket&);
+
+    const Clock& m_clock;
+    std::unordered_map<std::uint64_t, Record> m_records;
+    std::map<InstanceId, std::map<std::uint64_t, ServerLoadSum>> m_peerLoads;
+    double m_overallSlowness = 1.0;
+};
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -0,0 +1,142 @@
+#include "yuccashift/dispatch/server_choice.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace yuccashift {
+
+namespace {
+
+    using Millis = std::chrono::duration<double, std::milli>;
+
+    /** Prompt tokens that an engine reads in a millisecond between the steps of a running batch; corrected by slowness. */
+    constexpr double promptTokensPerMs = 60.0;
+    /** Fixed time to a first token of an idle engine. */
+    constexpr double engineBaseMs = 50.0;
+    /** Longer steps of a larger batch delay the first token. */
+    constexpr double batchMsPerRequest = 0.6;
+    /** Time for which one token over an engine's memory waits: a request of ten thousand tokens leaves after about two seconds, forty at a time. */
+    constexpr double overflowMsPerToken = 0.02;
+    /** Share of an engine's memory that requests may fill before prefixes and preemption suffer. */
+    constexpr double usableMemoryShare = 0.9;
+    /** Time of one request in a plain service's slot; corrected by slowness. */
+    constexpr double plainWorkMs = 60.0;
+    /** Time for which one request over an engine's slots waits. */
+    constexpr double slotWaitMs = 40.0;
+    /** A first byte that is overdue by this factor counts as a stalled server. */
+    constexpr double stallFactor = 3.0;
+    constexpr double leastStallMs = 500.0;
+    /** A server fails too often from this share on, with so many samples, where its peers do better. */
+    constexpr double failingShare = 0.35;
+    constexpr std::uint32_t failingSamples = 4;
+    constexpr double failingAgainstMean = 1.8;
+    /** Predictions so close are equal. */
+    constexpr double tieMs = 4.0;
+
+    double engineMs(const ServerCandidate& server, const WorkSize& work)
+    {
+        const double uncached = work.promptTokens - std::min(work.promptTokens, server.cachedTokens);
+        const double ahead = std::max(0, server.load.waitingPromptTokens);
+        double ms = engineBaseMs + batchMsPerRequest * server.load.requests + (ahead + uncached) / promptTokensPerMs;
+        if (server.memoryTokens > 0) {
+            const double wanted = static_cast<double>(server.load.memoryTokens) + work.memoryTokens();
+            ms += overflowMsPerToken * std::max(0.0, wanted - usableMemoryShare * static_cast<double>(server.memoryTokens));
+        }
+        return ms + slotWaitMs * std::max(0, server.load.requests + 1 - static_cast<std::int32_t>(server.slots));
+    }
+
+    double plainMs(const ServerCandidate& server)
+    {
+        const double rounds = std::max(1.0, (server.load.requests + 1.0) / std::max(1U, server.slots));
+        return plainWorkMs * rounds;
+    }
+
+    PassedOver check(const ServerCandidate& server, double meanFailureShare)
+    {
+        if (server.tried)
+            return PassedOver::Tried;
+        if (server.suspect)
+            return PassedOver::Suspect;
+        if (server.full)
+            return PassedOver::Full;
+        if (server.cold && !server.coldTurn)
+            return PassedOver::Cold;
+        if (!server.connectionsLeft)
+            return PassedOver::NoConnections;
+        if (server.samples >= failingSamples && server.failureShare > failingShare && server.failureShare > failingAgainstMean * meanFailureShare)
+            return PassedOver::Failing;
+        return PassedOver::No;
+    }
+
+    double meanFailureShare(std::span<const ServerCandidate> candidates)
+    {
+        double sum = 0;
+        for (const auto& it : candidates)
+            sum += it.failureShare;
+        return candidates.empty() ? 0 : sum / static_cast<double>(candidates.size());
+    }
+
+} // namespace
+
+std::string_view toString(PassedOver reason)
+{
+    switch (reason) {
+    case PassedOver::No:
+        return "no";
+    case PassedOver::Tried:
+        return "tried";
+    case PassedOver::Suspect:
+        return "suspect";
+    case PassedOver::Full:
+        return "full";
+    case PassedOver::Cold:
+        return "cold";
+    case PassedOver::NoConnections:
+        return "no_connections";
+    case PassedOver::Failing:
+        break;
+    }
+    return "failing";
+}
+
+Duration predictFirstByte(const ServerCandidate& server, const WorkSize& work)
+{
+    double ms = (server.engine ? engineMs(server, work) : plainMs(server)) * server.slowness;
+    const double waited = Millis(server.oldestWait).count();
+    if (waited > std::max(leastStallMs, stallFactor * ms))
+        ms += waited;
+    return std::chrono::duration_cast<Duration>(Millis(ms));
+}
+
+ServerChoice chooseServer(std::span<const ServerCandidate> candidates, const WorkSize& work, std::uint64_t draw)
+{
+    ServerChoice choice;
+    choice.passedOver.reserve(candidates.size());
+    const auto mean = meanFailureShare(candidates);
+    const auto tie = std::chrono::duration_cast<Duration>(Millis(tieMs));
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto reason = check(candidates[i], mean);
+        choice.passedOver.push_back(reason);
+        if (reason != PassedOver::No)
+            continue;
+        ++choice.usable;
+        const auto predicted = predictFirstByte(candidates[i], work);
+        // A later candidate wins a tie with the chance that leaves all equal.
+        const bool equal = choice.best && std::chrono::abs(predicted - choice.predicted) < tie;
+        const bool better = !choice.best || (equal ? draw % choice.usable == 0 : predicted < choice.predicted);
+        if (equal)
+            draw /= choice.usable;
+        if (better) {
+            choice.runnerUp = choice.best;
+            choice.runnerUpPredicted = choice.predicted;
+            choice.best = i;
+            choice.predicted = predicted;
+        } else if (!choice.runnerUp || predicted < choice.runnerUpPredicted) {
+            choice.runnerUp = i;
+            choice.runnerUpPredicted = predicted;
+        }
+    }
+    return choice;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/dispatch/server_choice.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "yuccashift/dispatch/server_book.hpp"
+#include "yuccashift/dispatch/work.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace yuccashift {
+
+/** One backend server as the choice sees it. */
+struct ServerCandidate {
+    std::uint64_t key = 0;
+    std::uint32_t slots = 1;
+    bool engine = false;
+    /** Tokens that fit into its memory; 0 where unknown. */
+    std::uint64_t memoryTokens = 0;
+    /** Tokens of this request's prompt that it is believed to hold. */
+    std::uint32_t cachedTokens = 0;
+    ServerLoadSum load;
+    double slowness = 1.0;
+    double failureShare = 0.0;
+    std::uint32_t samples = 0;
+    /** How long its oldest request has waited for a first byte. */
+    Duration oldestWait {};
+    bool suspect = false;
+    bool full = false;
+    bool cold = false;
+    /** Whether this instance may send the next request to it while it is cold. */
+    bool coldTurn = false;
+    bool connectionsLeft = true;
+    /** Already tried for this request. */
+    bool tried = false;
+};
+
+/** Why a candidate was passed over. */
+enum class PassedOver {
+    No,
+    Tried,
+    Suspect,
+    Full,
+    Cold,
+    NoConnections,
+    Failing,
+};
+std::string_view toString(PassedOver);
+
+/** Time until a request's first byte, from its sending on. */
+Duration predictFirstByte(const ServerCandidate&, const WorkSize&);
+
+struct ServerChoice {
+    /** Index of the best candidate; nothing where none can take the request. */
+    std::optional<std::size_t> best;
+    Duration predicted {};
+    /** Index and prediction of the next best, for the log. */
+    std::optional<std::size_t> runnerUp;
+    Duration runnerUpPredicted {};
+    std::size_t usable = 0;
+    /** Reasons, one for each candidate. */
+    std::vector<PassedOver> passedOver;
+};
+
+/**
+ * Picks the server where the first byte is due soonest, by waiting prompts,
+ * cached prefix, memory and batch. `draw` spreads ties.
+ */
+ServerChoice chooseServer(std::span<const ServerCandidate>, const WorkSize&, std::uint64_t draw);
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/dispatch/work.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace yuccashift {
+
+/** One part of a prompt; requests that begin with the same parts share them in an engine's cache. */
+struct PromptPart {
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+};
+
+/** What a request costs a backend server. */
+struct WorkSize {
+    std::vector<PromptPart> parts;
+    std::uint32_t promptTokens = 0;
+    /** Expected, not the most that may come. */
+    std::uint32_t outputTokens = 0;
+
+    std::uint32_t memoryTokens() const { return promptTokens + outputTokens; }
+    /** The parts that other requests may have left in a cache; the last one belongs to the request. */
+    std::span<const PromptPart> sharedParts() const { return std::span(parts).first(parts.empty() ? 0 : parts.size() - 1); }
+};
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/entry/dispatcher.cpp
@@ -0,0 +1,154 @@
+#include "yuccashift/entry/dispatcher.hpp"
+
+#include "yuccashift/kernel/rendezvous.hpp"
+
+#include <algorithm>
+
+namespace yuccashift {
+
+namespace {
+
+    using Millis = std::chrono::duration<double, std::milli>;
+
+    /** To another region and back; the links of the deployments take a few dozen milliseconds one way. */
+    constexpr Duration regionRoundTrip = milliseconds(116);
+    /** Prompt tokens that an engine reads in a millisecond, for prompts whose prefix lies elsewhere. */
+    constexpr double promptTokensPerMs = 60.0;
+    /** Wait that one hop adds that the other region's heartbeat does not show yet. */
+    constexpr Duration waitOfHop = milliseconds(15);
+    /** A cold server's owner sends this much slower than the rate, since two instances may both think that they own it. */
+    constexpr double coldCaution = 1.25;
+    constexpr double leastColdRate = 0.5;
+    /** Part of a server's connections that instances use together; probes and instances that were just added take the rest. */
+    constexpr double usedConnectionShare = 0.8;
+    /** Rooms are told for a request of this size. */
+    constexpr std::uint32_t typicalPromptTokens = 512;
+
+} // namespace
+
+std::string poolKeyOf(const BackendServer& server)
+{
+    return server.identity.id + "|" + std::to_string(server.identity.born) + "|" + toString(server.address);
+}
+
+Dispatcher::Dispatcher(const Clock& clock, const EntrySettings& settings, const World& world, const ServerBook& book, const MemberBook& members, const OutboundPool& pool, RandomSource& random)
+    : m_clock(clock)
+    , m_settings(settings)
+    , m_world(world)
+    , m_book(book)
+    , m_members(members)
+    , m_pool(pool)
+    , m_random(random)
+{
+}
+
+bool Dispatcher::serves(const BackendServer& server) const
+{
+    const auto region = m_settings.regions.find(server.datacentre);
+    return region != m_settings.regions.end() && region->second == m_settings.region && !server.draining && !m_world.evacuated(server.datacentre);
+}
+
+std::size_t Dispatcher::sharers() const
+{
+    return std::max<std::size_t>(1, m_members.ownersIn(m_settings.region, true).size());
+}
+
+bool Dispatcher::coldTurn(const BackendServer& server, const ServerKnowledge& known, const ServiceTraits& traits, std::span<const InstanceId> owners) const
+{
+    const auto order = rendezvousTop(server.key, owners, 1);
+    if (order.empty() || order.front() != m_settings.instance)
+        return false;
+    const auto spacing = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(coldCaution / std::max(leastColdRate, traits.coldRate)));
+    return known.lastColdSend == Instant {} || m_clock.now() - known.lastColdSend >= spacing;
+}
+
+ServerCandidate Dispatcher::candidate(const BackendServer& server, const ServiceTraits& traits, const WorkSize& work, std::span<const InstanceId> owners) const
+{
+    const auto now = m_clock.now();
+    const auto& known = m_book.of(server.key);
+    ServerCandidate it;
+    it.key = server.key;
+    it.slots = std::max<std::uint32_t>(1, server.slots);
+    it.engine = traits.engine;
+    it.memoryTokens = traits.memoryTokens;
+    if (const auto* prefixes = m_book.prefixes(server.key))
+        it.cachedTokens = prefixes->cachedTokens(work.parts);
+    it.load = known.total();
+    it.slowness = known.slowness;
+    it.failureShare = known.failureShare;
+    it.samples = known.samples;
+    if (known.waitingSince)
+        it.oldestWait = now - *known.waitingSince;
+    it.suspect = known.suspect;
+    it.full = now < known.fullUntil;
+    it.cold = now < server.coldUntil;
+    it.coldTurn = it.cold && coldTurn(server, known, traits, owners);
+    const auto share = static_cast<std::size_t>(usedConnectionShare * traits.connectionLimit / static_cast<double>(std::max<std::size_t>(1, owners.size())));
+    it.connectionsLeft = traits.connectionLimit == 0 || static_cast<std::size_t>(std::max(0, known.own.requests)) < std::max<std::size_t>(1, share);
+    return it;
+}
+
+LocalPlan Dispatcher::planLocal(const ServiceName& service, const WorkSize& work, const std::set<std::uint64_t>& tried) const
+{
+    LocalPlan plan;
+    const auto routes = m_world.routes();
+    if (!routes)
+        return plan;
+    const auto& traits = routes->config().traitsOf(service);
+    const auto owners = m_members.ownersIn(m_settings.region, true);
+    for (const auto& [key, server] : m_world.servers()) {
+        if (server.service != service || !serves(server))
+            continue;
+        plan.servers.push_back(&server);
+        plan.candidates.push_back(candidate(server, traits, work, owners));
+        plan.candidates.back().tried = tried.contains(server.key);
+    }
+    plan.choice = chooseServer(plan.candidates, work, m_random.next());
+    return plan;
+}
+
+RemotePlan Dispatcher::planRemote(const Route& route, const ServiceName& service, const WorkSize& work, const std::set<InstanceId>& tried) const
+{
+    RemotePlan plan;
+    const auto now = m_clock.now();
+    std::map<RegionName, std::vector<const FleetMember*>> byRegion;
+    for (const auto* member : m_members.alive()) {
+        const bool usable = member->region != m_settings.region && route.allowsRegion(member->region) && !member->draining && now >= member->avoidUntil && !tried.contains(member->instance);
+        const auto room = member->rooms.find(service);
+        if (usable && room != member->rooms.end() && room->second.freeSlots > 0)
+            byRegion[member->region].push_back(member);
+    }
+    const auto coldPrompt = std::chrono::duration_cast<Duration>(Millis(work.promptTokens / promptTokensPerMs));
+    for (const auto& [region, members] : byRegion) {
+        const auto* member = members[m_random.below(members.size())];
+        const auto wait = member->rooms.at(service).wait + member->sentSinceHeard * waitOfHop;
+        plan.rooms.push_back({ wait, coldPrompt, regionRoundTrip });
+        plan.members.push_back(member);
+    }
+    return plan;
+}
+
+std::map<ServiceName, ServiceRoomView> Dispatcher::rooms() const
+{
+    std::map<ServiceName, ServiceRoomView> rooms;
+    const auto routes = m_world.routes();
+    if (!routes)
+        return rooms;
+    WorkSize typical;
+    typical.promptTokens = typicalPromptTokens;
+    for (const auto& [service, traits] : routes->config().services) {
+        const auto plan = planLocal(service, typical, {});
+        if (!plan.choice.best)
+            continue;
+        ServiceRoomView room { plan.choice.predicted, 0 };
+        for (std::size_t i = 0; i < plan.candidates.size(); ++i) {
+            const auto& it = plan.candidates[i];
+            if (plan.choice.passedOver[i] == PassedOver::No)
+                room.freeSlots += std::max(0, static_cast<std::int32_t>(it.slots) - it.load.requests);
+        }
+        rooms[service] = room;
+    }
+    return rooms;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/entry/dispatcher.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "yuccashift/dispatch/placement.hpp"
+#include "yuccashift/dispatch/server_book.hpp"
+#include "yuccashift/dispatch/server_choice.hpp"
+#include "yuccashift/entry/entry_settings.hpp"
+#include "yuccashift/fleet/member_book.hpp"
+#include "yuccashift/fleet/world.hpp"
+#include "yuccashift/http/outbound.hpp"
+#include "yuccashift/kernel/random.hpp"
+
+#include <set>
+
+namespace yuccashift {
+
+/** Key of a server's kept connections. */
+std::string poolKeyOf(const BackendServer&);
+
+/** The choice among the servers of this region, with what it rests on. */
+struct LocalPlan {
+    ServerChoice choice;
+    std::vector<const BackendServer*> servers;
+    std::vector<ServerCandidate> candidates;
+
+    const BackendServer* server() const { return choice.best ? servers[*choice.best] : nullptr; }
+};
+
+/** The choice among other regions. */
+struct RemotePlan {
+    std::vector<RemoteRoom> rooms;
+    /** One instance of each room's region. */
+    std::vector<const FleetMember*> members;
+};
+
+/** Joins entries, loads and heartbeats into what the decisions need. */
+class Dispatcher {
+public:
+    Dispatcher(const Clock&, const EntrySettings&, const World&, const ServerBook&, const MemberBook&, const OutboundPool&, RandomSource&);
+
+    LocalPlan planLocal(const ServiceName&, const WorkSize&, const std::set<std::uint64_t>& tried) const;
+    RemotePlan planRemote(const Route&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried) const;
+    /** What heartbeats tell about this region. */
+    std::map<ServiceName, ServiceRoomView> rooms() const;
+    /** Whether the servers of this data centre may be sent to and stand in this region. */
+    bool serves(const BackendServer&) const;
+    /** Instances that share the servers of this region. */
+    std::size_t sharers() const;
+
+private:
+    ServerCandidate candidate(const BackendServer&, const ServiceTraits&, const WorkSize&, std::span<const InstanceId> owners) const;
+    bool coldTurn(const BackendServer&, const ServerKnowledge&, const ServiceTraits&, std::span<const InstanceId> owners) const;
+
+    const Clock& m_clock;
+    const EntrySettings& m_settings;
+    const World& m_world;
+    const ServerBook& m_book;
+    const MemberBook& m_members;
+    const OutboundPool& m_pool;
+    RandomSource& m_random;
+};
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/entry/entry_core.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "yuccashift/dispatch/crash_book.hpp"
+#include "yuccashift/dispatch/repeat_allowance.hpp"
+#include "yuccashift/dispatch/server_book.hpp"
+#include "yuccashift/entry/dispatcher.hpp"
+#include "yuccashift/entry/entry_settings.hpp"
+#include "yuccashift/entry/wire_dialect.hpp"
+#include "yuccashift/fleet/member_book.hpp"
+#include "yuccashift/fleet/world.hpp"
+#include "yuccashift/http/outbound.hpp"
+#include "yuccashift/kernel/random.hpp"
+#include "yuccashift/observe/metrics.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <unordered_set>
+
+namespace yuccashift {
+
+class RequestJob;
+
+/** State that the parts of one entry instance share. All of it belongs to one event loop. */
+struct EntryCore {
+    EntryCore(boost::asio::io_context&, const Clock&, EntrySettings, const WireDialect&, const ItemDecoder&, std::unique_ptr<RandomSource>);
+
+    boost::asio::io_context& io;
+    const Clock& clock;
+    EntrySettings settings;
+    const WireDialect& dialect;
+    std::unique_ptr<RandomSource> random;
+    World world;
+    MemberBook members;
+    ServerBook book;
+    RepeatAllowance repeats;
+    CrashBook crashes;
+    /** Connections to backend servers. */
+    OutboundPool servers;
+    /** Connections to other instances. */
+    OutboundPool peers;
+    Dispatcher dispatcher;
+    Metrics metrics;
+
+    bool draining = false;
+    /** Requests in progress, kept alive until they are answered. */
+    std::unordered_set<std::shared_ptr<RequestJob>> jobs;
+    /** Asks for a probe of a server whose connection broke. */
+    std::function<void(std::uint64_t server)> probeSoon;
+};
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -0,0 +1,360 @@
+#include "yuccashift/entry/entry_node.hpp"
+
+#include "yuccashift/entry/entry_core.hpp"
+#include "yuccashift/entry/gossip.hpp"
+#include "yuccashift/entry/request_job.hpp"
+#include "yuccashift/entry/server_probes.hpp"
+#include "yuccashift/entry/snapshot_exchange.hpp"
+#include "yuccashift/http/inbound.hpp"
+#include "yuccashift/kernel/log.hpp"
+#include "yuccashift/resilience/pause_detector.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+
+namespace yuccashift {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+    constexpr Duration tickInterval = milliseconds(50);
+    /** Least time between SIGTERM and the end, so that callers with an older directory answer find this instance alive. */
+    constexpr double noticeShareOfGrace = 0.68;
+    /** Part of the grace after which what is still in progress is given up. */
+    constexpr double lastShareOfGrace = 0.95;
+    /** Descriptors that are not for callers' connections: servers, instances, listeners, files. */
+    constexpr double callerDescriptorShare = 0.6;
+    /** Instances that may be added to those seen. */
+    constexpr std::size_t unseenInstances = 3;
+    constexpr Duration pauseThreshold = seconds(1);
+    constexpr std::size_t mostDirectoryAddresses = 64;
+
+    /** Answers one small question and nothing else. */
+    class QuestionHandler final : public InboundHandler {
+    public:
+        using Answer = std::function<void(InboundExchange&)>;
+        explicit QuestionHandler(Answer answer)
+            : m_answer(std::move(answer))
+        {
+        }
+
+        void onRequest(std::shared_ptr<InboundExchange> exchange) override { m_answer(*exchange); }
+        InboundLimits limits() const override { return {}; }
+        bool closing() const override { return false; }
+
+    private:
+        Answer m_answer;
+    };
+
+    void sendText(InboundExchange& exchange, int status, std::string_view type, std::string_view body)
+    {
+        AnswerHead head;
+        head.status = status;
+        if (!type.empty())
+            head.headers.push_back({ "Content-Type", std::string(type) });
+        exchange.sendWhole(std::move(head), body);
+    }
+
+} // namespace
+
+struct EntryNode::State final : StoreListener, WorldObserver {
+    State(EntrySettings settings, EntryAdapters entryAdapters);
+
+    /** Requests of callers. */
+    struct CallerHandler final : InboundHandler {
+        explicit CallerHandler(State& state)
+            : owner(state)
+        {
+        }
+        void onRequest(std::shared_ptr<InboundExchange> exchange) override { RequestJob::start(owner.core, std::move(exchange), std::nullopt); }
+        InboundLimits limits() const override;
+        bool closing() const override { return owner.core.draining; }
+        State& owner;
+    };
+    /** Requests of other instances. */
+    struct PeerHandler final : InboundHandler {
+        explicit PeerHandler(State& state)
+            : owner(state)
+        {
+        }
+        void onRequest(std::shared_ptr<InboundExchange> exchange) override;
+        InboundLimits limits() const override;
+        bool closing() const override { return false; }
+        State& owner;
+    };
+
+    void onChanges(const std::vector<ItemChange>&, std::int64_t through) override;
+    void onListing(const std::vector<ItemChange>&, std::int64_t through) override;
+    void onReachable(bool reachable, std::string_view reason) override;
+    void onServerGone(const BackendServer&) override;
+    void onServerAdded(const BackendServer&) override;
+    void onConfig(const RouteIndex&) override;
+
+    Result<void> listen();
+    void answerDirectory(InboundExchange&);
+    void answerReadiness(InboundExchange&);
+    void answerOperator(InboundExchange&);
+    bool ready() const { return !core.draining && core.world.configVersion() > 0; }
+    void tick();
+    void waitForSignal();
+    void reload();
+    void drain();
+    void checkDrained();
+    void stop();
+
+    SystemClock clock;
+    EntryAdapters adapters;
+    asio::io_context io { 1 };
+    EntryCore core;
+    Gossip gossip;
+    ServerProbes probes;
+    SnapshotExchange snapshots;
+    std::unique_ptr<PublishedStore> store;
+    CallerHandler callerHandler { *this };
+    PeerHandler peerHandler { *this };
+    QuestionHandler directoryHandler { [this](InboundExchange& exchange) { answerDirectory(exchange); } };
+    QuestionHandler readinessHandler { [this](InboundExchange& exchange) { answerReadiness(exchange); } };
+    QuestionHandler operatorHandler { [this](InboundExchange& exchange) { answerOperator(exchange); } };
+    InboundServer callers { io, clock, callerHandler };
+    InboundServer peers { io, clock, peerHandler };
+    InboundServer directory { io, clock, directoryHandler };
+    InboundServer readiness { io, clock, readinessHandler };
+    InboundServer operators { io, clock, operatorHandler };
+    asio::steady_timer timer { io };
+    asio::signal_set signals { io, SIGTERM, SIGINT, SIGHUP };
+    PauseDetector pauses { pauseThreshold };
+    Instant drainStarted {};
+    bool storeReachable = true;
+    Instant storeLostAt {};
+};
+
+EntryNode::State::State(EntrySettings settings, EntryAdapters entryAdapters)
+    : adapters(std::move(entryAdapters))
+    , core(io, clock, std::move(settings), adapters.dialect, adapters.decoder, makeSystemRandom())
+    , gossip(core)
+    , probes(core)
+    , snapshots(core)
+    , store(adapters.makeStore(io, clock, core.settings.store))
+{
+    core.world.setObserver(this);
+    core.repeats.setInstances(core.members.instancesSeen() + unseenInstances);
+}
+
+InboundLimits EntryNode::State::CallerHandler::limits() const
+{
+    const auto routes = owner.core.world.routes();
+    auto limits = routes ? routes->config().limits : InboundLimits();
+    limits.connections = static_cast<std::size_t>(callerDescriptorShare * static_cast<double>(owner.core.settings.descriptors));
+    return limits;
+}
+
+InboundLimits EntryNode::State::PeerHandler::limits() const
+{
+    // What a caller's instance has accepted is not refused for its size here.
+    InboundLimits limits;
+    limits.headerBytes = 256 * 1024;
+    limits.bodyBytes = 64 << 20;
+    limits.idleTimeout = seconds(30);
+    return limits;
+}
+
+void EntryNode::State::PeerHandler::onRequest(std::shared_ptr<InboundExchange> exchange)
+{
+    if (owner.snapshots.answer(*exchange))
+        return;
+    auto order = takeHopOrder(exchange->request().headers);
+    if (!order)
+        return sendText(*exchange, 400, "text/plain", "not a request of an instance\n");
+    RequestJob::start(owner.core, std::move(exchange), std::move(order));
+}
+
+void EntryNode::State::onChanges(const std::vector<ItemChange>& changes, std::int64_t through)
+{
+    core.world.apply(changes, through);
+}
+
+void EntryNode::State::onListing(const std::vector<ItemChange>& items, std::int64_t through)
+{
+    logInfo("published items read", { { "items", items.size() }, { "revision", through } });
+    core.world.replaceAll(items, through);
+}
+
+void EntryNode::State::onReachable(bool reachable, std::string_view reason)
+{
+    if (reachable == storeReachable)
+        return;
+    storeReachable = reachable;
+    if (!reachable) {
+        storeLostAt = clock.now();
+        logWarning("store lost", { { "reason", reason }, { "revision", core.world.held().revision() } });
+        return;
+    }
+    logInfo("store back", { { "away_ms", toMilliseconds(clock.now() - storeLostAt) }, { "revision", core.world.held().revision() } });
+    core.world.holdRemovals();
+}
+
+void EntryNode::State::onServerGone(const BackendServer& server)
+{
+    core.servers.closeIdle(poolKeyOf(server));
+    if (!server.draining)
+        core.book.forget(server.key);
+}
+
+void EntryNode::State::onServerAdded(const BackendServer& server)
+{
+    core.book.clearSuspicion(server.key);
+}
+
+void EntryNode::State::onConfig(const RouteIndex&)
+{
+}
+
+Result<void> EntryNode::State::listen()
+{
+    const auto& settings = core.settings;
+    auto bound = callers.listen(settings.callers);
+    if (bound)
+        bound = readiness.listen(settings.readiness);
+    if (bound)
+        bound = directory.listen(settings.directory);
+    if (bound && settings.operators)
+        bound = operators.listen(*settings.operators);
+    if (bound)
+        bound = peers.listen({ settings.ip, settings.peerPort });
+    if (!bound)
+        return tl::unexpected(bound.error());
+    return gossip.start();
+}
+
+void EntryNode::State::answerDirectory(InboundExchange& exchange)
+{
+    const auto question = core.dialect.decodeDirectoryQuestion(exchange.request());
+    if (!question)
+        return sendText(exchange, 404, "text/plain", "unknown question\n");
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    const auto port = std::to_string(core.settings.callers.port);
+    const auto add = [&](const RegionName& region, const std::string& ip) { (region == question->region ? near : far).push_back(ip + ":" + port); };
+    if (ready())
+        add(core.settings.region, core.settings.ip);
+    for (const auto* member : core.members.alive()) {
+        if (member->takesCallers && !member->draining)
+            add(member->region, member->ip);
+    }
+    auto& named = near.empty() ? far : near;
+    if (named.empty())
+        return sendText(exchange, 503, "text/plain", "no instance takes callers\n");
+    if (named.size() > mostDirectoryAddresses)
+        named.resize(mostDirectoryAddresses);
+    sendText(exchange, 200, "application/json", core.dialect.encodeDirectoryAnswer(named, core.settings.directoryValidity));
+}
+
+void EntryNode::State::answerReadiness(InboundExchange& exchange)
+{
+    if (!core.dialect.isReadinessQuestion(exchange.request()))
+        return sendText(exchange, 404, "text/plain", "unknown question\n");
+    sendText(exchange, ready() ? 200 : 503, "text/plain", ready() ? "ready\n" : "not ready\n");
+}
+
+void EntryNode::State::answerOperator(InboundExchange& exchange)
+{
+    sendText(exchange, 200, "text/plain; version=0.0.4", core.metrics.renderPrometheus());
+}
+
+void EntryNode::State::tick()
+{
+    const auto now = clock.now();
+    core.world.tick();
+    snapshots.tick();
+    core.repeats.setInstances(core.members.instancesSeen() + unseenInstances);
+    if (pauses.resumedFromPause(now, clock.wallNow())) {
+        logWarning("resumed after a pause; reading everything again");
+        store->readAgain();
+    }
+    if (core.draining)
+        checkDrained();
+    timer.expires_after(tickInterval);
+    timer.async_wait([this](const error_code& ec) {
+        if (!ec)
+            tick();
+    });
+}
+
+void EntryNode::State::waitForSignal()
+{
+    signals.async_wait([this](const error_code& ec, int number) {
+        if (ec)
+            return;
+        if (number == SIGHUP)
+            reload();
+        else
+            drain();
+        waitForSignal();
+    });
+}
+
+void EntryNode::State::reload()
+{
+    const auto settings = adapters.reloadSettings();
+    if (!settings) {
+        logWarning("settings not reloaded", { { "reason", settings.error().detail } });
+        return;
+    }
+    core.settings.seedAddresses = settings->seedAddresses;
+    gossip.setSeeds(settings->seedAddresses);
+    logInfo("settings reloaded", { { "seeds", settings->seedAddresses.size() } });
+}
+
+void EntryNode::State::drain()
+{
+    if (core.draining)
+        return;
+    core.draining = true;
+    drainStarted = clock.now();
+    logInfo("graceful shutdown begins", { { "in_progress", core.jobs.size() } });
+    gossip.announce();
+}
+
+void EntryNode::State::checkDrained()
+{
+    const auto grace = core.settings.stopGrace;
+    const auto waited = clock.now() - drainStarted;
+    if (waited < grace * noticeShareOfGrace)
+        return;
+    if (!core.jobs.empty() && waited < grace * lastShareOfGrace)
+        return;
+    stop();
+}
+
+void EntryNode::State::stop()
+{
+    logInfo("graceful shutdown ends", { { "in_progress", core.jobs.size() } });
+    callers.stop();
+    io.stop();
+}
+
+EntryNode::EntryNode(EntrySettings settings, EntryAdapters adapters)
+    : m_state(std::make_unique<State>(std::move(settings), std::move(adapters)))
+{
+}
+
+EntryNode::~EntryNode() = default;
+
+Result<void> EntryNode::listen()
+{
+    return m_state->listen();
+}
+
+void EntryNode::run()
+{
+    m_state->waitForSignal();
+    m_state->probes.start();
+    m_state->store->start(*m_state);
+    m_state->tick();
+    m_state->io.run();
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/entry/failure_answer.cpp
@@ -0,0 +1,62 @@
+#include "yuccashift/entry/failure_answer.hpp"
+
+#include "yuccashift/http/error_answer.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace yuccashift {
+
+namespace {
+
+    using Seconds = std::chrono::duration<double>;
+
+    constexpr int badGateway = 502;
+    constexpr int unavailable = 503;
+    /** Statuses that callers read as: not run, and never will be. */
+    constexpr auto promises = std::to_array({ 408, 421, 429, 503 });
+    /** A caller returns within this part of its time; it would not wait longer. */
+    constexpr double mostOfTimeLeft = 0.3;
+    /** Bounds on the time to come back where the failure names none. */
+    constexpr Seconds leastReturn { 0.15 };
+    constexpr Seconds mostReturn { 0.9 };
+
+    int statusOf(const Error& error)
+    {
+        int status = traits(error.kind).httpStatus;
+        // Callers take other 4xx for a fault of their own request, and never return.
+        if (error.kind == ErrorKind::Quarantined || error.kind == ErrorKind::ResidencyViolation)
+            status = unavailable;
+        const bool promise = std::ranges::find(promises, status) != promises.end();
+        if (promise && error.effectiveRunState() != RunState::NotRun)
+            status = badGateway;
+        return status;
+    }
+
+    std::string returnTime(const Error& error, Duration timeLeft, RandomSource& random)
+    {
+        const Seconds asked = error.retryAfter ? Seconds(*error.retryAfter) : leastReturn;
+        const Seconds most = std::max(asked * 2, mostReturn);
+        const Seconds drawn = asked + (most - asked) * random.unit();
+        const Seconds bounded = std::clamp(drawn, Seconds(0.02), std::max(Seconds(0.02), Seconds(timeLeft) * mostOfTimeLeft));
+        std::array<char, 24> text {};
+        std::snprintf(text.data(), text.size(), "%.2f", bounded.count());
+        return text.data();
+    }
+
+} // namespace
+
+FailureAnswer failureAnswer(const Error& error, Duration timeLeft, RandomSource& random)
+{
+    FailureAnswer answer;
+    answer.head.status = statusOf(error);
+    answer.head.headers.push_back({ "Content-Type", "application/json" });
+    const bool promise = std::ranges::find(promises, answer.head.status) != promises.end();
+    if (promise)
+        answer.head.headers.push_back({ "Retry-After", returnTime(error, timeLeft, random) });
+    answer.body = errorBody(error, {});
+    return answer;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/entry/request_job.cpp
@@ -0,0 +1,538 @@
+#include "yuccashift/entry/request_job.hpp"
+
+#include "yuccashift/entry/failure_answer.hpp"
+#include "yuccashift/kernel/hash.hpp"
+#include "yuccashift/kernel/log.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace yuccashift {
+
+namespace {
+
+    constexpr int firstServerFailure = 500;
+    /** Bytes of a stream that may wait for a slow caller before its server is slowed down. */
+    constexpr std::size_t mostUnsentBytes = 256 * 1024;
+    /** Bytes of an answer that is kept until it is whole. */
+    constexpr std::size_t mostWholeBytes = 8 << 20;
+    /** Time that an answer takes back over a hop, kept free of the deadline that is passed on. */
+    constexpr Duration hopReturn = milliseconds(60);
+    /** Connections to servers of the own region; a connection takes about a millisecond. */
+    constexpr Duration serverConnectTimeout = milliseconds(400);
+    constexpr Duration instanceConnectTimeout = milliseconds(600);
+    /** A request that may run once only uses connections that were busy lately, so that none dies under it. */
+    constexpr Duration mostIdleOnce = seconds(3);
+    constexpr Duration mostIdleRepeatable = seconds(10);
+    /** A server that says that it is full is left alone so long. */
+    constexpr Duration fullPause = milliseconds(120);
+    /** An instance that cannot be connected to is left alone so long. */
+    constexpr Duration instancePause = seconds(1);
+    /** Urgency of a route's rank at the engines, from first to last. */
+    constexpr int urgencyOfRankZero = 2;
+    constexpr int urgencyPerRank = 2;
+    constexpr int lastUrgency = 9;
+    /** Least time for which a send is worth while. */
+    constexpr Duration leastUsefulTime = milliseconds(30);
+
+    bool connectionNames(const HeaderFields& headers, std::string_view name)
+    {
+        const auto value = findHeader(headers, "Connection");
+        return value && boost::algorithm::icontains(*value, name) && !boost::algorithm::iequals(name, "host");
+    }
+
+    /** What goes on to the caller: everything but the headers of the server's connection. */
+    AnswerHead forwardedHead(const AnswerHead& head)
+    {
+        AnswerHead out;
+        out.status = head.status;
+        for (const auto& field : head.headers) {
+            if (!isHopByHop(field.name))
+                out.headers.push_back(field);
+        }
+        return out;
+    }
+
+} // namespace
+
+void RequestJob::start(EntryCore& core, std::shared_ptr<InboundExchange> exchange, std::optional<HopOrder> hop)
+{
+    const auto job = std::make_shared<RequestJob>(core, std::move(exchange), std::move(hop));
+    core.jobs.insert(job);
+    job->m_exchange->onGone([weak = std::weak_ptr(job)] {
+        if (const auto self = weak.lock())
+            self->onCallerGone();
+    });
+    if (job->prepare())
+        job->dispatch();
+}
+
+RequestJob::RequestJob(EntryCore& core, std::shared_ptr<InboundExchange> exchange, std::optional<HopOrder> hop)
+    : m_core(core)
+    , m_exchange(std::move(exchange))
+    , m_hop(std::move(hop))
+    , m_timer(core.io)
+{
+}
+
+RequestJob::~RequestJob() = default;
+
+Duration RequestJob::timeLeft() const
+{
+    return std::max(Duration::zero(), m_deadline - m_core.clock.now());
+}
+
+Duration RequestJob::objectiveLeft() const
+{
+    return std::max(Duration::zero(), m_objectiveAt - m_core.clock.now());
+}
+
+std::uint64_t RequestJob::fingerprint() const
+{
+    const auto& request = m_exchange->request();
+    const auto host = findHeader(request.headers, "Host").value_or("");
+    const std::array<std::string_view, 4> parts { request.method, host, request.target, request.body };
+    return hash64(parts);
+}
+
+bool RequestJob::prepare()
+{
+    m_deadline = m_exchange->arrivedAt() + seconds(10);
+    m_objectiveAt = m_deadline;
+    const auto resolved = resolveRoute();
+    if (!resolved) {
+        failWith(resolved.error());
+        return false;
+    }
+    armTimeLimit();
+    if (!m_hop)
+        m_core.repeats.onRequest(m_service);
+    return true;
+}
+
+Result<void> RequestJob::resolveRoute()
+{
+    const auto& request = m_exchange->request();
+    m_facts = m_core.dialect.decodeRequest(request);
+    m_routes = m_core.world.routes();
+    if (!m_routes)
+        return fail(ErrorKind::NotReady);
+    const auto host = findHeader(request.headers, "Host");
+    if (!host)
+        return fail(ErrorKind::MalformedRequest, "a request without a host");
+    m_route = m_routes->find(*host, request.target);
+    if (!m_route || m_route->services.empty()) {
+        // The origin knows the route by a configuration that has not come here yet.
+        return fail(m_hop ? ErrorKind::NotReady : ErrorKind::UnknownRoute);
+    }
+    const auto arrived = m_exchange->arrivedAt();
+    if (m_hop) {
+        if (!m_route->usesService(m_hop->service) || !m_route->allowsRegion(m_core.settings.region))
+            return fail(ErrorKind::NotReady, "the two instances hold different configurations");
+        m_service = m_hop->service;
+        m_deadline = arrived + m_hop->deadline;
+        m_objectiveAt = arrived + m_hop->objective;
+    } else {
+        m_service = m_route->pickService(hash64(m_facts.attemptId));
+        const auto patience = std::min(m_facts.deadline.value_or(m_route->timeLimit), m_route->timeLimit);
+        m_deadline = arrived + patience;
+        m_objectiveAt = arrived + m_route->latencyObjective;
+    }
+    if (m_core.crashes.blocked(fingerprint()))
+        return fail(ErrorKind::Quarantined);
+    return {};
+}
+
+void RequestJob::armTimeLimit()
+{
+    m_timer.expires_at(m_deadline);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& ec) {
+        const auto self = weak.lock();
+        if (!ec && self)
+            self->onTimeLimit();
+    });
+}
+
+void RequestJob::dispatch()
+{
+    if (m_done)
+        return;
+    if (timeLeft() < leastUsefulTime)
+        return onTimeLimit();
+    LocalPlan local;
+    if (m_route->allowsRegion(m_core.settings.region))
+        local = m_core.dispatcher.planLocal(m_service, m_facts.work, m_triedServers);
+    RemotePlan remote;
+    if (!m_hop)
+        remote = m_core.dispatcher.planRemote(*m_route, m_service, m_facts.work, m_triedInstances);
+    PlacementInput input;
+    if (local.choice.best)
+        input.local = local.choice.predicted;
+    input.remotes = remote.rooms;
+    input.objective = objectiveLeft();
+    input.deadline = timeLeft();
+    const auto placement = place(input);
+    switch (placement.where) {
+    case Placement::Where::Local:
+        return sendToServer(local);
+    case Placement::Where::Remote:
+        return sendToInstance(*remote.members[placement.remote], placement.predicted);
+    case Placement::Where::Refuse:
+        break;
+    }
+    const bool anywhere = input.local || !input.remotes.empty();
+    Error error { anywhere ? ErrorKind::Overloaded : ErrorKind::NoBackend, {}, {}, {} };
+    error.runState = m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun;
+    logInfo("refused", { { "request", m_facts.attemptId }, { "reason", error.code() }, { "predicted_ms", toMilliseconds(placement.predicted) }, { "objective_ms", toMilliseconds(input.objective) }, { "left_ms", toMilliseconds(input.deadline) }, { "servers", local.servers.size() }, { "usable", local.choice.usable }, { "regions", remote.rooms.size() } });
+    failWith(std::move(error));
+}
+
+std::string RequestJob::requestBytes(const std::string& extraHeaders) const
+{
+    const auto& request = m_exchange->request();
+    std::string out;
+    out.reserve(512 + extraHeaders.size() + request.body.size());
+    out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    for (const auto& field : request.headers) {
+        if (isHopByHop(field.name) || m_core.dialect.reservedHeader(field.name) || connectionNames(request.headers, field.name))
+            continue;
+        out.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+    out += extraHeaders;
+    const bool bodyExpected = request.method != "GET" && request.method != "HEAD";
+    if (bodyExpected || !request.body.empty())
+        out.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+    out.append("\r\n").append(request.body);
+    return out;
+}
+
+void RequestJob::sendToServer(const LocalPlan& plan)
+{
+    const auto& server = *plan.server();
+    const auto& candidate = plan.candidates[*plan.choice.best];
+    ServerOrder order;
+    order.serverId = server.identity.id;
+    order.deadline = std::chrono::duration_cast<milliseconds>(timeLeft());
+    if (candidate.engine)
+        order.urgency = std::min(lastUrgency, urgencyOfRankZero + urgencyPerRank * static_cast<int>(m_route->priority));
+    order.resumeAfter = m_gate.lastId() ? m_gate.lastId() : m_facts.resumeAfter;
+    std::string headers;
+    m_core.dialect.appendOrder(headers, order);
+
+    OutboundRequest request;
+    request.endpoint = server.address;
+    request.poolKey = poolKeyOf(server);
+    request.bytes = requestBytes(headers);
+    request.mostIdle = m_route->repeatable() ? mostIdleRepeatable : mostIdleOnce;
+    request.connectTimeout = serverConnectTimeout;
+    request.belongs = [&dialect = m_core.dialect, id = m_facts.attemptId](const AnswerHead& head) {
+        const auto echoed = dialect.decodeAnswer(head).attemptId;
+        return !echoed || *echoed == id;
+    };
+    const auto uncached = m_facts.work.promptTokens - std::min(m_facts.work.promptTokens, candidate.cachedTokens);
+    m_ticket = m_core.book.begin(server.key, m_facts.work, uncached, plan.choice.predicted, candidate.memoryTokens);
+    if (candidate.cold)
+        m_core.book.noteColdSend(server.key);
+    m_triedServers.insert(server.key);
+    m_serverId = server.identity.id;
+    m_serverPool = request.poolKey;
+    m_viaInstance.clear();
+    m_sentAt = m_core.clock.now();
+    m_intake = Intake::None;
+    ++m_attempts;
+    logDebug("sent to server", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "cached_tokens", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
+    m_outbound = m_core.servers.start(std::move(request), *this);
+}
+
+void RequestJob::sendToInstance(const FleetMember& member, Duration predicted)
+{
+    HopOrder order;
+    order.origin = m_core.settings.instance;
+    order.configVersion = m_routes->config().version;
+    order.service = m_service;
+    order.deadline = std::chrono::duration_cast<milliseconds>(std::max(Duration::zero(), timeLeft() - hopReturn));
+    order.objective = std::chrono::duration_cast<milliseconds>(std::max(Duration::zero(), objectiveLeft() - hopReturn));
+    std::string headers;
+    appendHopOrder(headers, order);
+    OutboundRequest request;
+    request.endpoint = { member.ip, m_core.settings.peerPort };
+    request.poolKey = member.instance + "|" + std::to_string(member.incarnation);
+    request.bytes = requestBytes(headers);
+    request.mostIdle = m_route->repeatable() ? mostIdleRepeatable : mostIdleOnce;
+    request.connectTimeout = instanceConnectTimeout;
+    m_core.members.noteHop(member.instance);
+    m_triedInstances.insert(member.instance);
+    m_viaInstance = member.instance;
+    m_serverId.clear();
+    m_sentAt = m_core.clock.now();
+    m_intake = Intake::None;
+    ++m_attempts;
+    logDebug("sent to instance", { { "request", m_facts.attemptId }, { "instance", member.instance }, { "region", member.region }, { "predicted_ms", toMilliseconds(predicted) } });
+    m_outbound = m_core.peers.start(std::move(request), *this);
+}
+
+void RequestJob::onAnswerHead(const AnswerHead& head)
+{
+    const auto self = shared_from_this();
+    if (!m_viaInstance.empty()) {
+        m_hopError = decodeHopFailure(head);
+        if (m_hopError) {
+            m_intake = Intake::HopFailure;
+            return;
+        }
+    }
+    const auto facts = m_core.dialect.decodeAnswer(head);
+    if (facts.notRun) {
+        m_intake = Intake::NotRun;
+        if (facts.wrongServer) {
+            logWarning("another server has the address", { { "request", m_facts.attemptId }, { "server", m_serverId } });
+            m_core.book.markSuspect(m_ticket.server);
+        } else {
+            m_core.book.noteFull(m_ticket.server, fullPause);
+        }
+        return;
+    }
+    m_mayHaveRun = true;
+    m_head = head;
+    const bool success = head.status < 300;
+    m_intake = success && m_route->kind == RouteKind::Streaming ? Intake::Stream : Intake::Whole;
+}
+
+void RequestJob::onAnswerBody(std::string_view data)
+{
+    const auto self = shared_from_this();
+    if (m_firstByteAt == Instant {} && (m_intake == Intake::Stream || m_intake == Intake::Whole))
+        m_firstByteAt = m_core.clock.now();
+    switch (m_intake) {
+    case Intake::Whole:
+        m_body.append(data);
+        if (m_body.size() > mostWholeBytes)
+            failWith({ ErrorKind::AnswerIncomplete, "an answer larger than its bound", RunState::Ran, {} });
+        return;
+    case Intake::Stream:
+        m_core.book.firstByte(m_ticket);
+        return passOn(data);
+    case Intake::None:
+    case Intake::NotRun:
+    case Intake::HopFailure:
+        return;
+    }
+}
+
+void RequestJob::sendStreamHead()
+{
+    if (m_exchange->headSent())
+        return;
+    m_exchange->sendHead(forwardedHead(m_head));
+}
+
+void RequestJob::passOn(std::string_view data)
+{
+    std::string whole;
+    if (m_route->repeatable()) {
+        m_gate.feed(data, whole);
+        data = whole;
+    }
+    if (data.empty())
+        return;
+    sendStreamHead();
+    m_exchange->sendBody(data);
+    if (m_done || m_exchange->unsentBytes() < mostUnsentBytes || !m_outbound)
+        return;
+    m_outbound->pause();
+    m_exchange->onDrained([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->m_outbound)
+            self->m_outbound->resume();
+    });
+}
+
+void RequestJob::onAnswerEnd()
+{
+    const auto self = shared_from_this();
+    switch (m_intake) {
+    case Intake::Whole:
+        return onWholeAnswer();
+    case Intake::Stream:
+        return onStreamEnd();
+    case Intake::NotRun:
+        return onNotRun();
+    case Intake::HopFailure:
+        return onHopFailure();
+    case Intake::None:
+        return;
+    }
+}
+
+void RequestJob::onWholeAnswer()
+{
+    m_core.book.firstByte(m_ticket);
+    const bool failed = m_head.status >= firstServerFailure;
+    releaseServer(failed ? ServerOutcome::Failed : ServerOutcome::Succeeded);
+    if (failed && m_route->repeatable() && repeat("the server answered with a failure"))
+        return;
+    if (m_exchange->headSent()) {
+        m_exchange->abort();
+        return finish("broken_off");
+    }
+    // A promise that nothing ran is only passed on where the server makes it in the form that says so.
+    const auto status = m_head.status;
+    if (!m_route->repeatable() && (status == 503 || status == 429 || status == 408 || status == 421))
+        return failWith({ ErrorKind::BackendLost, "the server's refusal does not say whether it ran", RunState::OutcomeUnknown, {} });
+    m_exchange->sendWhole(forwardedHead(m_head), m_body);
+    finish(failed ? "server_failure" : "ok");
+}
+
+void RequestJob::onStreamEnd()
+{
+    releaseServer(ServerOutcome::Succeeded);
+    sendStreamHead();
+    if (m_route->repeatable())
+        m_exchange->sendBody(std::string(m_gate.rest()));
+    m_exchange->finish();
+    finish("ok");
+}
+
+void RequestJob::onNotRun()
+{
+    releaseServer(ServerOutcome::Rejected);
+    if (repeat("the server refused"))
+        return;
+    const bool began = m_mayHaveRun;
+    Error error { ErrorKind::Overloaded, {}, began ? RunState::OutcomeUnknown : RunState::NotRun, {} };
+    failWith(std::move(error));
+}
+
+void RequestJob::onHopFailure()
+{
+    releaseServer(ServerOutcome::Abandoned);
+    auto error = *m_hopError;
+    m_hopError.reset();
+    if (error.effectiveRunState() != RunState::NotRun)
+        m_mayHaveRun = true;
+    logInfo("instance gave up", { { "request", m_facts.attemptId }, { "instance", m_viaInstance }, { "reason", error.code() }, { "run_state", toString(error.effectiveRunState()) } });
+    // The other region did not send it to a server, so that this costs nobody a repeat.
+    if (error.effectiveRunState() == RunState::NotRun && m_triedInstances.size() < 2) {
+        --m_attempts;
+        return dispatch();
+    }
+    failWith(std::move(error));
+}
+
+void RequestJob::onAnswerFailure(OutboundFailure failure, std::string_view reason)
+{
+    const auto self = shared_from_this();
+    const bool viaInstance = !m_viaInstance.empty();
+    logInfo("send failed", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "instance", m_viaInstance }, { "how", toString(failure) }, { "reason", reason }, { "after_ms", toMilliseconds(m_core.clock.now() - m_sentAt) } });
+    if (m_intake == Intake::NotRun)
+        return onNotRun();
+    if (m_intake == Intake::HopFailure)
+        return onHopFailure();
+    if (failure == OutboundFailure::NotSent) {
+        --m_attempts;
+        if (viaInstance) {
+            m_core.members.avoid(m_viaInstance, instancePause);
+        } else {
+            m_core.book.markSuspect(m_ticket.server);
+            m_core.servers.closeIdle(m_serverPool);
+            releaseServer(ServerOutcome::Lost);
+        }
+        return dispatch();
+    }
+    onSendLost(failure, reason);
+}
+
+void RequestJob::onSendLost(OutboundFailure failure, std::string_view reason)
+{
+    m_mayHaveRun = true;
+    if (m_viaInstance.empty()) {
+        const auto server = m_ticket.server;
+        m_core.crashes.onDeath(fingerprint(), server);
+        releaseServer(ServerOutcome::Lost);
+        m_core.probeSoon(server);
+    } else {
+        m_core.members.avoid(m_viaInstance, instancePause);
+    }
+    if (m_route->repeatable() && repeat(reason))
+        return;
+    const auto kind = failure == OutboundFailure::Truncated ? ErrorKind::AnswerIncomplete : m_viaInstance.empty() ? ErrorKind::BackendLost
+                                                                                                                  : ErrorKind::PeerLost;
+    failWith({ kind, {}, RunState::OutcomeUnknown, {} });
+}
+
+bool RequestJob::repeat(std::string_view why)
+{
+    const bool allowed = m_attempts < m_route->maxAttempts && timeLeft() > leastUsefulTime;
+    if (!allowed || m_core.crashes.blocked(fingerprint()) || !m_core.repeats.tryRepeat(m_service))
+        return false;
+    logInfo("sent again", { { "request", m_facts.attemptId }, { "why", why }, { "attempt", m_attempts + 1 }, { "after_event", m_gate.lastId().value_or("") } });
+    m_gate.restart();
+    m_body.clear();
+    m_outbound.reset();
+    dispatch();
+    return true;
+}
+
+void RequestJob::releaseServer(ServerOutcome outcome)
+{
+    m_core.book.end(m_ticket, outcome);
+}
+
+void RequestJob::onTimeLimit()
+{
+    if (m_done)
+        return;
+    const bool sent = m_outbound && m_outbound->sent();
+    Error error { ErrorKind::DeadlineExceeded, {}, sent || m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun, {} };
+    logInfo("time is up", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "instance", m_viaInstance }, { "events", m_gate.events() }, { "head_seen", m_intake != Intake::None ? 1 : 0 } });
+    failWith(std::move(error));
+}
+
+void RequestJob::onCallerGone()
+{
+    const auto self = shared_from_this();
+    if (m_done)
+        return;
+    m_outbound.reset();
+    releaseServer(ServerOutcome::Abandoned);
+    finish("caller_gone");
+}
+
+void RequestJob::failWith(Error error)
+{
+    const auto self = shared_from_this();
+    if (m_done)
+        return;
+    m_outbound.reset();
+    releaseServer(ServerOutcome::Abandoned);
+    if (m_exchange->headSent()) {
+        m_exchange->abort();
+        return finish("broken_off");
+    }
+    auto answer = failureAnswer(error, timeLeft(), *m_core.random);
+    if (m_hop)
+        answer.head.headers.push_back(hopFailure(error));
+    m_exchange->sendWhole(std::move(answer.head), answer.body);
+    finish(error.code());
+}
+
+void RequestJob::finish(std::string_view outcome)
+{
+    m_done = true;
+    m_timer.cancel();
+    const auto now = m_core.clock.now();
+    const auto took = now - m_exchange->arrivedAt();
+    const auto route = m_route ? std::string_view(m_route->name) : std::string_view();
+    m_core.metrics.counter("yuccashift_requests_total", { { "outcome", outcome } }).add();
+    m_core.metrics.latency("yuccashift_request_seconds").record(took);
+    const auto level = outcome == "ok" ? LogLevel::Debug : LogLevel::Info;
+    log(level, "request ended", { { "request", m_facts.attemptId }, { "route", route }, { "outcome", outcome }, { "took_ms", toMilliseconds(took) }, { "first_byte_ms", m_firstByteAt == Instant {} ? -1 : toMilliseconds(m_firstByteAt - m_exchange->arrivedAt()) }, { "server", m_serverId }, { "instance", m_viaInstance }, { "attempts", m_attempts }, { "config", m_routes ? m_routes->config().version : 0 } });
+    // The exchange may be on the stack of a callback that still uses this job.
+    boost::asio::post(m_core.io, [&core = m_core, self = shared_from_this()] {
+        self->m_outbound.reset();
+        core.jobs.erase(self);
+    });
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/entry/server_probes.cpp
@@ -0,0 +1,136 @@
+#include "yuccashift/entry/server_probes.hpp"
+
+#include "yuccashift/kernel/log.hpp"
+
+namespace yuccashift {
+
+namespace {
+
+    /** Suspects are asked this often; a crashed server is back after some seconds. */
+    constexpr Duration probeInterval = milliseconds(250);
+    /** A healthy server of the own region answers within milliseconds, one with a full queue later. */
+    constexpr Duration probeTimeout = milliseconds(800);
+    constexpr Duration probeConnectTimeout = milliseconds(300);
+
+} // namespace
+
+/** One question to one server. */
+class ServerProbes::Probe final : public OutboundListener {
+public:
+    Probe(ServerProbes& owner, const BackendServer& server, const std::string& path)
+        : m_owner(owner)
+        , m_server(server)
+        , m_timer(owner.m_core.io)
+    {
+        std::string headers;
+        ServerOrder order;
+        order.serverId = server.identity.id;
+        order.deadline = std::chrono::duration_cast<milliseconds>(probeTimeout);
+        owner.m_core.dialect.appendOrder(headers, order);
+        OutboundRequest request;
+        request.endpoint = server.address;
+        request.poolKey = poolKeyOf(server);
+        request.connectTimeout = probeConnectTimeout;
+        request.mostIdle = Duration::zero();
+        request.bytes = "GET " + path + " HTTP/1.1\r\nHost: " + toString(server.address) + "\r\n" + headers + "\r\n";
+        m_outbound = owner.m_core.servers.start(std::move(request), *this);
+        m_timer.expires_after(probeTimeout);
+        m_timer.async_wait([this](const boost::system::error_code& ec) {
+            if (!ec)
+                conclude(false, "no answer in time");
+        });
+    }
+
+    void onAnswerHead(const AnswerHead& head) override
+    {
+        m_facts = m_owner.m_core.dialect.decodeHealth(head);
+    }
+    void onAnswerBody(std::string_view) override { }
+    void onAnswerEnd() override
+    {
+        const bool same = m_facts.serverId.empty() || m_facts.serverId == m_server.identity.id;
+        conclude(m_facts.healthy && same, same ? "its health answer" : "another server has the address");
+    }
+    void onAnswerFailure(OutboundFailure, std::string_view reason) override { conclude(false, reason); }
+
+private:
+    void conclude(bool healthy, std::string_view reason)
+    {
+        auto& core = m_owner.m_core;
+        const bool suspect = core.book.of(m_server.key).suspect;
+        if (healthy != !suspect || !healthy)
+            logInfo("server probed", { { "server", m_server.identity.id }, { "healthy", healthy ? 1 : 0 }, { "was_suspect", suspect ? 1 : 0 }, { "reason", reason } });
+        if (healthy) {
+            if (m_facts.coldFor > Duration::zero())
+                core.world.setCold(m_server.identity.id, core.clock.now() + m_facts.coldFor);
+            if (suspect)
+                core.book.clearSuspicion(m_server.key);
+        } else {
+            core.book.markSuspect(m_server.key);
+            core.servers.closeIdle(poolKeyOf(m_server));
+        }
+        m_owner.ended(m_server.key);
+    }
+
+    ServerProbes& m_owner;
+    BackendServer m_server;
+    boost::asio::steady_timer m_timer;
+    HealthFacts m_facts;
+    std::unique_ptr<OutboundExchange> m_outbound;
+};
+
+ServerProbes::ServerProbes(EntryCore& core)
+    : m_core(core)
+    , m_timer(core.io)
+{
+    core.probeSoon = [this](std::uint64_t server) { probe(server); };
+}
+
+ServerProbes::~ServerProbes() = default;
+
+void ServerProbes::start()
+{
+    tick();
+}
+
+void ServerProbes::probe(std::uint64_t server)
+{
+    if (m_running.contains(server))
+        return;
+    const auto routes = m_core.world.routes();
+    for (const auto& [key, it] : m_core.world.servers()) {
+        if (it.key != server || !m_core.dispatcher.serves(it) || !routes)
+            continue;
+        m_core.book.noteProbe(server);
+        m_running[server] = std::make_unique<Probe>(*this, it, routes->config().traitsOf(it.service).healthPath);
+        return;
+    }
+}
+
+void ServerProbes::ended(std::uint64_t server)
+{
+    const auto it = m_running.find(server);
+    if (it == m_running.end())
+        return;
+    // The probe is on the stack of its own callback.
+    std::shared_ptr<Probe> probe = std::move(it->second);
+    m_running.erase(it);
+    boost::asio::post(m_core.io, [probe] {});
+}
+
+void ServerProbes::tick()
+{
+    const auto now = m_core.clock.now();
+    for (const auto& [key, server] : m_core.world.servers()) {
+        const auto& known = m_core.book.of(server.key);
+        if (known.suspect && now - known.lastProbe >= probeInterval)
+            probe(server.key);
+    }
+    m_timer.expires_after(probeInterval);
+    m_timer.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec)
+            tick();
+    });
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/entry/server_probes.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "yuccashift/entry/entry_core.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+
+namespace yuccashift {
+
+/** Asks servers whose connections failed whether they take requests again. */
+class ServerProbes {
+public:
+    explicit ServerProbes(EntryCore&);
+    ~ServerProbes();
+    ServerProbes(const ServerProbes&) = delete;
+    ServerProbes& operator=(const ServerProbes&) = delete;
+
+    void start();
+    /** Probes the server now, unless a probe is under way. */
+    void probe(std::uint64_t server);
+
+private:
+    class Probe;
+    void tick();
+    void ended(std::uint64_t server);
+
+    EntryCore& m_core;
+    boost::asio::steady_timer m_timer;
+    std::map<std::uint64_t, std::unique_ptr<Probe>> m_running;
+};
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/entry/snapshot_exchange.cpp
@@ -0,0 +1,153 @@
+#include "yuccashift/entry/snapshot_exchange.hpp"
+
+#include "yuccashift/fleet/datagram.hpp"
+#include "yuccashift/kernel/log.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <charconv>
+
+namespace yuccashift {
+
+namespace {
+
+    constexpr std::string_view snapshotPath = "/yuccashift-peer/snapshot?after=";
+    /** The own watch brings a change within the path to the store; a peer is asked only after that. */
+    constexpr Duration patience = milliseconds(350);
+    constexpr Duration pauseBetween = milliseconds(400);
+    constexpr Duration fetchTimeout = milliseconds(1500);
+    constexpr Duration connectTimeout = milliseconds(500);
+
+    std::optional<std::int64_t> revisionAsked(const RequestMessage& request)
+    {
+        if (!request.target.starts_with(snapshotPath))
+            return {};
+        const auto digits = std::string_view(request.target).substr(snapshotPath.size());
+        std::int64_t revision = 0;
+        const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), revision);
+        if (ec != std::errc())
+            return {};
+        return revision;
+    }
+
+} // namespace
+
+/** One question to one instance. */
+class SnapshotExchange::Fetch final : public OutboundListener {
+public:
+    Fetch(SnapshotExchange& owner, const FleetMember& member)
+        : m_owner(owner)
+        , m_instance(member.instance)
+        , m_timer(owner.m_core.io)
+    {
+        auto& core = owner.m_core;
+        OutboundRequest request;
+        request.endpoint = { member.ip, core.settings.peerPort };
+        request.poolKey = member.instance + "|" + std::to_string(member.incarnation);
+        request.connectTimeout = connectTimeout;
+        request.bytes = "GET " + std::string(snapshotPath) + std::to_string(core.world.held().revision()) + " HTTP/1.1\r\nHost: " + member.ip + "\r\n\r\n";
+        m_outbound = core.peers.start(std::move(request), *this);
+        m_timer.expires_after(fetchTimeout);
+        m_timer.async_wait([this](const boost::system::error_code& ec) {
+            if (!ec)
+                onAnswerFailure(OutboundFailure::Lost, "no answer in time");
+        });
+    }
+
+    void onAnswerHead(const AnswerHead& head) override { m_good = head.status == 200; }
+    void onAnswerBody(std::string_view data) override { m_body.append(data); }
+    void onAnswerEnd() override
+    {
+        const auto snapshot = decodeSnapshot(m_body);
+        if (m_good && snapshot)
+            take(*snapshot);
+        else
+            logWarning("snapshot not usable", { { "instance", m_instance } });
+        m_owner.ended();
+    }
+    void onAnswerFailure(OutboundFailure, std::string_view reason) override
+    {
+        logWarning("snapshot not fetched", { { "instance", m_instance }, { "reason", reason } });
+        m_owner.ended();
+    }
+
+private:
+    void take(const fleetwire::Snapshot& snapshot)
+    {
+        auto& world = m_owner.m_core.world;
+        if (snapshot.revision <= world.held().revision())
+            return;
+        std::vector<ItemChange> items;
+        items.reserve(snapshot.items.size());
+        for (const auto& it : snapshot.items)
+            items.push_back({ it.key, it.value, it.revision });
+        logInfo("published items from an instance", { { "instance", m_instance }, { "revision", snapshot.revision }, { "before", world.held().revision() }, { "items", items.size() } });
+        world.replaceAll(items, snapshot.revision);
+    }
+
+    SnapshotExchange& m_owner;
+    InstanceId m_instance;
+    boost::asio::steady_timer m_timer;
+    std::string m_body;
+    bool m_good = false;
+    std::unique_ptr<OutboundExchange> m_outbound;
+};
+
+SnapshotExchange::SnapshotExchange(EntryCore& core)
+    : m_core(core)
+{
+}
+
+SnapshotExchange::~SnapshotExchange() = default;
+
+void SnapshotExchange::ended()
+{
+    // The fetch is on the stack of its own callback.
+    std::shared_ptr<Fetch> fetch = std::move(m_fetch);
+    boost::asio::post(m_core.io, [fetch] {});
+}
+
+void SnapshotExchange::tick()
+{
+    const auto now = m_core.clock.now();
+    const FleetMember* ahead = nullptr;
+    for (const auto* member : m_core.members.alive()) {
+        if (member->storeRevision > m_core.world.held().revision() && (!ahead || member->storeRevision > ahead->storeRevision))
+            ahead = member;
+    }
+    if (!ahead) {
+        m_behindSince = {};
+        return;
+    }
+    if (m_behindSince == Instant {})
+        m_behindSince = now;
+    const bool starting = m_core.world.configVersion() == 0;
+    const bool due = starting || now - m_behindSince >= patience;
+    if (!due || m_fetch || now - m_lastFetch < pauseBetween)
+        return;
+    m_lastFetch = now;
+    m_fetch = std::make_unique<Fetch>(*this, *ahead);
+}
+
+bool SnapshotExchange::answer(InboundExchange& exchange)
+{
+    const auto after = revisionAsked(exchange.request());
+    if (!after)
+        return false;
+    fleetwire::Snapshot snapshot;
+    const auto& held = m_core.world.held();
+    snapshot.revision = held.revision();
+    for (const auto& [key, item] : held.items()) {
+        fleetwire::HeldItem it;
+        it.key = key;
+        it.value = item.value;
+        it.revision = item.revision;
+        snapshot.items.push_back(std::move(it));
+    }
+    AnswerHead head;
+    head.headers.push_back({ "Content-Type", "application/octet-stream" });
+    exchange.sendWhole(std::move(head), encodeSnapshot(snapshot));
+    return true;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/fleet/datagram.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "fleet_types.h"
+#include "yuccashift/kernel/error.hpp"
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace yuccashift {
+
+/** Largest datagram between instances, in bytes. */
+constexpr std::size_t mostDatagramBytes = 60 * 1024;
+
+/** Thrift's compact form. */
+std::string encodeHeartbeat(const fleetwire::Heartbeat&);
+std::string encodeSnapshot(const fleetwire::Snapshot&);
+/** MalformedRequest on damage. */
+Result<fleetwire::Heartbeat> decodeHeartbeat(std::string_view);
+Result<fleetwire::Snapshot> decodeSnapshot(std::string_view);
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/fleet/held_items.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace yuccashift {
+
+/** One published item or its removal. */
+struct ItemChange {
+    std::string key;
+    /** Nothing where the item was removed. */
+    std::optional<std::string> value;
+    std::int64_t revision = 0;
+};
+
+/**
+ * What an instance holds of the published items. Older news never replaces
+ * newer, whichever way it comes: from a watch, from pages or from a peer.
+ */
+class HeldItems {
+public:
+    struct Item {
+        std::string value;
+        std::int64_t revision = 0;
+    };
+
+    /** Takes changes in any order; `through` says up to which revision nothing is missing. */
+    std::vector<ItemChange> apply(std::span<const ItemChange> changes, std::int64_t through);
+    /** Takes a whole listing that is complete up to its revision; items that it lacks are gone. */
+    std::vector<ItemChange> replaceAll(std::span<const ItemChange> listing, std::int64_t through);
+
+    /** Everything up to here is known. */
+    std::int64_t revision() const { return m_revision; }
+    const std::map<std::string, Item>& items() const { return m_items; }
+
+private:
+    bool take(const ItemChange&);
+
+    std::map<std::string, Item> m_items;
+    /** Revisions of removals, so that a late page does not bring an item back. */
+    std::map<std::string, std::int64_t> m_removed;
+    std::int64_t m_revision = 0;
+};
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/fleet/member_book.cpp
@@ -0,0 +1,119 @@
+#include "yuccashift/fleet/member_book.hpp"
+
+#include "yuccashift/kernel/log.hpp"
+
+#include <algorithm>
+
+namespace yuccashift {
+
+namespace {
+
+    /** Several heartbeats of the slowest pace may be lost before an instance counts as silent. */
+    constexpr Duration silence = milliseconds(1500);
+    /** An instance silent for so long is forgotten; one that returns is heard again within a heartbeat. */
+    constexpr Duration forgetAfter = seconds(30);
+
+} // namespace
+
+MemberBook::MemberBook(const Clock& clock, InstanceId self)
+    : m_clock(clock)
+    , m_self(std::move(self))
+{
+}
+
+bool MemberBook::take(const fleetwire::Heartbeat& beat)
+{
+    if (beat.instance.empty() || beat.instance == m_self)
+        return false;
+    auto& member = m_members[beat.instance];
+    const auto incarnation = static_cast<Incarnation>(beat.incarnation);
+    const bool older = incarnation < member.incarnation || (incarnation == member.incarnation && beat.sequence <= member.sequence);
+    if (!member.instance.empty() && older)
+        return false;
+    const bool fresh = member.instance.empty() || incarnation != member.incarnation || !isAlive(member);
+    if (fresh)
+        logInfo("instance heard", { { "instance", beat.instance }, { "region", beat.region }, { "incarnation", beat.incarnation } });
+    if (!member.draining && beat.draining)
+        logInfo("instance draining", { { "instance", beat.instance } });
+    member.instance = beat.instance;
+    member.incarnation = incarnation;
+    member.sequence = beat.sequence;
+    member.region = beat.region;
+    member.datacentre = beat.datacentre;
+    member.ip = beat.ip;
+    member.takesCallers = beat.takesCallers;
+    member.draining = beat.draining;
+    member.configVersion = beat.configVersion;
+    member.storeRevision = beat.storeRevision;
+    member.lastHeard = m_clock.now();
+    member.sentSinceHeard = 0;
+    member.rooms.clear();
+    for (const auto& room : beat.rooms)
+        member.rooms[room.serviceName] = { milliseconds(room.waitMs), room.freeSlots };
+    return true;
+}
+
+bool MemberBook::isAlive(const FleetMember& member) const
+{
+    return m_clock.now() - member.lastHeard < silence;
+}
+
+std::vector<const FleetMember*> MemberBook::alive() const
+{
+    std::vector<const FleetMember*> members;
+    for (const auto& [name, member] : m_members) {
+        if (isAlive(member))
+            members.push_back(&member);
+    }
+    return members;
+}
+
+const FleetMember* MemberBook::find(const InstanceId& instance) const
+{
+    const auto it = m_members.find(instance);
+    return it == m_members.end() ? nullptr : &it->second;
+}
+
+std::size_t MemberBook::instancesSeen() const
+{
+    return m_members.size() + 1;
+}
+
+std::vector<InstanceId> MemberBook::ownersIn(const RegionName& region, bool selfBelongs) const
+{
+    std::vector<InstanceId> owners;
+    for (const auto& [name, member] : m_members) {
+        if (member.region == region && isAlive(member) && !member.draining)
+            owners.push_back(name);
+    }
+    if (selfBelongs)
+        owners.push_back(m_self);
+    return owners;
+}
+
+void MemberBook::avoid(const InstanceId& instance, Duration time)
+{
+    if (const auto it = m_members.find(instance); it != m_members.end())
+        it->second.avoidUntil = m_clock.now() + time;
+}
+
+void MemberBook::noteHop(const InstanceId& instance)
+{
+    if (const auto it = m_members.find(instance); it != m_members.end())
+        ++it->second.sentSinceHeard;
+}
+
+std::vector<InstanceId> MemberBook::expire()
+{
+    std::vector<InstanceId> gone;
+    const auto oldest = m_clock.now() - forgetAfter;
+    std::erase_if(m_members, [&](const auto& entry) {
+        if (entry.second.lastHeard >= oldest)
+            return false;
+        gone.push_back(entry.first);
+        return true;
+    });
+    return gone;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/fleet/member_book.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "fleet_types.h"
+#include "yuccashift/kernel/clock.hpp"
+#include "yuccashift/kernel/ids.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace yuccashift {
+
+/** What a region's instances can take of one service, by the newest heartbeat from there. */
+struct ServiceRoomView {
+    Duration wait {};
+    std::int32_t freeSlots = 0;
+};
+
+/** Another instance as its heartbeats show it. */
+struct FleetMember {
+    InstanceId instance;
+    Incarnation incarnation = 0;
+    std::int64_t sequence = 0;
+    RegionName region;
+    DatacentreName datacentre;
+    std::string ip;
+    bool takesCallers = false;
+    bool draining = false;
+    std::int64_t configVersion = 0;
+    std::int64_t storeRevision = 0;
+    std::map<ServiceName, ServiceRoomView> rooms;
+    Instant lastHeard {};
+    /** No hops there until then, since the last one could not be delivered. */
+    Instant avoidUntil {};
+    /** Hops sent there since its last heartbeat, which does not show them yet. */
+    std::int32_t sentSinceHeard = 0;
+};
+
+/**
+ * The instances that this one hears. Silence makes an instance unusable for
+ * hops and callers; it never proves that the instance has stopped.
+ */
+class MemberBook {
+public:
+    MemberBook(const Clock&, InstanceId self);
+
+    /** Takes a heartbeat; false where it is older than one taken before. */
+    bool take(const fleetwire::Heartbeat&);
+    /** Members heard lately. */
+    std::vector<const FleetMember*> alive() const;
+    const FleetMember* find(const InstanceId&) const;
+    bool isAlive(const FleetMember&) const;
+    /** Members that were never silent for long, for shares of bounds: the most seen lately, this one included. */
+    std::size_t instancesSeen() const;
+    /** Instances of a region that take hops, this one included where it belongs to it. */
+    std::vector<InstanceId> ownersIn(const RegionName&, bool selfBelongs) const;
+    void avoid(const InstanceId&, Duration);
+    void noteHop(const InstanceId&);
+    /** Forgets members that were silent for long; their names. */
+    std::vector<InstanceId> expire();
+
+private:
+    const Clock& m_clock;
+    InstanceId m_self;
+    std::map<InstanceId, FleetMember> m_members;
+};
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/fleet/route_config.cpp
@@ -0,0 +1,72 @@
+#include "yuccashift/fleet/route_config.hpp"
+
+#include <algorithm>
+#include <boost/algorithm/string/case_conv.hpp>
+#include <numeric>
+
+namespace yuccashift {
+
+namespace {
+
+    std::string lowered(std::string_view text)
+    {
+        return boost::algorithm::to_lower_copy(std::string(text));
+    }
+
+    /** The host without a port. */
+    std::string_view hostName(std::string_view host)
+    {
+        return host.substr(0, host.find(':'));
+    }
+
+} // namespace
+
+bool Route::allowsRegion(const RegionName& region) const
+{
+    return homes.empty() || std::ranges::find(homes, region) != homes.end();
+}
+
+bool Route::usesService(const ServiceName& service) const
+{
+    return std::ranges::any_of(services, [&](const auto& it) { return it.service == service && it.weight > 0; });
+}
+
+const ServiceName& Route::pickService(std::uint64_t draw) const
+{
+    const auto total = std::accumulate(services.begin(), services.end(), std::uint64_t { 0 }, [](auto sum, const auto& it) { return sum + it.weight; });
+    auto rest = total == 0 ? 0 : draw % total;
+    for (const auto& it : services) {
+        if (rest < it.weight)
+            return it.service;
+        rest -= it.weight;
+    }
+    return services.front().service;
+}
+
+const ServiceTraits& RouteConfig::traitsOf(const ServiceName& service) const
+{
+    static const ServiceTraits unknown;
+    const auto it = services.find(service);
+    return it == services.end() ? unknown : it->second;
+}
+
+RouteIndex::RouteIndex(RouteConfig config)
+    : m_config(std::move(config))
+{
+    for (const auto& route : m_config.routes)
+        m_byHost[lowered(route.host)].push_back(&route);
+    for (auto& [host, routes] : m_byHost)
+        std::ranges::stable_sort(routes, std::greater {}, [](const Route* route) { return route->pathPrefix.size(); });
+}
+
+const Route* RouteIndex::find(std::string_view host, std::string_view target) const
+{
+    const auto it = m_byHost.find(lowered(hostName(host)));
+    if (it == m_byHost.end())
+        return nullptr;
+    const auto path = target.substr(0, target.find_first_of("?#"));
+    const auto route = std::ranges::find_if(it->second, [&](const Route* candidate) { return path.starts_with(candidate->pathPrefix); });
+    return route == it->second.end() ? nullptr : *route;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/http/inbound.cpp
@@ -0,0 +1,484 @@
+#include "yuccashift/http/inbound.hpp"
+
+#include "yuccashift/http/detail/scratch.hpp"
+#include "yuccashift/http/error_answer.hpp"
+#include "yuccashift/kernel/detail/listen.hpp"
+#include "yuccashift/kernel/log.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <optional>
+#include <unordered_set>
+
+namespace yuccashift {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+    /** Bytes taken ahead of the request in progress; a caller that sends more waits. */
+    constexpr std::size_t readAheadBytes = 64 * 1024;
+    /** Time in which a caller may still send after the last answer, so that closing does not reset the connection. */
+    constexpr milliseconds lingerTimeout { 1000 };
+    /** Longest time for a body once its header is there; callers' deadlines are shorter. */
+    constexpr milliseconds bodyTimeout { 30000 };
+    /** Bytes of an answer that may wait for a caller that does not read. */
+    constexpr std::size_t mostUnsentBytes = 4 << 20;
+
+    using RequestParser = http::request_parser<http::string_body>;
+
+    RequestMessage toMessage(http::request<http::string_body>&& request)
+    {
+        RequestMessage message;
+        message.method = std::string(request.method_string());
+        message.target = std::string(request.target());
+        message.headers.reserve(16);
+        for (const auto& field : request)
+            message.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        message.body = std::move(request.body());
+        return message;
+    }
+
+    ErrorKind kindOfParseFailure(const error_code& ec)
+    {
+        if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+            return ErrorKind::HeaderTooLarge;
+        if (ec == http::error::body_limit)
+            return ErrorKind::BodyTooLarge;
+        return ErrorKind::MalformedRequest;
+    }
+
+    std::string_view reasonPhrase(int status)
+    {
+        const auto text = http::obsolete_reason(static_cast<http::status>(status));
+        return { text.data(), text.size() };
+    }
+
+    void appendHead(std::string& out, const AnswerHead& head, bool chunked, bool close)
+    {
+        out.append("HTTP/1.1 ").append(std::to_string(head.status)).append(" ").append(reasonPhrase(head.status)).append("\r\n");
+        for (const auto& field : head.headers)
+            out.append(field.name).append(": ").append(field.value).append("\r\n");
+        if (head.length)
+            out.append("Content-Length: ").append(std::to_string(*head.length)).append("\r\n");
+        else if (chunked)
+            out.append("Transfer-Encoding: chunked\r\n");
+        out.append(close ? "Connection: close\r\n\r\n" : "\r\n");
+    }
+
+    void appendChunk(std::string& out, std::string_view data)
+    {
+        std::array<char, 16> digits {};
+        const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), data.size(), 16).ptr;
+        out.append(digits.data(), end).append("\r\n").append(data).append("\r\n");
+    }
+
+} // namespace
+
+struct InboundServer::State : std::enable_shared_from_this<InboundServer::State> {
+    State(asio::io_context& ioContext, const Clock& serverClock, InboundHandler& requestHandler)
+        : io(ioContext)
+        , clock(serverClock)
+        , handler(requestHandler)
+        , acceptor(ioContext)
+    {
+    }
+
+    void accept();
+
+    asio::io_context& io;
+    const Clock& clock;
+    InboundHandler& handler;
+    tcp::acceptor acceptor;
+    std::unordered_set<detail::InboundSession*> sessions;
+    bool stopping = false;
+};
+
+namespace detail {
+
+    /** One connection of a caller: reads requests in turn and writes their answers. */
+    class InboundSession : public std::enable_shared_from_this<InboundSession> {
+    public:
+        InboundSession(std::shared_ptr<InboundServer::State> server, tcp::socket socket)
+            : m_server(std::move(server))
+            , m_socket(std::move(socket))
+            , m_timer(m_server->io)
+        {
+            m_server->sessions.insert(this);
+        }
+
+        ~InboundSession() { m_server->sessions.erase(this); }
+        InboundSession(const InboundSession&) = delete;
+        InboundSession& operator=(const InboundSession&) = delete;
+
+        void start()
+        {
+            armTimer(m_server->handler.limits().idleTimeout, false);
+            waitForInput();
+        }
+
+        void refuseConnection()
+        {
+            refuse(ErrorKind::TooManyConnections);
+            waitForInput();
+        }
+
+        bool idle() const { return !m_exchange && m_in.empty() && m_out.empty() && !m_writing; }
+        void closeIfIdle()
+        {
+            if (idle())
+                close();
+        }
+
+        void append(std::string_view bytes)
+        {
+            m_out.append(bytes);
+            if (m_out.size() > mostUnsentBytes) {
+                logWarning("a caller does not read its answer", { { "unsent_bytes", m_out.size() } });
+                close();
+            }
+        }
+        std::string& out() { return m_out; }
+        std::size_t unsent() const { return m_out.size() + (m_writing ? m_sending.size() : 0); }
+        bool closeNext() const { return m_closeNext || m_server->handler.closing(); }
+        void setCloseNext() { m_closeNext = true; }
+
+        void flush()
+        {
+            if (m_writing || m_out.empty() || m_closed)
+                return;
+            m_writing = true;
+            std::swap(m_sending, m_out);
+            m_out.clear();
+            asio::async_write(m_socket, asio::buffer(m_sending), [self = shared_from_this()](const error_code& ec, std::size_t) { self->onWritten(ec); });
+        }
+
+        void exchangeEnded(bool close)
+        {
+            auto exchange = std::move(m_exchange);
+            m_exchange.reset();
+            if (close) {
+                m_draining = true;
+                flush();
+                finishIfWritten();
+                return;
+            }
+            flush();
+            armTimer(m_server->handler.limits().idleTimeout, false);
+            // The answer's writer is still on the stack.
+            asio::post(m_server->io, [self = shared_from_this()] { self->process(); });
+        }
+
+        void close()
+        {
+            if (m_closed)
+                return;
+            m_closed = true;
+            error_code ec;
+            m_timer.cancel();
+            m_socket.close(ec);
+            callerIsGone();
+        }
+
+    private:
+        void waitForInput()
+        {
+            if (m_closed || m_waiting)
+                return;
+            m_waiting = true;
+            m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& ec) {
+                self->m_waiting = false;
+                if (!ec)
+                    self->readInput();
+            });
+        }
+
+        void readInput()
+        {
+            if (m_closed)
+                return;
+            auto& buf = scratch();
+            error_code ec;
+            const auto n = m_socket.read_some(asio::buffer(buf), ec);
+            if (ec == asio::error::would_block || ec == asio::error::try_again)
+                return waitForInput();
+            if (ec)
+                return close();
+            if (m_draining)
+                return waitForInput();
+            if (m_in.empty() && !m_parser && !m_exchange)
+                armTimer(m_server->handler.limits().headerTimeout, true);
+            m_in.append(buf.data(), n);
+            process();
+            if (m_exchange && m_in.size() >= readAheadBytes)
+                return;
+            waitForInput();
+        }
+
+        void process()
+        {
+            if (m_closed || m_draining || m_exchange || m_in.empty())
+                return waitForInput();
+            if (!m_parser) {
+                const auto limits = m_server->handler.limits();
+                m_parser.emplace();
+                m_parser->eager(true);
+                m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+                m_parser->body_limit(limits.bodyBytes);
+                m_headerSeen = false;
+            }
+            error_code ec;
+            while (!m_in.empty() && !m_parser->is_done()) {
+                const auto n = m_parser->put(asio::const_buffer(m_in.data(), m_in.size()), ec);
+                m_in.erase(0, n);
+                if (ec || n == 0)
+                    break;
+            }
+            if (ec && ec != http::error::need_more)
+                return refuse(kindOfParseFailure(ec));
+            if (m_parser->is_header_done() && !m_headerSeen)
+                onHeader();
+            if (m_parser->is_done())
+                return deliver();
+            waitForInput();
+        }
+
+        void onHeader()
+        {
+            m_headerSeen = true;
+            armTimer(bodyTimeout, true);
+            if (boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+                m_out += "HTTP/1.1 100 Continue\r\n\r\n";
+                flush();
+            }
+        }
+
+        void deliver()
+        {
+            m_timer.cancel();
+            m_closeNext = !m_parser->keep_alive();
+            m_http10 = m_parser->get().version() < 11;
+            auto message = toMessage(m_parser->release());
+            m_parser.reset();
+            m_exchange = std::make_shared<InboundExchange>(shared_from_this(), std::move(message), m_server->clock.now());
+            m_server->handler.onRequest(m_exchange);
+        }
+
+        void refuse(ErrorKind kind)
+        {
+            const Error error { kind, {}, {}, {} };
+            auto head = errorHead(error);
+            const auto body = errorBody(error, {});
+            head.length = body.size();
+            appendHead(m_out, head, false, true);
+            m_out += body;
+            m_draining = true;
+            flush();
+        }
+
+        void onWritten(const error_code& ec)
+        {
+            m_writing = false;
+            m_sending.clear();
+            if (ec)
+                return close();
+            if (!m_out.empty())
+                return flush();
+            if (m_exchange && m_exchange->m_onDrained)
+                m_exchange->m_onDrained();
+            finishIfWritten();
+        }
+
+        void finishIfWritten()
+        {
+            if (!m_draining || m_writing || !m_out.empty() || m_closed)
+                return;
+            error_code ec;
+            m_socket.shutdown(tcp::socket::shutdown_send, ec);
+            m_timer.expires_after(lingerTimeout);
+            m_timer.async_wait([self = shared_from_this()](const error_code& waitError) {
+                if (!waitError)
+                    self->close();
+            });
+            waitForInput();
+        }
+
+        /** `mid` tells a request that does not arrive in time from an idle connection. */
+        void armTimer(milliseconds limit, bool mid)
+        {
+            m_timer.expires_after(limit);
+            m_timer.async_wait([weak = weak_from_this(), mid](const error_code& ec) {
+                const auto self = weak.lock();
+                if (ec || !self || self->m_exchange || self->m_draining)
+                    return;
+                if (mid)
+                    self->refuse(ErrorKind::SlowSender);
+                else
+                    self->close();
+            });
+        }
+
+        void callerIsGone()
+        {
+            if (!m_exchange)
+                return;
+            auto exchange = std::move(m_exchange);
+            m_exchange.reset();
+            exchange->m_gone = true;
+            if (exchange->m_onGone)
+                exchange->m_onGone();
+        }
+
+        friend class yuccashift::InboundExchange;
+
+        std::shared_ptr<InboundServer::State> m_server;
+        tcp::socket m_socket;
+        asio::steady_timer m_timer;
+        std::string m_in;
+        std::string m_out;
+        std::string m_sending;
+        std::optional<RequestParser> m_parser;
+        std::shared_ptr<InboundExchange> m_exchange;
+        bool m_headerSeen = false;
+        bool m_waiting = false;
+        bool m_writing = false;
+        bool m_closed = false;
+        /** The last answer is out or under way; input is dropped until the caller closes. */
+        bool m_draining = false;
+        bool m_closeNext = false;
+        bool m_http10 = false;
+    };
+
+} // namespace detail
+
+InboundExchange::InboundExchange(std::shared_ptr<detail::InboundSession> session, RequestMessage request, Instant arrivedAt)
+    : m_session(std::move(session))
+    , m_request(std::move(request))
+    , m_arrivedAt(arrivedAt)
+{
+}
+
+void InboundExchange::sendHead(const AnswerHead& head)
+{
+    if (m_gone || m_headSent)
+        return;
+    m_headSent = true;
+    m_chunked = !head.length && !m_session->m_http10;
+    if (!head.length && !m_chunked)
+        m_session->setCloseNext();
+    if (m_session->closeNext())
+        m_session->setCloseNext();
+    appendHead(m_session->out(), head, m_chunked, m_session->closeNext());
+}
+
+void InboundExchange::sendBody(std::string_view data)
+{
+    if (m_gone || data.empty())
+        return;
+    if (m_chunked)
+        appendChunk(m_session->out(), data);
+    else
+        m_session->append(data);
+    m_session->flush();
+}
+
+void InboundExchange::finish()
+{
+    if (m_gone || m_ended)
+        return;
+    m_ended = true;
+    if (m_chunked)
+        m_session->out() += "0\r\n\r\n";
+    m_onGone = nullptr;
+    m_onDrained = nullptr;
+    m_session->exchangeEnded(m_session->m_closeNext);
+}
+
+void InboundExchange::sendWhole(AnswerHead head, std::string_view body)
+{
+    head.length = body.size();
+    sendHead(head);
+    if (!m_gone)
+        m_session->append(body);
+    finish();
+}
+
+void InboundExchange::abort()
+{
+    if (m_gone || m_ended)
+        return;
+    m_ended = true;
+    m_onGone = nullptr;
+    m_onDrained = nullptr;
+    m_session->close();
+}
+
+std::size_t InboundExchange::unsentBytes() const
+{
+    return m_session->unsent();
+}
+
+InboundHandler::~InboundHandler() = default;
+
+void InboundServer::State::accept()
+{
+    acceptor.async_accept([self = shared_from_this()](const error_code& ec, tcp::socket socket) {
+        if (self->stopping)
+            return;
+        if (!ec) {
+            error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            socket.non_blocking(true, ignored);
+            const auto session = std::make_shared<detail::InboundSession>(self, std::move(socket));
+            if (self->sessions.size() > self->handler.limits().connections)
+                session->refuseConnection();
+            else
+                session->start();
+        } else if (ec != asio::error::operation_aborted) {
+            logWarning("a connection could not be accepted", { { "reason", ec.message() } });
+        }
+        self->accept();
+    });
+}
+
+InboundServer::InboundServer(asio::io_context& io, const Clock& clock, InboundHandler& handler)
+    : m_state(std::make_shared<State>(io, clock, handler))
+{
+}
+
+InboundServer::~InboundServer()
+{
+    stop();
+}
+
+Result<Endpoint> InboundServer::listen(const Endpoint& endpoint)
+{
+    auto bound = detail::listenOn(m_state->acceptor, endpoint);
+    if (bound)
+        m_state->accept();
+    return bound;
+}
+
+void InboundServer::stop()
+{
+    m_state->stopping = true;
+    error_code ec;
+    m_state->acceptor.close(ec);
+    const std::vector<detail::InboundSession*> sessions(m_state->sessions.begin(), m_state->sessions.end());
+    for (auto* session : sessions)
+        session->closeIfIdle();
+}
+
+std::size_t InboundServer::connections() const
+{
+    return m_state->sessions.size();
+}
+
+} // namespace yuccashift
