--- a/src/yuccashift/dispatch/server_choice.cpp
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -108,7 +108,23 @@
     return std::chrono::duration_cast<Duration>(Millis(ms));
 }
 
-ServerChoice chooseServer(std::span<const ServerCandidate> candidates, const WorkSize& work, std::uint64_t draw)
+namespace {
+
+    /** The usable server with the longest cached prefix among those that answer soon enough. */
+    std::optional<std::size_t> prefixHolder(std::span<const ServerCandidate> candidates, std::span<const PassedOver> passedOver, const WorkSize& work, Duration soonEnough)
+    {
+        std::optional<std::size_t> holder;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            const bool longer = candidates[i].cachedTokens > (holder ? candidates[*holder].cachedTokens : 0);
+            if (passedOver[i] == PassedOver::No && longer && predictFirstByte(candidates[i], work) <= soonEnough)
+                holder = i;
+        }
+        return holder;
+    }
+
+} // namespace
+
+ServerChoice chooseServer(std::span<const ServerCandidate> candidates, const WorkSize& work, Duration soonEnough, std::uint64_t draw)
 {
     ServerChoice choice;
     choice.passedOver.reserve(candidates.size());
@@ -136,6 +152,13 @@
             choice.runnerUpPredicted = predicted;
         }
     }
+    const auto holder = prefixHolder(candidates, choice.passedOver, work, soonEnough);
+    if (holder && holder != choice.best) {
+        choice.runnerUp = choice.best;
+        choice.runnerUpPredicted = choice.predicted;
+        choice.best = holder;
+        choice.predicted = predictFirstByte(candidates[*holder], work);
+    }
     return choice;
 }
 
--- a/src/yuccashift/dispatch/server_choice.hpp
+++ b/src/yuccashift/dispatch/server_choice.hpp
@@ -65,8 +65,10 @@
 
 /**
  * Picks the server where the first byte is due soonest, by waiting prompts,
- * cached prefix, memory and batch. `draw` spreads ties.
+ * cached prefix, memory and batch; but a server that holds the prefix and
+ * answers within `soonEnough` before one that would have to read it again.
+ * `draw` spreads ties.
  */
-ServerChoice chooseServer(std::span<const ServerCandidate>, const WorkSize&, std::uint64_t draw);
+ServerChoice chooseServer(std::span<const ServerCandidate>, const WorkSize&, Duration soonEnough, std::uint64_t draw);
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/dispatcher.cpp
+++ b/src/yuccashift/entry/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "yuccashift/entry/dispatcher.hpp"
 
+#include "yuccashift/kernel/hash.hpp"
 #include "yuccashift/kernel/rendezvous.hpp"
 
 #include <algorithm>
@@ -21,6 +22,8 @@
     constexpr double leastColdRate = 0.5;
     /** Part of a server's connections that instances use together; probes and instances that were just added take the rest. */
     constexpr double usedConnectionShare = 0.8;
+    /** Part of the objective within which a first byte is soon enough to prefer a server that holds the prefix. */
+    constexpr double soonEnoughShare = 0.45;
     /** Rooms are told for a request of this size. */
     constexpr std::uint32_t typicalPromptTokens = 512;
 
@@ -88,7 +91,29 @@
     return it;
 }
 
-LocalPlan Dispatcher::planLocal(const ServiceName& service, const WorkSize& work, const std::set<std::uint64_t>& tried) const
+void Dispatcher::expectPrefixAtItsHome(std::span<ServerCandidate> candidates, const WorkSize& work)
+{
+    const auto shared = work.sharedParts();
+    if (shared.empty())
+        return;
+    ServerCandidate* home = nullptr;
+    std::uint64_t highest = 0;
+    for (auto& it : candidates) {
+        const auto weight = mix64(shared.back().id ^ mix64(it.key));
+        if (it.suspect || it.cold || (home && weight < highest))
+            continue;
+        home = &it;
+        highest = weight;
+    }
+    if (!home)
+        return;
+    std::uint32_t tokens = 0;
+    for (const auto& part : shared)
+        tokens += part.tokens;
+    home->cachedTokens = std::max(home->cachedTokens, tokens);
+}
+
+LocalPlan Dispatcher::planLocal(const ServiceName& service, const WorkSize& work, Duration objective, const std::set<std::uint64_t>& tried) const
 {
     LocalPlan plan;
     const auto routes = m_world.routes();
@@ -103,7 +128,9 @@
         plan.candidates.push_back(candidate(server, traits, work, owners));
         plan.candidates.back().tried = tried.contains(server.key);
     }
-    plan.choice = chooseServer(plan.candidates, work, m_random.next());
+    expectPrefixAtItsHome(plan.candidates, work);
+    const auto soonEnough = std::chrono::duration_cast<Duration>(objective * soonEnoughShare);
+    plan.choice = chooseServer(plan.candidates, work, soonEnough, m_random.next());
     return plan;
 }
 
@@ -137,7 +164,7 @@
     WorkSize typical;
     typical.promptTokens = typicalPromptTokens;
     for (const auto& [service, traits] : routes->config().services) {
-        const auto plan = planLocal(service, typical, {});
+        const auto plan = planLocal(service, typical, Duration::zero(), {});
         if (!plan.choice.best)
             continue;
         ServiceRoomView room { plan.choice.predicted, 0 };
--- a/src/yuccashift/entry/dispatcher.hpp
+++ b/src/yuccashift/entry/dispatcher.hpp
@@ -37,7 +37,7 @@
 public:
     Dispatcher(const Clock&, const EntrySettings&, const World&, const ServerBook&, const MemberBook&, const OutboundPool&, RandomSource&);
 
-    LocalPlan planLocal(const ServiceName&, const WorkSize&, const std::set<std::uint64_t>& tried) const;
+    LocalPlan planLocal(const ServiceName&, const WorkSize&, Duration objective, const std::set<std::uint64_t>& tried) const;
     RemotePlan planRemote(const Route&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried) const;
     /** What heartbeats tell about this region. */
     std::map<ServiceName, ServiceRoomView> rooms() const;
@@ -48,6 +48,11 @@
 
 private:
     ServerCandidate candidate(const BackendServer&, const ServiceTraits&, const WorkSize&, std::span<const InstanceId> owners) const;
+    /**
+     * Each shared prefix has one server of the region where all instances expect
+     * it, so that they read it once without telling each other.
+     */
+    static void expectPrefixAtItsHome(std::span<ServerCandidate>, const WorkSize&);
     bool coldTurn(const BackendServer&, const ServerKnowledge&, const ServiceTraits&, std::span<const InstanceId> owners) const;
 
     const Clock& m_clock;
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -154,37 +154,46 @@
     });
 }
 
-void RequestJob::dispatch()
+RequestJob::Plan RequestJob::plan() const
 {
-    if (m_done)
-        return;
-    if (timeLeft() < leastUsefulTime)
-        return onTimeLimit();
-    LocalPlan local;
+    Plan plan;
     if (m_route->allowsRegion(m_core.settings.region))
-        local = m_core.dispatcher.planLocal(m_service, m_facts.work, m_triedServers);
-    RemotePlan remote;
+        plan.local = m_core.dispatcher.planLocal(m_service, m_facts.work, objectiveLeft(), m_triedServers);
     if (!m_hop)
-        remote = m_core.dispatcher.planRemote(*m_route, m_service, m_facts.work, m_triedInstances);
+        plan.remote = m_core.dispatcher.planRemote(*m_route, m_service, m_facts.work, m_triedInstances);
     PlacementInput input;
-    if (local.choice.best)
-        input.local = local.choice.predicted;
-    input.remotes = remote.rooms;
+    if (plan.local.choice.best)
+        input.local = plan.local.choice.predicted;
+    input.remotes = plan.remote.rooms;
     input.objective = objectiveLeft();
     input.deadline = timeLeft();
-    const auto placement = place(input);
-    switch (placement.where) {
+    plan.placement = place(input);
+    return plan;
+}
+
+void RequestJob::dispatch()
+{
+    if (m_done)
+        return;
+    if (timeLeft() < leastUsefulTime)
+        return onTimeLimit();
+    carryOut(plan());
+}
+
+void RequestJob::carryOut(const Plan& plan)
+{
+    switch (plan.placement.where) {
     case Placement::Where::Local:
-        return sendToServer(local);
+        return sendToServer(plan.local);
     case Placement::Where::Remote:
-        return sendToInstance(*remote.members[placement.remote], placement.predicted);
+        return sendToInstance(*plan.remote.members[plan.placement.remote], plan.placement.predicted);
     case Placement::Where::Refuse:
         break;
     }
-    const bool anywhere = input.local || !input.remotes.empty();
+    const bool anywhere = plan.local.choice.best || !plan.remote.rooms.empty();
     Error error { anywhere ? ErrorKind::Overloaded : ErrorKind::NoBackend, {}, {}, {} };
     error.runState = m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun;
-    logInfo("refused", { { "request", m_facts.attemptId }, { "reason", error.code() }, { "predicted_ms", toMilliseconds(placement.predicted) }, { "objective_ms", toMilliseconds(input.objective) }, { "left_ms", toMilliseconds(input.deadline) }, { "servers", local.servers.size() }, { "usable", local.choice.usable }, { "regions", remote.rooms.size() } });
+    logInfo("refused", { { "request", m_facts.attemptId }, { "reason", error.code() }, { "predicted_ms", toMilliseconds(plan.placement.predicted) }, { "objective_ms", toMilliseconds(objectiveLeft()) }, { "left_ms", toMilliseconds(timeLeft()) }, { "servers", plan.local.servers.size() }, { "usable", plan.local.choice.usable }, { "regions", plan.remote.rooms.size() } });
     failWith(std::move(error));
 }
 
@@ -285,6 +294,8 @@
     const auto facts = m_core.dialect.decodeAnswer(head);
     if (facts.notRun) {
         m_intake = Intake::NotRun;
+        if (!m_viaInstance.empty())
+            return;
         if (facts.wrongServer) {
             logWarning("another server has the address", { { "request", m_facts.attemptId }, { "server", m_serverId } });
             m_core.book.markSuspect(m_ticket.server);
@@ -463,14 +474,19 @@
 
 bool RequestJob::repeat(std::string_view why)
 {
-    const bool allowed = m_attempts < m_route->maxAttempts && timeLeft() > leastUsefulTime;
-    if (!allowed || m_core.crashes.blocked(fingerprint()) || !m_core.repeats.tryRepeat(m_service))
+    // The instance that holds the caller repeats; it knows all attempts.
+    const bool allowed = !m_hop && m_attempts < m_route->maxAttempts && timeLeft() > leastUsefulTime;
+    if (!allowed || m_core.crashes.blocked(fingerprint()))
+        return false;
+    const auto next = plan();
+    // Where nobody can take it, the answer at hand is better than none.
+    if (next.placement.where == Placement::Where::Refuse || !m_core.repeats.tryRepeat(m_service))
         return false;
     logInfo("sent again", { { "request", m_facts.attemptId }, { "why", why }, { "attempt", m_attempts + 1 }, { "after_event", m_gate.lastId().value_or("") } });
     m_gate.restart();
     m_body.clear();
     m_outbound.reset();
-    dispatch();
+    carryOut(next);
     return true;
 }
 
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -46,10 +46,19 @@
         HopFailure,
     };
 
+    /** Where the request goes next, with what the decision rests on. */
+    struct Plan {
+        LocalPlan local;
+        RemotePlan remote;
+        Placement placement;
+    };
+
     bool prepare();
     Result<void> resolveRoute();
     void armTimeLimit();
+    Plan plan() const;
     void dispatch();
+    void carryOut(const Plan&);
     void sendToServer(const LocalPlan&);
     void sendToInstance(const FleetMember&, Duration predicted);
     std::string requestBytes(const std::string& extraHeaders) const;
