--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "yuccashift/entry/entry_node.hpp"
 
+#include "yuccashift/entry/directory_choice.hpp"
 #include "yuccashift/entry/entry_core.hpp"
 #include "yuccashift/entry/gossip.hpp"
 #include "yuccashift/entry/request_job.hpp"
@@ -30,7 +31,6 @@
     /** Instances that may be added to those seen. */
     constexpr std::size_t unseenInstances = 3;
     constexpr Duration pauseThreshold = seconds(1);
-    constexpr std::size_t mostDirectoryAddresses = 64;
 
     /** Answers one small question and nothing else. */
     class QuestionHandler final : public InboundHandler {
@@ -234,21 +234,15 @@
     const auto question = core.dialect.decodeDirectoryQuestion(exchange.request());
     if (!question)
         return sendText(exchange, 404, "text/plain", "unknown question\n");
-    std::vector<std::string> near;
-    std::vector<std::string> far;
-    const auto port = std::to_string(core.settings.callers.port);
-    const auto add = [&](const RegionName& region, const std::string& ip) { (region == question->region ? near : far).push_back(ip + ":" + port); };
-    if (ready())
-        add(core.settings.region, core.settings.ip);
-    for (const auto* member : core.members.alive()) {
-        if (member->takesCallers && !member->draining)
-            add(member->region, member->ip);
-    }
-    auto& named = near.empty() ? far : near;
+    DirectoryView view;
+    view.self = { core.settings.region, core.settings.ip, ready() };
+    for (const auto* member : core.members.alive())
+        view.others.push_back({ member->region, member->ip, member->takesCallers && !member->draining });
+    const auto routes = core.world.routes();
+    const auto mayServe = [&](const RegionName& region) { return !routes || routes->hostAllowsRegion(question->host, region); };
+    const auto named = chooseEntries(view, question->region, mayServe, core.settings.callers.port);
     if (named.empty())
         return sendText(exchange, 503, "text/plain", "no instance takes callers\n");
-    if (named.size() > mostDirectoryAddresses)
-        named.resize(mostDirectoryAddresses);
     sendText(exchange, 200, "application/json", core.dialect.encodeDirectoryAnswer(named, core.settings.directoryValidity));
 }
 
--- a/src/yuccashift/entry/hop.cpp
+++ b/src/yuccashift/entry/hop.cpp
@@ -12,6 +12,7 @@
     constexpr std::string_view serviceField = "Yuccashift-Service";
     constexpr std::string_view deadlineField = "Yuccashift-Deadline";
     constexpr std::string_view objectiveField = "Yuccashift-Objective";
+    constexpr std::string_view resumeField = "Yuccashift-Resume-After";
     constexpr std::string_view failureField = "Yuccashift-Failure";
     constexpr std::string_view fieldPrefix = "Yuccashift-";
 
@@ -41,6 +42,8 @@
     appendField(out, serviceField, order.service);
     appendField(out, deadlineField, std::to_string(order.deadline.count()));
     appendField(out, objectiveField, std::to_string(order.objective.count()));
+    if (order.resumeAfter)
+        appendField(out, resumeField, *order.resumeAfter);
 }
 
 std::optional<HopOrder> takeHopOrder(HeaderFields& headers)
@@ -58,6 +61,8 @@
     order.configVersion = *version;
     order.deadline = milliseconds(*deadline);
     order.objective = milliseconds(*objective);
+    if (const auto after = findHeader(headers, resumeField))
+        order.resumeAfter = std::string(*after);
     std::erase_if(headers, [](const HeaderField& field) { return boost::algorithm::istarts_with(field.name, fieldPrefix); });
     return order;
 }
--- a/src/yuccashift/entry/hop.hpp
+++ b/src/yuccashift/entry/hop.hpp
@@ -20,6 +20,8 @@
     milliseconds deadline {};
     /** Time that is left for the first byte. */
     milliseconds objective {};
+    /** The stream goes on after this event. */
+    std::optional<std::string> resumeAfter;
 };
 
 /** The header lines of an order. */
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -88,6 +88,11 @@
     return std::max(Duration::zero(), m_objectiveAt - m_core.clock.now());
 }
 
+std::optional<std::string> RequestJob::resumeAfter() const
+{
+    return m_gate.lastId() ? m_gate.lastId() : m_facts.resumeAfter;
+}
+
 std::uint64_t RequestJob::fingerprint() const
 {
     const auto& request = m_exchange->request();
@@ -133,6 +138,7 @@
         m_service = m_hop->service;
         m_deadline = arrived + m_hop->deadline;
         m_objectiveAt = arrived + m_hop->objective;
+        m_facts.resumeAfter = m_hop->resumeAfter;
     } else {
         m_service = m_route->pickService(hash64(m_facts.attemptId));
         const auto patience = std::min(m_facts.deadline.value_or(m_route->timeLimit), m_route->timeLimit);
@@ -225,7 +231,7 @@
     order.deadline = std::chrono::duration_cast<milliseconds>(timeLeft());
     if (candidate.engine)
         order.urgency = std::min(lastUrgency, urgencyOfRankZero + urgencyPerRank * static_cast<int>(m_route->priority));
-    order.resumeAfter = m_gate.lastId() ? m_gate.lastId() : m_facts.resumeAfter;
+    order.resumeAfter = resumeAfter();
     std::string headers;
     m_core.dialect.appendOrder(headers, order);
 
@@ -250,7 +256,7 @@
     m_sentAt = m_core.clock.now();
     m_intake = Intake::None;
     ++m_attempts;
-    logDebug("sent to server", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "cached_tokens", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
+    logDebug("sent to server", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "cached_prompt", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
     m_outbound = m_core.servers.start(std::move(request), *this);
 }
 
@@ -262,6 +268,7 @@
     order.service = m_service;
     order.deadline = std::chrono::duration_cast<milliseconds>(std::max(Duration::zero(), timeLeft() - hopReturn));
     order.objective = std::chrono::duration_cast<milliseconds>(std::max(Duration::zero(), objectiveLeft() - hopReturn));
+    order.resumeAfter = resumeAfter();
     std::string headers;
     appendHopOrder(headers, order);
     OutboundRequest request;
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -78,6 +78,8 @@
     void finish(std::string_view outcome);
     Duration timeLeft() const;
     Duration objectiveLeft() const;
+    /** The event after which the next server goes on. */
+    std::optional<std::string> resumeAfter() const;
     std::uint64_t fingerprint() const;
 
     EntryCore& m_core;
--- a/src/yuccashift/entry/wire_dialect.hpp
+++ b/src/yuccashift/entry/wire_dialect.hpp
@@ -50,6 +50,8 @@
 
 /** A caller that asks which instances to use. */
 struct DirectoryQuestion {
+    /** The host that the caller is about to send to. */
+    std::string host;
     RegionName region;
     DatacentreName datacentre;
 };
