--- a/src/yuccashift/entry/directory_choice.cpp
+++ b/src/yuccashift/entry/directory_choice.cpp
@@ -11,14 +11,14 @@
 
 } // namespace
 
-std::vector<std::string> chooseEntries(const DirectoryView& view, const RegionName& callerRegion, const std::function<bool(const RegionName&)>& mayServe, std::uint16_t port)
+std::vector<std::string> chooseEntries(const DirectoryView& view, const RegionName& callerRegion, const std::function<RegionFitness(const RegionName&)>& fitness, std::uint16_t port)
 {
-    std::array<std::vector<std::string>, 3> tiers;
+    // The caller's own region, then one tier for each fitness.
+    std::array<std::vector<std::string>, 4> tiers;
     const auto add = [&](const DirectoryEntry& entry) {
         if (!entry.takesCallers)
             return;
-        const std::size_t tier = entry.region == callerRegion ? 0 : mayServe(entry.region) ? 1
-                                                                                            : 2;
+        const std::size_t tier = entry.region == callerRegion ? 0 : 1 + static_cast<std::size_t>(fitness(entry.region));
         tiers[tier].push_back(entry.ip + ":" + std::to_string(port));
     };
     add(view.self);
--- a/src/yuccashift/entry/directory_choice.hpp
+++ b/src/yuccashift/entry/directory_choice.hpp
@@ -22,10 +22,18 @@
     std::vector<DirectoryEntry> others;
 };
 
+/** Which routes a region may serve. Callers use one answer for several hosts. */
+enum class RegionFitness {
+    AllRoutes,
+    /** Those of the host that was asked for. */
+    ItsHost,
+    Some,
+};
+
 /**
  * Addresses for a caller: instances of its own region; where none takes
- * callers, those of regions that may serve what the caller asks for; then any.
+ * callers, those of the regions that fit best.
  */
-std::vector<std::string> chooseEntries(const DirectoryView&, const RegionName& callerRegion, const std::function<bool(const RegionName&)>& mayServe, std::uint16_t port);
+std::vector<std::string> chooseEntries(const DirectoryView&, const RegionName& callerRegion, const std::function<RegionFitness(const RegionName&)>& fitness, std::uint16_t port);
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -23,7 +23,7 @@
 
     constexpr Duration tickInterval = milliseconds(50);
     /** Least time between SIGTERM and the end, so that callers with an older directory answer find this instance alive. */
-    constexpr double noticeShareOfGrace = 0.68;
+    constexpr double noticeShareOfGrace = 0.45;
     /** Part of the grace after which what is still in progress is given up. */
     constexpr double lastShareOfGrace = 0.95;
     /** Descriptors that are not for callers' connections: servers, instances, listeners, files. */
@@ -239,8 +239,12 @@
     for (const auto* member : core.members.alive())
         view.others.push_back({ member->region, member->ip, member->takesCallers && !member->draining });
     const auto routes = core.world.routes();
-    const auto mayServe = [&](const RegionName& region) { return !routes || routes->hostAllowsRegion(question->host, region); };
-    const auto named = chooseEntries(view, question->region, mayServe, core.settings.callers.port);
+    const auto fitness = [&](const RegionName& region) {
+        if (!routes || routes->allAllowRegion(region))
+            return RegionFitness::AllRoutes;
+        return routes->hostAllowsRegion(question->host, region) ? RegionFitness::ItsHost : RegionFitness::Some;
+    };
+    const auto named = chooseEntries(view, question->region, fitness, core.settings.callers.port);
     if (named.empty())
         return sendText(exchange, 503, "text/plain", "no instance takes callers\n");
     sendText(exchange, 200, "application/json", core.dialect.encodeDirectoryAnswer(named, core.settings.directoryValidity));
