Predict by rank of urgency, count reading again for others, refuse what cannot be on time

Cause: engines admit urgent requests first, but predictions put all waiting prompts ahead of each request. Ruled out: wrong reading rate (few requests: predicted as they came).

--- a/src/yuccashift/dispatch/placement.cpp
+++ b/src/yuccashift/dispatch/placement.cpp
@@ -9,7 +9,7 @@
     /** How much sooner another region must answer. */
     constexpr Duration spillMargin = milliseconds(100);
     /** A first byte later than this multiple of what is left to the objective is not worth a place in the queue. */
-    constexpr double mostLateness = 1.5;
+    constexpr double mostLateness = 1.0;
     /** Share of the time left that may pass before the first byte, so that the rest of the answer fits. */
     constexpr double mostOfDeadline = 0.6;
     /** Callers that come back late still get this long. */
--- a/src/yuccashift/dispatch/server_book.cpp
+++ b/src/yuccashift/dispatch/server_book.cpp
@@ -24,7 +24,8 @@
 ServerLoadSum& ServerLoadSum::operator+=(const ServerLoadSum& other)
 {
     requests += other.requests;
-    waitingPromptTokens += other.waitingPromptTokens;
+    for (std::size_t i = 0; i < urgencyRanks; ++i)
+        waitingPromptTokens[i] += other.waitingPromptTokens[i];
     memoryTokens += other.memoryTokens;
     return *this;
 }
@@ -32,7 +33,8 @@
 ServerLoadSum& ServerLoadSum::operator-=(const ServerLoadSum& other)
 {
     requests -= other.requests;
-    waitingPromptTokens -= other.waitingPromptTokens;
+    for (std::size_t i = 0; i < urgencyRanks; ++i)
+        waitingPromptTokens[i] -= other.waitingPromptTokens[i];
     memoryTokens -= other.memoryTokens;
     return *this;
 }
@@ -66,7 +68,10 @@
 {
     ServerTicket ticket;
     ticket.server = server;
-    ticket.load = { 1, static_cast<std::int32_t>(uncachedTokens), static_cast<std::int32_t>(work.memoryTokens()) };
+    ticket.rank = std::min(work.rank, urgencyRanks - 1);
+    ticket.load.requests = 1;
+    ticket.load.waitingPromptTokens[ticket.rank] = static_cast<std::int32_t>(uncachedTokens);
+    ticket.load.memoryTokens = static_cast<std::int32_t>(work.memoryTokens());
     ticket.sentAt = m_clock.now();
     ticket.predicted = predicted;
     auto& record = m_records[server];
@@ -98,15 +103,16 @@
         return;
     ticket.firstByteSeen = true;
     auto& known = it->second.knowledge;
-    known.own.waitingPromptTokens -= ticket.load.waitingPromptTokens;
-    ticket.load.waitingPromptTokens = 0;
+    known.own.waitingPromptTokens[ticket.rank] -= ticket.load.waitingPromptTokens[ticket.rank];
+    ticket.load.waitingPromptTokens[ticket.rank] = 0;
     stopWaiting(it->second, ticket);
     if (ticket.predicted < leastComparable)
         return;
     const auto took = std::chrono::duration<double>(m_clock.now() - ticket.sentAt);
     const auto ratio = std::clamp(took / std::chrono::duration<double>(ticket.predicted), leastRatio, mostRatio);
-    known.slowness = runningMean(known.slowness, ratio);
-    m_overallSlowness = runningMean(m_overallSlowness, ratio);
+    // The prediction holds the slowness of its time, so that the ratio corrects it.
+    auto& slowness = known.slowness[ticket.rank];
+    slowness = std::clamp(runningMean(slowness, slowness * ratio), leastRatio, mostRatio);
 }
 
 void ServerBook::end(ServerTicket& ticket, ServerOutcome outcome)
--- a/src/yuccashift/dispatch/server_book.hpp
+++ b/src/yuccashift/dispatch/server_book.hpp
@@ -5,6 +5,7 @@
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/ids.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -17,8 +18,8 @@
 /** What one instance, or several together, have in progress at one backend server. */
 struct ServerLoadSum {
     std::int32_t requests = 0;
-    /** Prompt tokens to be read before the newest request starts. */
-    std::int32_t waitingPromptTokens = 0;
+    /** Prompt tokens of requests that have not begun, by their rank of urgency. */
+    std::array<std::int32_t, urgencyRanks> waitingPromptTokens {};
     /** Tokens that the requests occupy in the engine's memory. */
     std::int32_t memoryTokens = 0;
 
@@ -43,8 +44,8 @@
 struct ServerKnowledge {
     ServerLoadSum own;
     ServerLoadSum peers;
-    /** Observed over predicted time to the first byte; 1 as predicted. */
-    double slowness = 1.0;
+    /** Observed over predicted time to the first byte, by rank of urgency; 1 as predicted. */
+    std::array<double, urgencyRanks> slowness { 1.0, 1.0, 1.0, 1.0 };
     /** Share of recent requests that failed or were lost. */
     double failureShare = 0.0;
     std::uint32_t samples = 0;
@@ -66,6 +67,7 @@
 struct ServerTicket {
     std::uint64_t server = 0;
     ServerLoadSum load;
+    std::size_t rank = 0;
     Instant sentAt {};
     Duration predicted {};
     bool firstByteSeen = false;
@@ -101,8 +103,6 @@
 
     /** Own requests in progress, for heartbeats. */
     std::vector<std::pair<std::uint64_t, ServerLoadSum>> ownLoads() const;
-    /** Observed over predicted time to the first byte over all servers. */
-    double overallSlowness() const { return m_overallSlowness; }
 
 private:
     struct Record {
@@ -116,7 +116,6 @@
     const Clock& m_clock;
     std::unordered_map<std::uint64_t, Record> m_records;
     std::map<InstanceId, std::map<std::uint64_t, ServerLoadSum>> m_peerLoads;
-    double m_overallSlowness = 1.0;
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/dispatch/server_choice.cpp
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -32,11 +32,15 @@
     constexpr double failingAgainstMean = 1.8;
     /** Predictions so close are equal. */
     constexpr double tieMs = 4.0;
+    /** How much the delay of others counts against a server that has to read the prompt again. */
+    constexpr double othersWeight = 1.0;
 
     double engineMs(const ServerCandidate& server, const WorkSize& work)
     {
         const double uncached = work.promptTokens - std::min(work.promptTokens, server.cachedTokens);
-        const double ahead = std::max(0, server.load.waitingPromptTokens);
+        double ahead = 0;
+        for (std::size_t i = 0; i <= std::min(work.rank, urgencyRanks - 1); ++i)
+            ahead += std::max(0, server.load.waitingPromptTokens[i]);
         double ms = engineBaseMs + batchMsPerRequest * server.load.requests + (ahead + uncached) / promptTokensPerMs;
         if (server.memoryTokens > 0) {
             const double wanted = static_cast<double>(server.load.memoryTokens) + work.memoryTokens();
@@ -51,6 +55,15 @@
         return plainWorkMs * rounds;
     }
 
+    /** What a request costs there: its own wait, and the reading that delays others. */
+    Duration costOf(const ServerCandidate& server, const WorkSize& work, Duration predicted)
+    {
+        if (!server.engine)
+            return predicted;
+        const double uncached = work.promptTokens - std::min(work.promptTokens, server.cachedTokens);
+        return predicted + std::chrono::duration_cast<Duration>(Millis(othersWeight * uncached / promptTokensPerMs));
+    }
+
     PassedOver check(const ServerCandidate& server, double meanFailureShare)
     {
         if (server.tried)
@@ -130,6 +143,8 @@
     choice.passedOver.reserve(candidates.size());
     const auto mean = meanFailureShare(candidates);
     const auto tie = std::chrono::duration_cast<Duration>(Millis(tieMs));
+    Duration bestCost {};
+    Duration runnerUpCost {};
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto reason = check(candidates[i], mean);
         choice.passedOver.push_back(reason);
@@ -137,19 +152,23 @@
             continue;
         ++choice.usable;
         const auto predicted = predictFirstByte(candidates[i], work);
+        const auto cost = costOf(candidates[i], work, predicted);
         // A later candidate wins a tie with the chance that leaves all equal.
-        const bool equal = choice.best && std::chrono::abs(predicted - choice.predicted) < tie;
-        const bool better = !choice.best || (equal ? draw % choice.usable == 0 : predicted < choice.predicted);
+        const bool equal = choice.best && std::chrono::abs(cost - bestCost) < tie;
+        const bool better = !choice.best || (equal ? draw % choice.usable == 0 : cost < bestCost);
         if (equal)
             draw /= choice.usable;
         if (better) {
             choice.runnerUp = choice.best;
             choice.runnerUpPredicted = choice.predicted;
+            runnerUpCost = bestCost;
             choice.best = i;
             choice.predicted = predicted;
-        } else if (!choice.runnerUp || predicted < choice.runnerUpPredicted) {
+            bestCost = cost;
+        } else if (!choice.runnerUp || cost < runnerUpCost) {
             choice.runnerUp = i;
             choice.runnerUpPredicted = predicted;
+            runnerUpCost = cost;
         }
     }
     const auto holder = prefixHolder(candidates, choice.passedOver, work, soonEnough);
--- a/src/yuccashift/dispatch/server_choice.hpp
+++ b/src/yuccashift/dispatch/server_choice.hpp
@@ -21,6 +21,7 @@
     /** Tokens of this request's prompt that it is believed to hold. */
     std::uint32_t cachedTokens = 0;
     ServerLoadSum load;
+    /** Observed over predicted time at the request's rank. */
     double slowness = 1.0;
     double failureShare = 0.0;
     std::uint32_t samples = 0;
@@ -64,10 +65,10 @@
 };
 
 /**
- * Picks the server where the first byte is due soonest, by waiting prompts,
- * cached prefix, memory and batch; but a server that holds the prefix and
- * answers within `soonEnough` before one that would have to read it again.
- * `draw` spreads ties.
+ * Picks the server where the first byte is due soonest, by waiting prompts of
+ * the same rank and before, cached prefix, memory and batch. Reading a prefix
+ * again delays others too and counts once more; a server that holds the prefix
+ * and answers within `soonEnough` goes before all. `draw` spreads ties.
  */
 ServerChoice chooseServer(std::span<const ServerCandidate>, const WorkSize&, Duration soonEnough, std::uint64_t draw);
 
--- a/src/yuccashift/dispatch/work.hpp
+++ b/src/yuccashift/dispatch/work.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <vector>
@@ -12,10 +13,15 @@
     std::uint32_t tokens = 0;
 };
 
+/** Ranks of urgency that are told apart; 0 is the most urgent, and later ones count as the last. */
+constexpr std::size_t urgencyRanks = 4;
+
 /** What a request costs a backend server. */
 struct WorkSize {
     std::vector<PromptPart> parts;
     std::uint32_t promptTokens = 0;
+    /** Below urgencyRanks; engines admit lower ranks first. */
+    std::size_t rank = 0;
     /** Expected, not the most that may come. */
     std::uint32_t outputTokens = 0;
 
--- a/src/yuccashift/entry/dispatcher.cpp
+++ b/src/yuccashift/entry/dispatcher.cpp
@@ -27,6 +27,17 @@
     /** Rooms are told for a request of this size. */
     constexpr std::uint32_t typicalPromptTokens = 512;
 
+    std::int32_t freeSlots(const LocalPlan& plan)
+    {
+        std::int32_t slots = 0;
+        for (std::size_t i = 0; i < plan.candidates.size(); ++i) {
+            const auto& it = plan.candidates[i];
+            if (plan.choice.passedOver[i] == PassedOver::No)
+                slots += std::max(0, static_cast<std::int32_t>(it.slots) - it.load.requests);
+        }
+        return slots;
+    }
+
 } // namespace
 
 std::string poolKeyOf(const BackendServer& server)
@@ -77,7 +88,7 @@
     if (const auto* prefixes = m_book.prefixes(server.key))
         it.cachedTokens = prefixes->cachedTokens(work.parts);
     it.load = known.total();
-    it.slowness = known.slowness;
+    it.slowness = known.slowness[std::min(work.rank, urgencyRanks - 1)];
     it.failureShare = known.failureShare;
     it.samples = known.samples;
     if (known.waitingSince)
@@ -148,7 +159,7 @@
     const auto coldPrompt = std::chrono::duration_cast<Duration>(Millis(work.promptTokens / promptTokensPerMs));
     for (const auto& [region, members] : byRegion) {
         const auto* member = members[m_random.below(members.size())];
-        const auto wait = member->rooms.at(service).wait + member->sentSinceHeard * waitOfHop;
+        const auto wait = member->rooms.at(service).wait[std::min(work.rank, urgencyRanks - 1)] + member->sentSinceHeard * waitOfHop;
         plan.rooms.push_back({ wait, coldPrompt, regionRoundTrip });
         plan.members.push_back(member);
     }
@@ -164,16 +175,18 @@
     WorkSize typical;
     typical.promptTokens = typicalPromptTokens;
     for (const auto& [service, traits] : routes->config().services) {
-        const auto plan = planLocal(service, typical, Duration::zero(), {});
-        if (!plan.choice.best)
-            continue;
-        ServiceRoomView room { plan.choice.predicted, 0 };
-        for (std::size_t i = 0; i < plan.candidates.size(); ++i) {
-            const auto& it = plan.candidates[i];
-            if (plan.choice.passedOver[i] == PassedOver::No)
-                room.freeSlots += std::max(0, static_cast<std::int32_t>(it.slots) - it.load.requests);
+        ServiceRoomView room;
+        for (std::size_t rank = 0; rank < urgencyRanks; ++rank) {
+            typical.rank = rank;
+            const auto plan = planLocal(service, typical, Duration::zero(), {});
+            if (!plan.choice.best)
+                break;
+            room.wait[rank] = plan.choice.predicted;
+            if (rank == 0)
+                room.freeSlots = freeSlots(plan);
         }
-        rooms[service] = room;
+        if (room.freeSlots > 0)
+            rooms[service] = room;
     }
     return rooms;
 }
--- a/src/yuccashift/entry/failure_answer.cpp
+++ b/src/yuccashift/entry/failure_answer.cpp
@@ -16,11 +16,12 @@
     constexpr int unavailable = 503;
     /** Statuses that callers read as: not run, and never will be. */
     constexpr auto promises = std::to_array({ 408, 421, 429, 503 });
-    /** A caller returns within this part of its time; it would not wait longer. */
-    constexpr double mostOfTimeLeft = 0.3;
-    /** Bounds on the time to come back where the failure names none. */
-    constexpr Seconds leastReturn { 0.15 };
-    constexpr Seconds mostReturn { 0.9 };
+    /** Callers return within a third of their time; a crowd is spread over the upper part of that. */
+    constexpr double leastOfTimeLeft = 0.12;
+    constexpr double mostOfTimeLeft = 0.32;
+    constexpr Seconds leastReturn { 0.02 };
+    /** Nobody is asked to wait longer, however much time is left. */
+    constexpr Seconds mostReturn { 5.0 };
 
     int statusOf(const Error& error)
     {
@@ -36,10 +37,10 @@
 
     std::string returnTime(const Error& error, Duration timeLeft, RandomSource& random)
     {
-        const Seconds asked = error.retryAfter ? Seconds(*error.retryAfter) : leastReturn;
-        const Seconds most = std::max(asked * 2, mostReturn);
-        const Seconds drawn = asked + (most - asked) * random.unit();
-        const Seconds bounded = std::clamp(drawn, Seconds(0.02), std::max(Seconds(0.02), Seconds(timeLeft) * mostOfTimeLeft));
+        const Seconds left(timeLeft);
+        const Seconds from = error.retryAfter ? Seconds(*error.retryAfter) : left * leastOfTimeLeft;
+        const Seconds most = std::max(from, left * mostOfTimeLeft);
+        const Seconds bounded = std::clamp(from + (most - from) * random.unit(), leastReturn, mostReturn);
         std::array<char, 24> text {};
         std::snprintf(text.data(), text.size(), "%.2f", bounded.count());
         return text.data();
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -25,6 +25,16 @@
     /** Addresses that one heartbeat names. */
     constexpr std::size_t mostNamed = 100;
 
+    ServerLoadSum decodeLoad(const fleetwire::ServerLoad& load)
+    {
+        ServerLoadSum sum;
+        sum.requests = load.requests;
+        sum.memoryTokens = load.memoryTokens;
+        for (std::size_t i = 0; i < std::min(urgencyRanks, load.waitingPromptTokens.size()); ++i)
+            sum.waitingPromptTokens[i] = load.waitingPromptTokens[i];
+        return sum;
+    }
+
 } // namespace
 
 Gossip::Gossip(EntryCore& core)
@@ -112,7 +122,7 @@
         return;
     std::map<std::uint64_t, ServerLoadSum> loads;
     for (const auto& load : beat.loads)
-        loads[static_cast<std::uint64_t>(load.server)] = { load.requests, load.waitingPromptTokens, load.memoryTokens };
+        loads[static_cast<std::uint64_t>(load.server)] = decodeLoad(load);
     m_core.book.setPeerLoads(beat.instance, std::move(loads));
     m_core.crashes.setPeerDeaths(beat.instance, beat.crashes);
 }
@@ -142,7 +152,7 @@
             fleetwire::ServerLoad it;
             it.server = static_cast<std::int64_t>(server);
             it.requests = load.requests;
-            it.waitingPromptTokens = load.waitingPromptTokens;
+            it.waitingPromptTokens.assign(load.waitingPromptTokens.begin(), load.waitingPromptTokens.end());
             it.memoryTokens = load.memoryTokens;
             beat.loads.push_back(it);
         }
@@ -150,7 +160,8 @@
         for (const auto& [service, room] : m_core.dispatcher.rooms()) {
             fleetwire::ServiceRoom it;
             it.serviceName = service;
-            it.waitMs = static_cast<std::int32_t>(toMilliseconds(room.wait));
+            for (const auto wait : room.wait)
+                it.waitMs.push_back(static_cast<std::int32_t>(toMilliseconds(wait)));
             it.freeSlots = room.freeSlots;
             beat.rooms.push_back(it);
         }
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -131,6 +131,7 @@
         // The origin knows the route by a configuration that has not come here yet.
         return fail(m_hop ? ErrorKind::NotReady : ErrorKind::UnknownRoute);
     }
+    m_facts.work.rank = std::min<std::size_t>(m_route->priority, urgencyRanks - 1);
     const auto arrived = m_exchange->arrivedAt();
     if (m_hop) {
         if (!m_route->usesService(m_hop->service) || !m_route->allowsRegion(m_core.settings.region))
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -6,8 +6,8 @@
     // First 64 bits of the hash of (id, born).
     1: i64 server,
     2: i32 requests,
-    // Prompt tokens that are to be read before the newest request starts.
-    3: i32 waitingPromptTokens,
+    // Prompt tokens of requests that have not begun, by rank of urgency.
+    3: list<i32> waitingPromptTokens,
     // Tokens of prompt and output that the requests occupy.
     4: i32 memoryTokens,
 }
@@ -15,8 +15,8 @@
 // How one region stands for one service, as the sender sees it.
 struct ServiceRoom {
     1: string serviceName,
-    // Expected time to the first event of a small new request, in milliseconds.
-    2: i32 waitMs,
+    // Expected time to the first event of a small new request, in milliseconds, by rank of urgency.
+    2: list<i32> waitMs,
     // Requests that fit before servers are full.
     3: i32 freeSlots,
 }
--- a/src/yuccashift/fleet/member_book.cpp
+++ b/src/yuccashift/fleet/member_book.cpp
@@ -48,8 +48,13 @@
     member.lastHeard = m_clock.now();
     member.sentSinceHeard = 0;
     member.rooms.clear();
-    for (const auto& room : beat.rooms)
-        member.rooms[room.serviceName] = { milliseconds(room.waitMs), room.freeSlots };
+    for (const auto& room : beat.rooms) {
+        auto& view = member.rooms[room.serviceName];
+        view.freeSlots = room.freeSlots;
+        // An instance of another version may tell of fewer ranks.
+        for (std::size_t i = 0; i < urgencyRanks && !room.waitMs.empty(); ++i)
+            view.wait[i] = milliseconds(room.waitMs[std::min(i, room.waitMs.size() - 1)]);
+    }
     return true;
 }
 
--- a/src/yuccashift/fleet/member_book.hpp
+++ b/src/yuccashift/fleet/member_book.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "fleet_types.h"
+#include "yuccashift/dispatch/work.hpp"
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/ids.hpp"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,7 +15,8 @@
 
 /** What a region's instances can take of one service, by the newest heartbeat from there. */
 struct ServiceRoomView {
-    Duration wait {};
+    /** By rank of urgency. */
+    std::array<Duration, urgencyRanks> wait {};
     std::int32_t freeSlots = 0;
 };
 
