--- a/src/yuccashift/dispatch/placement.cpp
+++ b/src/yuccashift/dispatch/placement.cpp
@@ -8,8 +8,8 @@
 
     /** How much sooner another region must answer. */
     constexpr Duration spillMargin = milliseconds(100);
-    /** A first byte later than this multiple of what is left to the objective is not worth a place in the queue. */
-    constexpr double mostLateness = 1.0;
+    /** Part of the objective that a request may queue if it is late by its own size. */
+    constexpr double queueShare = 0.5;
     /** Share of the time left that may pass before the first byte, so that the rest of the answer fits. */
     constexpr double mostOfDeadline = 0.6;
     /** Callers that come back late still get this long. */
@@ -17,7 +17,7 @@
 
     Duration limitOf(const PlacementInput& input)
     {
-        const auto late = std::chrono::duration_cast<Duration>(input.objective * mostLateness);
+        const auto late = std::max(input.objective, input.idle + std::chrono::duration_cast<Duration>(input.objective * queueShare));
         const auto dead = std::chrono::duration_cast<Duration>(input.deadline * mostOfDeadline);
         return std::min(std::max(late, leastPatience), dead);
     }
--- a/src/yuccashift/dispatch/placement.hpp
+++ b/src/yuccashift/dispatch/placement.hpp
@@ -22,6 +22,8 @@
     /** Time to the first byte in this region; nothing where no server here can take the request. */
     std::optional<Duration> local;
     std::span<const RemoteRoom> remotes;
+    /** Time to the first byte at a server without other work. */
+    Duration idle {};
     /** Time left until the caller counts the answer as late. */
     Duration objective {};
     /** Time left until the caller gives up. */
@@ -43,7 +45,8 @@
 /**
  * Decides between this region, another one and an early refusal. Leaving the
  * region has to pay for the path, the cold prompt and a margin that keeps
- * requests from wandering; a request that cannot begin in time is refused now.
+ * requests from wandering. A request that would queue for too long is refused
+ * now; how long its own prompt takes is not held against it.
  */
 Placement place(const PlacementInput&);
 
--- a/src/yuccashift/dispatch/server_book.cpp
+++ b/src/yuccashift/dispatch/server_book.cpp
@@ -14,6 +14,11 @@
     /** Predictions below this say little about the pace. */
     constexpr Duration leastComparable = milliseconds(20);
 
+    /** Prompt tokens that an engine reads in a millisecond while nothing else runs. */
+    constexpr double readingTokensPerMs = 75.0;
+    /** Notes of other instances older than this are not used. */
+    constexpr Duration readingNoteLife = milliseconds(1500);
+
     double runningMean(double mean, double sample)
     {
         return mean + sampleWeight * (sample - mean);
@@ -21,6 +26,12 @@
 
 } // namespace
 
+std::int32_t ReadingPrompt::remaining(Instant now) const
+{
+    const auto elapsed = std::chrono::duration<double, std::milli>(now - notedAt).count();
+    return std::max(0, tokens - static_cast<std::int32_t>(elapsed * readingTokensPerMs));
+}
+
 ServerLoadSum& ServerLoadSum::operator+=(const ServerLoadSum& other)
 {
     requests += other.requests;
@@ -77,7 +88,7 @@
     auto& record = m_records[server];
     auto& known = record.knowledge;
     known.own += ticket.load;
-    record.waiting.emplace(ticket.sentAt, 0);
+    record.waiting.emplace(ticket.sentAt, ReadingPrompt { static_cast<std::int32_t>(uncachedTokens), ticket.rank, ticket.sentAt });
     known.waitingSince = record.waiting.begin()->first;
     if (!work.parts.empty()) {
         if (!record.prefixes)
@@ -106,6 +117,7 @@
     known.own.waitingPromptTokens[ticket.rank] -= ticket.load.waitingPromptTokens[ticket.rank];
     ticket.load.waitingPromptTokens[ticket.rank] = 0;
     stopWaiting(it->second, ticket);
+    known.lastFirstByte = m_clock.now();
     if (ticket.predicted < leastComparable)
         return;
     const auto took = std::chrono::duration<double>(m_clock.now() - ticket.sentAt);
@@ -179,6 +191,42 @@
         held = std::move(loads);
 }
 
+ReadingPrompt ServerBook::ownReading(std::uint64_t server) const
+{
+    const auto it = m_records.find(server);
+    if (it == m_records.end() || it->second.waiting.empty())
+        return {};
+    auto oldest = it->second.waiting.begin()->second;
+    // The engine began with it once the prompt before was done.
+    oldest.notedAt = std::max(oldest.notedAt, it->second.knowledge.lastFirstByte);
+    const auto now = m_clock.now();
+    return { oldest.remaining(now), oldest.rank, now };
+}
+
+std::int32_t ServerBook::tokensAheadOfRank(std::uint64_t server, std::size_t rank) const
+{
+    const auto it = m_records.find(server);
+    if (it == m_records.end())
+        return 0;
+    const auto now = m_clock.now();
+    const auto own = ownReading(server);
+    std::int32_t tokens = own.rank > rank ? own.tokens : 0;
+    for (const auto& [instance, reading] : it->second.peersReading) {
+        if (reading.rank > rank && now - reading.notedAt < readingNoteLife)
+            tokens = std::max(tokens, reading.remaining(now));
+    }
+    return tokens;
+}
+
+void ServerBook::setPeerReading(const InstanceId& instance, std::uint64_t server, ReadingPrompt reading)
+{
+    auto& peers = m_records[server].peersReading;
+    if (reading.tokens > 0)
+        peers[instance] = reading;
+    else
+        peers.erase(instance);
+}
+
 void ServerBook::forget(std::uint64_t server)
 {
     const auto it = m_records.find(server);
--- a/src/yuccashift/dispatch/server_book.hpp
+++ b/src/yuccashift/dispatch/server_book.hpp
@@ -27,6 +27,17 @@
     ServerLoadSum& operator-=(const ServerLoadSum&);
 };
 
+/** The prompt that an engine is reading now; it is read to its end whatever else arrives. */
+struct ReadingPrompt {
+    /** Tokens left when it was noted. */
+    std::int32_t tokens = 0;
+    std::size_t rank = 0;
+    Instant notedAt {};
+
+    /** Tokens left at a later time. */
+    std::int32_t remaining(Instant now) const;
+};
+
 /** How a request at a server ended, as far as it tells something about the server. */
 enum class ServerOutcome {
     Succeeded,
@@ -59,6 +70,8 @@
     Instant lastProbe {};
     /** When the oldest request without a first byte was sent. */
     std::optional<Instant> waitingSince;
+    /** When a first byte last came from the server. */
+    Instant lastFirstByte {};
 
     ServerLoadSum total() const;
 };
@@ -103,13 +116,19 @@
 
     /** Own requests in progress, for heartbeats. */
     std::vector<std::pair<std::uint64_t, ServerLoadSum>> ownLoads() const;
+    /** The oldest of the own prompts that a server has not begun to answer. */
+    ReadingPrompt ownReading(std::uint64_t server) const;
+    /** Tokens left of a prompt of a later rank that the server reads before one of this rank. */
+    std::int32_t tokensAheadOfRank(std::uint64_t server, std::size_t rank) const;
+    void setPeerReading(const InstanceId&, std::uint64_t server, ReadingPrompt);
 
 private:
     struct Record {
         ServerKnowledge knowledge;
         std::optional<PrefixMemory> prefixes;
-        /** Sending times of requests without a first byte. */
-        std::multimap<Instant, int> waiting;
+        /** Requests without a first byte by the time of their sending. */
+        std::multimap<Instant, ReadingPrompt> waiting;
+        std::map<InstanceId, ReadingPrompt> peersReading;
     };
     void stopWaiting(Record&, const ServerTicket&);
 
--- a/src/yuccashift/dispatch/server_choice.cpp
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -38,7 +38,7 @@
     double engineMs(const ServerCandidate& server, const WorkSize& work)
     {
         const double uncached = work.promptTokens - std::min(work.promptTokens, server.cachedTokens);
-        double ahead = 0;
+        double ahead = server.readingTokens;
         for (std::size_t i = 0; i <= std::min(work.rank, urgencyRanks - 1); ++i)
             ahead += std::max(0, server.load.waitingPromptTokens[i]);
         double ms = engineBaseMs + batchMsPerRequest * server.load.requests + (ahead + uncached) / promptTokensPerMs;
@@ -112,6 +112,13 @@
     return "failing";
 }
 
+Duration idleFirstByte(bool engine, const WorkSize& work)
+{
+    ServerCandidate idle;
+    idle.engine = engine;
+    return predictFirstByte(idle, work);
+}
+
 Duration predictFirstByte(const ServerCandidate& server, const WorkSize& work)
 {
     double ms = (server.engine ? engineMs(server, work) : plainMs(server)) * server.slowness;
--- a/src/yuccashift/dispatch/server_choice.hpp
+++ b/src/yuccashift/dispatch/server_choice.hpp
@@ -21,6 +21,8 @@
     /** Tokens of this request's prompt that it is believed to hold. */
     std::uint32_t cachedTokens = 0;
     ServerLoadSum load;
+    /** Tokens left of a less urgent prompt that it is reading now. */
+    std::int32_t readingTokens = 0;
     /** Observed over predicted time at the request's rank. */
     double slowness = 1.0;
     double failureShare = 0.0;
@@ -49,6 +51,8 @@
 };
 std::string_view toString(PassedOver);
 
+/** Time until a request's first byte at a server without other work that knows none of its prompt. */
+Duration idleFirstByte(bool engine, const WorkSize&);
 /** Time until a request's first byte, from its sending on. */
 Duration predictFirstByte(const ServerCandidate&, const WorkSize&);
 
--- a/src/yuccashift/entry/dispatcher.cpp
+++ b/src/yuccashift/entry/dispatcher.cpp
@@ -88,6 +88,7 @@
     if (const auto* prefixes = m_book.prefixes(server.key))
         it.cachedTokens = prefixes->cachedTokens(work.parts);
     it.load = known.total();
+    it.readingTokens = m_book.tokensAheadOfRank(server.key, work.rank);
     it.slowness = known.slowness[std::min(work.rank, urgencyRanks - 1)];
     it.failureShare = known.failureShare;
     it.samples = known.samples;
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -121,8 +121,11 @@
     if (!m_core.members.take(beat))
         return;
     std::map<std::uint64_t, ServerLoadSum> loads;
-    for (const auto& load : beat.loads)
-        loads[static_cast<std::uint64_t>(load.server)] = decodeLoad(load);
+    for (const auto& load : beat.loads) {
+        const auto server = static_cast<std::uint64_t>(load.server);
+        loads[server] = decodeLoad(load);
+        m_core.book.setPeerReading(beat.instance, server, { load.readingTokens, static_cast<std::size_t>(std::max(0, load.readingRank)), now });
+    }
     m_core.book.setPeerLoads(beat.instance, std::move(loads));
     m_core.crashes.setPeerDeaths(beat.instance, beat.crashes);
 }
@@ -154,6 +157,9 @@
             it.requests = load.requests;
             it.waitingPromptTokens.assign(load.waitingPromptTokens.begin(), load.waitingPromptTokens.end());
             it.memoryTokens = load.memoryTokens;
+            const auto reading = m_core.book.ownReading(server);
+            it.readingTokens = reading.tokens;
+            it.readingRank = static_cast<std::int32_t>(reading.rank);
             beat.loads.push_back(it);
         }
     } else {
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -172,6 +172,7 @@
     if (plan.local.choice.best)
         input.local = plan.local.choice.predicted;
     input.remotes = plan.remote.rooms;
+    input.idle = idleFirstByte(m_routes->config().traitsOf(m_service).engine, m_facts.work);
     input.objective = objectiveLeft();
     input.deadline = timeLeft();
     plan.placement = place(input);
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -10,6 +10,9 @@
     3: list<i32> waitingPromptTokens,
     // Tokens of prompt and output that the requests occupy.
     4: i32 memoryTokens,
+    // Tokens left of the oldest prompt that has not been read, and its rank.
+    5: i32 readingTokens,
+    6: i32 readingRank,
 }
 
 // How one region stands for one service, as the sender sees it.
