--- a/src/daemons/yuccashift_entry.cpp
+++ b/src/daemons/yuccashift_entry.cpp
@@ -4,12 +4,14 @@
 #include "platform/store_client.hpp"
 #include "yuccashift/entry/entry_node.hpp"
 #include "yuccashift/kernel/log.hpp"
+#include "yuccashift/observe/event_log.hpp"
 
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 #include <tclap/CmdLine.h>
+#include <unistd.h>
 
 namespace {
 
@@ -34,19 +36,24 @@
         return exitBadSettings;
     }
     yuccashift::initialiseLog(level, settings->instance);
+    const yuccashift::SystemClock clock;
+    yuccashift::EventLog events(clock, STDOUT_FILENO, settings->instance);
+    yuccashift::setLogSink(&events);
     const yuccashift::platform::Dialect dialect;
     const yuccashift::platform::Items items;
-    const auto instance = settings->instance;
-    const yuccashift::EntryAdapters adapters { dialect, items, yuccashift::platform::makeStoreClient, [&] { return readSettings(file); } };
+    const auto region = settings->region;
+    const yuccashift::EntryAdapters adapters { dialect, items, yuccashift::platform::makeStoreClient, [&] { return readSettings(file); }, [&] { events.flush(); } };
     yuccashift::EntryNode node(std::move(*settings), adapters);
     const auto listening = node.listen();
     if (!listening) {
         std::cerr << listening.error().detail << "\n";
         return exitBadSettings;
     }
-    yuccashift::logInfo("started", { { "instance", instance } });
+    yuccashift::logInfo("started", { { "pid", ::getpid() }, { "region", region } });
     node.run();
-    yuccashift::logInfo("stopped", { { "instance", instance } });
+    yuccashift::logInfo("stopped", { { "pid", ::getpid() } });
+    events.flush();
+    yuccashift::setLogSink(nullptr);
     return exitOk;
 }
 
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -22,6 +22,8 @@
 namespace {
 
     constexpr Duration tickInterval = milliseconds(50);
+    /** Log lines and gauges follow at this pace. */
+    constexpr std::uint64_t ticksBetweenReports = 2;
     /** Least time between SIGTERM and the end, so that callers with an older directory answer find this instance alive. */
     constexpr double noticeShareOfGrace = 0.45;
     /** Part of the grace after which what is still in progress is given up. */
@@ -99,6 +101,7 @@
     void answerOperator(InboundExchange&);
     bool ready() const { return !core.draining && core.world.configVersion() > 0; }
     void tick();
+    void report();
     void waitForSignal();
     void reload();
     void drain();
@@ -126,6 +129,7 @@
     asio::steady_timer timer { io };
     asio::signal_set signals { io, SIGTERM, SIGINT, SIGHUP };
     PauseDetector pauses { pauseThreshold };
+    std::uint64_t ticks = 0;
     Instant drainStarted {};
     bool storeReachable = true;
     Instant storeLostAt {};
@@ -274,6 +278,8 @@
     }
     if (core.draining)
         checkDrained();
+    if (++ticks % ticksBetweenReports == 0)
+        report();
     timer.expires_after(tickInterval);
     timer.async_wait([this](const error_code& ec) {
         if (!ec)
@@ -281,6 +287,25 @@
     });
 }
 
+void EntryNode::State::report()
+{
+    auto& metrics = core.metrics;
+    const auto counts = core.servers.counts();
+    metrics.gauge("yuccashift_requests_in_progress").set(static_cast<std::int64_t>(core.jobs.size()));
+    metrics.gauge("yuccashift_caller_connections").set(static_cast<std::int64_t>(callers.connections()));
+    metrics.gauge("yuccashift_server_connects").set(static_cast<std::int64_t>(counts.connects));
+    metrics.gauge("yuccashift_server_connect_failures").set(static_cast<std::int64_t>(counts.connectFailures));
+    metrics.gauge("yuccashift_stray_answers").set(static_cast<std::int64_t>(counts.strayAnswers));
+    metrics.gauge("yuccashift_store_calls").set(static_cast<std::int64_t>(store->calls()));
+    metrics.gauge("yuccashift_store_reachable").set(storeReachable ? 1 : 0);
+    metrics.gauge("yuccashift_store_revision").set(core.world.held().revision());
+    metrics.gauge("yuccashift_config_version").set(core.world.configVersion());
+    metrics.gauge("yuccashift_instances_heard").set(static_cast<std::int64_t>(core.members.alive().size()));
+    metrics.gauge("yuccashift_servers_known").set(static_cast<std::int64_t>(core.world.servers().size()));
+    if (adapters.flushLog)
+        adapters.flushLog();
+}
+
 void EntryNode::State::waitForSignal()
 {
     signals.async_wait([this](const error_code& ec, int number) {
--- a/src/yuccashift/entry/entry_node.hpp
+++ b/src/yuccashift/entry/entry_node.hpp
@@ -20,6 +20,8 @@
     std::function<std::unique_ptr<PublishedStore>(boost::asio::io_context&, const Clock&, const Endpoint&)> makeStore;
     /** Reads the settings again; nothing where they cannot be read now. */
     std::function<Result<EntrySettings>()> reloadSettings;
+    /** Called ten times a second and at the end, to hand out log lines. */
+    std::function<void()> flushLog;
 };
 
 /**
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -258,7 +258,7 @@
     m_sentAt = m_core.clock.now();
     m_intake = Intake::None;
     ++m_attempts;
-    logDebug("sent to server", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "cached_prompt", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
+    logInfo("sent to server", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "cached_prompt", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
     m_outbound = m_core.servers.start(std::move(request), *this);
 }
 
@@ -286,7 +286,7 @@
     m_sentAt = m_core.clock.now();
     m_intake = Intake::None;
     ++m_attempts;
-    logDebug("sent to instance", { { "request", m_facts.attemptId }, { "instance", member.instance }, { "region", member.region }, { "predicted_ms", toMilliseconds(predicted) } });
+    logInfo("sent to instance", { { "request", m_facts.attemptId }, { "instance", member.instance }, { "region", member.region }, { "predicted_ms", toMilliseconds(predicted) } });
     m_outbound = m_core.peers.start(std::move(request), *this);
 }
 
@@ -551,8 +551,7 @@
     const auto route = m_route ? std::string_view(m_route->name) : std::string_view();
     m_core.metrics.counter("yuccashift_requests_total", { { "outcome", outcome } }).add();
     m_core.metrics.latency("yuccashift_request_seconds").record(took);
-    const auto level = outcome == "ok" ? LogLevel::Debug : LogLevel::Info;
-    log(level, "request ended", { { "request", m_facts.attemptId }, { "route", route }, { "outcome", outcome }, { "took_ms", toMilliseconds(took) }, { "first_byte_ms", m_firstByteAt == Instant {} ? -1 : toMilliseconds(m_firstByteAt - m_exchange->arrivedAt()) }, { "server", m_serverId }, { "instance", m_viaInstance }, { "attempts", m_attempts }, { "config", m_routes ? m_routes->config().version : 0 } });
+    logInfo(outcome == "ok" ? "request served" : "request ended", { { "request", m_facts.attemptId }, { "route", route }, { "outcome", outcome }, { "took_ms", toMilliseconds(took) }, { "first_byte_ms", m_firstByteAt == Instant {} ? -1 : toMilliseconds(m_firstByteAt - m_exchange->arrivedAt()) }, { "server", m_serverId }, { "instance", m_viaInstance }, { "attempts", m_attempts }, { "config", m_routes ? m_routes->config().version : 0 } });
     // The exchange may be on the stack of a callback that still uses this job.
     boost::asio::post(m_core.io, [&core = m_core, self = shared_from_this()] {
         self->m_outbound.reset();
--- a/src/yuccashift/kernel/log.cpp
+++ b/src/yuccashift/kernel/log.cpp
@@ -17,6 +17,7 @@
     constexpr auto secretWords = std::to_array<std::string_view>({ "secret", "token", "password", "credential", "authorization", "peer_key" });
 
     std::atomic<LogLevel> lowestLevel { LogLevel::Info };
+    std::atomic<LogSink*> logSink { nullptr };
 
     bool namesSecret(std::string_view key)
     {
@@ -47,17 +48,6 @@
         line += '"';
     }
 
-    void appendField(std::string& line, const LogField& field)
-    {
-        line.append(" ").append(field.key).append("=");
-        if (namesSecret(field.key))
-            line += "redacted";
-        else if (!field.value.empty() && std::ranges::all_of(field.value, isPlain))
-            line += field.value;
-        else
-            appendQuoted(line, field.value);
-    }
-
     std::optional<LogLevel> parseLevel(std::string_view level)
     {
         const auto it = std::ranges::find(levelNames, level);
@@ -81,13 +71,36 @@
 
 } // namespace
 
+LogSink::~LogSink() = default;
+
+void setLogSink(LogSink* sink)
+{
+    logSink = sink;
+}
+
+std::string_view toString(LogLevel level)
+{
+    return levelNames[static_cast<std::size_t>(level)];
+}
+
+void appendLogField(std::string& line, const LogField& field)
+{
+    line.append(" ").append(field.key).append("=");
+    if (namesSecret(field.key))
+        line += "redacted";
+    else if (!field.value.empty() && std::ranges::all_of(field.value, isPlain))
+        line += field.value;
+    else
+        appendQuoted(line, field.value);
+}
+
 std::string formatLogLine(std::string_view message, LogFields fields)
 {
     std::string line;
     for (const char c : message)
         line += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
     for (const auto& field : fields)
-        appendField(line, field);
+        appendLogField(line, field);
     return line;
 }
 
@@ -103,6 +116,8 @@
 {
     if (level < lowestLevel.load(std::memory_order_relaxed))
         return;
+    if (auto* sink = logSink.load(std::memory_order_relaxed))
+        return sink->write(level, message, fields);
     const std::string line = formatLogLine(message, fields);
     switch (level) {
     case LogLevel::Debug:
--- a/src/yuccashift/kernel/log.hpp
+++ b/src/yuccashift/kernel/log.hpp
@@ -43,6 +43,20 @@
  */
 bool initialiseLog(std::string_view level, std::string_view instance);
 
+/** Takes log lines instead of standard error. */
+class LogSink {
+public:
+    virtual ~LogSink();
+    /** `message` names the kind of the line; `fields` are formatted as in formatLogLine(). */
+    virtual void write(LogLevel, std::string_view message, LogFields fields) = 0;
+};
+
+/** Sends all further lines to the sink, or to standard error again where it is null. Call while no other thread logs. */
+void setLogSink(LogSink*);
+
+/** `debug`, `info`, `warning` or `error`. */
+std::string_view toString(LogLevel);
+
 /** Writes one line to standard error: time, level, message, then the fields. Thread safe. */
 void log(LogLevel, std::string_view message, LogFields = {});
 
@@ -54,4 +68,7 @@
 /** The message and its fields as one line; control characters are escaped. */
 std::string formatLogLine(std::string_view message, LogFields);
 
+/** Appends ` key=value`; secrets are left out and control characters escaped. */
+void appendLogField(std::string& line, const LogField&);
+
 } // namespace yuccashift
