--- a/src/yuccashift/entry/directory_choice.cpp
+++ b/src/yuccashift/entry/directory_choice.cpp
@@ -1,6 +1,6 @@
 #include "yuccashift/entry/directory_choice.hpp"
 
-#include <array>
+#include <algorithm>
 
 namespace yuccashift {
 
@@ -8,30 +8,37 @@
 
     /** Callers take no more addresses from one answer. */
     constexpr std::size_t mostAddresses = 64;
+    /** Regions whose fitness differs by less suit equally well. */
+    constexpr double equalFitness = 0.05;
+
+    std::string addressOf(const DirectoryEntry& entry, std::uint16_t port)
+    {
+        return entry.ip + ":" + std::to_string(port);
+    }
 
 } // namespace
 
-std::vector<std::string> chooseEntries(const DirectoryView& view, const RegionName& callerRegion, const std::function<RegionFitness(const RegionName&)>& fitness, std::uint16_t port)
+std::vector<std::string> chooseEntries(const DirectoryView& view, const RegionName& callerRegion, const RegionFitness& fitness, std::uint16_t port)
 {
-    // The caller's own region, then one tier for each fitness.
-    std::array<std::vector<std::string>, 4> tiers;
-    const auto add = [&](const DirectoryEntry& entry) {
-        if (!entry.takesCallers)
-            return;
-        const std::size_t tier = entry.region == callerRegion ? 0 : 1 + static_cast<std::size_t>(fitness(entry.region));
-        tiers[tier].push_back(entry.ip + ":" + std::to_string(port));
-    };
-    add(view.self);
-    for (const auto& it : view.others)
-        add(it);
-    for (auto& tier : tiers) {
-        if (tier.empty())
-            continue;
-        if (tier.size() > mostAddresses)
-            tier.resize(mostAddresses);
-        return tier;
+    auto takers = view.others;
+    takers.push_back(view.self);
+    std::erase_if(takers, [](const DirectoryEntry& it) { return !it.takesCallers; });
+    std::vector<std::string> near;
+    double best = 0;
+    for (const auto& it : takers) {
+        if (it.region == callerRegion)
+            near.push_back(addressOf(it, port));
+        best = std::max(best, fitness(it.region));
+    }
+    if (near.empty()) {
+        for (const auto& it : takers) {
+            if (fitness(it.region) > best - equalFitness)
+                near.push_back(addressOf(it, port));
+        }
     }
-    return {};
+    if (near.size() > mostAddresses)
+        near.resize(mostAddresses);
+    return near;
 }
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/directory_choice.hpp
+++ b/src/yuccashift/entry/directory_choice.hpp
@@ -22,18 +22,13 @@
     std::vector<DirectoryEntry> others;
 };
 
-/** Which routes a region may serve. Callers use one answer for several hosts. */
-enum class RegionFitness {
-    AllRoutes,
-    /** Those of the host that was asked for. */
-    ItsHost,
-    Some,
-};
+/** How well a region suits the callers' requests, from 0 to 1. */
+using RegionFitness = std::function<double(const RegionName&)>;
 
 /**
  * Addresses for a caller: instances of its own region; where none takes
- * callers, those of the regions that fit best.
+ * callers, those of the regions that suit it best.
  */
-std::vector<std::string> chooseEntries(const DirectoryView&, const RegionName& callerRegion, const std::function<RegionFitness(const RegionName&)>& fitness, std::uint16_t port);
+std::vector<std::string> chooseEntries(const DirectoryView&, const RegionName& callerRegion, const RegionFitness&, std::uint16_t port);
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/entry_core.hpp
+++ b/src/yuccashift/entry/entry_core.hpp
@@ -5,6 +5,7 @@
 #include "yuccashift/dispatch/server_book.hpp"
 #include "yuccashift/entry/dispatcher.hpp"
 #include "yuccashift/entry/entry_settings.hpp"
+#include "yuccashift/entry/home_demand.hpp"
 #include "yuccashift/entry/wire_dialect.hpp"
 #include "yuccashift/fleet/member_book.hpp"
 #include "yuccashift/fleet/world.hpp"
@@ -35,6 +36,7 @@
     ServerBook book;
     RepeatAllowance repeats;
     CrashBook crashes;
+    HomeDemand homeDemand;
     /** Connections to backend servers. */
     OutboundPool servers;
     /** Connections to other instances. */
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -10,6 +10,7 @@
 #include "yuccashift/kernel/log.hpp"
 #include "yuccashift/resilience/pause_detector.hpp"
 
+#include <boost/algorithm/string/join.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
@@ -242,13 +243,9 @@
     view.self = { core.settings.region, core.settings.ip, ready() };
     for (const auto* member : core.members.alive())
         view.others.push_back({ member->region, member->ip, member->takesCallers && !member->draining });
-    const auto routes = core.world.routes();
-    const auto fitness = [&](const RegionName& region) {
-        if (!routes || routes->allAllowRegion(region))
-            return RegionFitness::AllRoutes;
-        return routes->hostAllowsRegion(question->host, region) ? RegionFitness::ItsHost : RegionFitness::Some;
-    };
+    const auto fitness = [&](const RegionName& region) { return core.homeDemand.share(region); };
     const auto named = chooseEntries(view, question->region, fitness, core.settings.callers.port);
+    logInfo("directory answered", { { "host", question->host }, { "caller_region", question->region }, { "named", boost::algorithm::join(named, ",") }, { "heard", view.others.size() }, { "config", core.world.configVersion() } });
     if (named.empty())
         return sendText(exchange, 503, "text/plain", "no instance takes callers\n");
     sendText(exchange, 200, "application/json", core.dialect.encodeDirectoryAnswer(named, core.settings.directoryValidity));
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -111,8 +111,10 @@
         return false;
     }
     armTimeLimit();
-    if (!m_hop)
+    if (!m_hop) {
         m_core.repeats.onRequest(m_service);
+        m_core.homeDemand.onRequest(*m_route);
+    }
     return true;
 }
 
--- a/src/yuccashift/fleet/route_config.cpp
+++ b/src/yuccashift/fleet/route_config.cpp
@@ -69,15 +69,4 @@
     return route == it->second.end() ? nullptr : *route;
 }
 
-bool RouteIndex::allAllowRegion(const RegionName& region) const
-{
-    return std::ranges::all_of(m_config.routes, [&](const Route& route) { return route.allowsRegion(region); });
-}
-
-bool RouteIndex::hostAllowsRegion(std::string_view host, const RegionName& region) const
-{
-    const auto it = m_byHost.find(lowered(hostName(host)));
-    return it == m_byHost.end() || std::ranges::all_of(it->second, [&](const Route* route) { return route->allowsRegion(region); });
-}
-
 } // namespace yuccashift
--- a/src/yuccashift/fleet/route_config.hpp
+++ b/src/yuccashift/fleet/route_config.hpp
@@ -89,10 +89,6 @@
     const RouteConfig& config() const { return m_config; }
     /** Null where no route matches. The target's query takes no part. */
     const Route* find(std::string_view host, std::string_view target) const;
-    /** Whether every route of the host may be served in the region. */
-    bool hostAllowsRegion(std::string_view host, const RegionName&) const;
-    /** Whether every route may be served in the region. */
-    bool allAllowRegion(const RegionName&) const;
 
 private:
     RouteConfig m_config;
