--- /dev/null
+++ b/tests/dispatch/placement_test.cpp
@@ -0,0 +1,89 @@
+#include "yuccashift/dispatch/placement.hpp"
+
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace yuccashift {
+namespace {
+
+    struct APlacement : testing::Test {
+        std::vector<RemoteRoom> remotes { { milliseconds(60), milliseconds(30), milliseconds(116) } };
+        PlacementInput input { milliseconds(100), {}, milliseconds(80), milliseconds(600), milliseconds(3000) };
+
+        Placement decide()
+        {
+            input.remotes = remotes;
+            return place(input);
+        }
+    };
+
+    TEST_F(APlacement, StaysInItsRegionWhileItIsOnTimeThere)
+    {
+        input.local = milliseconds(550);
+        EXPECT_EQ(decide().where, Placement::Where::Local);
+    }
+
+    // Pattern: the peak of a small region, which cannot serve all of it.
+    TEST_F(APlacement, LeavesASmallRegionAtItsPeakForOneWithRoom)
+    {
+        input.local = milliseconds(900);
+        const auto placement = decide();
+        EXPECT_EQ(placement.where, Placement::Where::Remote);
+        EXPECT_EQ(placement.predicted, milliseconds(206));
+    }
+
+    TEST_F(APlacement, PaysForPathColdPromptAndMargin)
+    {
+        input.local = milliseconds(650);
+        remotes[0].wait = milliseconds(450);
+        EXPECT_NE(decide().where, Placement::Where::Remote);
+    }
+
+    TEST_F(APlacement, TakesTheBestOfSeveralRegions)
+    {
+        input.local.reset();
+        remotes.push_back({ milliseconds(10), milliseconds(30), milliseconds(116) });
+        const auto placement = decide();
+        EXPECT_EQ(placement.where, Placement::Where::Remote);
+        EXPECT_EQ(placement.remote, 1u);
+    }
+
+    // Pattern: half of the servers are gone for ten seconds at the peak; a queue would make all late.
+    TEST_F(APlacement, RefusesAtOnceWhatCannotBeginInTimeAnywhere)
+    {
+        input.local = milliseconds(1500);
+        remotes[0].wait = milliseconds(1500);
+        EXPECT_EQ(decide().where, Placement::Where::Refuse);
+        input.local.reset();
+        remotes.clear();
+        EXPECT_EQ(decide().where, Placement::Where::Refuse);
+    }
+
+    TEST_F(APlacement, DoesNotRefuseARequestForItsOwnLength)
+    {
+        input.idle = milliseconds(950);
+        input.local = milliseconds(1100);
+        input.deadline = seconds(15);
+        remotes.clear();
+        EXPECT_EQ(decide().where, Placement::Where::Local);
+    }
+
+    TEST_F(APlacement, StillServesCallersThatCameBackLate)
+    {
+        input.objective = Duration::zero();
+        input.local = milliseconds(300);
+        remotes.clear();
+        EXPECT_EQ(decide().where, Placement::Where::Local);
+    }
+
+    TEST_F(APlacement, KeepsTimeForTheAnswerItself)
+    {
+        input.deadline = milliseconds(400);
+        input.objective = milliseconds(250);
+        input.local = milliseconds(300);
+        remotes.clear();
+        EXPECT_EQ(decide().where, Placement::Where::Refuse);
+    }
+
+} // namespace
+} // namespace yuccashift
--- /dev/null
+++ b/tests/dispatch/server_book_test.cpp
@@ -0,0 +1,133 @@
+#include "yuccashift/dispatch/server_book.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccashift {
+namespace {
+
+    struct AServerBook : testing::Test {
+        AServerBook()
+        {
+            work.parts = { { 1, 500 }, { 2, 1500 } };
+            work.promptTokens = 2000;
+            work.outputTokens = 100;
+            work.rank = 1;
+        }
+
+        VirtualClock clock;
+        ServerBook book { clock };
+        WorkSize work;
+        static constexpr std::uint64_t server = 42;
+        static constexpr std::uint64_t memory = 100000;
+    };
+
+    TEST_F(AServerBook, CountsARequestFromItsSendingToItsEnd)
+    {
+        auto ticket = book.begin(server, work, 1500, milliseconds(100), memory);
+        EXPECT_EQ(book.of(server).own.requests, 1);
+        EXPECT_EQ(book.of(server).own.waitingPromptTokens[1], 1500);
+        book.firstByte(ticket);
+        EXPECT_EQ(book.of(server).own.waitingPromptTokens[1], 0);
+        EXPECT_EQ(book.of(server).own.memoryTokens, 2100);
+        book.end(ticket, ServerOutcome::Succeeded);
+        book.end(ticket, ServerOutcome::Succeeded);
+        EXPECT_EQ(book.of(server).own.requests, 0);
+        EXPECT_EQ(book.of(server).own.memoryTokens, 0);
+    }
+
+    TEST_F(AServerBook, LearnsThePaceOfASlowServer)
+    {
+        for (int n = 0; n < 60; ++n) {
+            const auto predicted = milliseconds(static_cast<int>(100 * book.of(server).slowness[1]));
+            auto ticket = book.begin(server, work, 0, predicted, memory);
+            clock.advance(milliseconds(300));
+            book.firstByte(ticket);
+            book.end(ticket, ServerOutcome::Succeeded);
+        }
+        EXPECT_NEAR(book.of(server).slowness[1], 3.0, 0.3);
+        EXPECT_DOUBLE_EQ(book.of(server).slowness[0], 1.0);
+    }
+
+    TEST_F(AServerBook, LearnsNothingFromRequestsThatTheirCallersLeft)
+    {
+        auto ticket = book.begin(server, work, 0, milliseconds(100), memory);
+        book.end(ticket, ServerOutcome::Abandoned);
+        EXPECT_EQ(book.of(server).samples, 0u);
+        EXPECT_FALSE(book.of(server).waitingSince);
+    }
+
+    TEST_F(AServerBook, ReplacesWhatAPeerHasInProgress)
+    {
+        ServerLoadSum load;
+        load.requests = 5;
+        book.setPeerLoads("a", { { server, load } });
+        book.setPeerLoads("b", { { server, load } });
+        EXPECT_EQ(book.of(server).total().requests, 10);
+        load.requests = 1;
+        book.setPeerLoads("a", { { server, load } });
+        EXPECT_EQ(book.of(server).total().requests, 6);
+        book.setPeerLoads("a", {});
+        book.setPeerLoads("b", {});
+        EXPECT_EQ(book.of(server).total().requests, 0);
+    }
+
+    TEST_F(AServerBook, KnowsTheLongPromptThatAServerIsReading)
+    {
+        work.rank = 2;
+        const auto ticket = book.begin(server, work, 30000, milliseconds(500), memory);
+        EXPECT_EQ(book.tokensAheadOfRank(server, 0), 30000);
+        EXPECT_EQ(book.tokensAheadOfRank(server, 2), 0);
+        clock.advance(milliseconds(100));
+        EXPECT_LT(book.tokensAheadOfRank(server, 0), 30000);
+        clock.advance(seconds(5));
+        EXPECT_EQ(book.tokensAheadOfRank(server, 0), 0);
+        EXPECT_FALSE(ticket.firstByteSeen);
+    }
+
+    TEST_F(AServerBook, TakesTheLongestPromptThatPeersTellOf)
+    {
+        book.setPeerReading("a", server, { 9000, 1, clock.now() });
+        book.setPeerReading("b", server, { 20000, 1, clock.now() });
+        EXPECT_EQ(book.tokensAheadOfRank(server, 0), 20000);
+        clock.advance(seconds(2));
+        EXPECT_EQ(book.tokensAheadOfRank(server, 0), 0);
+    }
+
+    TEST_F(AServerBook, StartsAnewForAServerThatIsCleared)
+    {
+        for (int n = 0; n < 10; ++n) {
+            auto ticket = book.begin(server, work, 0, milliseconds(100), memory);
+            book.end(ticket, ServerOutcome::Lost);
+        }
+        book.markSuspect(server);
+        EXPECT_GT(book.of(server).failureShare, 0.5);
+        book.clearSuspicion(server);
+        EXPECT_FALSE(book.of(server).suspect);
+        EXPECT_DOUBLE_EQ(book.of(server).failureShare, 0.0);
+    }
+
+    struct APrefixMemory : testing::Test {
+        PrefixMemory memory { 10000 };
+        const std::vector<PromptPart> first { { 1, 500 }, { 2, 3000 }, { 3, 1000 } };
+        const std::vector<PromptPart> second { { 1, 500 }, { 4, 3000 }, { 3, 1000 } };
+    };
+
+    TEST_F(APrefixMemory, HoldsPartsOnlyBehindTheSamePartsBefore)
+    {
+        memory.remember(first);
+        EXPECT_EQ(memory.cachedTokens(first), 4500u);
+        EXPECT_EQ(memory.cachedTokens(second), 500u);
+    }
+
+    TEST_F(APrefixMemory, DropsTheLeastRecentlyUsedBeyondItsBound)
+    {
+        memory.remember(first);
+        memory.remember(second);
+        const std::vector<PromptPart> third { { 9, 8000 } };
+        memory.remember(third);
+        EXPECT_EQ(memory.cachedTokens(third), 8000u);
+        EXPECT_EQ(memory.cachedTokens(first), 0u);
+    }
+
+} // namespace
+} // namespace yuccashift
--- /dev/null
+++ b/tests/dispatch/server_choice_test.cpp
@@ -0,0 +1,173 @@
+#include "yuccashift/dispatch/server_choice.hpp"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace yuccashift {
+namespace {
+
+    ServerCandidate engine(std::uint64_t key)
+    {
+        ServerCandidate it;
+        it.key = key;
+        it.slots = 32;
+        it.engine = true;
+        it.memoryTokens = 500000;
+        return it;
+    }
+
+    WorkSize draft()
+    {
+        WorkSize work;
+        work.parts = { { 1, 500 }, { 2, 4900 }, { 3, 6600 } };
+        work.promptTokens = 12000;
+        work.outputTokens = 400;
+        work.rank = 1;
+        return work;
+    }
+
+    WorkSize query()
+    {
+        WorkSize work;
+        work.promptTokens = 1800;
+        work.outputTokens = 20;
+        return work;
+    }
+
+    struct AServerChoice : testing::Test {
+        std::vector<ServerCandidate> servers { engine(1), engine(2), engine(3) };
+
+        ServerChoice choose(const WorkSize& work, Duration soonEnough = Duration::zero(), std::uint64_t draw = 0) const
+        {
+            return chooseServer(servers, work, soonEnough, draw);
+        }
+    };
+
+    TEST_F(AServerChoice, PassesOverWhatCannotTakeTheRequestAndSaysWhy)
+    {
+        struct Case {
+            PassedOver reason;
+            void (*spoil)(ServerCandidate&);
+        };
+        const std::vector<Case> cases {
+            { PassedOver::Tried, [](ServerCandidate& it) { it.tried = true; } },
+            { PassedOver::Suspect, [](ServerCandidate& it) { it.suspect = true; } },
+            { PassedOver::Full, [](ServerCandidate& it) { it.full = true; } },
+            { PassedOver::Cold, [](ServerCandidate& it) { it.cold = true; } },
+            { PassedOver::NoConnections, [](ServerCandidate& it) { it.connectionsLeft = false; } },
+            { PassedOver::Failing, [](ServerCandidate& it) { it.failureShare = 0.9; it.samples = 9; } },
+        };
+        for (const auto& row : cases) {
+            servers = { engine(1), engine(2), engine(3) };
+            row.spoil(servers[0]);
+            row.spoil(servers[1]);
+            servers[2].load.requests = 20;
+            if (row.reason == PassedOver::Failing)
+                servers[1] = servers[2];
+            const auto choice = choose(query());
+            ASSERT_EQ(choice.best, 2u) << toString(row.reason);
+            EXPECT_EQ(choice.passedOver[0], row.reason);
+        }
+    }
+
+    TEST_F(AServerChoice, ChoosesNothingWhereNobodyCanTakeIt)
+    {
+        for (auto& it : servers)
+            it.suspect = true;
+        EXPECT_FALSE(choose(query()).best);
+    }
+
+    TEST_F(AServerChoice, UsesFailingServersWhereAllFailAlike)
+    {
+        for (auto& it : servers) {
+            it.failureShare = 0.5;
+            it.samples = 20;
+        }
+        EXPECT_TRUE(choose(query()).best);
+    }
+
+    TEST_F(AServerChoice, LetsAColdServerHaveItsTurn)
+    {
+        servers = { engine(1) };
+        servers[0].cold = true;
+        EXPECT_FALSE(choose(query()).best);
+        servers[0].coldTurn = true;
+        EXPECT_TRUE(choose(query()).best);
+    }
+
+    TEST_F(AServerChoice, SpreadsEqualServersByTheDraw)
+    {
+        std::set<std::size_t> chosen;
+        for (std::uint64_t draw = 0; draw < 60; ++draw)
+            chosen.insert(*choose(query(), Duration::zero(), draw * 7919).best);
+        EXPECT_EQ(chosen.size(), 3u);
+    }
+
+    // Pattern: a crowd of drafts has filled the queues, and quick questions arrive among them.
+    TEST_F(AServerChoice, PutsOnlyPromptsOfTheSameRankOrBeforeAheadOfARequest)
+    {
+        servers = { engine(1) };
+        servers[0].load.waitingPromptTokens[1] = 60000;
+        EXPECT_LT(predictFirstByte(servers[0], query()), milliseconds(120));
+        EXPECT_GT(predictFirstByte(servers[0], draft()), milliseconds(1000));
+    }
+
+    // Pattern: one prompt of fifty thousand tokens is being read; it is not interrupted.
+    TEST_F(AServerChoice, KeepsUrgentRequestsAwayFromAServerThatReadsALongPrompt)
+    {
+        servers[0].readingTokens = 50000;
+        servers[1].load.requests = 25;
+        servers[2].load.requests = 25;
+        EXPECT_NE(choose(query()).best, 0u);
+        EXPECT_GT(predictFirstByte(servers[0], query()), milliseconds(800));
+    }
+
+    // Pattern: the same documents come again and again, and reading them twice delays everybody.
+    TEST_F(AServerChoice, PrefersTheHolderOfThePrefixWhileItAnswersSoonEnough)
+    {
+        servers[0].cachedTokens = 5400;
+        servers[0].load.requests = 20;
+        servers[0].load.waitingPromptTokens[1] = 9000;
+        EXPECT_EQ(choose(draft(), milliseconds(450)).best, 0u);
+        servers[0].load.waitingPromptTokens[1] = 60000;
+        EXPECT_NE(choose(draft(), milliseconds(450)).best, 0u);
+    }
+
+    TEST_F(AServerChoice, CountsTheDelayOfOthersAgainstReadingAgain)
+    {
+        servers[0].cachedTokens = 5400;
+        servers[0].load.waitingPromptTokens[1] = 7000;
+        EXPECT_EQ(choose(draft()).best, 0u);
+    }
+
+    // Pattern: long answers fill an engine's memory before its slots.
+    TEST_F(AServerChoice, AvoidsAnEngineWhoseMemoryIsFull)
+    {
+        servers[0].load.memoryTokens = 490000;
+        servers[0].load.requests = 5;
+        servers[1].load.requests = 12;
+        servers[2].load.requests = 12;
+        EXPECT_NE(choose(draft()).best, 0u);
+    }
+
+    // Pattern: a server goes dark; its requests wait without a first byte while others answer.
+    TEST_F(AServerChoice, LeavesAStalledServerBeforeItsConnectionsBreak)
+    {
+        servers[0].oldestWait = seconds(2);
+        servers[1].load.requests = 15;
+        servers[2].load.requests = 15;
+        EXPECT_NE(choose(query()).best, 0u);
+    }
+
+    TEST_F(AServerChoice, NamesTheRunnerUp)
+    {
+        servers[1].load.requests = 10;
+        servers[2].load.requests = 20;
+        const auto choice = choose(query());
+        EXPECT_EQ(choice.best, 0u);
+        EXPECT_EQ(choice.runnerUp, 1u);
+        EXPECT_GT(choice.runnerUpPredicted, choice.predicted);
+    }
+
+} // namespace
+} // namespace yuccashift
--- /dev/null
+++ b/tests/fleet/member_book_test.cpp
@@ -0,0 +1,114 @@
+#include "yuccashift/fleet/member_book.hpp"
+
+#include "yuccashift/fleet/datagram.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccashift {
+namespace {
+
+    fleetwire::Heartbeat beatOf(const std::string& instance, std::int64_t incarnation, std::int64_t sequence)
+    {
+        fleetwire::Heartbeat beat;
+        beat.instance = instance;
+        beat.incarnation = incarnation;
+        beat.sequence = sequence;
+        beat.region = "sofia";
+        beat.ip = "10.0.0.2";
+        beat.takesCallers = true;
+        return beat;
+    }
+
+    struct AMemberBook : testing::Test {
+        VirtualClock clock;
+        MemberBook book { clock, "self" };
+    };
+
+    TEST_F(AMemberBook, DropsHeartbeatsThatAreOlderThanOneTaken)
+    {
+        EXPECT_TRUE(book.take(beatOf("a", 2, 5)));
+        EXPECT_FALSE(book.take(beatOf("a", 2, 5)));
+        EXPECT_FALSE(book.take(beatOf("a", 1, 9)));
+        EXPECT_TRUE(book.take(beatOf("a", 3, 1)));
+        EXPECT_FALSE(book.take(beatOf("self", 9, 9)));
+    }
+
+    TEST_F(AMemberBook, LeavesOutSilentInstancesButRemembersThem)
+    {
+        book.take(beatOf("a", 1, 1));
+        EXPECT_EQ(book.alive().size(), 1u);
+        clock.advance(seconds(2));
+        EXPECT_TRUE(book.alive().empty());
+        EXPECT_EQ(book.instancesSeen(), 2u);
+        EXPECT_TRUE(book.take(beatOf("a", 1, 2)));
+        EXPECT_EQ(book.alive().size(), 1u);
+    }
+
+    TEST_F(AMemberBook, GivesNoOwnershipToDrainingInstances)
+    {
+        auto beat = beatOf("a", 1, 1);
+        book.take(beat);
+        EXPECT_EQ(book.ownersIn("sofia", true), (std::vector<InstanceId> { "a", "self" }));
+        beat.sequence = 2;
+        beat.draining = true;
+        book.take(beat);
+        EXPECT_EQ(book.ownersIn("sofia", true), (std::vector<InstanceId> { "self" }));
+        EXPECT_TRUE(book.ownersIn("varna", false).empty());
+    }
+
+    TEST_F(AMemberBook, ForgetsOnlyAfterLongSilence)
+    {
+        book.take(beatOf("a", 1, 1));
+        clock.advance(seconds(29));
+        EXPECT_TRUE(book.expire().empty());
+        clock.advance(seconds(2));
+        EXPECT_EQ(book.expire(), (std::vector<InstanceId> { "a" }));
+    }
+
+    TEST_F(AMemberBook, ReadsRoomsOfAnInstanceThatTellsFewerRanks)
+    {
+        auto beat = beatOf("a", 1, 1);
+        fleetwire::ServiceRoom room;
+        room.serviceName = "draft";
+        room.waitMs = { 40, 90 };
+        room.freeSlots = 3;
+        beat.rooms = { room };
+        book.take(beat);
+        const auto& view = book.find("a")->rooms.at("draft");
+        EXPECT_EQ(view.wait[0], milliseconds(40));
+        EXPECT_EQ(view.wait[urgencyRanks - 1], milliseconds(90));
+    }
+
+    TEST(AHeartbeat, ComesOutOfItsDatagramAsItWentIn)
+    {
+        auto beat = beatOf("a", 2, 5);
+        beat.hears = { 1, 2, 3 };
+        beat.crashes = { { 77, 2 } };
+        const auto decoded = decodeHeartbeat(encodeHeartbeat(beat));
+        ASSERT_TRUE(decoded);
+        EXPECT_EQ(*decoded, beat);
+    }
+
+    TEST(AHeartbeat, ThatIsDamagedIsAnErrorAndNothingElse)
+    {
+        const auto bytes = encodeHeartbeat(beatOf("a", 2, 5));
+        for (std::size_t n = 0; n + 1 < bytes.size(); ++n)
+            EXPECT_FALSE(decodeHeartbeat(bytes.substr(0, n))) << n;
+    }
+
+    TEST(ASnapshot, CarriesItemsWithAnyBytes)
+    {
+        fleetwire::Snapshot snapshot;
+        snapshot.revision = 12;
+        fleetwire::HeldItem item;
+        item.key = "k";
+        item.value = std::string("\0\xff", 2);
+        item.revision = 4;
+        snapshot.items = { item };
+        const auto decoded = decodeSnapshot(encodeSnapshot(snapshot));
+        ASSERT_TRUE(decoded);
+        EXPECT_EQ(decoded->items, snapshot.items);
+    }
+
+} // namespace
+} // namespace yuccashift
--- /dev/null
+++ b/tests/fleet/route_config_test.cpp
@@ -0,0 +1,83 @@
+#include "yuccashift/fleet/route_config.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccashift {
+namespace {
+
+    Route route(const std::string& host, const std::string& prefix, const std::string& service)
+    {
+        Route it;
+        it.name = host + prefix;
+        it.host = host;
+        it.pathPrefix = prefix;
+        it.services = { { service, 1 } };
+        return it;
+    }
+
+    struct ARouteIndex : testing::Test {
+        static RouteIndex make()
+        {
+            RouteConfig config;
+            config.routes = { route("a.example", "/x/", "short"), route("a.example", "/x/y/", "long"), route("b.example", "/", "other") };
+            return RouteIndex(config);
+        }
+        RouteIndex index = make();
+    };
+
+    TEST_F(ARouteIndex, TakesTheLongestPrefixThatBeginsThePath)
+    {
+        EXPECT_EQ(index.find("a.example", "/x/y/z")->services[0].service, "long");
+        EXPECT_EQ(index.find("a.example", "/x/yy")->services[0].service, "short");
+        EXPECT_EQ(index.find("a.example", "/x"), nullptr);
+    }
+
+    TEST_F(ARouteIndex, KeepsQueriesOutOfTheChoice)
+    {
+        EXPECT_EQ(index.find("a.example", "/x/?next=/x/y/")->services[0].service, "short");
+        EXPECT_EQ(index.find("a.example", "/q?/x/y/"), nullptr);
+    }
+
+    TEST_F(ARouteIndex, ComparesHostsWithoutCaseAndPort)
+    {
+        EXPECT_NE(index.find("A.Example:8080", "/x/1"), nullptr);
+        EXPECT_EQ(index.find("c.example", "/x/1"), nullptr);
+    }
+
+    TEST(ASplitRoute, DealsRequestsByWeightAndTheSameOneAlwaysAlike)
+    {
+        auto split = route("a.example", "/", "one");
+        split.services = { { "one", 90 }, { "two", 10 }, { "none", 0 } };
+        std::map<std::string, int> counts;
+        for (std::uint64_t draw = 0; draw < 1000; ++draw)
+            ++counts[split.pickService(draw)];
+        EXPECT_EQ(counts["one"], 900);
+        EXPECT_EQ(counts["two"], 100);
+        EXPECT_FALSE(split.usesService("none"));
+    }
+
+    TEST(ARoute, WithHomesAllowsNoOtherRegion)
+    {
+        auto bound = route("a.example", "/", "one");
+        EXPECT_TRUE(bound.allowsRegion("varna"));
+        bound.homes = { "sofia" };
+        EXPECT_TRUE(bound.allowsRegion("sofia"));
+        EXPECT_FALSE(bound.allowsRegion("varna"));
+    }
+
+    TEST(ARoute, MayBeRepeatedOnlyWhereItsKindSaysSo)
+    {
+        Route it;
+        it.kind = RouteKind::NonIdempotent;
+        it.resumable = true;
+        EXPECT_FALSE(it.repeatable());
+        it.kind = RouteKind::Streaming;
+        EXPECT_TRUE(it.repeatable());
+        it.resumable = false;
+        EXPECT_FALSE(it.repeatable());
+        it.kind = RouteKind::Idempotent;
+        EXPECT_TRUE(it.repeatable());
+    }
+
+} // namespace
+} // namespace yuccashift
--- /dev/null
+++ b/tests/platform/dialect_test.cpp
@@ -0,0 +1,119 @@
+#include "platform/dialect.hpp"
+#include "platform/node_settings.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccashift::platform {
+namespace {
+
+    struct TheDialect : testing::Test {
+        Dialect dialect;
+        RequestMessage request { "POST", "/a/b", { { "X-Attempt-Id", "9c41" }, { "x-deadline-ms", "1500" }, { "X-Token-Counts", "1460,80" }, { "X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250" } }, {} };
+    };
+
+    TEST_F(TheDialect, ReadsWhatACallerSaysOfItsRequest)
+    {
+        const auto facts = dialect.decodeRequest(request);
+        EXPECT_EQ(facts.attemptId, "9c41");
+        EXPECT_EQ(facts.deadline, milliseconds(1500));
+        EXPECT_EQ(facts.work.promptTokens, 1460u);
+        EXPECT_EQ(facts.work.outputTokens, 40u);
+        ASSERT_EQ(facts.work.parts.size(), 3u);
+        EXPECT_EQ(facts.work.parts[0].id, 0x5c1e07a2u);
+        EXPECT_EQ(facts.work.sharedParts().size(), 2u);
+        EXPECT_FALSE(facts.resumeAfter);
+    }
+
+    TEST_F(TheDialect, TakesSpoiledNumbersAsNotSaid)
+    {
+        request.headers = { { "X-Deadline-Ms", "soon" }, { "X-Token-Counts", "x,y" }, { "X-Prompt-Prefix", "zz:1" }, { "X-Length-Hint", "?" } };
+        const auto facts = dialect.decodeRequest(request);
+        EXPECT_FALSE(facts.deadline);
+        EXPECT_EQ(facts.work.promptTokens, 0u);
+        EXPECT_TRUE(facts.work.parts.empty());
+    }
+
+    TEST_F(TheDialect, LetsNoCallerSpeakForTheSystem)
+    {
+        for (const auto* name : { "X-Hold", "x-pin-ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch", "X-Target-Instance", "X-Deadline-Ms", "X-Request-Urgency", "X-Expected-Version" })
+            EXPECT_TRUE(dialect.reservedHeader(name)) << name;
+        for (const auto* name : { "X-Model", "X-Token-Counts", "X-Prompt-Prefix", "X-Attempt-Id", "Host" })
+            EXPECT_FALSE(dialect.reservedHeader(name)) << name;
+    }
+
+    TEST_F(TheDialect, TellsAServerWhatIsLeft)
+    {
+        std::string out;
+        dialect.appendOrder(out, { "i-1", milliseconds(900), 4, "12" });
+        EXPECT_EQ(out, "X-Target-Instance: i-1\r\nX-Deadline-Ms: 900\r\nX-Request-Urgency: 4\r\nLast-Event-Id: 12\r\n");
+    }
+
+    TEST_F(TheDialect, BelievesThatNothingRanOnlyWhereAServerSaysSo)
+    {
+        EXPECT_FALSE(dialect.decodeAnswer({ 503, {}, {} }).notRun);
+        EXPECT_FALSE(dialect.decodeAnswer({ 500, {}, {} }).notRun);
+        EXPECT_TRUE(dialect.decodeAnswer({ 503, { { "X-Not-Executed", "1" } }, {} }).notRun);
+        EXPECT_TRUE(dialect.decodeAnswer({ 421, {}, {} }).notRun);
+        EXPECT_TRUE(dialect.decodeAnswer({ 421, {}, {} }).wrongServer);
+    }
+
+    TEST_F(TheDialect, ReadsHealth)
+    {
+        const auto facts = dialect.decodeHealth({ 200, { { "X-Instance-Id", "i-1" }, { "X-Cold-Ms", "1200.5" } }, {} });
+        EXPECT_TRUE(facts.healthy);
+        EXPECT_EQ(facts.serverId, "i-1");
+        EXPECT_EQ(facts.coldFor, milliseconds(1200));
+        EXPECT_FALSE(dialect.decodeHealth({ 503, {}, {} }).healthy);
+    }
+
+    TEST_F(TheDialect, SpeaksTheDirectory)
+    {
+        request = { "GET", "/yuccashift/resolve?name=a%2Eexample&region=lagos&zone=ikeja-hall", {}, {} };
+        const auto question = dialect.decodeDirectoryQuestion(request);
+        ASSERT_TRUE(question);
+        EXPECT_EQ(question->host, "a.example");
+        EXPECT_EQ(question->region, "lagos");
+        request.target = "/other";
+        EXPECT_FALSE(dialect.decodeDirectoryQuestion(request));
+        EXPECT_EQ(dialect.encodeDirectoryAnswer({ "10.0.0.1:80" }, milliseconds(1500)), R"({"addresses":["10.0.0.1:80"],"ttlS":1.5E0})");
+    }
+
+    constexpr const char* settingsText = R"(
+node: "front-1"
+ip: "10.1.0.35"
+zone: "ikeja-hall"
+region: "lagos"
+zones: {ikeja-hall: "lagos", wuse-hall: "abuja"}
+listen: {front: "10.1.0.35:8144", ready: "10.1.0.35:8140", control: "10.1.0.35:8146", directory: "10.1.0.35:8143"}
+internalPorts: [7660, 7675]
+seeds: ["10.1.0.35:8146", "10.2.0.28:8146"]
+limits: {cpuShare: 0.25, cores: 1, fileDescriptors: 4100}
+bounds: {graceS: 8, budgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 54, ttl_max_s: 5}
+platform: {address: "10.200.1.7:8142"}
+somethingNew: [1, 2]
+)";
+
+    TEST(TheSettingsFile, TellsAnInstanceWhoItIsAndWhomItKnows)
+    {
+        const auto settings = parseNodeSettings(settingsText);
+        ASSERT_TRUE(settings) << settings.error().detail;
+        EXPECT_EQ(settings->instance, "front-1");
+        EXPECT_EQ(settings->regions.at("wuse-hall"), "abuja");
+        EXPECT_EQ(settings->peerPort, 7660);
+        EXPECT_EQ(settings->seedAddresses, (std::vector<std::string> { "10.1.0.35", "10.2.0.28" }));
+        EXPECT_EQ(settings->store, (Endpoint { "10.200.1.7", 8142 }));
+        EXPECT_DOUBLE_EQ(settings->repeats.slack, 54);
+        EXPECT_EQ(settings->stopGrace, seconds(8));
+    }
+
+    TEST(TheSettingsFile, ThatLacksAFieldIsRefusedByItsName)
+    {
+        std::string text = settingsText;
+        text.replace(text.find("region:"), 7, "regiom:");
+        const auto settings = parseNodeSettings(text);
+        ASSERT_FALSE(settings);
+        EXPECT_NE(settings.error().detail.find("region"), std::string::npos);
+    }
+
+} // namespace
+} // namespace yuccashift::platform
--- /dev/null
+++ b/tests/platform/items_test.cpp
@@ -0,0 +1,117 @@
+#include "platform/items.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccashift::platform {
+namespace {
+
+    constexpr const char* goodServer = R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","version":"v1","slots":64,"state":"ready","coldRemainingMs":1500.5,"stage":"both","born":1790000000000,"sequence":4})";
+
+    DecodedItem decode(std::string_view key, std::string_view value)
+    {
+        return Items().decode(key, value);
+    }
+
+    TEST(AServersEntry, SaysWhereItIsAndHowItDoes)
+    {
+        const auto item = decode("servers/i-1", goodServer);
+        const auto* entry = std::get_if<ServerEntry>(&item);
+        ASSERT_TRUE(entry);
+        EXPECT_EQ(entry->server.identity, (ServerIdentity { "i-1", 1790000000000 }));
+        EXPECT_EQ(entry->server.address, (Endpoint { "10.0.0.9", 8080 }));
+        EXPECT_EQ(entry->server.datacentre, "hall");
+        EXPECT_EQ(entry->server.slots, 64u);
+        EXPECT_TRUE(entry->server.engine);
+        EXPECT_FALSE(entry->server.draining);
+        EXPECT_EQ(entry->coldFor, microseconds(1500500));
+    }
+
+    TEST(AServersEntry, OfAnotherWriterNamesNoServer)
+    {
+        const std::vector<std::string> values {
+            "",
+            "not json",
+            "[]",
+            "{}",
+            "\xff\xfe",
+            R"({"service":"draft"})",
+            R"({"service":7,"address":"10.0.0.9:8080","zone":"hall","slots":64,"state":"ready"})",
+            R"({"service":"draft","address":"nowhere","zone":"hall","slots":64,"state":"ready"})",
+            R"({"service":"draft","address":"10.0.0.9:8080","zone":null,"slots":64,"state":"ready"})",
+            R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":"64","state":"ready"})",
+            R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":0,"state":"ready"})",
+            R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":-4,"state":"ready"})",
+            R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":64,"state":"resting"})",
+            R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":64,"state":"ready","born":1.5})",
+            R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":64,"state":"ready","coldRemainingMs":"long"})",
+        };
+        for (const auto& value : values)
+            EXPECT_TRUE(std::holds_alternative<UnusableItem>(decode("servers/i-1", value))) << value;
+    }
+
+    TEST(AServersEntry, TellsOfItsLeaving)
+    {
+        const auto item = decode("servers/i-1", R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":4,"state":"draining","remainingMs":2000})");
+        const auto* entry = std::get_if<ServerEntry>(&item);
+        ASSERT_TRUE(entry);
+        EXPECT_TRUE(entry->server.draining);
+        EXPECT_EQ(entry->leavesIn, seconds(2));
+    }
+
+    constexpr const char* goodConfig = R"({"version":7,"routes":[
+        {"name":"r1","host":"a.example","pathPrefix":"/q/","kind":"streaming","timeoutMs":3000,"targetLatencyMs":600,"priority":0,"service":"draft","maxAttempts":2,"resumable":true,"homeRegions":["lagos"]},
+        {"name":"r2","host":"a.example","pathPrefix":"/p/","kind":"non_idempotent","timeoutMs":4000,"targetLatencyMs":500,"priority":2,"trafficSplit":[{"service":"one","weight":90},{"service":"two","weight":10}],"maxAttempts":1,"homeRegions":[]}],
+        "services":[{"name":"draft","healthPath":"/up","maxConnections":360,"coldS":3.0,"coldPerS":2.5,"engine":{"slots":64,"kvCapacityTokens":536377}}],
+        "limits":{"headerBytes":1000,"bodyBytes":2000,"headerTimeoutMs":300,"idleTimeoutMs":4000}})";
+
+    TEST(AConfiguration, HoldsRoutesServicesAndLimits)
+    {
+        const auto item = decode("op/config", goodConfig);
+        const auto* config = std::get_if<RouteConfig>(&item);
+        ASSERT_TRUE(config);
+        EXPECT_EQ(config->version, 7);
+        ASSERT_EQ(config->routes.size(), 2u);
+        const auto& first = config->routes[0];
+        EXPECT_EQ(first.kind, RouteKind::Streaming);
+        EXPECT_TRUE(first.repeatable());
+        EXPECT_EQ(first.latencyObjective, milliseconds(600));
+        EXPECT_EQ(first.maxAttempts, 2u);
+        EXPECT_TRUE(first.allowsRegion("lagos"));
+        EXPECT_FALSE(first.allowsRegion("abuja"));
+        EXPECT_EQ(config->routes[1].services.size(), 2u);
+        const auto& traits = config->traitsOf("draft");
+        EXPECT_EQ(traits.healthPath, "/up");
+        EXPECT_EQ(traits.coldTime, seconds(3));
+        EXPECT_EQ(traits.memoryTokens, 536377u);
+        EXPECT_TRUE(traits.engine);
+        EXPECT_EQ(config->limits.headerBytes, 1000u);
+        EXPECT_EQ(config->limits.idleTimeout, milliseconds(4000));
+    }
+
+    TEST(AConfiguration, WithAFaultIsNotTakenAtAll)
+    {
+        const std::vector<std::string> values {
+            R"({"routes":[],"services":[]})",
+            R"({"version":"7","routes":[],"services":[]})",
+            R"({"version":7,"routes":{},"services":[]})",
+            R"({"version":7,"routes":[3],"services":[]})",
+            R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/","kind":"odd","service":"s"}],"services":[]})",
+            R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/","kind":"idempotent"}],"services":[]})",
+        };
+        for (const auto& value : values)
+            EXPECT_TRUE(std::holds_alternative<UnusableItem>(decode("op/config", value))) << value;
+    }
+
+    TEST(AnEvacuation, NamesItsDataCentre)
+    {
+        const auto item = decode("op/evacuate/wuse-hall", "{}");
+        EXPECT_EQ(std::get<EvacuatedDatacentre>(item).datacentre, "wuse-hall");
+    }
+
+    TEST(AnItem, OfAnotherKindIsLeftAlone)
+    {
+        EXPECT_TRUE(std::holds_alternative<IgnoredItem>(decode("other/key", "{}")));
+    }
+
+} // namespace
+} // namespace yuccashift::platform
