--- a/benchmarks/capacity/platform_slopes.cpp
+++ b/benchmarks/capacity/platform_slopes.cpp
@@ -4,7 +4,7 @@
 #include "peer_types.h"
 #include "yuccashift/config/text_delta.hpp"
 #include "yuccashift/orders/ownership.hpp"
-#include "yuccashift/platform/json_bodies.hpp"
+#include "yuccashift/ports/json_bodies.hpp"
 
 #include <sstream>
 #include <stdexcept>
--- a/benchmarks/capacity/state_slopes.cpp
+++ b/benchmarks/capacity/state_slopes.cpp
@@ -7,7 +7,7 @@
 #include "yuccashift/kernel/random.hpp"
 #include "yuccashift/keys/key_table.hpp"
 #include "yuccashift/membership/member_table.hpp"
-#include "yuccashift/platform/instance_list.hpp"
+#include "yuccashift/ports/instance_list.hpp"
 #include "yuccashift/resilience/quarantine.hpp"
 
 #include <stdexcept>
--- a/benchmarks/runner/server_model.hpp
+++ b/benchmarks/runner/server_model.hpp
@@ -2,7 +2,7 @@
 
 #include "benchmarks/runner/event_queue.hpp"
 #include "benchmarks/runner/workload.hpp"
-#include "yuccashift/platform/engine_control.hpp"
+#include "yuccashift/ports/engine_control.hpp"
 
 #include <functional>
 #include <list>
--- a/fuzzing/documents_fuzz.cpp
+++ b/fuzzing/documents_fuzz.cpp
@@ -3,7 +3,7 @@
 #include "yuccashift/config/document_store.hpp"
 #include "yuccashift/kernel/random.hpp"
 #include "yuccashift/membership/coordinator.hpp"
-#include "yuccashift/platform/instance_list.hpp"
+#include "yuccashift/ports/instance_list.hpp"
 
 #include <algorithm>
 #include <array>
--- a/fuzzing/parsers_fuzz.cpp
+++ b/fuzzing/parsers_fuzz.cpp
@@ -9,7 +9,7 @@
 #include "yuccashift/keys/minted_key.hpp"
 #include "yuccashift/membership/packed_loads.hpp"
 #include "yuccashift/peer/codec.hpp"
-#include "yuccashift/platform/json_bodies.hpp"
+#include "yuccashift/ports/json_bodies.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/yuccashift/config/source_reader.hpp
+++ b/src/yuccashift/config/source_reader.hpp
@@ -2,7 +2,7 @@
 
 #include "yuccashift/config/document_store.hpp"
 #include "yuccashift/config/watcher_choice.hpp"
-#include "yuccashift/platform/listing.hpp"
+#include "yuccashift/ports/listing.hpp"
 
 #include <optional>
 #include <set>
--- a/src/yuccashift/fleet/held_items.cpp
+++ b/src/yuccashift/fleet/held_items.cpp
@@ -5,33 +5,19 @@
 
 namespace yuccashift {
 
-namespace {
-
-    /** Removals remembered at once; far more than change between two listings. */
-    constexpr std::size_t mostRemovals = 4096;
-
-} // namespace
-
 bool HeldItems::take(const ItemChange& change)
 {
     const auto it = m_items.find(change.key);
-    const auto removed = m_removed.find(change.key);
-    if (it != m_items.end() && it->second.revision >= change.revision)
+    const bool held = it != m_items.end();
+    if (held && it->second.revision >= change.revision)
         return false;
-    if (removed != m_removed.end() && removed->second >= change.revision)
+    // Up to this revision all is known: an item that is not held was removed since.
+    if (!held && (!change.value || change.revision <= m_revision))
         return false;
-    if (change.value) {
+    if (change.value)
         m_items[change.key] = { *change.value, change.revision };
-        if (removed != m_removed.end())
-            m_removed.erase(removed);
-        return true;
-    }
-    m_removed[change.key] = change.revision;
-    if (m_removed.size() > mostRemovals)
-        m_removed.erase(std::ranges::min_element(m_removed, {}, [](const auto& entry) { return entry.second; }));
-    if (it == m_items.end())
-        return false;
-    m_items.erase(it);
+    else
+        m_items.erase(it);
     return true;
 }
 
--- a/src/yuccashift/fleet/held_items.hpp
+++ b/src/yuccashift/fleet/held_items.hpp
@@ -42,8 +42,6 @@
     bool take(const ItemChange&);
 
     std::map<std::string, Item> m_items;
-    /** Revisions of removals, so that a late page does not bring an item back. */
-    std::map<std::string, std::int64_t> m_removed;
     std::int64_t m_revision = 0;
 };
 
--- a/src/yuccashift/gateway/feeds.hpp
+++ b/src/yuccashift/gateway/feeds.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "yuccashift/membership/exchange.hpp"
-#include "yuccashift/platform/engine_control.hpp"
+#include "yuccashift/ports/engine_control.hpp"
 #include "yuccashift/routing/backend_key.hpp"
 
 #include <map>
--- a/src/yuccashift/membership/coordinator.cpp
+++ b/src/yuccashift/membership/coordinator.cpp
@@ -5,7 +5,7 @@
 #include "yuccashift/membership/load_cell.hpp"
 #include "yuccashift/membership/packed_loads.hpp"
 #include "yuccashift/membership/region_links.hpp"
-#include "yuccashift/platform/listing.hpp"
+#include "yuccashift/ports/listing.hpp"
 #include "yuccashift/resilience/quarantine.hpp"
 
 #include <algorithm>
--- a/src/yuccashift/membership/member_table.cpp
+++ b/src/yuccashift/membership/member_table.cpp
@@ -1,7 +1,7 @@
 #include "yuccashift/membership/member_table.hpp"
 
 #include "peer_types.h"
-#include "yuccashift/platform/listing.hpp"
+#include "yuccashift/ports/listing.hpp"
 
 #include <algorithm>
 #include <set>
--- a/src/yuccashift/node/config_loop.hpp
+++ b/src/yuccashift/node/config_loop.hpp
@@ -2,7 +2,7 @@
 
 #include "yuccashift/config/source_reader.hpp"
 #include "yuccashift/node/loop_context.hpp"
-#include "yuccashift/platform/config_source.hpp"
+#include "yuccashift/ports/config_source.hpp"
 
 #include <memory>
 
--- a/src/yuccashift/node/load_loop.hpp
+++ b/src/yuccashift/node/load_loop.hpp
@@ -3,7 +3,7 @@
 #include "yuccashift/node/loop_context.hpp"
 #include "yuccashift/orders/order_planner.hpp"
 #include "yuccashift/orders/ownership.hpp"
-#include "yuccashift/platform/engine_control.hpp"
+#include "yuccashift/ports/engine_control.hpp"
 #include "yuccashift/routing/backend_key.hpp"
 
 #include <memory>
--- a/src/yuccashift/node/membership_loop.hpp
+++ b/src/yuccashift/node/membership_loop.hpp
@@ -2,7 +2,7 @@
 
 #include "yuccashift/membership/member_table.hpp"
 #include "yuccashift/node/loop_context.hpp"
-#include "yuccashift/platform/instance_list.hpp"
+#include "yuccashift/ports/instance_list.hpp"
 
 #include <map>
 #include <set>
--- a/src/yuccashift/node/node.cpp
+++ b/src/yuccashift/node/node.cpp
@@ -13,7 +13,7 @@
 #include "yuccashift/node/membership_loop.hpp"
 #include "yuccashift/node/order_loop.hpp"
 #include "yuccashift/peer/peer_hub.hpp"
-#include "yuccashift/platform/http_platform.hpp"
+#include "yuccashift/ports/http_platform.hpp"
 #include "yuccashift/routing/entry_policy.hpp"
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/yuccashift/orders/order_planner.hpp
+++ b/src/yuccashift/orders/order_planner.hpp
@@ -2,7 +2,7 @@
 
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/orders/placement.hpp"
-#include "yuccashift/platform/engine_control.hpp"
+#include "yuccashift/ports/engine_control.hpp"
 
 #include <map>
 #include <optional>
--- a/src/yuccashift/platform/config_source.hpp
+++ b/src/yuccashift/ports/config_source.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "yuccashift/kernel/error.hpp"
-#include "yuccashift/platform/listing.hpp"
+#include "yuccashift/ports/listing.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <string>
--- a/src/yuccashift/platform/http_platform.cpp
+++ b/src/yuccashift/ports/http_platform.cpp
@@ -1,7 +1,7 @@
-#include "yuccashift/platform/http_platform.hpp"
+#include "yuccashift/ports/http_platform.hpp"
 
 #include "yuccashift/http/backend_client.hpp"
-#include "yuccashift/platform/json_bodies.hpp"
+#include "yuccashift/ports/json_bodies.hpp"
 
 namespace yuccashift {
 
--- a/src/yuccashift/platform/json_bodies.cpp
+++ b/src/yuccashift/ports/json_bodies.cpp
@@ -1,4 +1,4 @@
-#include "yuccashift/platform/json_bodies.hpp"
+#include "yuccashift/ports/json_bodies.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/src/yuccashift/platform/json_bodies.hpp
+++ b/src/yuccashift/ports/json_bodies.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "yuccashift/platform/config_source.hpp"
-#include "yuccashift/platform/engine_control.hpp"
-#include "yuccashift/platform/instance_list.hpp"
+#include "yuccashift/ports/config_source.hpp"
+#include "yuccashift/ports/engine_control.hpp"
+#include "yuccashift/ports/instance_list.hpp"
 
 #include <string_view>
 
--- a/src/yuccashift/platform/ports.cpp
+++ b/src/yuccashift/ports/ports.cpp
@@ -1,6 +1,6 @@
-#include "yuccashift/platform/config_source.hpp"
-#include "yuccashift/platform/engine_control.hpp"
-#include "yuccashift/platform/instance_list.hpp"
+#include "yuccashift/ports/config_source.hpp"
+#include "yuccashift/ports/engine_control.hpp"
+#include "yuccashift/ports/instance_list.hpp"
 
 namespace yuccashift {
 
--- a/src/yuccashift/routing/cache_view.hpp
+++ b/src/yuccashift/routing/cache_view.hpp
@@ -2,7 +2,7 @@
 
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/sharded_map.hpp"
-#include "yuccashift/platform/engine_control.hpp"
+#include "yuccashift/ports/engine_control.hpp"
 #include "yuccashift/routing/backend_key.hpp"
 
 #include <atomic>
--- a/tests/contracts/platform_contract_test.cpp
+++ b/tests/contracts/platform_contract_test.cpp
@@ -1,7 +1,7 @@
 #include "tests/support/fakes/fake_platform.hpp"
 #include "tests/support/fakes/platform_server.hpp"
 #include "yuccashift/http/backend_client.hpp"
-#include "yuccashift/platform/http_platform.hpp"
+#include "yuccashift/ports/http_platform.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/tests/fleet/held_items_test.cpp
+++ b/tests/fleet/held_items_test.cpp
@@ -34,6 +34,15 @@
         EXPECT_TRUE(held.items().contains("a"));
     }
 
+    // Found by the fuzzer of published items: {1,0,0,0} {2,0,0,0} {4,0,0,0} {5,0,130,0}.
+    TEST_F(ItemsHeld, AreNotBroughtBackByAPageOlderThanTheListingThatLackedThem)
+    {
+        held.replaceAll({}, 5);
+        const std::vector<ItemChange> late { { "a", "there", 3 } };
+        EXPECT_TRUE(held.replaceAll(late, 4).empty());
+        EXPECT_FALSE(held.items().contains("a"));
+    }
+
     TEST_F(ItemsHeld, GoWithAListingThatLacksThem)
     {
         change("a", "1", 3);
--- /dev/null
+++ b/tests/http/exchanges_test.cpp
@@ -0,0 +1,325 @@
+#include "tests/support/scripted_server.hpp"
+#include "yuccashift/http/inbound.hpp"
+#include "yuccashift/http/outbound.hpp"
+
+#include <array>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace yuccashift {
+namespace {
+
+    namespace asio = boost::asio;
+    using tcp = asio::ip::tcp;
+    using fakes::ScriptedConnection;
+    using fakes::ScriptedServer;
+
+    constexpr std::string_view bodyOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Id: mine\r\n\r\nok";
+
+    /** Collects one answer and stops the loop at its end. */
+    struct Collector final : OutboundListener {
+        explicit Collector(asio::io_context& context)
+            : io(context)
+        {
+        }
+        void onAnswerHead(const AnswerHead& head) override { status = head.status; }
+        void onAnswerBody(std::string_view data) override { body.append(data); }
+        void onAnswerEnd() override
+        {
+            ended = true;
+            io.stop();
+        }
+        void onAnswerFailure(OutboundFailure how, std::string_view) override
+        {
+            failure = how;
+            io.stop();
+        }
+
+        asio::io_context& io;
+        int status = 0;
+        std::string body;
+        bool ended = false;
+        std::optional<OutboundFailure> failure;
+    };
+
+    struct AnOutboundExchange : testing::Test {
+        Collector call(const ScriptedServer& server, Duration mostIdle = seconds(60))
+        {
+            Collector collector(io);
+            OutboundRequest request;
+            request.endpoint = server.endpoint();
+            request.poolKey = "server";
+            request.bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+            request.mostIdle = mostIdle;
+            request.belongs = [](const AnswerHead& head) { return findHeader(head.headers, "X-Id").value_or("mine") == "mine"; };
+            const auto exchange = pool.start(std::move(request), collector);
+            io.restart();
+            io.run();
+            return collector;
+        }
+
+        SystemClock clock;
+        asio::io_context io;
+        asio::executor_work_guard<asio::io_context::executor_type> guard { io.get_executor() };
+        OutboundPool pool { io, clock };
+    };
+
+    TEST_F(AnOutboundExchange, KeepsItsConnectionForTheNext)
+    {
+        ScriptedServer server([](ScriptedConnection& it) {
+            while (it.readRequest())
+                it.write(bodyOk);
+        });
+        EXPECT_EQ(call(server).body, "ok");
+        EXPECT_EQ(call(server).body, "ok");
+        EXPECT_EQ(server.connections(), 1);
+        EXPECT_TRUE(call(server, Duration::zero()).ended);
+        EXPECT_EQ(server.connections(), 2);
+    }
+
+    TEST_F(AnOutboundExchange, KnowsThatNothingWasSentWhereNobodyListens)
+    {
+        Endpoint closed;
+        {
+            const ScriptedServer server([](ScriptedConnection&) {});
+            closed = server.endpoint();
+        }
+        Collector collector(io);
+        OutboundRequest request;
+        request.endpoint = closed;
+        request.bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        const auto exchange = pool.start(std::move(request), collector);
+        io.run();
+        EXPECT_EQ(collector.failure, OutboundFailure::NotSent);
+        EXPECT_FALSE(exchange->sent());
+    }
+
+    TEST_F(AnOutboundExchange, TellsALostRequestFromATruncatedAnswer)
+    {
+        const ScriptedServer silent([](ScriptedConnection& it) { it.readRequest(); });
+        EXPECT_EQ(call(silent).failure, OutboundFailure::Lost);
+        const ScriptedServer shortOne([](ScriptedConnection& it) {
+            it.readRequest();
+            it.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+        });
+        pool.closeAllIdle();
+        const auto collector = call(shortOne);
+        EXPECT_EQ(collector.failure, OutboundFailure::Truncated);
+        EXPECT_EQ(collector.body, "half");
+    }
+
+    TEST_F(AnOutboundExchange, TakesNoChunkedAnswerWithoutItsLastChunkForWhole)
+    {
+        const ScriptedServer server([](ScriptedConnection& it) {
+            it.readRequest();
+            it.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+        });
+        const auto collector = call(server);
+        EXPECT_FALSE(collector.ended);
+        EXPECT_EQ(collector.failure, OutboundFailure::Truncated);
+    }
+
+    TEST_F(AnOutboundExchange, ReadsAnAnswerThatEndsWithItsConnection)
+    {
+        const ScriptedServer server([](ScriptedConnection& it) {
+            it.readRequest();
+            it.write("HTTP/1.1 200 OK\r\n\r\nuntil the end");
+        });
+        const auto collector = call(server);
+        EXPECT_TRUE(collector.ended);
+        EXPECT_EQ(collector.body, "until the end");
+    }
+
+    TEST_F(AnOutboundExchange, SkipsAnAnswerThatBelongsToAnotherRequest)
+    {
+        const ScriptedServer server([](ScriptedConnection& it) {
+            it.readRequest();
+            it.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-Id: old\r\n\r\nold");
+            it.write(bodyOk);
+            it.readRequest();
+        });
+        const auto collector = call(server);
+        EXPECT_EQ(collector.body, "ok");
+        EXPECT_EQ(pool.counts().strayAnswers, 1u);
+    }
+
+    TEST_F(AnOutboundExchange, DropsAConnectionThatSaysMoreThanItsAnswer)
+    {
+        const ScriptedServer server([](ScriptedConnection& it) {
+            it.readRequest();
+            it.write(std::string(bodyOk) + "and more");
+            it.readRequest();
+        });
+        EXPECT_EQ(call(server).body, "ok");
+        EXPECT_EQ(call(server).body, "ok");
+        EXPECT_EQ(server.connections(), 2);
+    }
+
+    TEST_F(AnOutboundExchange, PassesOverInterimAnswers)
+    {
+        const ScriptedServer server([](ScriptedConnection& it) {
+            it.readRequest();
+            it.write("HTTP/1.1 100 Continue\r\n\r\n" + std::string(bodyOk));
+            it.readRequest();
+        });
+        EXPECT_EQ(call(server).status, 200);
+    }
+
+    TEST_F(AnOutboundExchange, IsUnknownAfterBytesThatAreNoAnswer)
+    {
+        const ScriptedServer server([](ScriptedConnection& it) {
+            it.readRequest();
+            it.write("\x01\x02 nonsense\r\n\r\n");
+            it.swallow();
+        });
+        EXPECT_EQ(call(server).failure, OutboundFailure::Lost);
+    }
+
+    /** Answers with the body it got; notes callers that leave. */
+    struct Echo final : InboundHandler {
+        void onRequest(std::shared_ptr<InboundExchange> exchange) override
+        {
+            ++requests;
+            if (exchange->request().target == "/wait") {
+                held = exchange;
+                exchange->onGone([this] { gone = true; });
+                return;
+            }
+            exchange->sendWhole({}, exchange->request().method + ":" + exchange->request().body);
+        }
+        InboundLimits limits() const override { return bounds; }
+        bool closing() const override { return stops; }
+
+        InboundLimits bounds;
+        int requests = 0;
+        bool gone = false;
+        bool stops = false;
+        std::shared_ptr<InboundExchange> held;
+    };
+
+    struct AnInboundServer : testing::Test {
+        AnInboundServer()
+        {
+            echo.bounds.headerBytes = 1024;
+            echo.bounds.bodyBytes = 100;
+            endpoint = server.listen({ "127.0.0.1", 0 }).value();
+        }
+
+        /** Sends the text and reads until the server closes or the text is there. */
+        std::string exchange(const std::string& text, std::string_view until = {})
+        {
+            tcp::socket socket(client);
+            socket.connect({ asio::ip::make_address(endpoint.host), endpoint.port });
+            asio::write(socket, asio::buffer(text));
+            std::string got;
+            boost::system::error_code ec;
+            socket.non_blocking(true);
+            while (!ec && (until.empty() || got.find(until) == std::string::npos)) {
+                io.poll();
+                io.restart();
+                std::array<char, 4096> buf {};
+                const auto n = socket.read_some(asio::buffer(buf), ec);
+                got.append(buf.data(), n);
+                if (ec == asio::error::would_block)
+                    ec = {};
+            }
+            socket.close(ec);
+            return got;
+        }
+
+        SystemClock clock;
+        asio::io_context io;
+        asio::io_context client;
+        Echo echo;
+        InboundServer server { io, clock, echo };
+        Endpoint endpoint;
+    };
+
+    TEST_F(AnInboundServer, TakesBodiesWithALengthAndInChunks)
+    {
+        EXPECT_NE(exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", "POST:abc").find("200 OK"), std::string::npos);
+        EXPECT_NE(exchange("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "POST:abc").find("200 OK"), std::string::npos);
+    }
+
+    TEST_F(AnInboundServer, AnswersPipelinedRequestsInTheirOrder)
+    {
+        const std::string one = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n";
+        const auto got = exchange(one + "1" + one + "2" + one + "3", "POST:3");
+        EXPECT_LT(got.find("POST:1"), got.find("POST:2"));
+        EXPECT_LT(got.find("POST:2"), got.find("POST:3"));
+    }
+
+    TEST_F(AnInboundServer, RefusesRequestsThatCouldHideAnother)
+    {
+        const std::vector<std::string> texts {
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\n\r\n",
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+            "POST / HTTP/1.1\r\nHost: a\r\nBad Header: x\r\n\r\n",
+            "nonsense\r\n\r\n",
+        };
+        for (const auto& text : texts)
+            EXPECT_NE(exchange(text).find(" 400 "), std::string::npos) << text;
+        EXPECT_EQ(echo.requests, 0);
+    }
+
+    TEST_F(AnInboundServer, KeepsItsBounds)
+    {
+        EXPECT_NE(exchange("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(2000, 'x') + "\r\n\r\n").find(" 431 "), std::string::npos);
+        EXPECT_NE(exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n").find(" 413 "), std::string::npos);
+        echo.bounds.headerTimeout = milliseconds(20);
+        EXPECT_NE(exchange("GET / HTTP/1.1\r\nHost:").find(" 408 "), std::string::npos);
+    }
+
+    TEST_F(AnInboundServer, TellsCallersOfAStoppingInstanceToLeave)
+    {
+        echo.stops = true;
+        EXPECT_NE(exchange("GET / HTTP/1.1\r\nHost: a\r\n\r\n").find("Connection: close"), std::string::npos);
+    }
+
+    TEST_F(AnInboundServer, NoticesACallerThatLeavesBeforeItsAnswer)
+    {
+        {
+            tcp::socket socket(client);
+            socket.connect({ asio::ip::make_address(endpoint.host), endpoint.port });
+            asio::write(socket, asio::buffer(std::string("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")));
+            while (!echo.held)
+                io.run_one();
+        }
+        while (!echo.gone)
+            io.run_one();
+        EXPECT_TRUE(echo.held->callerGone());
+        // Whatever is still said to it goes nowhere.
+        echo.held->sendWhole({}, "late");
+        echo.held.reset();
+    }
+
+    TEST_F(AnInboundServer, LetsNoAbortedAnswerLookWhole)
+    {
+        tcp::socket socket(client);
+        socket.connect({ asio::ip::make_address(endpoint.host), endpoint.port });
+        asio::write(socket, asio::buffer(std::string("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")));
+        while (!echo.held)
+            io.run_one();
+        echo.held->sendHead({});
+        echo.held->sendBody("part");
+        io.poll();
+        echo.held->abort();
+        echo.held.reset();
+        io.restart();
+        io.poll();
+        std::string got;
+        boost::system::error_code ec;
+        asio::read(socket, asio::dynamic_buffer(got), ec);
+        EXPECT_NE(got.find("part"), std::string::npos);
+        EXPECT_EQ(got.find("0\r\n\r\n"), std::string::npos);
+    }
+
+} // namespace
+} // namespace yuccashift
--- a/tests/membership/member_table_test.cpp
+++ b/tests/membership/member_table_test.cpp
@@ -1,6 +1,6 @@
 #include "yuccashift/membership/member_table.hpp"
 
-#include "yuccashift/platform/listing.hpp"
+#include "yuccashift/ports/listing.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/membership/notice_test.cpp
+++ b/tests/membership/notice_test.cpp
@@ -1,6 +1,6 @@
 #include "yuccashift/kernel/random.hpp"
 #include "yuccashift/membership/coordinator.hpp"
-#include "yuccashift/platform/instance_list.hpp"
+#include "yuccashift/ports/instance_list.hpp"
 
 #include <algorithm>
 #include <gtest/gtest.h>
--- a/tests/support/mesh.hpp
+++ b/tests/support/mesh.hpp
@@ -4,7 +4,7 @@
 #include "yuccashift/kernel/random.hpp"
 #include "yuccashift/membership/coordinator.hpp"
 #include "yuccashift/peer/codec.hpp"
-#include "yuccashift/platform/listing.hpp"
+#include "yuccashift/ports/listing.hpp"
 #include "yuccashift/resilience/quarantine.hpp"
 
 #include <functional>
--- a/tests/threads/shared_state_test.cpp
+++ b/tests/threads/shared_state_test.cpp
@@ -3,7 +3,7 @@
 #include "yuccashift/keys/key_table.hpp"
 #include "yuccashift/limits/shared_limits.hpp"
 #include "yuccashift/membership/coordinator.hpp"
-#include "yuccashift/platform/instance_list.hpp"
+#include "yuccashift/ports/instance_list.hpp"
 #include "yuccashift/resilience/outlier_ejection.hpp"
 #include "yuccashift/resilience/quarantine.hpp"
 #include "yuccashift/resilience/retry_budget.hpp"
