--- a/src/yuccashift/dispatch/server_book.cpp
+++ b/src/yuccashift/dispatch/server_book.cpp
@@ -1,6 +1,7 @@
 #include "yuccashift/dispatch/server_book.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace yuccashift {
 
@@ -8,6 +9,8 @@
 
     /** Weight of the newest sample in running means: about the last ten requests count. */
     constexpr double sampleWeight = 0.1;
+    /** Parts of streams come many times a second; about the last twenty count. */
+    constexpr double partWeight = 0.05;
     /** Ratios beyond these are outliers of one request rather than the pace of a server. */
     constexpr double leastRatio = 0.3;
     constexpr double mostRatio = 6.0;
@@ -127,6 +130,21 @@
     slowness = std::clamp(runningMean(slowness, slowness * ratio), leastRatio, mostRatio);
 }
 
+void ServerBook::streamPart(ServerTicket& ticket)
+{
+    const auto it = m_records.find(ticket.server);
+    if (it == m_records.end())
+        return;
+    const auto now = m_clock.now();
+    const auto before = std::exchange(ticket.lastPart, now);
+    if (before == Instant {})
+        return;
+    auto& known = it->second.knowledge;
+    const auto gap = now - before;
+    known.lastPart = now;
+    known.partGap = known.partGap == Duration::zero() ? gap : known.partGap + std::chrono::duration_cast<Duration>(partWeight * (gap - known.partGap));
+}
+
 void ServerBook::end(ServerTicket& ticket, ServerOutcome outcome)
 {
     const auto it = m_records.find(ticket.server);
--- a/src/yuccashift/dispatch/server_book.hpp
+++ b/src/yuccashift/dispatch/server_book.hpp
@@ -72,6 +72,9 @@
     std::optional<Instant> waitingSince;
     /** When a first byte last came from the server. */
     Instant lastFirstByte {};
+    /** Running mean of the time between two parts of a stream, and when the last part came. */
+    Duration partGap {};
+    Instant lastPart {};
 
     ServerLoadSum total() const;
 };
@@ -84,6 +87,7 @@
     Instant sentAt {};
     Duration predicted {};
     bool firstByteSeen = false;
+    Instant lastPart {};
 };
 
 /**
@@ -101,6 +105,8 @@
     ServerTicket begin(std::uint64_t server, const WorkSize&, std::uint32_t uncachedTokens, Duration predicted, std::uint64_t memoryBound);
     /** The first byte of a stream's body, or of an answer. */
     void firstByte(ServerTicket&);
+    /** A part of a stream came, the first one included. */
+    void streamPart(ServerTicket&);
     void end(ServerTicket&, ServerOutcome);
 
     /** A probe or a new entry shows that the server takes connections again. */
--- a/src/yuccashift/dispatch/server_choice.cpp
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -30,6 +30,11 @@
     constexpr double failingShare = 0.35;
     constexpr std::uint32_t failingSamples = 4;
     constexpr double failingAgainstMean = 1.8;
+    /** Streams that are slower than the median by this factor show a slow server and not a fuller batch. */
+    constexpr double slowStreamFactor = 1.8;
+    constexpr double mostSlowness = 10.0;
+    /** Servers whose streams were seen lately, without which there is no median to compare with. */
+    constexpr std::size_t fewestCompared = 3;
     /** Predictions so close are equal. */
     constexpr double tieMs = 4.0;
     /** How much the delay of others counts against a server that has to read the prompt again. */
@@ -112,6 +117,24 @@
     return "failing";
 }
 
+void noteSlowStreams(std::span<ServerCandidate> candidates)
+{
+    std::vector<double> gaps;
+    for (const auto& it : candidates) {
+        if (it.partGap > Duration::zero())
+            gaps.push_back(Millis(it.partGap).count());
+    }
+    if (gaps.size() < fewestCompared)
+        return;
+    const auto middle = gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2);
+    std::ranges::nth_element(gaps, middle);
+    for (auto& it : candidates) {
+        const auto factor = Millis(it.partGap).count() / *middle;
+        if (factor > slowStreamFactor)
+            it.slowness = std::max(it.slowness, std::min(factor, mostSlowness));
+    }
+}
+
 Duration idleFirstByte(bool engine, const WorkSize& work)
 {
     ServerCandidate idle;
--- a/src/yuccashift/dispatch/server_choice.hpp
+++ b/src/yuccashift/dispatch/server_choice.hpp
@@ -27,6 +27,8 @@
     double slowness = 1.0;
     double failureShare = 0.0;
     std::uint32_t samples = 0;
+    /** Recent time between two parts of its streams; zero where none came lately. */
+    Duration partGap {};
     /** How long its oldest request has waited for a first byte. */
     Duration oldestWait {};
     bool suspect = false;
@@ -56,6 +58,12 @@
 /** Time until a request's first byte, from its sending on. */
 Duration predictFirstByte(const ServerCandidate&, const WorkSize&);
 
+/**
+ * Raises the slowness of servers whose streams come much slower than those of
+ * their peers. Shows a slow server within a second, and before first bytes do.
+ */
+void noteSlowStreams(std::span<ServerCandidate>);
+
 struct ServerChoice {
     /** Index of the best candidate; nothing where none can take the request. */
     std::optional<std::size_t> best;
--- a/src/yuccashift/entry/dispatcher.cpp
+++ b/src/yuccashift/entry/dispatcher.cpp
@@ -24,6 +24,8 @@
     constexpr double usedConnectionShare = 0.8;
     /** Part of the objective within which a first byte is soon enough to prefer a server that holds the prefix. */
     constexpr double soonEnoughShare = 0.45;
+    /** How long the pace of a server's streams is remembered; then it may show that it is faster again. */
+    constexpr Duration partMemory = seconds(3);
     /** Rooms are told for a request of this size. */
     constexpr std::uint32_t typicalPromptTokens = 512;
 
@@ -92,6 +94,8 @@
     it.slowness = known.slowness[std::min(work.rank, urgencyRanks - 1)];
     it.failureShare = known.failureShare;
     it.samples = known.samples;
+    if (now - known.lastPart < partMemory)
+        it.partGap = known.partGap;
     if (known.waitingSince)
         it.oldestWait = now - *known.waitingSince;
     it.suspect = known.suspect;
@@ -141,6 +145,7 @@
         plan.candidates.back().tried = tried.contains(server.key);
     }
     expectPrefixAtItsHome(plan.candidates, work);
+    noteSlowStreams(plan.candidates);
     const auto soonEnough = std::chrono::duration_cast<Duration>(objective * soonEnoughShare);
     plan.choice = chooseServer(plan.candidates, work, soonEnough, m_random.next());
     return plan;
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -334,6 +334,7 @@
         return;
     case Intake::Stream:
         m_core.book.firstByte(m_ticket);
+        m_core.book.streamPart(m_ticket);
         return passOn(data);
     case Intake::None:
     case Intake::NotRun:
--- a/tests/dispatch/server_choice_test.cpp
+++ b/tests/dispatch/server_choice_test.cpp
@@ -159,6 +159,28 @@
         EXPECT_NE(choose(query()).best, 0u);
     }
 
+    // Pattern: one server turns five times slower while its health check is good.
+    TEST_F(AServerChoice, LeavesAServerWhoseStreamsComeMuchSlowerThanThoseOfItsPeers)
+    {
+        servers[0].partGap = milliseconds(200);
+        servers[1].partGap = milliseconds(40);
+        servers[2].partGap = milliseconds(50);
+        noteSlowStreams(servers);
+        EXPECT_DOUBLE_EQ(servers[0].slowness, 4.0);
+        EXPECT_DOUBLE_EQ(servers[2].slowness, 1.0);
+        servers[1].load.requests = 15;
+        servers[2].load.requests = 15;
+        EXPECT_NE(choose(draft()).best, 0u);
+    }
+
+    TEST_F(AServerChoice, ComparesStreamsOnlyWhereThereAreEnough)
+    {
+        servers[0].partGap = milliseconds(400);
+        servers[1].partGap = milliseconds(40);
+        noteSlowStreams(servers);
+        EXPECT_DOUBLE_EQ(servers[0].slowness, 1.0);
+    }
+
     TEST_F(AServerChoice, NamesTheRunnerUp)
     {
         servers[1].load.requests = 10;
