Never run a timer's callback after its owner is gone

A few lines show it: a steady timer destroyed before its queued handler still calls it with success. Ruled out by reading: sessions, exchanges and jobs, which hold weak pointers.

--- a/src/yuccashift/entry/server_probes.cpp
+++ b/src/yuccashift/entry/server_probes.cpp
@@ -1,6 +1,7 @@
 #include "yuccashift/entry/server_probes.hpp"
 
 #include "yuccashift/kernel/log.hpp"
+#include "yuccashift/kernel/one_shot_timer.hpp"
 
 namespace yuccashift {
 
@@ -34,11 +35,7 @@
         request.mostIdle = Duration::zero();
         request.bytes = "GET " + path + " HTTP/1.1\r\nHost: " + toString(server.address) + "\r\n" + headers + "\r\n";
         m_outbound = owner.m_core.servers.start(std::move(request), *this);
-        m_timer.expires_after(probeTimeout);
-        m_timer.async_wait([this](const boost::system::error_code& ec) {
-            if (!ec)
-                conclude(false, "no answer in time");
-        });
+        m_timer.start(probeTimeout, [this] { conclude(false, "no answer in time"); });
     }
 
     void onAnswerHead(const AnswerHead& head) override
@@ -53,6 +50,12 @@
     }
     void onAnswerFailure(OutboundFailure, std::string_view reason) override { conclude(false, reason); }
 
+    void stop()
+    {
+        m_timer.cancel();
+        m_outbound.reset();
+    }
+
 private:
     void conclude(bool healthy, std::string_view reason)
     {
@@ -74,7 +77,7 @@
 
     ServerProbes& m_owner;
     BackendServer m_server;
-    boost::asio::steady_timer m_timer;
+    OneShotTimer m_timer;
     HealthFacts m_facts;
     std::unique_ptr<OutboundExchange> m_outbound;
 };
@@ -112,8 +115,9 @@
     const auto it = m_running.find(server);
     if (it == m_running.end())
         return;
-    // The probe is on the stack of its own callback.
+    // The probe is on the stack of its own callback; it does nothing from here on.
     std::shared_ptr<Probe> probe = std::move(it->second);
+    probe->stop();
     m_running.erase(it);
     boost::asio::post(m_core.io, [probe] {});
 }
--- a/src/yuccashift/entry/snapshot_exchange.cpp
+++ b/src/yuccashift/entry/snapshot_exchange.cpp
@@ -2,9 +2,9 @@
 
 #include "yuccashift/fleet/datagram.hpp"
 #include "yuccashift/kernel/log.hpp"
+#include "yuccashift/kernel/one_shot_timer.hpp"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <charconv>
 
 namespace yuccashift {
@@ -47,11 +47,7 @@
         request.connectTimeout = connectTimeout;
         request.bytes = "GET " + std::string(snapshotPath) + std::to_string(core.world.held().revision()) + " HTTP/1.1\r\nHost: " + member.ip + "\r\n\r\n";
         m_outbound = core.peers.start(std::move(request), *this);
-        m_timer.expires_after(fetchTimeout);
-        m_timer.async_wait([this](const boost::system::error_code& ec) {
-            if (!ec)
-                onAnswerFailure(OutboundFailure::Lost, "no answer in time");
-        });
+        m_timer.start(fetchTimeout, [this] { onAnswerFailure(OutboundFailure::Lost, "no answer in time"); });
     }
 
     void onAnswerHead(const AnswerHead& head) override { m_good = head.status == 200; }
@@ -71,6 +67,12 @@
         m_owner.ended();
     }
 
+    void stop()
+    {
+        m_timer.cancel();
+        m_outbound.reset();
+    }
+
 private:
     void take(const fleetwire::Snapshot& snapshot)
     {
@@ -87,7 +89,7 @@
 
     SnapshotExchange& m_owner;
     InstanceId m_instance;
-    boost::asio::steady_timer m_timer;
+    OneShotTimer m_timer;
     std::string m_body;
     bool m_good = false;
     std::unique_ptr<OutboundExchange> m_outbound;
@@ -102,8 +104,9 @@
 
 void SnapshotExchange::ended()
 {
-    // The fetch is on the stack of its own callback.
+    // The fetch is on the stack of its own callback; it does nothing from here on.
     std::shared_ptr<Fetch> fetch = std::move(m_fetch);
+    fetch->stop();
     boost::asio::post(m_core.io, [fetch] {});
 }
 
