Let control traffic grow slower than the fleet

Now: heartbeats inside a region carry loads under short names, at a pace that falls with its size; two instances of each other region are told in a round; profiles go out now and then. In regions of more than four instances two watch the store and pass changes on in one datagram; what is missed is fetched as the difference.

--- a/fuzzing/fleet_fuzz.cpp
+++ b/fuzzing/fleet_fuzz.cpp
@@ -288,10 +288,13 @@
             ++m_sequence;
             for (const auto& from : m_sharers) {
                 fleetwire::Heartbeat beat;
-                beat.instance = from->settings.instance;
+                fleetwire::Profile profile;
+                profile.instance = from->settings.instance;
+                profile.region = "sofia";
+                beat.__set_profile(profile);
+                beat.sender = shortNameOf(profile.instance);
                 beat.incarnation = 1;
                 beat.sequence = m_sequence;
-                beat.region = "sofia";
                 for (const auto& to : m_sharers) {
                     if (to != from && to->side == from->side)
                         to->members.take(beat);
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "yuccashift/entry/entry_node.hpp"
 
+#include "yuccashift/config/watcher_choice.hpp"
 #include "yuccashift/entry/directory_choice.hpp"
 #include "yuccashift/entry/entry_core.hpp"
 #include "yuccashift/entry/gossip.hpp"
@@ -34,6 +35,8 @@
     /** Instances that may be added to those seen. */
     constexpr std::size_t unseenInstances = 3;
     constexpr Duration pauseThreshold = seconds(1);
+    /** In a region of so few, passing changes on saves little and costs a step. */
+    constexpr std::size_t instancesThatAllWatch = 4;
 
     /** Answers one small question and nothing else. */
     class QuestionHandler final : public InboundHandler {
@@ -102,6 +105,7 @@
     void answerOperator(InboundExchange&);
     bool ready() const { return !core.draining && core.world.configVersion() > 0; }
     void tick();
+    void chooseWatching();
     void report();
     void waitForSignal();
     void reload();
@@ -131,6 +135,7 @@
     asio::signal_set signals { io, SIGTERM, SIGINT, SIGHUP };
     PauseDetector pauses { pauseThreshold };
     std::uint64_t ticks = 0;
+    bool watching = true;
     Instant drainStarted {};
     bool storeReachable = true;
     Instant storeLostAt {};
@@ -178,7 +183,10 @@
 
 void EntryNode::State::onChanges(const std::vector<ItemChange>& changes, std::int64_t through)
 {
+    const auto before = core.world.held().revision();
     core.world.apply(changes, through);
+    if (watching)
+        gossip.passOn(before);
 }
 
 void EntryNode::State::onListing(const std::vector<ItemChange>& items, std::int64_t through)
@@ -273,6 +281,7 @@
         logWarning("resumed after a pause; reading everything again");
         store->readAgain();
     }
+    chooseWatching();
     if (core.draining)
         checkDrained();
     if (++ticks % ticksBetweenReports == 0)
@@ -284,6 +293,19 @@
     });
 }
 
+void EntryNode::State::chooseWatching()
+{
+    // Instances that drain still know what is published; they only own nothing.
+    const auto& region = core.settings.region;
+    const auto live = core.members.ownersIn(region, !core.draining);
+    const bool chosen = live.size() <= instancesThatAllWatch || isWatcher(core.settings.instance, region, live);
+    if (chosen == watching)
+        return;
+    watching = chosen;
+    logInfo(chosen ? "watches the store for its region" : "leaves watching to others", { { "instances", live.size() } });
+    store->setWatching(chosen);
+}
+
 void EntryNode::State::report()
 {
     auto& metrics = core.metrics;
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -1,5 +1,6 @@
 #include "yuccashift/entry/gossip.hpp"
 
+#include "yuccashift/entry/snapshot_exchange.hpp"
 #include "yuccashift/fleet/datagram.hpp"
 #include "yuccashift/http/detail/scratch.hpp"
 #include "yuccashift/kernel/log.hpp"
@@ -15,15 +16,24 @@
 
     /** Pace of heartbeats among few instances; load that others put on a server is at most this old, and the path. */
     constexpr Duration basePace = milliseconds(100);
-    /** Instances up to which the base pace holds; beyond, the pace slows so that control traffic stays level. */
-    constexpr double instancesAtBasePace = 12;
-    constexpr Duration slowestPace = milliseconds(500);
-    /** Instances of other regions are told on every so many rounds. */
+    /** Instances of a region up to which the base pace holds; beyond, the pace slows so that control traffic stays level. */
+    constexpr double instancesAtBasePace = 8;
+    constexpr Duration slowestPace = seconds(1);
+    /** Heartbeats that may be lost in a row before an instance counts as silent, and the least time for that. */
+    constexpr double lostInARow = 3.5;
+    constexpr Duration shortestSilence = milliseconds(1500);
+    /** Instances of other regions are told on every so many rounds, and so many of each region at a time. */
     constexpr std::uint64_t roundsBetweenRegions = 2;
+    constexpr std::size_t toldInEachRegion = 2;
+    /** A heartbeat carries the sender's profile in its first rounds and then on every so many. */
+    constexpr std::uint64_t roundsWithProfile = 10;
+    constexpr std::uint64_t roundsBetweenProfiles = 8;
     /** An address that nobody has heard or named for so long is dropped. */
     constexpr Duration forgetAddress = seconds(20);
     /** Addresses that one heartbeat names. */
-    constexpr std::size_t mostNamed = 100;
+    constexpr std::size_t mostNamed = 24;
+    /** News that do not fit into one packet are fetched instead. */
+    constexpr std::size_t mostNewsBytes = 1200;
 
     ServerLoadSum decodeLoad(const fleetwire::ServerLoad& load)
     {
@@ -100,88 +110,126 @@
 
 void Gossip::takeDatagram(std::string_view bytes)
 {
-    const auto beat = decodeHeartbeat(bytes);
-    if (!beat) {
-        logWarning("heartbeat not readable", { { "from", m_sender.address().to_string() }, { "bytes", bytes.size() } });
+    const auto datagram = decodeDatagram(bytes);
+    if (!datagram) {
+        logWarning("datagram not readable", { { "from", m_sender.address().to_string() }, { "bytes", bytes.size() } });
         return;
     }
-    onBeat(*beat);
+    if (datagram->__isset.heartbeat)
+        onBeat(datagram->heartbeat);
+    if (datagram->__isset.news)
+        onNews(datagram->news);
 }
 
-void Gossip::onBeat(const fleetwire::Heartbeat& beat)
+void Gossip::onNews(const fleetwire::Snapshot& news)
+{
+    const auto before = m_core.world.held().revision();
+    if (takeSnapshot(m_core.world, news))
+        logInfo("news from an instance", { { "from", m_sender.address().to_string() }, { "revision", news.revision }, { "before", before } });
+}
+
+void Gossip::noteAddresses(const fleetwire::Heartbeat& beat, const std::optional<InstanceId>& sender)
 {
     const auto now = m_core.clock.now();
     if (m_sender.address().is_v4() && m_sender.address().to_v4() != m_self) {
         m_known[m_sender.address().to_v4()] = now;
-        m_names[m_sender.address().to_v4()] = beat.instance;
+        if (sender)
+            m_names[m_sender.address().to_v4()] = *sender;
     }
     for (const auto it : beat.hears) {
         const Address address(static_cast<std::uint32_t>(it));
         if (address != m_self)
             m_known.emplace(address, now);
     }
-    if (!m_core.members.take(beat))
+}
+
+void Gossip::onBeat(const fleetwire::Heartbeat& beat)
+{
+    const auto now = m_core.clock.now();
+    const auto sender = m_core.members.take(beat);
+    noteAddresses(beat, sender);
+    const auto* member = sender ? m_core.members.find(*sender) : nullptr;
+    if (!member)
+        return;
+    m_core.crashes.setPeerDeaths(*sender, beat.crashes);
+    if (member->region != m_core.settings.region)
         return;
     std::map<std::uint64_t, ServerLoadSum> loads;
     for (const auto& load : beat.loads) {
-        const auto server = static_cast<std::uint64_t>(load.server);
+        const auto server = static_cast<std::uint64_t>(static_cast<std::uint32_t>(load.server));
         loads[server] = decodeLoad(load);
-        m_core.book.setPeerReading(beat.instance, server, { load.readingTokens, static_cast<std::size_t>(std::max(0, load.readingRank)), now });
+        m_core.book.setPeerReading(*sender, server, { load.readingTokens, static_cast<std::size_t>(std::max(0, load.readingRank)), now });
     }
-    m_core.book.setPeerLoads(beat.instance, std::move(loads));
-    m_core.crashes.setPeerDeaths(beat.instance, beat.crashes);
+    m_core.book.setPeerLoads(*sender, std::move(loads));
 }
 
 Duration Gossip::interval() const
 {
-    const double factor = std::max(1.0, static_cast<double>(m_known.size()) / instancesAtBasePace);
+    const auto near = static_cast<double>(m_core.members.ownersIn(m_core.settings.region, true).size());
+    const double factor = std::max(1.0, near / instancesAtBasePace);
     return std::min(slowestPace, std::chrono::duration_cast<Duration>(basePace * factor));
 }
 
-std::string Gossip::encodeOwn(bool withLoads)
+fleetwire::Heartbeat Gossip::ownBeat(bool withProfile)
 {
     fleetwire::Heartbeat beat;
     const auto& settings = m_core.settings;
-    beat.instance = settings.instance;
+    beat.sender = shortNameOf(settings.instance);
     beat.incarnation = m_incarnation;
     beat.sequence = ++m_sequence;
-    beat.region = settings.region;
-    beat.datacentre = settings.datacentre;
-    beat.ip = settings.ip;
     beat.draining = m_core.draining;
     beat.takesCallers = !m_core.draining && m_core.world.configVersion() > 0;
     beat.configVersion = m_core.world.configVersion();
     beat.storeRevision = m_core.world.held().revision();
-    if (withLoads) {
-        for (const auto& [server, load] : m_core.book.ownLoads()) {
-            fleetwire::ServerLoad it;
-            it.server = static_cast<std::int64_t>(server);
-            it.requests = load.requests;
-            it.waitingPromptTokens.assign(load.waitingPromptTokens.begin(), load.waitingPromptTokens.end());
-            it.memoryTokens = load.memoryTokens;
-            const auto reading = m_core.book.ownReading(server);
-            it.readingTokens = reading.tokens;
-            it.readingRank = static_cast<std::int32_t>(reading.rank);
-            beat.loads.push_back(it);
-        }
-    } else {
-        for (const auto& [service, room] : m_core.dispatcher.rooms()) {
-            fleetwire::ServiceRoom it;
-            it.serviceName = service;
-            for (const auto wait : room.wait)
-                it.waitMs.push_back(static_cast<std::int32_t>(toMilliseconds(wait)));
-            it.freeSlots = room.freeSlots;
-            beat.rooms.push_back(it);
-        }
-    }
-    for (const auto* member : m_core.members.alive()) {
+    beat.crashes = m_core.crashes.ownDeaths();
+    if (!withProfile)
+        return beat;
+    fleetwire::Profile profile;
+    profile.instance = settings.instance;
+    profile.region = settings.region;
+    profile.datacentre = settings.datacentre;
+    profile.ip = settings.ip;
+    beat.__set_profile(profile);
+    auto alive = m_core.members.alive();
+    while (!alive.empty() && beat.hears.size() < mostNamed) {
+        const auto drawn = m_core.random->below(alive.size());
         error_code ec;
-        const auto address = asio::ip::make_address_v4(member->ip, ec);
-        if (!ec && beat.hears.size() < mostNamed)
+        const auto address = asio::ip::make_address_v4(alive[drawn]->ip, ec);
+        if (!ec)
             beat.hears.push_back(static_cast<std::int32_t>(address.to_uint()));
+        alive[drawn] = alive.back();
+        alive.pop_back();
+    }
+    return beat;
+}
+
+void Gossip::addLoads(fleetwire::Heartbeat& beat) const
+{
+    for (const auto& [server, load] : m_core.book.ownLoads()) {
+        fleetwire::ServerLoad it;
+        it.server = static_cast<std::int32_t>(server);
+        it.requests = load.requests;
+        it.memoryTokens = load.memoryTokens;
+        it.waitingPromptTokens.assign(load.waitingPromptTokens.begin(), load.waitingPromptTokens.end());
+        while (!it.waitingPromptTokens.empty() && it.waitingPromptTokens.back() == 0)
+            it.waitingPromptTokens.pop_back();
+        const auto reading = m_core.book.ownReading(server);
+        it.readingTokens = reading.tokens;
+        it.readingRank = static_cast<std::int32_t>(reading.rank);
+        beat.loads.push_back(std::move(it));
+    }
+}
+
+void Gossip::addRooms(fleetwire::Heartbeat& beat) const
+{
+    for (const auto& [service, room] : m_core.dispatcher.rooms()) {
+        fleetwire::ServiceRoom it;
+        it.serviceName = service;
+        for (const auto wait : room.wait)
+            it.waitMs.push_back(static_cast<std::int32_t>(toMilliseconds(wait)));
+        it.freeSlots = room.freeSlots;
+        beat.rooms.push_back(std::move(it));
     }
-    beat.crashes = m_core.crashes.ownDeaths();
-    return encodeHeartbeat(beat);
 }
 
 void Gossip::sendTo(Address address, const std::string& bytes)
@@ -191,32 +239,87 @@
     m_socket.send_to(asio::buffer(bytes), { address, m_core.settings.peerPort }, 0, ec);
 }
 
-void Gossip::announce()
+std::vector<Gossip::Address> Gossip::nearAddresses() const
 {
-    const auto now = m_core.clock.now();
-    std::erase_if(m_known, [&](const auto& entry) { return now - entry.second > forgetAddress; });
-    std::set<Address> near;
-    std::set<Address> far(m_seeds.begin(), m_seeds.end());
+    std::vector<Address> near;
     for (const auto& [address, seen] : m_known) {
         const auto name = m_names.find(address);
         const auto* member = name == m_names.end() ? nullptr : m_core.members.find(name->second);
-        const bool sameRegion = member && member->region == m_core.settings.region;
-        (sameRegion ? near : far).insert(address);
-        if (sameRegion)
-            far.erase(address);
+        if (member && member->region == m_core.settings.region)
+            near.push_back(address);
     }
+    return near;
+}
+
+std::vector<Gossip::Address> Gossip::someFarAddresses()
+{
+    std::map<RegionName, std::vector<Address>> byRegion;
+    for (const auto& [address, seen] : m_known) {
+        const auto name = m_names.find(address);
+        const auto* member = name == m_names.end() ? nullptr : m_core.members.find(name->second);
+        // Addresses whose profile has not come yet count as a region of their own.
+        const auto region = member ? member->region : RegionName();
+        if (region != m_core.settings.region)
+            byRegion[region].push_back(address);
+    }
+    for (const auto& seed : m_seeds) {
+        if (!m_known.contains(seed))
+            byRegion[RegionName()].push_back(seed);
+    }
+    std::vector<Address> far;
+    for (auto& [region, addresses] : byRegion) {
+        const auto most = region.empty() ? mostNamed : toldInEachRegion;
+        for (std::size_t n = 0; n < most && !addresses.empty(); ++n) {
+            const auto drawn = m_core.random->below(addresses.size());
+            far.push_back(addresses[drawn]);
+            addresses[drawn] = addresses.back();
+            addresses.pop_back();
+        }
+    }
+    return far;
+}
+
+void Gossip::announce()
+{
+    const auto now = m_core.clock.now();
+    std::erase_if(m_known, [&](const auto& entry) { return now - entry.second > forgetAddress; });
+    const bool withProfile = m_round < roundsWithProfile || m_round % roundsBetweenProfiles == 0;
+    const auto near = nearAddresses();
     if (!near.empty()) {
-        const auto bytes = encodeOwn(true);
+        fleetwire::Datagram datagram;
+        datagram.__set_heartbeat(ownBeat(withProfile));
+        addLoads(datagram.heartbeat);
+        const auto bytes = encodeDatagram(datagram);
         for (const auto& address : near)
             sendTo(address, bytes);
     }
-    if (far.empty() || (m_round % roundsBetweenRegions != 0 && !m_core.draining))
+    if (m_round % roundsBetweenRegions != 0 && !m_core.draining)
+        return;
+    const auto far = someFarAddresses();
+    if (far.empty())
         return;
-    const auto bytes = encodeOwn(false);
+    // Those told now may not have heard the profile before.
+    fleetwire::Datagram datagram;
+    datagram.__set_heartbeat(ownBeat(true));
+    addRooms(datagram.heartbeat);
+    const auto bytes = encodeDatagram(datagram);
     for (const auto& address : far)
         sendTo(address, bytes);
 }
 
+void Gossip::passOn(std::int64_t after)
+{
+    fleetwire::Datagram datagram;
+    datagram.__set_news(snapshotAfter(m_core.world.held(), after));
+    if (datagram.news.whole)
+        return;
+    const auto bytes = encodeDatagram(datagram);
+    if (bytes.size() > mostNewsBytes)
+        return;
+    for (const auto& address : nearAddresses())
+        sendTo(address, bytes);
+}
+
 void Gossip::tick()
 {
     m_core.members.noteOwners(m_core.settings.region);
@@ -227,7 +330,9 @@
         m_core.book.setPeerLoads(instance, {});
         m_core.crashes.setPeerDeaths(instance, {});
     }
-    m_timer.expires_after(interval());
+    const auto pace = interval();
+    m_core.members.setSilence(std::max(shortestSilence, std::chrono::duration_cast<Duration>(pace * lostInARow)));
+    m_timer.expires_after(pace);
     m_timer.async_wait([this](const error_code& ec) {
         if (!ec)
             tick();
--- a/src/yuccashift/entry/gossip.hpp
+++ b/src/yuccashift/entry/gossip.hpp
@@ -22,6 +22,8 @@
     Result<void> start();
     /** Tells all others at once, for instance that this instance drains. */
     void announce();
+    /** Passes changes of the published items on to the instances of the own region. */
+    void passOn(std::int64_t after);
     /** Replaces the seeds after a change of the settings. */
     void setSeeds(const std::vector<std::string>& addresses);
 
@@ -32,9 +34,15 @@
     void receive();
     void takeDatagram(std::string_view);
     void onBeat(const fleetwire::Heartbeat&);
+    void onNews(const fleetwire::Snapshot&);
+    void noteAddresses(const fleetwire::Heartbeat&, const std::optional<InstanceId>& sender);
+    std::vector<Address> nearAddresses() const;
+    std::vector<Address> someFarAddresses();
     void tick();
     void sendTo(Address, const std::string& bytes);
-    std::string encodeOwn(bool withLoads);
+    fleetwire::Heartbeat ownBeat(bool withProfile);
+    void addLoads(fleetwire::Heartbeat&) const;
+    void addRooms(fleetwire::Heartbeat&) const;
     Duration interval() const;
 
     EntryCore& m_core;
--- a/src/yuccashift/entry/published_store.hpp
+++ b/src/yuccashift/entry/published_store.hpp
@@ -28,6 +28,8 @@
     virtual void start(StoreListener&) = 0;
     /** Reads everything again, since what was read may be old. */
     virtual void readAgain() = 0;
+    /** Whether to wait for changes, or to ask now and then since others pass them on. */
+    virtual void setWatching(bool) = 0;
     /** Calls made since the start. */
     virtual std::uint64_t calls() const = 0;
 };
--- a/src/yuccashift/entry/snapshot_exchange.cpp
+++ b/src/yuccashift/entry/snapshot_exchange.cpp
@@ -32,6 +32,46 @@
 
 } // namespace
 
+fleetwire::Snapshot snapshotAfter(const HeldItems& held, std::int64_t revision)
+{
+    fleetwire::Snapshot snapshot;
+    snapshot.revision = held.revision();
+    snapshot.after = revision;
+    const auto add = [&](const std::string& key, const std::optional<std::string>& value, std::int64_t at) {
+        fleetwire::HeldItem it;
+        it.key = key;
+        it.revision = at;
+        if (value)
+            it.__set_value(*value);
+        snapshot.items.push_back(std::move(it));
+    };
+    if (const auto changes = held.changesAfter(revision)) {
+        for (const auto& change : *changes)
+            add(change.key, change.value, change.revision);
+        return snapshot;
+    }
+    snapshot.whole = true;
+    for (const auto& [key, item] : held.items())
+        add(key, item.value, item.revision);
+    return snapshot;
+}
+
+bool takeSnapshot(World& world, const fleetwire::Snapshot& snapshot)
+{
+    const auto known = world.held().revision();
+    if (snapshot.revision <= known || (!snapshot.whole && snapshot.after > known))
+        return false;
+    std::vector<ItemChange> items;
+    items.reserve(snapshot.items.size());
+    for (const auto& it : snapshot.items)
+        items.push_back({ it.key, it.__isset.value ? std::optional(it.value) : std::nullopt, it.revision });
+    if (snapshot.whole)
+        world.replaceAll(items, snapshot.revision);
+    else
+        world.apply(items, snapshot.revision);
+    return true;
+}
+
 /** One question to one instance. */
 class SnapshotExchange::Fetch final : public OutboundListener {
 public:
@@ -77,14 +117,9 @@
     void take(const fleetwire::Snapshot& snapshot)
     {
         auto& world = m_owner.m_core.world;
-        if (snapshot.revision <= world.held().revision())
-            return;
-        std::vector<ItemChange> items;
-        items.reserve(snapshot.items.size());
-        for (const auto& it : snapshot.items)
-            items.push_back({ it.key, it.value, it.revision });
-        logInfo("published items from an instance", { { "instance", m_instance }, { "revision", snapshot.revision }, { "before", world.held().revision() }, { "items", items.size() } });
-        world.replaceAll(items, snapshot.revision);
+        const auto before = world.held().revision();
+        const bool taken = takeSnapshot(world, snapshot);
+        logInfo("published items from an instance", { { "instance", m_instance }, { "revision", snapshot.revision }, { "before", before }, { "items", snapshot.items.size() }, { "whole", snapshot.whole ? 1 : 0 }, { "taken", taken ? 1 : 0 } });
     }
 
     SnapshotExchange& m_owner;
@@ -137,19 +172,9 @@
     const auto after = revisionAsked(exchange.request());
     if (!after)
         return false;
-    fleetwire::Snapshot snapshot;
-    const auto& held = m_core.world.held();
-    snapshot.revision = held.revision();
-    for (const auto& [key, item] : held.items()) {
-        fleetwire::HeldItem it;
-        it.key = key;
-        it.value = item.value;
-        it.revision = item.revision;
-        snapshot.items.push_back(std::move(it));
-    }
     AnswerHead head;
     head.headers.push_back({ "Content-Type", "application/octet-stream" });
-    exchange.sendWhole(std::move(head), encodeSnapshot(snapshot));
+    exchange.sendWhole(std::move(head), encodeSnapshot(snapshotAfter(m_core.world.held(), *after)));
     return true;
 }
 
--- a/src/yuccashift/entry/snapshot_exchange.hpp
+++ b/src/yuccashift/entry/snapshot_exchange.hpp
@@ -7,6 +7,11 @@
 
 namespace yuccashift {
 
+/** The items, or what changed after a revision where that is remembered. */
+fleetwire::Snapshot snapshotAfter(const HeldItems&, std::int64_t revision);
+/** Takes a snapshot of another instance; false where it does not fit what is held. */
+bool takeSnapshot(World&, const fleetwire::Snapshot&);
+
 /**
  * Fetches the published items from an instance that has newer ones, for when
  * the store cannot be read from here; and answers such questions.
--- a/src/yuccashift/fleet/backend_server.cpp
+++ b/src/yuccashift/fleet/backend_server.cpp
@@ -2,6 +2,7 @@
 
 #include "yuccashift/kernel/hash.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace yuccashift {
@@ -10,7 +11,8 @@
 {
     const auto born = std::to_string(identity.born);
     const std::array<std::string_view, 2> parts { identity.id, born };
-    return hash64(parts);
+    constexpr std::uint64_t shortHash = 0xffffffffU;
+    return std::max<std::uint64_t>(1, hash64(parts) & shortHash);
 }
 
 } // namespace yuccashift
--- a/src/yuccashift/fleet/backend_server.hpp
+++ b/src/yuccashift/fleet/backend_server.hpp
@@ -17,7 +17,7 @@
     bool operator==(const ServerIdentity&) const = default;
 };
 
-/** First 64 bits of a hash, equal on all instances. */
+/** Short hash, equal on all instances and never 0; heartbeats name servers by it. */
 std::uint64_t hashOf(const ServerIdentity&);
 
 /** A backend server as the platform's list describes it. */
--- a/src/yuccashift/fleet/datagram.cpp
+++ b/src/yuccashift/fleet/datagram.cpp
@@ -45,9 +45,9 @@
 
 } // namespace
 
-std::string encodeHeartbeat(const fleetwire::Heartbeat& beat)
+std::string encodeDatagram(const fleetwire::Datagram& datagram)
 {
-    return encode(beat);
+    return encode(datagram);
 }
 
 std::string encodeSnapshot(const fleetwire::Snapshot& snapshot)
@@ -55,9 +55,9 @@
     return encode(snapshot);
 }
 
-Result<fleetwire::Heartbeat> decodeHeartbeat(std::string_view bytes)
+Result<fleetwire::Datagram> decodeDatagram(std::string_view bytes)
 {
-    return decode<fleetwire::Heartbeat>(bytes);
+    return decode<fleetwire::Datagram>(bytes);
 }
 
 Result<fleetwire::Snapshot> decodeSnapshot(std::string_view bytes)
--- a/src/yuccashift/fleet/datagram.hpp
+++ b/src/yuccashift/fleet/datagram.hpp
@@ -13,10 +13,10 @@
 constexpr std::size_t mostDatagramBytes = 60 * 1024;
 
 /** Thrift's compact form. */
-std::string encodeHeartbeat(const fleetwire::Heartbeat&);
+std::string encodeDatagram(const fleetwire::Datagram&);
 std::string encodeSnapshot(const fleetwire::Snapshot&);
 /** MalformedRequest on damage. */
-Result<fleetwire::Heartbeat> decodeHeartbeat(std::string_view);
+Result<fleetwire::Datagram> decodeDatagram(std::string_view);
 Result<fleetwire::Snapshot> decodeSnapshot(std::string_view);
 
 } // namespace yuccashift
--- a/src/yuccashift/fleet/held_items.cpp
+++ b/src/yuccashift/fleet/held_items.cpp
@@ -1,10 +1,18 @@
 #include "yuccashift/fleet/held_items.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace yuccashift {
 
+namespace {
+
+    /** Changes remembered for instances that lag; an older one reads everything. */
+    constexpr std::size_t mostHistory = 256;
+
+} // namespace
+
 bool HeldItems::take(const ItemChange& change)
 {
     const auto it = m_items.find(change.key);
@@ -21,9 +29,31 @@
     return true;
 }
 
+void HeldItems::remember(std::span<const ItemChange> changes)
+{
+    for (const auto& change : changes) {
+        if (change.revision > m_revision)
+            m_history.push_back(change);
+    }
+    while (m_history.size() > mostHistory) {
+        m_historyFrom = std::max(m_historyFrom, m_history.front().revision);
+        m_history.pop_front();
+    }
+}
+
+std::optional<std::vector<ItemChange>> HeldItems::changesAfter(std::int64_t revision) const
+{
+    if (revision < m_historyFrom)
+        return {};
+    std::vector<ItemChange> changes;
+    std::ranges::copy_if(m_history, std::back_inserter(changes), [&](const auto& it) { return it.revision > revision; });
+    return changes;
+}
+
 std::vector<ItemChange> HeldItems::apply(std::span<const ItemChange> changes, std::int64_t through)
 {
     std::vector<ItemChange> taken;
+    remember(changes);
     for (const auto& change : changes) {
         if (take(change))
             taken.push_back(change);
@@ -47,6 +77,9 @@
     auto taken = apply(gone, m_revision);
     const auto present = apply(listing, through);
     taken.insert(taken.end(), present.begin(), present.end());
+    // A listing does not tell what came and went since the last one.
+    m_history.clear();
+    m_historyFrom = m_revision;
     return taken;
 }
 
--- a/src/yuccashift/fleet/member_book.cpp
+++ b/src/yuccashift/fleet/member_book.cpp
@@ -1,5 +1,6 @@
 #include "yuccashift/fleet/member_book.hpp"
 
+#include "yuccashift/kernel/hash.hpp"
 #include "yuccashift/kernel/log.hpp"
 
 #include <algorithm>
@@ -8,8 +9,8 @@
 
 namespace {
 
-    /** Several heartbeats of the slowest pace may be lost before an instance counts as silent. */
-    constexpr Duration silence = milliseconds(1500);
+    /** Several heartbeats may be lost before an instance counts as silent. */
+    constexpr Duration shortestSilence = milliseconds(1500);
     /** An instance silent for so long is forgotten; one that returns is heard again within a heartbeat. */
     constexpr Duration forgetAfter = seconds(30);
     /** Within this time of its start an instance has heard all others, at the slowest pace of heartbeats. */
@@ -24,6 +25,7 @@
 MemberBook::MemberBook(const Clock& clock, InstanceId self)
     : m_clock(clock)
     , m_self(std::move(self))
+    , m_silence(shortestSilence)
     , m_startedAt(clock.now())
     , m_ownersSince(m_startedAt)
 {
@@ -53,31 +55,54 @@
     return remembered <= fewInstances || 2 * heard > remembered;
 }
 
-bool MemberBook::take(const fleetwire::Heartbeat& beat)
+std::int32_t shortNameOf(const InstanceId& instance)
 {
-    if (beat.instance.empty() || beat.instance == m_self)
-        return false;
-    auto& member = m_members[beat.instance];
+    return static_cast<std::int32_t>(hash64(instance));
+}
+
+std::optional<InstanceId> MemberBook::take(const fleetwire::Heartbeat& beat)
+{
+    if (beat.__isset.profile)
+        m_names[beat.sender] = beat.profile.instance;
+    const auto name = m_names.find(beat.sender);
+    if (name == m_names.end() || name->second.empty() || name->second == m_self)
+        return {};
+    const auto known = m_members.find(name->second);
+    if (known == m_members.end() && !beat.__isset.profile)
+        return {};
+    auto& member = m_members[name->second];
     const auto incarnation = static_cast<Incarnation>(beat.incarnation);
     const bool older = incarnation < member.incarnation || (incarnation == member.incarnation && beat.sequence <= member.sequence);
     if (!member.instance.empty() && older)
-        return false;
+        return {};
     const bool fresh = member.instance.empty() || incarnation != member.incarnation || !isAlive(member);
+    member.instance = name->second;
+    member.shortName = beat.sender;
+    if (beat.__isset.profile) {
+        member.region = beat.profile.region;
+        member.datacentre = beat.profile.datacentre;
+        member.ip = beat.profile.ip;
+    }
     if (fresh)
-        logInfo("instance heard", { { "instance", beat.instance }, { "region", beat.region }, { "incarnation", beat.incarnation } });
+        logInfo("instance heard", { { "instance", member.instance }, { "region", member.region }, { "incarnation", beat.incarnation } });
     if (!member.draining && beat.draining)
-        logInfo("instance draining", { { "instance", beat.instance } });
-    member.instance = beat.instance;
+        logInfo("instance draining", { { "instance", member.instance } });
     member.incarnation = incarnation;
     member.sequence = beat.sequence;
-    member.region = beat.region;
-    member.datacentre = beat.datacentre;
-    member.ip = beat.ip;
     member.takesCallers = beat.takesCallers;
     member.draining = beat.draining;
     member.configVersion = beat.configVersion;
     member.storeRevision = beat.storeRevision;
     member.lastHeard = m_clock.now();
+    takeRooms(member, beat);
+    return member.instance;
+}
+
+void MemberBook::takeRooms(FleetMember& member, const fleetwire::Heartbeat& beat)
+{
+    // Instances of the own region tell their loads instead.
+    if (beat.rooms.empty())
+        return;
     member.sentSinceHeard = 0;
     member.rooms.clear();
     for (const auto& room : beat.rooms) {
@@ -87,12 +112,11 @@
         for (std::size_t i = 0; i < urgencyRanks && !room.waitMs.empty(); ++i)
             view.wait[i] = milliseconds(room.waitMs[std::min(i, room.waitMs.size() - 1)]);
     }
-    return true;
 }
 
 bool MemberBook::isAlive(const FleetMember& member) const
 {
-    return m_clock.now() - member.lastHeard < silence;
+    return m_clock.now() - member.lastHeard < m_silence;
 }
 
 std::vector<const FleetMember*> MemberBook::alive() const
@@ -148,6 +172,7 @@
         if (entry.second.lastHeard >= oldest)
             return false;
         gone.push_back(entry.first);
+        m_names.erase(entry.second.shortName);
         return true;
     });
     return gone;
--- a/src/yuccashift/fleet/member_book.hpp
+++ b/src/yuccashift/fleet/member_book.hpp
@@ -23,6 +23,7 @@
 /** Another instance as its heartbeats show it. */
 struct FleetMember {
     InstanceId instance;
+    std::int32_t shortName = 0;
     Incarnation incarnation = 0;
     std::int64_t sequence = 0;
     RegionName region;
@@ -40,6 +41,9 @@
     std::int32_t sentSinceHeard = 0;
 };
 
+/** The short hash by which heartbeats name their sender. */
+std::int32_t shortNameOf(const InstanceId&);
+
 /**
  * The instances that this one hears. Silence makes an instance unusable for
  * hops and callers; it never proves that the instance has stopped.
@@ -48,8 +52,13 @@
 public:
     MemberBook(const Clock&, InstanceId self);
 
-    /** Takes a heartbeat; false where it is older than one taken before. */
-    bool take(const fleetwire::Heartbeat&);
+    /**
+     * Takes a heartbeat; the instance's name, or nothing where it is older than one
+     * taken before or from an instance whose profile has not come yet.
+     */
+    std::optional<InstanceId> take(const fleetwire::Heartbeat&);
+    /** From then on an instance that was not heard for so long counts as silent. */
+    void setSilence(Duration silence) { m_silence = silence; }
     /** Members heard lately. */
     std::vector<const FleetMember*> alive() const;
     const FleetMember* find(const InstanceId&) const;
@@ -75,8 +84,13 @@
     std::vector<InstanceId> expire();
 
 private:
+    static void takeRooms(FleetMember&, const fleetwire::Heartbeat&);
+
     const Clock& m_clock;
     InstanceId m_self;
+    /** Names by the short hash in heartbeats. */
+    std::map<std::int32_t, InstanceId> m_names;
+    Duration m_silence;
     Instant m_startedAt;
     bool m_expectsOthers = false;
     std::vector<InstanceId> m_owners;
--- a/tests/fleet/held_items_test.cpp
+++ b/tests/fleet/held_items_test.cpp
@@ -34,6 +34,21 @@
         EXPECT_TRUE(held.items().contains("a"));
     }
 
+    TEST_F(ItemsHeld, TellWhatChangedAfterARevisionWhileThatIsRemembered)
+    {
+        held.replaceAll({}, 5);
+        change("a", "1", 6);
+        change("a", nullptr, 7);
+        ASSERT_TRUE(held.changesAfter(5));
+        EXPECT_EQ(held.changesAfter(5)->size(), 2u);
+        EXPECT_EQ(held.changesAfter(6)->size(), 1u);
+        EXPECT_FALSE(held.changesAfter(4));
+        for (std::int64_t n = 8; n < 400; ++n)
+            change("b", "x", n);
+        EXPECT_FALSE(held.changesAfter(7));
+        EXPECT_TRUE(held.changesAfter(398));
+    }
+
     // Found by the fuzzer of published items: {1,0,0,0} {2,0,0,0} {4,0,0,0} {5,0,130,0}.
     TEST_F(ItemsHeld, AreNotBroughtBackByAPageOlderThanTheListingThatLackedThem)
     {
--- a/tests/fleet/member_book_test.cpp
+++ b/tests/fleet/member_book_test.cpp
@@ -10,11 +10,14 @@
     fleetwire::Heartbeat beatOf(const std::string& instance, std::int64_t incarnation, std::int64_t sequence)
     {
         fleetwire::Heartbeat beat;
-        beat.instance = instance;
+        fleetwire::Profile profile;
+        profile.instance = instance;
+        profile.region = "sofia";
+        profile.ip = "10.0.0.2";
+        beat.__set_profile(profile);
+        beat.sender = shortNameOf(instance);
         beat.incarnation = incarnation;
         beat.sequence = sequence;
-        beat.region = "sofia";
-        beat.ip = "10.0.0.2";
         beat.takesCallers = true;
         return beat;
     }
@@ -33,6 +36,17 @@
         EXPECT_FALSE(book.take(beatOf("self", 9, 9)));
     }
 
+    TEST_F(AMemberBook, KnowsASenderOnlyOnceItsProfileCame)
+    {
+        auto brief = beatOf("a", 1, 1);
+        brief.__isset.profile = false;
+        EXPECT_FALSE(book.take(brief));
+        EXPECT_EQ(book.take(beatOf("a", 1, 2)), "a");
+        brief.sequence = 3;
+        EXPECT_EQ(book.take(brief), "a");
+        EXPECT_EQ(book.find("a")->region, "sofia");
+    }
+
     TEST_F(AMemberBook, LeavesOutSilentInstancesButRemembersThem)
     {
         book.take(beatOf("a", 1, 1));
@@ -114,16 +128,20 @@
         auto beat = beatOf("a", 2, 5);
         beat.hears = { 1, 2, 3 };
         beat.crashes = { { 77, 2 } };
-        const auto decoded = decodeHeartbeat(encodeHeartbeat(beat));
+        fleetwire::Datagram datagram;
+        datagram.__set_heartbeat(beat);
+        const auto decoded = decodeDatagram(encodeDatagram(datagram));
         ASSERT_TRUE(decoded);
-        EXPECT_EQ(*decoded, beat);
+        EXPECT_EQ(*decoded, datagram);
     }
 
     TEST(AHeartbeat, ThatIsDamagedIsAnErrorAndNothingElse)
     {
-        const auto bytes = encodeHeartbeat(beatOf("a", 2, 5));
+        fleetwire::Datagram datagram;
+        datagram.__set_heartbeat(beatOf("a", 2, 5));
+        const auto bytes = encodeDatagram(datagram);
         for (std::size_t n = 0; n + 1 < bytes.size(); ++n)
-            EXPECT_FALSE(decodeHeartbeat(bytes.substr(0, n))) << n;
+            EXPECT_FALSE(decodeDatagram(bytes.substr(0, n))) << n;
     }
 
     TEST(ASnapshot, CarriesItemsWithAnyBytes)
@@ -132,7 +150,7 @@
         snapshot.revision = 12;
         fleetwire::HeldItem item;
         item.key = "k";
-        item.value = std::string("\0\xff", 2);
+        item.__set_value(std::string("\0\xff", 2));
         item.revision = 4;
         snapshot.items = { item };
         const auto decoded = decodeSnapshot(encodeSnapshot(snapshot));
