Expect of a rarely seen server what all servers show; draw a few servers for each request

With 28 instances and 70 servers in a region each pair meets too rarely to learn a server's pace, and all instances, whose news of each other are 350 ms old, took the same idle server at once. Ruled out: too little capacity (a quarter of the reading rate is used).

--- a/src/yuccashift/dispatch/server_book.cpp
+++ b/src/yuccashift/dispatch/server_book.cpp
@@ -11,6 +11,9 @@
     constexpr double sampleWeight = 0.1;
     /** Parts of streams come many times a second; about the last twenty count. */
     constexpr double partWeight = 0.05;
+    /** Own samples of a server that weigh as much as what is known of all servers, and the most that count. */
+    constexpr double samplesToTrust = 4;
+    constexpr std::uint32_t mostPaceSamples = 20;
     /** Ratios beyond these are outliers of one request rather than the pace of a server. */
     constexpr double leastRatio = 0.3;
     constexpr double mostRatio = 6.0;
@@ -63,6 +66,8 @@
 ServerBook::ServerBook(const Clock& clock)
     : m_clock(clock)
 {
+    for (auto& ranks : m_overall)
+        ranks.fill(1.0);
 }
 
 const ServerKnowledge& ServerBook::of(std::uint64_t server) const
@@ -78,29 +83,38 @@
     return it == m_records.end() || !it->second.prefixes ? nullptr : &*it->second.prefixes;
 }
 
-ServerTicket ServerBook::begin(std::uint64_t server, const WorkSize& work, std::uint32_t uncachedTokens, Duration predicted, std::uint64_t memoryBound)
+ServerTicket ServerBook::begin(std::uint64_t server, const ServerSend& send)
 {
     ServerTicket ticket;
     ticket.server = server;
-    ticket.rank = std::min(work.rank, urgencyRanks - 1);
+    ticket.rank = std::min(send.work.rank, urgencyRanks - 1);
     ticket.load.requests = 1;
-    ticket.load.waitingPromptTokens[ticket.rank] = static_cast<std::int32_t>(uncachedTokens);
-    ticket.load.memoryTokens = static_cast<std::int32_t>(work.memoryTokens());
+    ticket.load.waitingPromptTokens[ticket.rank] = static_cast<std::int32_t>(send.uncachedTokens);
+    ticket.load.memoryTokens = static_cast<std::int32_t>(send.work.memoryTokens());
     ticket.sentAt = m_clock.now();
-    ticket.predicted = predicted;
+    ticket.unscaled = std::chrono::duration_cast<Duration>(send.predicted / send.slowness);
+    ticket.engine = send.engine;
     auto& record = m_records[server];
     auto& known = record.knowledge;
     known.own += ticket.load;
-    record.waiting.emplace(ticket.sentAt, ReadingPrompt { static_cast<std::int32_t>(uncachedTokens), ticket.rank, ticket.sentAt });
+    record.waiting.emplace(ticket.sentAt, ReadingPrompt { static_cast<std::int32_t>(send.uncachedTokens), ticket.rank, ticket.sentAt });
     known.waitingSince = record.waiting.begin()->first;
-    if (!work.parts.empty()) {
+    if (!send.work.parts.empty()) {
         if (!record.prefixes)
-            record.prefixes.emplace(memoryBound);
-        record.prefixes->remember(work.parts);
+            record.prefixes.emplace(send.memoryTokens);
+        record.prefixes->remember(send.work.parts);
     }
     return ticket;
 }
 
+double ServerBook::slownessOf(std::uint64_t server, bool engine, std::size_t rank) const
+{
+    const auto at = std::min(rank, urgencyRanks - 1);
+    const auto& known = of(server);
+    const double samples = known.paceSamples[at];
+    return (known.slowness[at] * samples + m_overall[engine ? 1 : 0][at] * samplesToTrust) / (samples + samplesToTrust);
+}
+
 void ServerBook::stopWaiting(Record& record, const ServerTicket& ticket)
 {
     if (const auto it = record.waiting.find(ticket.sentAt); it != record.waiting.end())
@@ -121,13 +135,16 @@
     ticket.load.waitingPromptTokens[ticket.rank] = 0;
     stopWaiting(it->second, ticket);
     known.lastFirstByte = m_clock.now();
-    if (ticket.predicted < leastComparable)
+    if (ticket.unscaled < leastComparable)
         return;
     const auto took = std::chrono::duration<double>(m_clock.now() - ticket.sentAt);
-    const auto ratio = std::clamp(took / std::chrono::duration<double>(ticket.predicted), leastRatio, mostRatio);
-    // The prediction holds the slowness of its time, so that the ratio corrects it.
+    const auto ratio = std::clamp(took / std::chrono::duration<double>(ticket.unscaled), leastRatio, mostRatio);
+    auto& samples = known.paceSamples[ticket.rank];
     auto& slowness = known.slowness[ticket.rank];
-    slowness = std::clamp(runningMean(slowness, slowness * ratio), leastRatio, mostRatio);
+    slowness = samples == 0 ? ratio : runningMean(slowness, ratio);
+    samples = std::min(samples + 1, mostPaceSamples);
+    auto& overall = m_overall[ticket.engine ? 1 : 0][ticket.rank];
+    overall = runningMean(overall, ratio);
 }
 
 void ServerBook::streamPart(ServerTicket& ticket)
--- a/src/yuccashift/dispatch/server_book.hpp
+++ b/src/yuccashift/dispatch/server_book.hpp
@@ -55,8 +55,9 @@
 struct ServerKnowledge {
     ServerLoadSum own;
     ServerLoadSum peers;
-    /** Observed over predicted time to the first byte, by rank of urgency; 1 as predicted. */
+    /** Observed over unscaled predicted time to the first byte, by rank of urgency, and the samples behind it. */
     std::array<double, urgencyRanks> slowness { 1.0, 1.0, 1.0, 1.0 };
+    std::array<std::uint32_t, urgencyRanks> paceSamples {};
     /** Share of recent requests that failed or were lost. */
     double failureShare = 0.0;
     std::uint32_t samples = 0;
@@ -79,13 +80,28 @@
     ServerLoadSum total() const;
 };
 
+/** What a server is about to be sent. */
+struct ServerSend {
+    const WorkSize& work;
+    /** Tokens of the prompt that are to be read there. */
+    std::uint32_t uncachedTokens = 0;
+    /** Time to the first byte as predicted, and the slowness in it. */
+    Duration predicted {};
+    double slowness = 1.0;
+    bool engine = false;
+    /** Tokens that fit into its memory. */
+    std::uint64_t memoryTokens = 0;
+};
+
 /** Ticket of one request at one server, from its sending to its end. */
 struct ServerTicket {
     std::uint64_t server = 0;
     ServerLoadSum load;
     std::size_t rank = 0;
     Instant sentAt {};
-    Duration predicted {};
+    /** Predicted time to the first byte without the slowness that was known. */
+    Duration unscaled {};
+    bool engine = false;
     bool firstByteSeen = false;
     Instant lastPart {};
 };
@@ -101,8 +117,13 @@
     const ServerKnowledge& of(std::uint64_t server) const;
     const PrefixMemory* prefixes(std::uint64_t server) const;
 
-    /** A request goes out; `uncachedTokens` of its prompt are to be read there. */
-    ServerTicket begin(std::uint64_t server, const WorkSize&, std::uint32_t uncachedTokens, Duration predicted, std::uint64_t memoryBound);
+    /** A request goes out. */
+    ServerTicket begin(std::uint64_t server, const ServerSend&);
+    /**
+     * Slowness to expect of a server: its own as far as it was seen here, and else
+     * that of all. Of many servers an instance sees each one rarely.
+     */
+    double slownessOf(std::uint64_t server, bool engine, std::size_t rank) const;
     /** The first byte of a stream's body, or of an answer. */
     void firstByte(ServerTicket&);
     /** A part of a stream came, the first one included. */
@@ -141,6 +162,8 @@
     const Clock& m_clock;
     std::unordered_map<std::uint64_t, Record> m_records;
     std::map<InstanceId, std::map<std::uint64_t, ServerLoadSum>> m_peerLoads;
+    /** Slowness over all servers, for plain services and engines, by rank. */
+    std::array<std::array<double, urgencyRanks>, 2> m_overall;
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/dispatch/server_choice.cpp
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -112,9 +112,11 @@
     case PassedOver::NoConnections:
         return "no_connections";
     case PassedOver::Failing:
+        return "failing";
+    case PassedOver::NotDrawn:
         break;
     }
-    return "failing";
+    return "not_drawn";
 }
 
 void noteSlowStreams(std::span<ServerCandidate> candidates)
@@ -172,11 +174,14 @@
     ServerChoice choice;
     choice.passedOver.reserve(candidates.size());
     const auto mean = meanFailureShare(candidates);
+    const bool anyDrawn = std::ranges::any_of(candidates, [&](const auto& it) { return it.considered && check(it, mean) == PassedOver::No; });
     const auto tie = std::chrono::duration_cast<Duration>(Millis(tieMs));
     Duration bestCost {};
     Duration runnerUpCost {};
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const auto reason = check(candidates[i], mean);
+        auto reason = check(candidates[i], mean);
+        if (reason == PassedOver::No && anyDrawn && !candidates[i].considered)
+            reason = PassedOver::NotDrawn;
         choice.passedOver.push_back(reason);
         if (reason != PassedOver::No)
             continue;
--- a/src/yuccashift/dispatch/server_choice.hpp
+++ b/src/yuccashift/dispatch/server_choice.hpp
@@ -37,6 +37,8 @@
     /** Whether this instance may send the next request to it while it is cold. */
     bool coldTurn = false;
     bool connectionsLeft = true;
+    /** Whether this request looks at it at all; others take their chance where none of these can. */
+    bool considered = true;
     /** Already tried for this request. */
     bool tried = false;
 };
@@ -50,6 +52,8 @@
     Cold,
     NoConnections,
     Failing,
+    /** Left to other requests, so that not all take the same server. */
+    NotDrawn,
 };
 std::string_view toString(PassedOver);
 
--- a/src/yuccashift/entry/dispatcher.cpp
+++ b/src/yuccashift/entry/dispatcher.cpp
@@ -26,6 +26,11 @@
     constexpr double soonEnoughShare = 0.45;
     /** How long the pace of a server's streams is remembered; then it may show that it is faster again. */
     constexpr Duration partMemory = seconds(3);
+    /** Instances up to this number know each other's loads well enough to use the best server each. */
+    constexpr std::size_t sharersInStep = 4;
+    /** More of them each consider a few servers drawn anew, or all would take the same best one at once. */
+    constexpr std::size_t fewestConsidered = 4;
+    constexpr std::size_t considerPerShare = 2;
     /** Rooms are told for a request of this size. */
     constexpr std::uint32_t typicalPromptTokens = 512;
 
@@ -93,7 +98,7 @@
         it.cachedTokens = prefixes->cachedTokens(work.parts);
     it.load = known.total();
     it.readingTokens = m_book.tokensAheadOfRank(server.key, work.rank);
-    it.slowness = known.slowness[std::min(work.rank, urgencyRanks - 1)];
+    it.slowness = m_book.slownessOf(server.key, traits.engine, work.rank);
     it.failureShare = known.failureShare;
     it.samples = known.samples;
     if (now - known.lastPart < partMemory)
@@ -131,6 +136,20 @@
     home->cachedTokens = std::max(home->cachedTokens, tokens);
 }
 
+void Dispatcher::leaveOutForSpread(std::span<ServerCandidate> candidates, const WorkSize& work, std::size_t sharers) const
+{
+    if (sharers <= sharersInStep || candidates.empty())
+        return;
+    const auto kept = std::max<std::size_t>(fewestConsidered, considerPerShare * candidates.size() / sharers);
+    std::uint32_t sharedTokens = 0;
+    for (const auto& part : work.sharedParts())
+        sharedTokens += part.tokens;
+    for (auto& it : candidates) {
+        const bool holdsPrefix = sharedTokens > 0 && it.cachedTokens >= sharedTokens;
+        it.considered = holdsPrefix || m_random.below(candidates.size()) < kept;
+    }
+}
+
 LocalPlan Dispatcher::planLocal(const ServiceName& service, const WorkSize& work, Duration objective, const std::set<std::uint64_t>& tried) const
 {
     LocalPlan plan;
@@ -149,6 +168,7 @@
     expectPrefixAtItsHome(plan.candidates, work);
     noteSlowStreams(plan.candidates);
     const auto soonEnough = std::chrono::duration_cast<Duration>(objective * soonEnoughShare);
+    leaveOutForSpread(plan.candidates, work, owners.size());
     plan.choice = chooseServer(plan.candidates, work, soonEnough, m_random.next());
     return plan;
 }
--- a/src/yuccashift/entry/dispatcher.hpp
+++ b/src/yuccashift/entry/dispatcher.hpp
@@ -53,6 +53,7 @@
      * it, so that they read it once without telling each other.
      */
     static void expectPrefixAtItsHome(std::span<ServerCandidate>, const WorkSize&);
+    void leaveOutForSpread(std::span<ServerCandidate>, const WorkSize&, std::size_t sharers) const;
     bool coldTurn(const BackendServer&, const ServerKnowledge&, const ServiceTraits&, std::span<const InstanceId> owners) const;
 
     const Clock& m_clock;
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -250,7 +250,7 @@
         return !echoed || *echoed == id;
     };
     const auto uncached = m_facts.work.promptTokens - std::min(m_facts.work.promptTokens, candidate.cachedTokens);
-    m_ticket = m_core.book.begin(server.key, m_facts.work, uncached, plan.choice.predicted, candidate.memoryTokens);
+    m_ticket = m_core.book.begin(server.key, { m_facts.work, uncached, plan.choice.predicted, candidate.slowness, candidate.engine, candidate.memoryTokens });
     if (candidate.cold)
         m_core.book.noteColdSend(server.key);
     m_triedServers.insert(server.key);
--- a/tests/dispatch/server_book_test.cpp
+++ b/tests/dispatch/server_book_test.cpp
@@ -23,7 +23,7 @@
 
     TEST_F(AServerBook, CountsARequestFromItsSendingToItsEnd)
     {
-        auto ticket = book.begin(server, work, 1500, milliseconds(100), memory);
+        auto ticket = book.begin(server, { work, 1500, milliseconds(100), 1.0, true, memory });
         EXPECT_EQ(book.of(server).own.requests, 1);
         EXPECT_EQ(book.of(server).own.waitingPromptTokens[1], 1500);
         book.firstByte(ticket);
@@ -38,19 +38,43 @@
     TEST_F(AServerBook, LearnsThePaceOfASlowServer)
     {
         for (int n = 0; n < 60; ++n) {
-            const auto predicted = milliseconds(static_cast<int>(100 * book.of(server).slowness[1]));
-            auto ticket = book.begin(server, work, 0, predicted, memory);
+            auto ticket = book.begin(server, { work, 0, milliseconds(100), 1.0, true, memory });
             clock.advance(milliseconds(300));
             book.firstByte(ticket);
             book.end(ticket, ServerOutcome::Succeeded);
         }
-        EXPECT_NEAR(book.of(server).slowness[1], 3.0, 0.3);
-        EXPECT_DOUBLE_EQ(book.of(server).slowness[0], 1.0);
+        EXPECT_NEAR(book.slownessOf(server, true, 1), 3.0, 0.3);
+        EXPECT_DOUBLE_EQ(book.slownessOf(server, true, 0), 1.0);
+    }
+
+    TEST_F(AServerBook, DoesNotCountTheSlownessThatAPredictionHeldAlready)
+    {
+        for (int n = 0; n < 60; ++n) {
+            const double slowness = book.slownessOf(server, true, 1);
+            const auto predicted = std::chrono::duration_cast<Duration>(milliseconds(100) * slowness);
+            auto ticket = book.begin(server, { work, 0, predicted, slowness, true, memory });
+            clock.advance(milliseconds(200));
+            book.firstByte(ticket);
+            book.end(ticket, ServerOutcome::Succeeded);
+        }
+        EXPECT_NEAR(book.slownessOf(server, true, 1), 2.0, 0.2);
+    }
+
+    // Pattern: seventy servers, each seen rarely by each of many instances, and all busy.
+    TEST_F(AServerBook, ExpectsOfAServerThatItHasNotSeenWhatAllServersShow)
+    {
+        for (std::uint64_t n = 1; n <= 60; ++n) {
+            auto ticket = book.begin(n, { work, 0, milliseconds(100), 1.0, true, memory });
+            clock.advance(milliseconds(250));
+            book.firstByte(ticket);
+            book.end(ticket, ServerOutcome::Succeeded);
+        }
+        EXPECT_NEAR(book.slownessOf(999, true, 1), 2.5, 0.2);
     }
 
     TEST_F(AServerBook, LearnsNothingFromRequestsThatTheirCallersLeft)
     {
-        auto ticket = book.begin(server, work, 0, milliseconds(100), memory);
+        auto ticket = book.begin(server, { work, 0, milliseconds(100), 1.0, true, memory });
         book.end(ticket, ServerOutcome::Abandoned);
         EXPECT_EQ(book.of(server).samples, 0u);
         EXPECT_FALSE(book.of(server).waitingSince);
@@ -74,7 +98,7 @@
     TEST_F(AServerBook, KnowsTheLongPromptThatAServerIsReading)
     {
         work.rank = 2;
-        const auto ticket = book.begin(server, work, 30000, milliseconds(500), memory);
+        const auto ticket = book.begin(server, { work, 30000, milliseconds(500), 1.0, true, memory });
         EXPECT_EQ(book.tokensAheadOfRank(server, 0), 30000);
         EXPECT_EQ(book.tokensAheadOfRank(server, 2), 0);
         clock.advance(milliseconds(100));
@@ -96,7 +120,7 @@
     TEST_F(AServerBook, StartsAnewForAServerThatIsCleared)
     {
         for (int n = 0; n < 10; ++n) {
-            auto ticket = book.begin(server, work, 0, milliseconds(100), memory);
+            auto ticket = book.begin(server, { work, 0, milliseconds(100), 1.0, true, memory });
             book.end(ticket, ServerOutcome::Lost);
         }
         book.markSuspect(server);
--- a/tests/dispatch/server_choice_test.cpp
+++ b/tests/dispatch/server_choice_test.cpp
@@ -181,6 +181,20 @@
         EXPECT_DOUBLE_EQ(servers[0].slowness, 1.0);
     }
 
+    // Pattern: thirty instances hear of each other's requests late, and all see the same idle server.
+    TEST_F(AServerChoice, LooksOnlyAtServersDrawnForItUnlessNoneOfThemCan)
+    {
+        servers[0].considered = false;
+        servers[1].load.requests = 20;
+        servers[2].load.requests = 40;
+        const auto choice = choose(query());
+        EXPECT_EQ(choice.best, 1u);
+        EXPECT_EQ(choice.passedOver[0], PassedOver::NotDrawn);
+        servers[1].suspect = true;
+        servers[2].suspect = true;
+        EXPECT_EQ(choose(query()).best, 0u);
+    }
+
     TEST_F(AServerChoice, NamesTheRunnerUp)
     {
         servers[1].load.requests = 10;
