--- a/tests/entry/answers_test.cpp
+++ b/tests/entry/answers_test.cpp
@@ -103,7 +103,8 @@
 
         std::vector<std::string> named() const
         {
-            return chooseEntries(view, "sofia", [this](const RegionName& region) { return demand.share(region); }, 80);
+            return chooseEntries(
+                view, "sofia", [this](const RegionName& region) { return demand.share(region); }, 80);
         }
     };
 
