--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -232,7 +232,7 @@
     }
 }
 
-void Gossip::sendTo(Address address, const std::string& bytes)
+void Gossip::sendTo(const Address& address, const std::string& bytes)
 {
     error_code ec;
     // A datagram that cannot leave now is lost like any other; the next one follows shortly.
@@ -268,7 +268,8 @@
     }
     std::vector<Address> far;
     for (auto& [region, addresses] : byRegion) {
-        const auto most = region.empty() ? mostNamed : toldInEachRegion;
+        // A starting instance looks for others; later their own heartbeats make them known.
+        const auto most = region.empty() && m_round < roundsWithProfile ? mostNamed : toldInEachRegion;
         for (std::size_t n = 0; n < most && !addresses.empty(); ++n) {
             const auto drawn = m_core.random->below(addresses.size());
             far.push_back(addresses[drawn]);
--- a/src/yuccashift/entry/gossip.hpp
+++ b/src/yuccashift/entry/gossip.hpp
@@ -39,7 +39,7 @@
     std::vector<Address> nearAddresses() const;
     std::vector<Address> someFarAddresses();
     void tick();
-    void sendTo(Address, const std::string& bytes);
+    void sendTo(const Address&, const std::string& bytes);
     fleetwire::Heartbeat ownBeat(bool withProfile);
     void addLoads(fleetwire::Heartbeat&) const;
     void addRooms(fleetwire::Heartbeat&) const;
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -204,7 +204,7 @@
     Error error { anywhere ? ErrorKind::Overloaded : ErrorKind::NoBackend, {}, {}, {} };
     error.runState = m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun;
     logInfo("refused", { { "request", m_facts.attemptId }, { "reason", error.code() }, { "predicted_ms", toMilliseconds(plan.placement.predicted) }, { "objective_ms", toMilliseconds(objectiveLeft()) }, { "left_ms", toMilliseconds(timeLeft()) }, { "servers", plan.local.servers.size() }, { "usable", plan.local.choice.usable }, { "regions", plan.remote.rooms.size() } });
-    failWith(std::move(error));
+    failWith(error);
 }
 
 std::string RequestJob::requestBytes(const std::string& extraHeaders) const
@@ -423,8 +423,8 @@
     if (repeat("the server refused"))
         return;
     const bool began = m_mayHaveRun;
-    Error error { ErrorKind::Overloaded, {}, began ? RunState::OutcomeUnknown : RunState::NotRun, {} };
-    failWith(std::move(error));
+    const Error error { ErrorKind::Overloaded, {}, began ? RunState::OutcomeUnknown : RunState::NotRun, {} };
+    failWith(error);
 }
 
 void RequestJob::onHopFailure()
@@ -440,7 +440,7 @@
         --m_attempts;
         return dispatch();
     }
-    failWith(std::move(error));
+    failWith(error);
 }
 
 void RequestJob::onAnswerFailure(OutboundFailure failure, std::string_view reason)
@@ -512,9 +512,9 @@
     if (m_done)
         return;
     const bool sent = m_outbound && m_outbound->sent();
-    Error error { ErrorKind::DeadlineExceeded, {}, sent || m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun, {} };
+    const Error error { ErrorKind::DeadlineExceeded, {}, sent || m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun, {} };
     logInfo("time is up", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "instance", m_viaInstance }, { "events", m_gate.events() }, { "head_seen", m_intake != Intake::None ? 1 : 0 } });
-    failWith(std::move(error));
+    failWith(error);
 }
 
 void RequestJob::onCallerGone()
@@ -527,7 +527,7 @@
     finish("caller_gone");
 }
 
-void RequestJob::failWith(Error error)
+void RequestJob::failWith(const Error& error)
 {
     const auto self = shared_from_this();
     if (m_done)
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -74,7 +74,7 @@
     void releaseServer(ServerOutcome);
     void onTimeLimit();
     void onCallerGone();
-    void failWith(Error);
+    void failWith(const Error&);
     void finish(std::string_view outcome);
     Duration timeLeft() const;
     Duration objectiveLeft() const;
--- a/src/yuccashift/entry/snapshot_exchange.cpp
+++ b/src/yuccashift/entry/snapshot_exchange.cpp
@@ -13,7 +13,9 @@
 
     constexpr std::string_view snapshotPath = "/yuccashift-peer/snapshot?after=";
     /** The own watch brings a change within the path to the store; a peer is asked only after that. */
-    constexpr Duration patience = milliseconds(350);
+    constexpr Duration leastPatience = milliseconds(200);
+    /** Instances that start or fall behind together ask at different times. */
+    constexpr Duration patienceSpread = milliseconds(250);
     constexpr Duration pauseBetween = milliseconds(400);
     constexpr Duration fetchTimeout = milliseconds(1500);
     constexpr Duration connectTimeout = milliseconds(500);
@@ -132,11 +134,17 @@
 
 SnapshotExchange::SnapshotExchange(EntryCore& core)
     : m_core(core)
+    , m_patience(drawPatience())
 {
 }
 
 SnapshotExchange::~SnapshotExchange() = default;
 
+Duration SnapshotExchange::drawPatience() const
+{
+    return leastPatience + std::chrono::duration_cast<Duration>(patienceSpread * m_core.random->unit());
+}
+
 void SnapshotExchange::ended()
 {
     // The fetch is on the stack of its own callback; it does nothing from here on.
@@ -149,8 +157,14 @@
 {
     const auto now = m_core.clock.now();
     const FleetMember* ahead = nullptr;
+    const auto& own = m_core.settings.region;
     for (const auto* member : m_core.members.alive()) {
-        if (member->storeRevision > m_core.world.held().revision() && (!ahead || member->storeRevision > ahead->storeRevision))
+        if (member->storeRevision <= m_core.world.held().revision())
+            continue;
+        // The own region is nearer, and bytes between regions are scarce.
+        const bool nearer = ahead && member->region == own && ahead->region != own;
+        const bool farther = ahead && member->region != own && ahead->region == own;
+        if (!ahead || nearer || (!farther && member->storeRevision > ahead->storeRevision))
             ahead = member;
     }
     if (!ahead) {
@@ -159,11 +173,10 @@
     }
     if (m_behindSince == Instant {})
         m_behindSince = now;
-    const bool starting = m_core.world.configVersion() == 0;
-    const bool due = starting || now - m_behindSince >= patience;
-    if (!due || m_fetch || now - m_lastFetch < pauseBetween)
+    if (now - m_behindSince < m_patience || m_fetch || now - m_lastFetch < pauseBetween)
         return;
     m_lastFetch = now;
+    m_patience = drawPatience();
     m_fetch = std::make_unique<Fetch>(*this, *ahead);
 }
 
--- a/src/yuccashift/entry/snapshot_exchange.hpp
+++ b/src/yuccashift/entry/snapshot_exchange.hpp
@@ -31,9 +31,11 @@
 private:
     class Fetch;
     void ended();
+    Duration drawPatience() const;
 
     EntryCore& m_core;
     std::unique_ptr<Fetch> m_fetch;
+    Duration m_patience;
     Instant m_behindSince {};
     Instant m_lastFetch {};
 };
