--- a/fuzzing/soak/soak.cpp
+++ b/fuzzing/soak/soak.cpp
@@ -15,7 +15,6 @@
 namespace yuccashift::soak {
 
 using test::EntryFleet;
-using test::PublishedRoute;
 using test::Relay;
 using test::RelayMode;
 
