Keep a key's answer before its last byte is passed on

The recorder now hands the whole answer over before the last byte leaves; its test failed to compile against the old one, and the process test passes.

--- a/src/yuccashift/gateway/answer_recorder.cpp
+++ b/src/yuccashift/gateway/answer_recorder.cpp
@@ -4,18 +4,31 @@
 
 namespace asio = boost::asio;
 
-AnswerRecorder::AnswerRecorder(AnswerSink& sink, std::size_t mostBytes)
+AnswerRecorder::AnswerRecorder(AnswerSink& sink, std::size_t mostBytes, OnWhole onWhole)
     : m_sink(sink)
     , m_mostBytes(mostBytes)
+    , m_onWhole(std::move(onWhole))
 {
 }
 
+// A receiver that has the last byte may send again at once, and has to find the answer here.
+void AnswerRecorder::complete()
+{
+    if (m_whole || m_tooLarge)
+        return;
+    m_whole = true;
+    m_onWhole(std::move(m_answer));
+}
+
 asio::awaitable<bool> AnswerRecorder::head(AnswerHead head)
 {
     m_started = true;
     m_answer.status = head.status;
     for (const auto& field : head.headers)
         m_answer.headers.emplace_back(field.name, field.value);
+    m_length = head.length;
+    if (m_length == 0U)
+        complete();
     m_receiverGone = !co_await m_sink.head(std::move(head));
     co_return true;
 }
@@ -23,8 +36,10 @@
 asio::awaitable<bool> AnswerRecorder::chunk(std::string_view data)
 {
     m_tooLarge = m_tooLarge || m_answer.body.size() + data.size() > m_mostBytes;
-    if (!m_tooLarge)
+    if (!m_tooLarge && !m_whole)
         m_answer.body += data;
+    if (m_length && !m_whole && m_answer.body.size() == *m_length)
+        complete();
     if (!m_receiverGone)
         m_receiverGone = !co_await m_sink.chunk(data);
     co_return true;
@@ -32,7 +47,7 @@
 
 asio::awaitable<bool> AnswerRecorder::end()
 {
-    m_whole = true;
+    complete();
     if (!m_receiverGone)
         m_receiverGone = !co_await m_sink.end();
     co_return true;
@@ -44,11 +59,4 @@
         co_await m_sink.fail(error, extra);
 }
 
-std::optional<StoredAnswer> AnswerRecorder::take()
-{
-    if (!m_whole || m_tooLarge)
-        return std::nullopt;
-    return std::move(m_answer);
-}
-
 } // namespace yuccashift
--- a/src/yuccashift/gateway/answer_recorder.hpp
+++ b/src/yuccashift/gateway/answer_recorder.hpp
@@ -3,6 +3,9 @@
 #include "yuccashift/http/answer_sink.hpp"
 #include "yuccashift/keys/key_table.hpp"
 
+#include <functional>
+#include <optional>
+
 namespace yuccashift {
 
 /**
@@ -11,7 +14,10 @@
  */
 class AnswerRecorder final : public AnswerSink {
 public:
-    AnswerRecorder(AnswerSink&, std::size_t mostBytes);
+    using OnWhole = std::function<void(StoredAnswer)>;
+
+    /** Calls back with the whole answer before its last byte is passed on; not where it is over the bound. */
+    AnswerRecorder(AnswerSink&, std::size_t mostBytes, OnWhole);
 
     boost::asio::awaitable<bool> head(AnswerHead) override;
     boost::asio::awaitable<bool> chunk(std::string_view) override;
@@ -19,13 +25,14 @@
     boost::asio::awaitable<void> fail(const Error&, const HeaderFields& extra) override;
     bool started() const override { return m_started; }
 
-    /** The whole answer; nothing where it is not whole or over the bound. */
-    std::optional<StoredAnswer> take();
-
 private:
+    void complete();
+
     AnswerSink& m_sink;
     std::size_t m_mostBytes;
+    OnWhole m_onWhole;
     StoredAnswer m_answer;
+    std::optional<std::size_t> m_length;
     bool m_started = false;
     bool m_whole = false;
     bool m_tooLarge = false;
--- a/src/yuccashift/gateway/gateway.cpp
+++ b/src/yuccashift/gateway/gateway.cpp
@@ -62,12 +62,19 @@
         OpenRun(const OpenRun&) = delete;
         OpenRun& operator=(const OpenRun&) = delete;
 
-        void close(const Result<void>& result, std::optional<StoredAnswer> answer)
+        void finish(StoredAnswer answer)
         {
             m_open = false;
-            if (result && answer)
-                m_keys.finish(m_ticket, std::move(*answer));
-            else if (result)
+            m_keys.finish(m_ticket, std::move(answer));
+        }
+
+        /** To be called at the end where the answer was not whole before. */
+        void close(const Result<void>& result)
+        {
+            if (!m_open)
+                return;
+            m_open = false;
+            if (result)
                 m_keys.finishWithoutAnswer(m_ticket);
             else
                 closeFailed(result.error());
@@ -276,13 +283,13 @@
     if (decision.verdict == KeyVerdict::Refuse)
         co_return tl::unexpected(decision.error.value_or(Error { ErrorKind::Internal, {}, {}, {} }));
     OpenRun run(m_parts.keys, decision.ticket);
-    AnswerRecorder recorder(sink, mostStoredAnswerBytes);
+    AnswerRecorder recorder(sink, mostStoredAnswerBytes, [&run](StoredAnswer answer) { run.finish(std::move(answer)); });
     Result<void> result;
     if (m_parts.lifecycle.draining())
         result = fail(ErrorKind::Draining);
     else
         result = co_await place(context, recorder);
-    run.close(result, recorder.take());
+    run.close(result);
     co_return result;
 }
 
