--- a/tests/fleet/world_test.cpp
+++ b/tests/fleet/world_test.cpp
@@ -121,6 +121,7 @@
     {
         publishServers(6);
         std::vector<ItemChange> changes;
+        changes.reserve(4);
         for (int n = 0; n < 4; ++n)
             changes.push_back({ "s" + std::to_string(n), std::nullopt, ++revision });
         world.apply(changes, revision);
--- a/tests/gateway/answer_recorder_test.cpp
+++ b/tests/gateway/answer_recorder_test.cpp
@@ -37,7 +37,7 @@
         void pass(std::optional<std::size_t> length, const std::vector<std::string>& parts, std::size_t bound = 100)
         {
             asio::io_context io;
-            AnswerRecorder recorder(receiver, bound, [this](StoredAnswer answer) { receiver.recorded = answer.body; });
+            AnswerRecorder recorder(receiver, bound, [this](StoredAnswer answer) { receiver.recorded = std::move(answer.body); });
             asio::co_spawn(io, run(recorder, length, parts), asio::detached);
             io.run();
         }
