--- a/fuzzing/fleet_fuzz.cpp
+++ b/fuzzing/fleet_fuzz.cpp
@@ -230,7 +230,7 @@
         explicit SharedBounds(std::string_view mutant)
             : m_mutant(mutant)
         {
-            m_items.config.services["draft"] = { "/health", 0, seconds(3), coldRate, false, 0, 0 };
+            m_items.config.services["draft"] = { "/health", 0, seconds(3), coldRate, false, 0 };
             for (std::size_t n = 0; n < sharerCount; ++n)
                 m_sharers[n] = std::make_unique<Sharer>(m_clock, m_items, "i" + std::to_string(n));
             for (auto& it : m_sharers) {
--- a/src/yuccashift/dispatch/crash_book.hpp
+++ b/src/yuccashift/dispatch/crash_book.hpp
@@ -22,6 +22,8 @@
     void onDeath(std::uint64_t fingerprint, std::uint64_t server);
     /** Deaths seen by another instance. */
     void setPeerDeaths(const InstanceId&, std::map<std::int64_t, std::int32_t>);
+    /** Whether no death is known at all, so that a request's fingerprint need not be taken. */
+    bool empty() const { return m_records.empty() && m_peers.empty(); }
     bool blocked(std::uint64_t fingerprint) const;
     /** Own records for heartbeats, bounded. */
     std::map<std::int64_t, std::int32_t> ownDeaths() const;
--- a/src/yuccashift/dispatch/server_choice.cpp
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -66,7 +66,7 @@
         if (!server.engine)
             return predicted;
         const double uncached = work.promptTokens - std::min(work.promptTokens, server.cachedTokens);
-        return predicted + std::chrono::duration_cast<Duration>(Millis(othersWeight * uncached / promptTokensPerMs));
+        return predicted + readingTime(othersWeight * uncached);
     }
 
     PassedOver check(const ServerCandidate& server, double meanFailureShare)
@@ -137,6 +137,11 @@
     }
 }
 
+Duration readingTime(double tokens)
+{
+    return std::chrono::duration_cast<Duration>(Millis(tokens / promptTokensPerMs));
+}
+
 Duration idleFirstByte(bool engine, const WorkSize& work)
 {
     ServerCandidate idle;
--- a/src/yuccashift/dispatch/server_choice.hpp
+++ b/src/yuccashift/dispatch/server_choice.hpp
@@ -57,6 +57,8 @@
 };
 std::string_view toString(PassedOver);
 
+/** Time in which a busy engine reads so many tokens of a prompt. */
+Duration readingTime(double tokens);
 /** Time until a request's first byte at a server without other work that knows none of its prompt. */
 Duration idleFirstByte(bool engine, const WorkSize&);
 /** Time until a request's first byte, from its sending on. */
--- a/src/yuccashift/dispatch/work.hpp
+++ b/src/yuccashift/dispatch/work.hpp
@@ -16,6 +16,12 @@
 /** Ranks of urgency that are told apart; 0 is the most urgent, and later ones count as the last. */
 constexpr std::size_t urgencyRanks = 4;
 
+/** Output to expect of a request whose caller names only the most that may come. */
+constexpr std::uint32_t expectedOutput(std::uint32_t mostTokens)
+{
+    return mostTokens / 2;
+}
+
 /** What a request costs a backend server. */
 struct WorkSize {
     std::vector<PromptPart> parts;
--- a/src/yuccashift/entry/dispatcher.cpp
+++ b/src/yuccashift/entry/dispatcher.cpp
@@ -9,12 +9,8 @@
 
 namespace {
 
-    using Millis = std::chrono::duration<double, std::milli>;
-
     /** To another region and back; the links of the deployments take a few dozen milliseconds one way. */
     constexpr Duration regionRoundTrip = milliseconds(116);
-    /** Prompt tokens that an engine reads in a millisecond, for prompts whose prefix lies elsewhere. */
-    constexpr double promptTokensPerMs = 60.0;
     /** Wait that one hop adds that the other region's heartbeat does not show yet. */
     constexpr Duration waitOfHop = milliseconds(15);
     /** A cold server's owner sends this much slower than the rate, since for moments several instances may think that they own it. */
@@ -184,7 +180,7 @@
         if (usable && room != member->rooms.end() && room->second.freeSlots > 0)
             byRegion[member->region].push_back(member);
     }
-    const auto coldPrompt = std::chrono::duration_cast<Duration>(Millis(work.promptTokens / promptTokensPerMs));
+    const auto coldPrompt = readingTime(work.promptTokens);
     for (const auto& [region, members] : byRegion) {
         const auto* member = members[m_random.below(members.size())];
         const auto wait = member->rooms.at(service).wait[std::min(work.rank, urgencyRanks - 1)] + member->sentSinceHeard * waitOfHop;
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -11,6 +11,7 @@
 #include "yuccashift/kernel/log.hpp"
 #include "yuccashift/resilience/pause_detector.hpp"
 
+#include <algorithm>
 #include <boost/algorithm/string/join.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -34,6 +35,8 @@
     constexpr double callerDescriptorShare = 0.6;
     /** Instances that may be added to those seen. */
     constexpr std::size_t unseenInstances = 3;
+    /** Directory answers are to count for so long, so that a stop is soon known to all callers. */
+    constexpr Duration directoryValidity = seconds(1);
     constexpr Duration pauseThreshold = seconds(1);
     /** In a region of so few, passing changes on saves little and costs a step. */
     constexpr std::size_t instancesThatAllWatch = 4;
@@ -256,7 +259,7 @@
     logInfo("directory answered", { { "host", question->host }, { "caller_region", question->region }, { "named", boost::algorithm::join(named, ",") }, { "heard", view.others.size() }, { "config", core.world.configVersion() } });
     if (named.empty())
         return sendText(exchange, 503, "text/plain", "no instance takes callers\n");
-    sendText(exchange, 200, "application/json", core.dialect.encodeDirectoryAnswer(named, core.settings.directoryValidity));
+    sendText(exchange, 200, "application/json", core.dialect.encodeDirectoryAnswer(named, std::min(directoryValidity, core.settings.directoryValidity)));
 }
 
 void EntryNode::State::answerReadiness(InboundExchange& exchange)
--- a/src/yuccashift/entry/entry_settings.hpp
+++ b/src/yuccashift/entry/entry_settings.hpp
@@ -33,18 +33,14 @@
     /** The platform's store. */
     Endpoint store;
 
-    /** Share of a core that this instance has. */
-    double cpuShare = 1.0;
     /** Descriptors of the process. */
     std::size_t descriptors = 1024;
 
     /** From SIGTERM to the end of the process at the latest. */
     Duration stopGrace = seconds(8);
-    /** Longest time for which a directory answer may count. */
-    Duration directoryValidity = seconds(2);
+    /** Longest time for which a directory answer counts with callers. */
+    Duration directoryValidity = seconds(5);
     RepeatBound repeats;
-    /** Requests a second that a cold server takes beyond its rate, as a factor. */
-    double coldOverage = 1.0;
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -36,10 +36,10 @@
     /** Least time for which a send is worth while. */
     constexpr Duration leastUsefulTime = milliseconds(30);
 
-    bool connectionNames(const HeaderFields& headers, std::string_view name)
+    /** Whether a `Connection` header names another header as one of the connection only. */
+    bool connectionNames(std::string_view connection, std::string_view name)
     {
-        const auto value = findHeader(headers, "Connection");
-        return value && boost::algorithm::icontains(*value, name) && !boost::algorithm::iequals(name, "host");
+        return boost::algorithm::icontains(connection, name) && !boost::algorithm::iequals(name, "host");
     }
 
     /** What goes on to the caller: everything but the headers of the server's connection. */
@@ -101,6 +101,11 @@
     return hash64(parts);
 }
 
+bool RequestJob::crashesServers() const
+{
+    return !m_core.crashes.empty() && m_core.crashes.blocked(fingerprint());
+}
+
 bool RequestJob::prepare()
 {
     m_deadline = m_exchange->arrivedAt() + seconds(10);
@@ -148,7 +153,7 @@
         m_deadline = arrived + patience;
         m_objectiveAt = arrived + m_route->latencyObjective;
     }
-    if (m_core.crashes.blocked(fingerprint()))
+    if (crashesServers())
         return fail(ErrorKind::Quarantined);
     return {};
 }
@@ -213,8 +218,9 @@
     std::string out;
     out.reserve(512 + extraHeaders.size() + request.body.size());
     out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    const auto connection = findHeader(request.headers, "Connection").value_or("");
     for (const auto& field : request.headers) {
-        if (isHopByHop(field.name) || m_core.dialect.reservedHeader(field.name) || connectionNames(request.headers, field.name))
+        if (isHopByHop(field.name) || m_core.dialect.reservedHeader(field.name) || connectionNames(connection, field.name))
             continue;
         out.append(field.name).append(": ").append(field.value).append("\r\n");
     }
@@ -488,7 +494,7 @@
 {
     // The instance that holds the caller repeats; it knows all attempts.
     const bool allowed = !m_hop && m_attempts < m_route->maxAttempts && timeLeft() > leastUsefulTime;
-    if (!allowed || m_core.crashes.blocked(fingerprint()))
+    if (!allowed || crashesServers())
         return false;
     const auto next = plan();
     // Where nobody can take it, the answer at hand is better than none.
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -81,6 +81,7 @@
     /** The event after which the next server goes on. */
     std::optional<std::string> resumeAfter() const;
     std::uint64_t fingerprint() const;
+    bool crashesServers() const;
 
     EntryCore& m_core;
     std::shared_ptr<InboundExchange> m_exchange;
--- a/src/yuccashift/fleet/backend_server.hpp
+++ b/src/yuccashift/fleet/backend_server.hpp
@@ -35,10 +35,6 @@
     bool engine = false;
     /** Until then it is cold: it takes few requests a second. */
     Instant coldUntil {};
-    /** When this instance first held the entry of this start. */
-    Instant seenSince {};
-    /** When this instance last took a change of the entry. */
-    Instant changedAt {};
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/fleet/datagram.hpp
+++ b/src/yuccashift/fleet/datagram.hpp
@@ -9,9 +9,6 @@
 
 namespace yuccashift {
 
-/** Largest datagram between instances, in bytes. */
-constexpr std::size_t mostDatagramBytes = 60 * 1024;
-
 /** Thrift's compact form. */
 std::string encodeDatagram(const fleetwire::Datagram&);
 std::string encodeSnapshot(const fleetwire::Snapshot&);
--- a/src/yuccashift/fleet/route_config.hpp
+++ b/src/yuccashift/fleet/route_config.hpp
@@ -65,8 +65,6 @@
     /** Requests a second that a cold server takes. */
     double coldRate = 0;
     bool engine = false;
-    /** Requests that an engine batches; 0 where not said. */
-    std::uint32_t batchSlots = 0;
     /** Tokens that fit into an engine's memory; 0 where not said. */
     std::uint64_t memoryTokens = 0;
 };
--- a/src/yuccashift/fleet/world.cpp
+++ b/src/yuccashift/fleet/world.cpp
@@ -101,12 +101,8 @@
     const auto now = m_clock.now();
     auto& server = entry.server;
     server.key = hashOf(server.identity);
-    server.changedAt = now;
-    server.seenSince = now;
     const auto it = m_servers.find(key);
     const bool known = it != m_servers.end() && it->second.identity == server.identity && it->second.address == server.address;
-    if (known)
-        server.seenSince = it->second.seenSince;
     server.coldUntil = now + entry.coldFor;
     const bool changed = !known || it->second.draining != server.draining;
     if (changed)
--- a/src/yuccashift/fleet/world.hpp
+++ b/src/yuccashift/fleet/world.hpp
@@ -76,7 +76,6 @@
     std::int64_t configVersion() const { return m_routes ? m_routes->config().version : 0; }
     const std::map<std::string, BackendServer>& servers() const { return m_servers; }
     bool evacuated(const DatacentreName& datacentre) const { return m_evacuated.contains(datacentre); }
-    const std::set<DatacentreName>& evacuatedDatacentres() const { return m_evacuated; }
     /** The server learned to be cold from its own answer, after its entry was written. */
     void setCold(const std::string& id, Instant until);
 
--- a/src/yuccashift/http/outbound.cpp
+++ b/src/yuccashift/http/outbound.cpp
@@ -99,7 +99,6 @@
         asio::io_context& io;
         const Clock& clock;
         std::unordered_map<std::string, ConnectionList> idle;
-        std::unordered_map<std::string, std::size_t> open;
         OutboundCounts counts;
     };
 
@@ -112,15 +111,9 @@
             , m_socket(m_state->io)
             , m_timer(m_state->io)
         {
-            ++m_state->open[m_poolKey];
         }
 
-        ~OutboundConnection()
-        {
-            const auto it = m_state->open.find(m_poolKey);
-            if (it != m_state->open.end() && --it->second == 0)
-                m_state->open.erase(it);
-        }
+        ~OutboundConnection() = default;
         OutboundConnection(const OutboundConnection&) = delete;
         OutboundConnection& operator=(const OutboundConnection&) = delete;
 
@@ -488,12 +481,6 @@
     m_state->idle.clear();
 }
 
-std::size_t OutboundPool::connections(const std::string& poolKey) const
-{
-    const auto it = m_state->open.find(poolKey);
-    return it == m_state->open.end() ? 0 : it->second;
-}
-
 OutboundCounts OutboundPool::counts() const
 {
     return m_state->counts;
--- a/src/yuccashift/http/outbound.hpp
+++ b/src/yuccashift/http/outbound.hpp
@@ -97,8 +97,6 @@
     void closeIdle(const std::string& poolKey);
     /** Closes all idle connections. */
     void closeAllIdle();
-    /** Connections of a pool key, idle or not. */
-    std::size_t connections(const std::string& poolKey) const;
     OutboundCounts counts() const;
 
 private:
--- a/tests/support/http_call.cpp
+++ b/tests/support/http_call.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <boost/json/parse.hpp>
 #include <cctype>
 
 namespace yuccashift::test {
@@ -86,4 +87,11 @@
     return reply;
 }
 
+boost::json::object objectOf(const HttpReply& reply)
+{
+    boost::system::error_code ec;
+    const auto value = boost::json::parse(reply.body, ec);
+    return reply.ok() && !ec && value.is_object() ? value.as_object() : boost::json::object();
+}
+
 } // namespace yuccashift::test
--- a/tests/support/http_call.hpp
+++ b/tests/support/http_call.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccashift/kernel/ids.hpp"
 
+#include <boost/json/object.hpp>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -36,6 +37,9 @@
     std::string header(const std::string& lowerCaseName) const;
 };
 
+/** The JSON table of a good reply; empty where there is none. */
+boost::json::object objectOf(const HttpReply&);
+
 /** Called with the body so far; false gives the call up. */
 using OnProgress = std::function<bool(std::string_view)>;
 
--- a/tests/support/process_fleet.cpp
+++ b/tests/support/process_fleet.cpp
@@ -35,13 +35,6 @@
         return endpointOf(text.substr(0, text.find(' ')));
     }
 
-    boost::json::object objectOf(const HttpReply& reply)
-    {
-        boost::system::error_code ec;
-        const auto value = boost::json::parse(reply.body, ec);
-        return reply.ok() && !ec && value.is_object() ? value.as_object() : boost::json::object();
-    }
-
     boost::json::object listed(const RunningInstance& it)
     {
         return { { "instance", it.spec.instance }, { "region", it.spec.region }, { "datacentre", it.spec.datacentre },
@@ -50,6 +43,17 @@
 
 } // namespace
 
+RunningStandin startListening(const std::string& pathBelowBuild, const std::vector<std::string>& arguments, const std::string& folder, const std::string& name)
+{
+    std::vector<std::string> command { ProcessFleet::program(pathBelowBuild) };
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    RunningStandin started;
+    started.process = std::make_unique<ChildProcess>(command, "", folder, name);
+    const std::string start = "listening ";
+    started.endpoint = endpointOf(started.process->waitForLine(start).substr(start.size()));
+    return started;
+}
+
 ProcessFleet::ProcessFleet(const std::string& name)
     : m_folder(makeFolder(name))
 {
@@ -80,14 +84,10 @@
 
 Endpoint ProcessFleet::startStandin(const std::string& name, const std::string& program, const std::vector<std::string>& arguments)
 {
-    std::vector<std::string> command { ProcessFleet::program("standins/standin_" + program) };
-    command.insert(command.end(), arguments.begin(), arguments.end());
-    auto process = std::make_unique<ChildProcess>(command, "", m_folder, name);
-    const std::string start = "listening ";
-    auto endpoint = endpointOf(process->waitForLine(start).substr(start.size()));
-    m_standins[name] = std::move(process);
-    m_endpoints[name] = endpoint;
-    return endpoint;
+    auto started = startListening("standins/standin_" + program, arguments, m_folder, name);
+    m_standins[name] = std::move(started.process);
+    m_endpoints[name] = started.endpoint;
+    return started.endpoint;
 }
 
 void ProcessFleet::killStandin(const std::string& name)
--- a/tests/support/process_fleet.hpp
+++ b/tests/support/process_fleet.hpp
@@ -12,6 +12,15 @@
 
 namespace yuccashift::test {
 
+/** A stand-in that listens. */
+struct RunningStandin {
+    std::unique_ptr<ChildProcess> process;
+    Endpoint endpoint;
+};
+
+/** Starts a stand-in of this build, its output in the folder, and waits until it listens. */
+RunningStandin startListening(const std::string& pathBelowBuild, const std::vector<std::string>& arguments, const std::string& folder, const std::string& name);
+
 /** One entry instance to start. */
 struct InstanceSpec {
     InstanceId instance;
