Let requests with a long shared prompt prefix meet in one region

Each region read every prefix, and each region's peak fell on its own servers alone.

Change: weighted rendezvous hashing over the servers of the regions that a request may be served in names one region for a shared prefix. A request goes there where reading the prefix here would cost more than the path and the first byte there is due soon enough; otherwise it stays as before.

--- a/src/yuccashift/dispatch/placement.cpp
+++ b/src/yuccashift/dispatch/placement.cpp
@@ -15,6 +15,28 @@
     /** Callers that come back late still get this long. */
     constexpr Duration leastPatience = milliseconds(700);
 
+    /** Part of the objective within which another region's first byte is soon enough to go there for a prefix. */
+    constexpr double soonEnoughShare = 0.45;
+
+    Duration firstByteAt(const RemoteRoom& room)
+    {
+        return room.wait + room.prompt + room.roundTrip;
+    }
+
+    /** The region to go to for the shared prefix, which is cheaper than to read the prefix here. */
+    std::optional<std::size_t> prefixHolder(const PlacementInput& input)
+    {
+        const auto soonEnough = std::chrono::duration_cast<Duration>(input.objective * soonEnoughShare);
+        // Reading it again makes this request wait, and those that come to the server meanwhile.
+        const auto cost = *input.local + input.rereading;
+        for (std::size_t i = 0; i < input.remotes.size(); ++i) {
+            const auto& room = input.remotes[i];
+            if (room.holdsPrefix && firstByteAt(room) < std::min(cost, soonEnough))
+                return i;
+        }
+        return std::nullopt;
+    }
+
     Duration limitOf(const PlacementInput& input)
     {
         const auto late = std::max(input.objective, input.idle + std::chrono::duration_cast<Duration>(input.objective * queueShare));
@@ -27,6 +49,14 @@
 Placement place(const PlacementInput& input)
 {
     Placement placement;
+    if (input.local && input.rereading > Duration::zero()) {
+        if (const auto holder = prefixHolder(input)) {
+            placement.where = Placement::Where::Remote;
+            placement.remote = *holder;
+            placement.predicted = firstByteAt(input.remotes[*holder]);
+            return placement;
+        }
+    }
     if (input.local && *input.local <= input.objective) {
         placement.where = Placement::Where::Local;
         placement.predicted = *input.local;
@@ -38,8 +68,7 @@
         placement.where = Placement::Where::Local;
     }
     for (std::size_t i = 0; i < input.remotes.size(); ++i) {
-        const auto& room = input.remotes[i];
-        const auto predicted = room.wait + room.coldPrompt + room.roundTrip;
+        const auto predicted = firstByteAt(input.remotes[i]);
         const auto handicap = placement.where == Placement::Where::Local ? spillMargin : Duration::zero();
         if (best && predicted + handicap >= *best)
             continue;
--- a/src/yuccashift/dispatch/placement.hpp
+++ b/src/yuccashift/dispatch/placement.hpp
@@ -12,15 +12,19 @@
 struct RemoteRoom {
     /** Wait for the first byte of a small request there. */
     Duration wait {};
-    /** Reading the whole prompt there, since its prefix lies here. */
-    Duration coldPrompt {};
+    /** Reading there what of the prompt is not held there. */
+    Duration prompt {};
     /** To the region and back. */
     Duration roundTrip {};
+    /** Requests with this shared prefix meet there, so that it need not be read again. */
+    bool holdsPrefix = false;
 };
 
 struct PlacementInput {
     /** Time to the first byte in this region; nothing where no server here can take the request. */
     std::optional<Duration> local;
+    /** Reading the shared prefix in this region, as far as it is not held here. */
+    Duration rereading {};
     std::span<const RemoteRoom> remotes;
     /** Time to the first byte at a server without other work. */
     Duration idle {};
@@ -45,7 +49,8 @@
 /**
  * Decides between this region, another one and an early refusal. Leaving the
  * region has to pay for the path, the cold prompt and a margin that keeps
- * requests from wandering. A request that would queue for too long is refused
+ * requests from wandering; a long shared prefix that another region holds pays
+ * for the path by itself. A request that would queue for too long is refused
  * now; how long its own prompt takes is not held against it.
  */
 Placement place(const PlacementInput&);
--- /dev/null
+++ b/src/yuccashift/dispatch/prefix_home.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "yuccashift/kernel/ids.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace yuccashift {
+
+/** A region that may serve a request, and how many servers of its service it has. */
+struct RegionCapacity {
+    RegionName region;
+    std::size_t servers = 0;
+};
+
+/**
+ * The region in which requests with a shared prompt prefix meet, so that it is
+ * read once and not once in each region. Regions get prefixes by their number of
+ * servers; all instances that see the same servers name the same one. Nothing
+ * where no region has a server.
+ */
+std::optional<RegionName> prefixHomeRegion(std::uint64_t prefix, std::span<const RegionCapacity>);
+
+/** Weight of a server for a prefix; the highest of a region is the prefix's home there. */
+std::uint64_t prefixServerWeight(std::uint64_t prefix, std::uint64_t server);
+
+} // namespace yuccashift
--- a/src/yuccashift/dispatch/work.hpp
+++ b/src/yuccashift/dispatch/work.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <span>
@@ -34,6 +35,13 @@
     std::uint32_t memoryTokens() const { return promptTokens + outputTokens; }
     /** The parts that other requests may have left in a cache; the last one belongs to the request. */
     std::span<const PromptPart> sharedParts() const { return std::span(parts).first(parts.empty() ? 0 : parts.size() - 1); }
+    std::uint32_t sharedTokens() const
+    {
+        std::uint32_t tokens = 0;
+        for (const auto& part : sharedParts())
+            tokens += part.tokens;
+        return std::min(tokens, promptTokens);
+    }
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/dispatcher.cpp
+++ b/src/yuccashift/entry/dispatcher.cpp
@@ -1,6 +1,6 @@
 #include "yuccashift/entry/dispatcher.hpp"
 
-#include "yuccashift/kernel/hash.hpp"
+#include "yuccashift/dispatch/prefix_home.hpp"
 #include "yuccashift/kernel/rendezvous.hpp"
 
 #include <algorithm>
@@ -59,10 +59,42 @@
 {
 }
 
-bool Dispatcher::serves(const BackendServer& server) const
+const RegionName* Dispatcher::servingRegion(const BackendServer& server) const
 {
     const auto region = m_settings.regions.find(server.datacentre);
-    return region != m_settings.regions.end() && region->second == m_settings.region && !server.draining && !m_world.evacuated(server.datacentre);
+    if (region == m_settings.regions.end() || server.draining || m_world.evacuated(server.datacentre))
+        return nullptr;
+    return &region->second;
+}
+
+bool Dispatcher::serves(const BackendServer& server) const
+{
+    const auto* region = servingRegion(server);
+    return region && *region == m_settings.region;
+}
+
+bool Dispatcher::reaches(const RegionName& region) const
+{
+    return region == m_settings.region || std::ranges::any_of(m_members.alive(), [&](const auto* it) { return it->region == region && !it->draining; });
+}
+
+std::optional<RegionName> Dispatcher::prefixHome(const Route& route, const ServiceName& service, const WorkSize& work) const
+{
+    const auto shared = work.sharedParts();
+    if (shared.empty())
+        return std::nullopt;
+    std::map<RegionName, std::size_t> servers;
+    for (const auto& [key, server] : m_world.servers()) {
+        const auto* region = server.service == service ? servingRegion(server) : nullptr;
+        if (region && route.allowsRegion(*region))
+            ++servers[*region];
+    }
+    std::vector<RegionCapacity> regions;
+    for (const auto& [region, count] : servers) {
+        if (reaches(region))
+            regions.push_back({ region, count });
+    }
+    return prefixHomeRegion(shared.back().id, regions);
 }
 
 std::size_t Dispatcher::sharers() const
@@ -118,7 +150,7 @@
     ServerCandidate* home = nullptr;
     std::uint64_t highest = 0;
     for (auto& it : candidates) {
-        const auto weight = mix64(shared.back().id ^ mix64(it.key));
+        const auto weight = prefixServerWeight(shared.back().id, it.key);
         if (it.suspect || it.cold || (home && weight < highest))
             continue;
         home = &it;
@@ -126,10 +158,7 @@
     }
     if (!home)
         return;
-    std::uint32_t tokens = 0;
-    for (const auto& part : shared)
-        tokens += part.tokens;
-    home->cachedTokens = std::max(home->cachedTokens, tokens);
+    home->cachedTokens = std::max(home->cachedTokens, work.sharedTokens());
 }
 
 void Dispatcher::leaveOutForSpread(std::span<ServerCandidate> candidates, const WorkSize& work, std::size_t sharers) const
@@ -137,16 +166,14 @@
     if (sharers <= sharersInStep || candidates.empty())
         return;
     const auto kept = std::max<std::size_t>(fewestConsidered, considerPerShare * candidates.size() / sharers);
-    std::uint32_t sharedTokens = 0;
-    for (const auto& part : work.sharedParts())
-        sharedTokens += part.tokens;
+    const auto sharedTokens = work.sharedTokens();
     for (auto& it : candidates) {
         const bool holdsPrefix = sharedTokens > 0 && it.cachedTokens >= sharedTokens;
         it.considered = holdsPrefix || m_random.below(candidates.size()) < kept;
     }
 }
 
-LocalPlan Dispatcher::planLocal(const ServiceName& service, const WorkSize& work, Duration objective, const std::set<std::uint64_t>& tried) const
+LocalPlan Dispatcher::planLocal(const ServiceName& service, const WorkSize& work, Duration objective, const std::set<std::uint64_t>& tried, const std::optional<RegionName>& prefixHome) const
 {
     LocalPlan plan;
     const auto routes = m_world.routes();
@@ -161,15 +188,20 @@
         plan.candidates.push_back(candidate(server, traits, work, owners));
         plan.candidates.back().tried = tried.contains(server.key);
     }
-    expectPrefixAtItsHome(plan.candidates, work);
+    if (prefixHome == m_settings.region)
+        expectPrefixAtItsHome(plan.candidates, work);
     noteSlowStreams(plan.candidates);
     const auto soonEnough = std::chrono::duration_cast<Duration>(objective * soonEnoughShare);
     leaveOutForSpread(plan.candidates, work, owners.size());
     plan.choice = chooseServer(plan.candidates, work, soonEnough, m_random.next());
+    if (traits.engine && plan.choice.best) {
+        const auto shared = work.sharedTokens();
+        plan.rereading = readingTime(shared - std::min(shared, plan.candidates[*plan.choice.best].cachedTokens));
+    }
     return plan;
 }
 
-RemotePlan Dispatcher::planRemote(const Route& route, const ServiceName& service, const WorkSize& work, const std::set<InstanceId>& tried) const
+RemotePlan Dispatcher::planRemote(const Route& route, const ServiceName& service, const WorkSize& work, const std::set<InstanceId>& tried, const std::optional<RegionName>& prefixHome) const
 {
     RemotePlan plan;
     const auto now = m_clock.now();
@@ -180,11 +212,12 @@
         if (usable && room != member->rooms.end() && room->second.freeSlots > 0)
             byRegion[member->region].push_back(member);
     }
-    const auto coldPrompt = readingTime(work.promptTokens);
     for (const auto& [region, members] : byRegion) {
         const auto* member = members[m_random.below(members.size())];
         const auto wait = member->rooms.at(service).wait[std::min(work.rank, urgencyRanks - 1)] + member->sentSinceHeard * waitOfHop;
-        plan.rooms.push_back({ wait, coldPrompt, regionRoundTrip });
+        const bool holdsPrefix = prefixHome == region;
+        const auto prompt = readingTime(work.promptTokens - (holdsPrefix ? work.sharedTokens() : 0));
+        plan.rooms.push_back({ wait, prompt, regionRoundTrip, holdsPrefix });
         plan.members.push_back(member);
     }
     return plan;
@@ -202,7 +235,7 @@
         ServiceRoomView room;
         for (std::size_t rank = 0; rank < urgencyRanks; ++rank) {
             typical.rank = rank;
-            const auto plan = planLocal(service, typical, Duration::zero(), {});
+            const auto plan = planLocal(service, typical, Duration::zero(), {}, std::nullopt);
             if (!plan.choice.best)
                 break;
             room.wait[rank] = plan.choice.predicted;
--- a/src/yuccashift/entry/dispatcher.hpp
+++ b/src/yuccashift/entry/dispatcher.hpp
@@ -21,6 +21,8 @@
     ServerChoice choice;
     std::vector<const BackendServer*> servers;
     std::vector<ServerCandidate> candidates;
+    /** Reading at the chosen server what of the shared prefix it does not hold. */
+    Duration rereading {};
 
     const BackendServer* server() const { return choice.best ? servers[*choice.best] : nullptr; }
 };
@@ -37,16 +39,22 @@
 public:
     Dispatcher(const Clock&, const EntrySettings&, const World&, const ServerBook&, const MemberBook&, const OutboundPool&, RandomSource&);
 
-    LocalPlan planLocal(const ServiceName&, const WorkSize&, Duration objective, const std::set<std::uint64_t>& tried) const;
-    RemotePlan planRemote(const Route&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried) const;
+    /** The region where requests with this one's shared prefix meet; nothing where it has none. */
+    std::optional<RegionName> prefixHome(const Route&, const ServiceName&, const WorkSize&) const;
+    LocalPlan planLocal(const ServiceName&, const WorkSize&, Duration objective, const std::set<std::uint64_t>& tried, const std::optional<RegionName>& prefixHome) const;
+    RemotePlan planRemote(const Route&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried, const std::optional<RegionName>& prefixHome) const;
     /** What heartbeats tell about this region. */
     std::map<ServiceName, ServiceRoomView> rooms() const;
-    /** Whether the servers of this data centre may be sent to and stand in this region. */
+    /** Whether the server stands in this region and may be sent to. */
     bool serves(const BackendServer&) const;
     /** Instances that share the servers of this region. */
     std::size_t sharers() const;
 
 private:
+    /** Nothing where the server may not be sent to. */
+    const RegionName* servingRegion(const BackendServer&) const;
+    /** Whether requests may go on to some instance of the region, or it is this one. */
+    bool reaches(const RegionName&) const;
     ServerCandidate candidate(const BackendServer&, const ServiceTraits&, const WorkSize&, std::span<const InstanceId> owners) const;
     /**
      * Each shared prefix has one server of the region where all instances expect
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -171,13 +171,15 @@
 RequestJob::Plan RequestJob::plan() const
 {
     Plan plan;
+    const auto prefixHome = m_core.dispatcher.prefixHome(*m_route, m_service, m_facts.work);
     if (m_route->allowsRegion(m_core.settings.region))
-        plan.local = m_core.dispatcher.planLocal(m_service, m_facts.work, objectiveLeft(), m_triedServers);
+        plan.local = m_core.dispatcher.planLocal(m_service, m_facts.work, objectiveLeft(), m_triedServers, prefixHome);
     if (!m_hop)
-        plan.remote = m_core.dispatcher.planRemote(*m_route, m_service, m_facts.work, m_triedInstances);
+        plan.remote = m_core.dispatcher.planRemote(*m_route, m_service, m_facts.work, m_triedInstances, prefixHome);
     PlacementInput input;
     if (plan.local.choice.best)
         input.local = plan.local.choice.predicted;
+    input.rereading = plan.local.rereading;
     input.remotes = plan.remote.rooms;
     input.idle = idleFirstByte(m_routes->config().traitsOf(m_service).engine, m_facts.work);
     input.objective = objectiveLeft();
@@ -266,7 +268,7 @@
     m_sentAt = m_core.clock.now();
     m_intake = Intake::None;
     ++m_attempts;
-    logInfo("sent to server", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "cached_prompt", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
+    logInfo("sent to server", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "prompt", m_facts.work.promptTokens }, { "prefix", m_facts.work.sharedParts().empty() ? 0 : m_facts.work.sharedParts().back().id }, { "cached_prompt", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
     m_outbound = m_core.servers.start(std::move(request), *this);
 }
 
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -8,7 +8,7 @@
 
     struct APlacement : testing::Test {
         std::vector<RemoteRoom> remotes { { milliseconds(60), milliseconds(30), milliseconds(116) } };
-        PlacementInput input { milliseconds(100), {}, milliseconds(80), milliseconds(600), milliseconds(3000) };
+        PlacementInput input { milliseconds(100), {}, {}, milliseconds(80), milliseconds(600), milliseconds(3000) };
 
         Placement decide()
         {
@@ -85,5 +85,42 @@
         EXPECT_EQ(decide().where, Placement::Where::Refuse);
     }
 
+    // Pattern: three regions take turns at their peak, and each would read the same long prefixes.
+    struct APlacementOfALongPrefix : APlacement {
+        APlacementOfALongPrefix()
+        {
+            input.objective = milliseconds(1000);
+            input.local = milliseconds(250);
+            input.rereading = milliseconds(90);
+            remotes[0] = { milliseconds(60), milliseconds(100), milliseconds(116), true };
+        }
+    };
+
+    TEST_F(APlacementOfALongPrefix, GoesWhereThePrefixIsHeldWhileItIsSoonEnoughThere)
+    {
+        const auto placement = decide();
+        EXPECT_EQ(placement.where, Placement::Where::Remote);
+        EXPECT_EQ(placement.predicted, milliseconds(276));
+    }
+
+    TEST_F(APlacementOfALongPrefix, StaysWhereItIsHeldHere)
+    {
+        input.rereading = {};
+        EXPECT_EQ(decide().where, Placement::Where::Local);
+    }
+
+    TEST_F(APlacementOfALongPrefix, StaysForAShortPrefixThatDoesNotPayForThePath)
+    {
+        input.rereading = milliseconds(10);
+        EXPECT_EQ(decide().where, Placement::Where::Local);
+    }
+
+    TEST_F(APlacementOfALongPrefix, StaysWhileTheHolderIsAtItsPeak)
+    {
+        remotes[0].wait = milliseconds(300);
+        input.local = milliseconds(700);
+        EXPECT_EQ(decide().where, Placement::Where::Local);
+    }
+
 } // namespace
 } // namespace yuccashift
