Name a home region in the directory before any request was seen

Cause: all instances were replaced in turn.

Change: the routes' homes count as one request each until requests outweigh them. Test in answers_test.

--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -254,7 +254,10 @@
     view.self = { core.settings.region, core.settings.ip, ready() };
     for (const auto* member : core.members.alive())
         view.others.push_back({ member->region, member->ip, member->takesCallers && !member->draining });
-    const auto fitness = [&](const RegionName& region) { return core.homeDemand.share(region); };
+    const auto routes = core.world.routes();
+    const auto fitness = [&](const RegionName& region) {
+        return core.homeDemand.share(region, routes ? std::span<const Route>(routes->config().routes) : std::span<const Route>());
+    };
     const auto named = chooseEntries(view, question->region, fitness, core.settings.callers.port);
     logInfo("directory answered", { { "host", question->host }, { "caller_region", question->region }, { "named", boost::algorithm::join(named, ",") }, { "heard", view.others.size() }, { "config", core.world.configVersion() } });
     if (named.empty())
--- a/src/yuccashift/entry/home_demand.cpp
+++ b/src/yuccashift/entry/home_demand.cpp
@@ -11,12 +11,20 @@
         ++m_served[region];
 }
 
-double HomeDemand::share(const RegionName& region) const
+double HomeDemand::share(const RegionName& region, std::span<const Route> routes) const
 {
-    if (m_bound == 0)
-        return 1.0;
+    auto bound = m_bound;
     const auto it = m_served.find(region);
-    return it == m_served.end() ? 0.0 : static_cast<double>(it->second) / static_cast<double>(m_bound);
+    auto served = it == m_served.end() ? 0 : it->second;
+    // Each bound route counts as one request, which speaks for an instance that has just started.
+    for (const auto& route : routes) {
+        if (route.homes.empty())
+            continue;
+        ++bound;
+        if (route.allowsRegion(region))
+            ++served;
+    }
+    return bound == 0 ? 1.0 : static_cast<double>(served) / static_cast<double>(bound);
 }
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/home_demand.hpp
+++ b/src/yuccashift/entry/home_demand.hpp
@@ -4,19 +4,20 @@
 
 #include <cstdint>
 #include <map>
+#include <span>
 
 namespace yuccashift {
 
 /**
  * How much of the demand that is bound to regions each region may serve, by the
- * requests seen here. Tells which other region suits callers whose own region
+ * requests seen here and, until there are many, by the routes. Tells which other region suits callers whose own region
  * has no instance for them.
  */
 class HomeDemand {
 public:
     void onRequest(const Route&);
-    /** Share of the bound requests that the region may serve; 1 before any was seen. */
-    double share(const RegionName&) const;
+    /** Share of the bound requests that the region may serve; 1 where no route is bound. */
+    double share(const RegionName&, std::span<const Route>) const;
 
 private:
     std::uint64_t m_bound = 0;
--- a/tests/entry/answers_test.cpp
+++ b/tests/entry/answers_test.cpp
@@ -100,11 +100,12 @@
     struct ADirectoryAnswer : testing::Test {
         DirectoryView view { { "sofia", "10.0.0.1", true }, { { "sofia", "10.0.0.2", true }, { "varna", "10.0.0.3", true }, { "plovdiv", "10.0.0.4", true } } };
         HomeDemand demand;
+        std::vector<Route> routes;
 
         std::vector<std::string> named() const
         {
             return chooseEntries(
-                view, "sofia", [this](const RegionName& region) { return demand.share(region); }, 80);
+                view, "sofia", [this](const RegionName& region) { return demand.share(region, routes); }, 80);
         }
     };
 
@@ -119,6 +120,17 @@
         EXPECT_EQ(named(), (std::vector<std::string> { "10.0.0.2:80" }));
     }
 
+    // Pattern: all instances are replaced in turn; one is back, alone in its region, and has seen no request.
+    TEST_F(ADirectoryAnswer, GoesByTheRoutesUntilRequestsWereSeen)
+    {
+        Route bound;
+        bound.homes = { "sofia", "plovdiv" };
+        routes = { Route {}, bound };
+        view.self.takesCallers = false;
+        view.others[0].takesCallers = false;
+        EXPECT_EQ(named(), (std::vector<std::string> { "10.0.0.4:80" }));
+    }
+
     // Pattern: all instances of a region stop in turn, faster than they are back.
     TEST_F(ADirectoryAnswer, NamesTheRegionThatMayServeMostWhereItsOwnHasNoInstance)
     {
