--- a/src/yuccashift/dispatch/placement.cpp
+++ b/src/yuccashift/dispatch/placement.cpp
@@ -16,7 +16,7 @@
     constexpr Duration leastPatience = milliseconds(700);
 
     /** Part of the objective within which another region's first byte is soon enough to go there for a prefix. */
-    constexpr double soonEnoughShare = 0.45;
+    constexpr double soonEnoughShare = 0.8;
 
     Duration firstByteAt(const RemoteRoom& room)
     {
