Show the platform's deployment in the demo; name the other instance apart in log lines

The demo starts the stand-ins of the platform's store and servers and three yuccashift-entry, and walks through directory, hop, configuration, evacuation, an outage of the store and a stop under load; it exits 0 only where all was right.

Found by it: lines about a hop held the key 'instance' twice, for the writer and for the other one; the other one is now 'peer'.

--- a/examples/demo/main.cpp
+++ b/examples/demo/main.cpp
@@ -1,8 +1,9 @@
 #include "demo/demo.hpp"
+#include "demo/platform_demo.hpp"
 
 #include <iostream>
 
-/** Runs both example deployments on the loopback address; exits 0 only where all was right. */
+/** Runs the example deployments on the loopback network; exits 0 only where all was right. */
 int main()
 {
     bool right = true;
@@ -12,6 +13,7 @@
             yuccashift::demo::Demo demo(deployment, std::cout);
             right = demo.run() && right;
         }
+        right = yuccashift::demo::PlatformDemo(std::cout).run() && right;
     } catch (const std::exception& error) {
         std::cout << "WRONG: " << error.what() << "\n";
         right = false;
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -327,7 +327,7 @@
     announce();
     ++m_round;
     for (const auto& instance : m_core.members.expire()) {
-        logInfo("instance silent for long", { { "instance", instance } });
+        logInfo("instance silent for long", { { "peer", instance } });
         m_core.book.setPeerLoads(instance, {});
         m_core.crashes.setPeerDeaths(instance, {});
     }
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -296,7 +296,7 @@
     m_sentAt = m_core.clock.now();
     m_intake = Intake::None;
     ++m_attempts;
-    logInfo("sent to instance", { { "request", m_facts.attemptId }, { "instance", member.instance }, { "region", member.region }, { "predicted_ms", toMilliseconds(predicted) } });
+    logInfo("sent to instance", { { "request", m_facts.attemptId }, { "peer", member.instance }, { "region", member.region }, { "predicted_ms", toMilliseconds(predicted) } });
     m_outbound = m_core.peers.start(std::move(request), *this);
 }
 
@@ -442,7 +442,7 @@
     m_hopError.reset();
     if (error.effectiveRunState() != RunState::NotRun)
         m_mayHaveRun = true;
-    logInfo("instance gave up", { { "request", m_facts.attemptId }, { "instance", m_viaInstance }, { "reason", error.code() }, { "run_state", toString(error.effectiveRunState()) } });
+    logInfo("instance gave up", { { "request", m_facts.attemptId }, { "peer", m_viaInstance }, { "reason", error.code() }, { "run_state", toString(error.effectiveRunState()) } });
     // The other region did not send it to a server, so that this costs nobody a repeat.
     if (error.effectiveRunState() == RunState::NotRun && m_triedInstances.size() < 2) {
         --m_attempts;
@@ -455,7 +455,7 @@
 {
     const auto self = shared_from_this();
     const bool viaInstance = !m_viaInstance.empty();
-    logInfo("send failed", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "instance", m_viaInstance }, { "how", toString(failure) }, { "reason", reason }, { "after_ms", toMilliseconds(m_core.clock.now() - m_sentAt) } });
+    logInfo("send failed", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "peer", m_viaInstance }, { "how", toString(failure) }, { "reason", reason }, { "after_ms", toMilliseconds(m_core.clock.now() - m_sentAt) } });
     if (m_intake == Intake::NotRun)
         return onNotRun();
     if (m_intake == Intake::HopFailure)
@@ -521,7 +521,7 @@
         return;
     const bool sent = m_outbound && m_outbound->sent();
     const Error error { ErrorKind::DeadlineExceeded, {}, sent || m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun, {} };
-    logInfo("time is up", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "instance", m_viaInstance }, { "events", m_gate.events() }, { "head_seen", m_intake != Intake::None ? 1 : 0 } });
+    logInfo("time is up", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "peer", m_viaInstance }, { "events", m_gate.events() }, { "head_seen", m_intake != Intake::None ? 1 : 0 } });
     failWith(error);
 }
 
@@ -562,7 +562,7 @@
     const auto route = m_route ? std::string_view(m_route->name) : std::string_view();
     m_core.metrics.counter("yuccashift_requests_total", { { "outcome", outcome } }).add();
     m_core.metrics.latency("yuccashift_request_seconds").record(took);
-    logInfo(outcome == "ok" ? "request served" : "request ended", { { "request", m_facts.attemptId }, { "route", route }, { "outcome", outcome }, { "took_ms", toMilliseconds(took) }, { "first_byte_ms", m_firstByteAt == Instant {} ? -1 : toMilliseconds(m_firstByteAt - m_exchange->arrivedAt()) }, { "server", m_serverId }, { "instance", m_viaInstance }, { "attempts", m_attempts }, { "config", m_routes ? m_routes->config().version : 0 } });
+    logInfo(outcome == "ok" ? "request served" : "request ended", { { "request", m_facts.attemptId }, { "route", route }, { "outcome", outcome }, { "took_ms", toMilliseconds(took) }, { "first_byte_ms", m_firstByteAt == Instant {} ? -1 : toMilliseconds(m_firstByteAt - m_exchange->arrivedAt()) }, { "server", m_serverId }, { "peer", m_viaInstance }, { "attempts", m_attempts }, { "config", m_routes ? m_routes->config().version : 0 } });
     // The exchange may be on the stack of a callback that still uses this job.
     boost::asio::post(m_core.io, [&core = m_core, self = shared_from_this()] {
         self->m_outbound.reset();
--- a/src/yuccashift/entry/snapshot_exchange.cpp
+++ b/src/yuccashift/entry/snapshot_exchange.cpp
@@ -100,12 +100,12 @@
         if (m_good && snapshot)
             take(*snapshot);
         else
-            logWarning("snapshot not usable", { { "instance", m_instance } });
+            logWarning("snapshot not usable", { { "peer", m_instance } });
         m_owner.ended();
     }
     void onAnswerFailure(OutboundFailure, std::string_view reason) override
     {
-        logWarning("snapshot not fetched", { { "instance", m_instance }, { "reason", reason } });
+        logWarning("snapshot not fetched", { { "peer", m_instance }, { "reason", reason } });
         m_owner.ended();
     }
 
@@ -121,7 +121,7 @@
         auto& world = m_owner.m_core.world;
         const auto before = world.held().revision();
         const bool taken = takeSnapshot(world, snapshot);
-        logInfo("published items from an instance", { { "instance", m_instance }, { "revision", snapshot.revision }, { "before", before }, { "items", snapshot.items.size() }, { "whole", snapshot.whole ? 1 : 0 }, { "taken", taken ? 1 : 0 } });
+        logInfo("published items from an instance", { { "peer", m_instance }, { "revision", snapshot.revision }, { "before", before }, { "items", snapshot.items.size() }, { "whole", snapshot.whole ? 1 : 0 }, { "taken", taken ? 1 : 0 } });
     }
 
     SnapshotExchange& m_owner;
--- a/src/yuccashift/fleet/member_book.cpp
+++ b/src/yuccashift/fleet/member_book.cpp
@@ -84,9 +84,9 @@
         member.ip = beat.profile.ip;
     }
     if (fresh)
-        logInfo("instance heard", { { "instance", member.instance }, { "region", member.region }, { "incarnation", beat.incarnation } });
+        logInfo("instance heard", { { "peer", member.instance }, { "region", member.region }, { "incarnation", beat.incarnation } });
     if (!member.draining && beat.draining)
-        logInfo("instance draining", { { "instance", member.instance } });
+        logInfo("instance draining", { { "peer", member.instance } });
     member.incarnation = incarnation;
     member.sequence = beat.sequence;
     member.takesCallers = beat.takesCallers;
