Measure requests by route, predictions, gaps and bytes of hops; give each failure its reason

RequestRecord counts and logs the end of every request; a test walks the table of error kinds and finds the line and the reason of each. New series: first byte and total time by route, prediction errors, gaps between parts of a stream, prompt tokens by expected cache, repeats, bytes of hops and of heartbeats, processor and memory of the process. 'sent to server' names slowness, prompt and prefix.

--- a/fuzzing/fleet_fuzz.cpp
+++ b/fuzzing/fleet_fuzz.cpp
@@ -306,7 +306,7 @@
 
         void sendCold(Sharer& sharer)
         {
-            const auto plan = sharer.dispatcher.planLocal("draft", {}, seconds(1), {});
+            const auto plan = sharer.dispatcher.planLocal("draft", {}, seconds(1), {}, std::nullopt);
             const bool owner = plan.choice.best.has_value();
             const auto& known = sharer.book.of(plan.servers.front()->key);
             const bool careless = is("everyone sends to a cold server") && m_clock.now() - known.lastColdSend > milliseconds(300);
--- a/src/yuccashift/dispatch/crash_book.cpp
+++ b/src/yuccashift/dispatch/crash_book.cpp
@@ -49,7 +49,8 @@
 bool CrashBook::blocked(std::uint64_t fingerprint) const
 {
     std::int32_t deaths = 0;
-    if (const auto it = m_records.find(fingerprint); it != m_records.end())
+    const auto oldest = m_clock.now() - memory;
+    if (const auto it = m_records.find(fingerprint); it != m_records.end() && it->second.last >= oldest)
         deaths += static_cast<std::int32_t>(it->second.servers.size());
     for (const auto& [instance, told] : m_peers) {
         if (const auto it = told.find(static_cast<std::int64_t>(fingerprint)); it != told.end())
--- a/src/yuccashift/entry/entry_core.cpp
+++ b/src/yuccashift/entry/entry_core.cpp
@@ -20,6 +20,7 @@
     , servers(io, clock)
     , peers(io, clock)
     , dispatcher(clock, settings, world, book, members, servers, *random)
+    , record(metrics)
 {
 }
 
--- a/src/yuccashift/entry/entry_core.hpp
+++ b/src/yuccashift/entry/entry_core.hpp
@@ -6,6 +6,7 @@
 #include "yuccashift/entry/dispatcher.hpp"
 #include "yuccashift/entry/entry_settings.hpp"
 #include "yuccashift/entry/home_demand.hpp"
+#include "yuccashift/entry/request_record.hpp"
 #include "yuccashift/entry/wire_dialect.hpp"
 #include "yuccashift/fleet/member_book.hpp"
 #include "yuccashift/fleet/world.hpp"
@@ -43,6 +44,7 @@
     OutboundPool peers;
     Dispatcher dispatcher;
     Metrics metrics;
+    RequestRecord record;
 
     bool draining = false;
     /** Requests in progress, kept alive until they are answered. */
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <sys/resource.h>
 
 namespace yuccashift {
 
@@ -24,6 +25,12 @@
 
 namespace {
 
+    std::int64_t millisecondsOf(const timeval& time)
+    {
+        constexpr std::int64_t perSecond = 1000;
+        return time.tv_sec * perSecond + time.tv_usec / perSecond;
+    }
+
     constexpr Duration tickInterval = milliseconds(50);
     /** Log lines and gauges follow at this pace. */
     constexpr std::uint64_t ticksBetweenReports = 2;
@@ -326,6 +333,10 @@
     metrics.gauge("yuccashift_store_revision").set(core.world.held().revision());
     metrics.gauge("yuccashift_config_version").set(core.world.configVersion());
     metrics.gauge("yuccashift_instances_heard").set(static_cast<std::int64_t>(core.members.alive().size()));
+    rusage used {};
+    ::getrusage(RUSAGE_SELF, &used);
+    metrics.gauge("yuccashift_processor_milliseconds").set(millisecondsOf(used.ru_utime) + millisecondsOf(used.ru_stime));
+    metrics.gauge("yuccashift_peak_memory_kilobytes").set(used.ru_maxrss);
     metrics.gauge("yuccashift_servers_known").set(static_cast<std::int64_t>(core.world.servers().size()));
     if (adapters.flushLog)
         adapters.flushLog();
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -52,6 +52,8 @@
     , m_socket(core.io)
     , m_timer(core.io)
     , m_self(asio::ip::make_address_v4(core.settings.ip))
+    , m_bytesNear(core.metrics.counter("yuccashift_heartbeat_bytes_total", { { "to", "own_region" } }))
+    , m_bytesFar(core.metrics.counter("yuccashift_heartbeat_bytes_total", { { "to", "other_regions" } }))
     // A later start has a later wall time; a clock that jumps back is corrected by the others' silence.
     , m_incarnation(std::chrono::duration_cast<milliseconds>(core.clock.wallNow().time_since_epoch()).count())
 {
@@ -291,6 +293,7 @@
         datagram.__set_heartbeat(ownBeat(withProfile));
         addLoads(datagram.heartbeat);
         const auto bytes = encodeDatagram(datagram);
+        m_bytesNear.add(bytes.size() * near.size());
         for (const auto& address : near)
             sendTo(address, bytes);
     }
@@ -304,6 +307,7 @@
     datagram.__set_heartbeat(ownBeat(true));
     addRooms(datagram.heartbeat);
     const auto bytes = encodeDatagram(datagram);
+    m_bytesFar.add(bytes.size() * far.size());
     for (const auto& address : far)
         sendTo(address, bytes);
 }
--- a/src/yuccashift/entry/gossip.hpp
+++ b/src/yuccashift/entry/gossip.hpp
@@ -50,6 +50,9 @@
     boost::asio::steady_timer m_timer;
     Udp::endpoint m_sender;
     Address m_self;
+    /** Bytes of heartbeats sent, without the headers of the network. */
+    Counter& m_bytesNear;
+    Counter& m_bytesFar;
     std::set<Address> m_seeds;
     /** Addresses of other instances and when they were last named or heard. */
     std::map<Address, Instant> m_known;
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/algorithm/string/predicate.hpp>
+#include <cmath>
 
 namespace yuccashift {
 
@@ -266,9 +267,11 @@
     m_serverPool = request.poolKey;
     m_viaInstance.clear();
     m_sentAt = m_core.clock.now();
+    m_predicted = plan.choice.predicted;
     m_intake = Intake::None;
     ++m_attempts;
-    logInfo("sent to server", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "prompt", m_facts.work.promptTokens }, { "prefix", m_facts.work.sharedParts().empty() ? 0 : m_facts.work.sharedParts().back().id }, { "cached_prompt", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
+    m_core.record.sentToServer(m_facts.work.promptTokens, candidate.cachedTokens);
+    logInfo("sent to server", { { "request", m_facts.attemptId }, { "server", m_serverId }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "slowness_percent", std::lround(candidate.slowness * 100) }, { "prompt", m_facts.work.promptTokens }, { "prefix", m_facts.work.sharedParts().empty() ? 0 : m_facts.work.sharedParts().back().id }, { "cached_prompt", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
     m_outbound = m_core.servers.start(std::move(request), *this);
 }
 
@@ -294,8 +297,10 @@
     m_viaInstance = member.instance;
     m_serverId.clear();
     m_sentAt = m_core.clock.now();
+    m_predicted = predicted;
     m_intake = Intake::None;
     ++m_attempts;
+    m_core.record.sentToInstance(request.bytes.size());
     logInfo("sent to instance", { { "request", m_facts.attemptId }, { "peer", member.instance }, { "region", member.region }, { "predicted_ms", toMilliseconds(predicted) } });
     m_outbound = m_core.peers.start(std::move(request), *this);
 }
@@ -332,8 +337,7 @@
 void RequestJob::onAnswerBody(std::string_view data)
 {
     const auto self = shared_from_this();
-    if (m_firstByteAt == Instant {} && (m_intake == Intake::Stream || m_intake == Intake::Whole))
-        m_firstByteAt = m_core.clock.now();
+    notePart(data.size());
     switch (m_intake) {
     case Intake::Whole:
         m_body.append(data);
@@ -351,6 +355,22 @@
     }
 }
 
+void RequestJob::notePart(std::size_t bytes)
+{
+    if (!m_viaInstance.empty())
+        m_core.record.cameFromInstance(bytes);
+    if (m_intake != Intake::Stream && m_intake != Intake::Whole)
+        return;
+    const auto now = m_core.clock.now();
+    if (m_firstByteAt == Instant {}) {
+        m_firstByteAt = now;
+        m_core.record.firstByte(m_predicted, now - m_sentAt);
+    } else if (m_intake == Intake::Stream) {
+        m_core.record.streamGap(now - m_lastPartAt);
+    }
+    m_lastPartAt = now;
+}
+
 void RequestJob::sendStreamHead()
 {
     if (m_exchange->headSent())
@@ -502,6 +522,7 @@
     // Where nobody can take it, the answer at hand is better than none.
     if (next.placement.where == Placement::Where::Refuse || !m_core.repeats.tryRepeat(m_service))
         return false;
+    m_core.record.repeated();
     logInfo("sent again", { { "request", m_facts.attemptId }, { "why", why }, { "attempt", m_attempts + 1 }, { "after_event", m_gate.lastId().value_or("") } });
     m_gate.restart();
     m_body.clear();
@@ -544,25 +565,33 @@
     releaseServer(ServerOutcome::Abandoned);
     if (m_exchange->headSent()) {
         m_exchange->abort();
-        return finish("broken_off");
+        return finish("broken_off", reasonOf(error));
     }
     auto answer = failureAnswer(error, timeLeft(), *m_core.random);
     if (m_hop)
         answer.head.headers.push_back(hopFailure(error));
     m_exchange->sendWhole(std::move(answer.head), answer.body);
-    finish(error.code());
+    finish(error.code(), reasonOf(error));
 }
 
-void RequestJob::finish(std::string_view outcome)
+void RequestJob::finish(std::string_view outcome, std::string_view reason)
 {
     m_done = true;
     m_timer.cancel();
-    const auto now = m_core.clock.now();
-    const auto took = now - m_exchange->arrivedAt();
-    const auto route = m_route ? std::string_view(m_route->name) : std::string_view();
-    m_core.metrics.counter("yuccashift_requests_total", { { "outcome", outcome } }).add();
-    m_core.metrics.latency("yuccashift_request_seconds").record(took);
-    logInfo(outcome == "ok" ? "request served" : "request ended", { { "request", m_facts.attemptId }, { "route", route }, { "outcome", outcome }, { "took_ms", toMilliseconds(took) }, { "first_byte_ms", m_firstByteAt == Instant {} ? -1 : toMilliseconds(m_firstByteAt - m_exchange->arrivedAt()) }, { "server", m_serverId }, { "peer", m_viaInstance }, { "attempts", m_attempts }, { "config", m_routes ? m_routes->config().version : 0 } });
+    const auto arrived = m_exchange->arrivedAt();
+    RequestEnd end;
+    end.request = m_facts.attemptId;
+    end.route = m_route ? std::string_view(m_route->name) : std::string_view();
+    end.outcome = outcome;
+    end.reason = reason;
+    end.took = m_core.clock.now() - arrived;
+    if (m_firstByteAt != Instant {})
+        end.firstByte = m_firstByteAt - arrived;
+    end.server = m_serverId;
+    end.peer = m_viaInstance;
+    end.attempts = m_attempts;
+    end.configVersion = m_routes ? m_routes->config().version : 0;
+    m_core.record.ended(end);
     // The exchange may be on the stack of a callback that still uses this job.
     boost::asio::post(m_core.io, [&core = m_core, self = shared_from_this()] {
         self->m_outbound.reset();
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -64,6 +64,8 @@
     std::string requestBytes(const std::string& extraHeaders) const;
     void passOn(std::string_view);
     void sendStreamHead();
+    /** Notes when a part of the answer came. */
+    void notePart(std::size_t bytes);
     void onWholeAnswer();
     void onStreamEnd();
     void onNotRun();
@@ -75,7 +77,7 @@
     void onTimeLimit();
     void onCallerGone();
     void failWith(const Error&);
-    void finish(std::string_view outcome);
+    void finish(std::string_view outcome, std::string_view reason = {});
     Duration timeLeft() const;
     Duration objectiveLeft() const;
     /** The event after which the next server goes on. */
@@ -105,7 +107,10 @@
     std::string m_serverPool;
     InstanceId m_viaInstance;
     Instant m_sentAt {};
+    /** Time to the first byte as the newest send was planned. */
+    Duration m_predicted {};
     Instant m_firstByteAt {};
+    Instant m_lastPartAt {};
 
     Intake m_intake = Intake::None;
     AnswerHead m_head;
--- a/src/yuccashift/http/inbound.cpp
+++ b/src/yuccashift/http/inbound.cpp
@@ -32,6 +32,9 @@
     /** Bytes of an answer that may wait for a caller that does not read. */
     constexpr std::size_t mostUnsentBytes = 4 << 20;
 
+    /** Time for connections in progress to end and free a descriptor, before another is accepted. */
+    constexpr milliseconds pauseAfterFailedAccept { 50 };
+
     using RequestParser = http::request_parser<http::string_body>;
 
     RequestMessage toMessage(http::request<http::string_body>&& request)
@@ -88,15 +91,19 @@
         , clock(serverClock)
         , handler(requestHandler)
         , acceptor(ioContext)
+        , acceptPause(ioContext)
     {
     }
 
     void accept();
+    /** Accepts again once descriptors may have become free. */
+    void acceptLater();
 
     asio::io_context& io;
     const Clock& clock;
     InboundHandler& handler;
     tcp::acceptor acceptor;
+    asio::steady_timer acceptPause;
     std::unordered_set<detail::InboundSession*> sessions;
     bool stopping = false;
 };
@@ -443,11 +450,21 @@
                 session->start();
         } else if (ec != asio::error::operation_aborted) {
             logWarning("a connection could not be accepted", { { "reason", ec.message() } });
+            return self->acceptLater();
         }
         self->accept();
     });
 }
 
+void InboundServer::State::acceptLater()
+{
+    acceptPause.expires_after(pauseAfterFailedAccept);
+    acceptPause.async_wait([self = shared_from_this()](const error_code& ec) {
+        if (!ec && !self->stopping)
+            self->accept();
+    });
+}
+
 InboundServer::InboundServer(asio::io_context& io, const Clock& clock, InboundHandler& handler)
     : m_state(std::make_shared<State>(io, clock, handler))
 {
@@ -471,6 +488,7 @@
     m_state->stopping = true;
     error_code ec;
     m_state->acceptor.close(ec);
+    m_state->acceptPause.cancel();
     const std::vector<detail::InboundSession*> sessions(m_state->sessions.begin(), m_state->sessions.end());
     for (auto* session : sessions)
         session->closeIfIdle();
--- a/tests/dispatch/budgets_test.cpp
+++ b/tests/dispatch/budgets_test.cpp
@@ -80,7 +80,9 @@
     {
         for (std::uint64_t server = 1; server <= 3; ++server)
             book.onDeath(7, server);
+        EXPECT_TRUE(book.blocked(7));
         clock.advance(seconds(61));
+        EXPECT_FALSE(book.blocked(7));
         book.onDeath(9, 1);
         EXPECT_FALSE(book.blocked(7));
     }
--- /dev/null
+++ b/tests/entry/request_record_test.cpp
@@ -0,0 +1,78 @@
+#include "yuccashift/entry/request_record.hpp"
+
+#include "yuccashift/kernel/log.hpp"
+
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+namespace yuccashift {
+namespace {
+
+    /** Keeps the lines instead of writing them. */
+    struct KeptLines final : LogSink {
+        void write(LogLevel, std::string_view message, LogFields fields) override { lines.push_back(formatLogLine(message, fields)); }
+
+        std::vector<std::string> lines;
+    };
+
+    struct ARequestRecord : testing::Test {
+        ARequestRecord() { setLogSink(&kept); }
+        ~ARequestRecord() override { setLogSink(nullptr); }
+
+        std::string metrics() const { return series.renderPrometheus(); }
+
+        KeptLines kept;
+        Metrics series;
+        RequestRecord record { series };
+    };
+
+    TEST_F(ARequestRecord, WritesALineWithItsReasonForEveryKindOfError)
+    {
+        for (const auto& row : errorTable()) {
+            const Error error { row.kind, {}, {}, {} };
+            kept.lines.clear();
+            record.ended({ .request = "r1", .route = "drafts", .outcome = error.code(), .reason = reasonOf(error) });
+            ASSERT_EQ(kept.lines.size(), 1u) << row.code;
+            const auto& line = kept.lines.front();
+            EXPECT_NE(line.find("request=r1 "), std::string::npos) << line;
+            EXPECT_NE(line.find("outcome=" + std::string(row.code) + " "), std::string::npos) << line;
+            EXPECT_EQ(line.find("why=\"\""), std::string::npos) << line;
+            EXPECT_NE(metrics().find("yuccashift_requests_total{outcome=\"" + std::string(row.code) + "\",route=\"drafts\"} 1"), std::string::npos) << metrics();
+        }
+    }
+
+    TEST_F(ARequestRecord, GivesTheDetailWhereAnErrorHasOne)
+    {
+        const Error error { ErrorKind::NotReady, "the two instances hold different configurations", {}, {} };
+        EXPECT_EQ(reasonOf(error), "the two instances hold different configurations");
+    }
+
+    TEST_F(ARequestRecord, TellsApartWhatCameLaterAndSoonerThanPredicted)
+    {
+        record.firstByte(milliseconds(100), milliseconds(400));
+        record.firstByte(milliseconds(100), milliseconds(90));
+        record.firstByte(milliseconds(100), milliseconds(80));
+        EXPECT_NE(metrics().find("yuccashift_prediction_error_seconds_count{came=\"later\"} 1"), std::string::npos) << metrics();
+        EXPECT_NE(metrics().find("yuccashift_prediction_error_seconds_count{came=\"sooner\"} 2"), std::string::npos);
+    }
+
+    TEST_F(ARequestRecord, CountsTokensThatAreExpectedInACacheApart)
+    {
+        record.sentToServer(1000, 600);
+        record.sentToServer(100, 400);
+        EXPECT_NE(metrics().find("yuccashift_prompt_tokens_total{cache=\"expected\"} 700"), std::string::npos) << metrics();
+        EXPECT_NE(metrics().find("yuccashift_prompt_tokens_total{cache=\"none\"} 400"), std::string::npos);
+        EXPECT_NE(metrics().find("yuccashift_sends_total{to=\"server\"} 2"), std::string::npos);
+    }
+
+    TEST_F(ARequestRecord, HasAHistogramOfEachRoute)
+    {
+        record.ended({ .request = "r1", .route = "drafts", .outcome = "ok", .took = milliseconds(70), .firstByte = milliseconds(20) });
+        EXPECT_NE(metrics().find("yuccashift_request_seconds_count{route=\"drafts\"} 1"), std::string::npos) << metrics();
+        EXPECT_NE(metrics().find("yuccashift_first_byte_seconds_count{route=\"drafts\"} 1"), std::string::npos);
+        EXPECT_TRUE(kept.lines.front().starts_with("request served")) << kept.lines.front();
+    }
+
+} // namespace
+} // namespace yuccashift
--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/support/scripted_server.hpp"
 #include "yuccashift/http/inbound.hpp"
 #include "yuccashift/http/outbound.hpp"
+#include "yuccashift/kernel/log.hpp"
 
 #include <array>
 #include <boost/asio/connect.hpp>
@@ -10,7 +11,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 
 namespace yuccashift {
 namespace {
@@ -241,6 +244,51 @@
         Endpoint endpoint;
     };
 
+    /** No new descriptors as long as it lives. */
+    class NoDescriptors {
+    public:
+        NoDescriptors()
+        {
+            ::getrlimit(RLIMIT_NOFILE, &m_before);
+            const int next = ::dup(STDIN_FILENO);
+            ::close(next);
+            auto none = m_before;
+            none.rlim_cur = static_cast<rlim_t>(next);
+            ::setrlimit(RLIMIT_NOFILE, &none);
+        }
+        ~NoDescriptors() { ::setrlimit(RLIMIT_NOFILE, &m_before); }
+
+    private:
+        rlimit m_before {};
+    };
+
+    struct CountedLines final : LogSink {
+        void write(LogLevel, std::string_view, LogFields) override { ++lines; }
+
+        int lines = 0;
+    };
+
+    // Pattern: callers take all descriptors; the loop still has the requests in progress to serve.
+    TEST_F(AnInboundServer, WaitsBeforeItAcceptsAgainWithoutADescriptor)
+    {
+        constexpr int turns = 200;
+        tcp::socket socket(client);
+        socket.connect({ asio::ip::make_address(endpoint.host), endpoint.port });
+        CountedLines log;
+        setLogSink(&log);
+        {
+            const NoDescriptors none;
+            for (int n = 0; n < turns; ++n) {
+                io.poll_one();
+                io.restart();
+            }
+        }
+        setLogSink(nullptr);
+        EXPECT_GE(log.lines, 1);
+        EXPECT_LT(log.lines, turns / 2);
+        EXPECT_NE(exchange("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").find("GET:"), std::string::npos);
+    }
+
     TEST_F(AnInboundServer, TakesBodiesWithALengthAndInChunks)
     {
         EXPECT_NE(exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", "POST:abc").find("200 OK"), std::string::npos);
