Refuse late in a planned stop what may not be whole before its end

Cause: two restarts in turn overlap, so that both instances of abuja stop at once and callers cannot get a newer directory answer. Drafts that arrive over three seconds after SIGTERM are taken, and their streams end with the process at 95 % of the grace.

Ruled out: ending earlier or later (the grace is the platform's); the prefix homes (one of the cut streams ran in its own region, the other at a hop).

Change: from three times the validity of a directory answer on, a stopping instance refuses a request whose deadline lies after its own end, says that nothing ran, and sends the caller on within 0.2 s instead of a share of its deadline. Tests: APlannedStop, SendsCallersOfAStoppingInstanceToOthersAtOnce, and a process test.

--- a/benchmarks/speed/load_driver.cpp
+++ b/benchmarks/speed/load_driver.cpp
@@ -21,9 +21,8 @@
         return std::chrono::duration<double, std::micro>(Clock::now() - start).count();
     }
 
-    std::size_t countEvents(std::string_view text)
+    std::size_t countEvents(std::string_view text, std::string_view mark)
     {
-        constexpr std::string_view mark = "data: {";
         std::size_t count = 0;
         for (auto at = text.find(mark); at != std::string_view::npos; at = text.find(mark, at + mark.size()))
             ++count;
@@ -83,7 +82,7 @@
                 }
             }
             m_result.latencies.push_back(microsecondsSince(start));
-            m_result.tokens += countEvents(parser.get().body());
+            m_result.tokens += countEvents(parser.get().body(), m_spec.eventMark);
             ++m_result.requests;
             if (parser.get().result() == http::status::ok)
                 co_return;
--- a/benchmarks/speed/load_driver.hpp
+++ b/benchmarks/speed/load_driver.hpp
@@ -16,6 +16,8 @@
     std::string path;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    /** What each event of a stream holds once. */
+    std::string eventMark = "data: {";
     std::size_t connections = 1;
     std::chrono::milliseconds duration { 3000 };
 };
--- a/benchmarks/speed/speed.cpp
+++ b/benchmarks/speed/speed.cpp
@@ -1,14 +1,13 @@
 #include "benchmarks/speed/load_driver.hpp"
+#include "benchmarks/support/process_usage.hpp"
 
 #include "standins/common/answer_text.hpp"
 #include "tests/support/process_fleet.hpp"
 
-#include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
 #include <thread>
-#include <unistd.h>
 
 namespace {
 
@@ -19,33 +18,6 @@
 constexpr const char* engineName = "engine";
 constexpr const char* plainName = "plain";
 
-/** Processor time and memory of a process so far. */
-struct Usage {
-    double microseconds = 0;
-    double residentBytes = 0;
-};
-
-Usage usageOf(pid_t pid)
-{
-    std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
-    std::string text;
-    std::getline(stat, text);
-    // Fields are counted after the name in brackets, which may hold blanks.
-    std::istringstream fields(text.substr(text.rfind(')') + 2));
-    constexpr int userTimeField = 11;
-    std::string skipped;
-    for (int n = 0; n < userTimeField; ++n)
-        fields >> skipped;
-    double user = 0;
-    double system = 0;
-    fields >> user >> system;
-    std::ifstream statm("/proc/" + std::to_string(pid) + "/statm");
-    double pages = 0;
-    statm >> pages >> pages;
-    const auto ticks = static_cast<double>(sysconf(_SC_CLK_TCK));
-    return { (user + system) / ticks * 1e6, pages * static_cast<double>(sysconf(_SC_PAGESIZE)) };
-}
-
 /** One instance before one engine and one plain service. */
 class Setup {
 public:
--- a/src/yuccashift/entry/entry_core.hpp
+++ b/src/yuccashift/entry/entry_core.hpp
@@ -6,6 +6,7 @@
 #include "yuccashift/entry/dispatcher.hpp"
 #include "yuccashift/entry/entry_settings.hpp"
 #include "yuccashift/entry/home_demand.hpp"
+#include "yuccashift/entry/planned_stop.hpp"
 #include "yuccashift/entry/request_record.hpp"
 #include "yuccashift/entry/wire_dialect.hpp"
 #include "yuccashift/fleet/member_book.hpp"
@@ -17,6 +18,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 namespace yuccashift {
@@ -46,7 +48,8 @@
     Metrics metrics;
     RequestRecord record;
 
-    bool draining = false;
+    bool draining() const { return plannedStop.has_value(); }
+    std::optional<PlannedStop> plannedStop;
     /** Requests in progress, kept alive until they are answered. */
     std::unordered_set<std::shared_ptr<RequestJob>> jobs;
     /** Asks for a probe of a server whose connection broke. */
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -44,6 +44,8 @@
     constexpr std::size_t unseenInstances = 3;
     /** Directory answers are to count for so long, so that a stop is soon known to all callers. */
     constexpr Duration directoryValidity = seconds(1);
+    /** Some callers hold a directory answer so many times as long. */
+    constexpr double heldAnswerFactor = 3;
     constexpr Duration pauseThreshold = seconds(1);
     /** In a region of so few, passing changes on saves little and costs a step. */
     constexpr std::size_t instancesThatAllWatch = 4;
@@ -87,7 +89,7 @@
         }
         void onRequest(std::shared_ptr<InboundExchange> exchange) override { RequestJob::start(owner.core, std::move(exchange), std::nullopt); }
         InboundLimits limits() const override;
-        bool closing() const override { return owner.core.draining; }
+        bool closing() const override { return owner.core.draining(); }
         State& owner;
     };
     /** Requests of other instances. */
@@ -113,7 +115,7 @@
     void answerDirectory(InboundExchange&);
     void answerReadiness(InboundExchange&);
     void answerOperator(InboundExchange&);
-    bool ready() const { return !core.draining && core.world.configVersion() > 0; }
+    bool ready() const { return !core.draining() && core.world.configVersion() > 0; }
     void tick();
     void chooseWatching();
     void report();
@@ -146,7 +148,6 @@
     PauseDetector pauses { pauseThreshold };
     std::uint64_t ticks = 0;
     bool watching = true;
-    Instant drainStarted {};
     bool storeReachable = true;
     Instant storeLostAt {};
 };
@@ -295,7 +296,7 @@
         store->readAgain();
     }
     chooseWatching();
-    if (core.draining)
+    if (core.draining())
         checkDrained();
     if (++ticks % ticksBetweenReports == 0)
         report();
@@ -310,7 +311,7 @@
 {
     // Instances that drain still know what is published; they only own nothing.
     const auto& region = core.settings.region;
-    const auto live = core.members.ownersIn(region, !core.draining);
+    const auto live = core.members.ownersIn(region, !core.draining());
     const bool chosen = live.size() <= instancesThatAllWatch || isWatcher(core.settings.instance, region, live);
     if (chosen == watching)
         return;
@@ -369,10 +370,12 @@
 
 void EntryNode::State::drain()
 {
-    if (core.draining)
+    if (core.draining())
         return;
-    core.draining = true;
-    drainStarted = clock.now();
+    const auto now = clock.now();
+    const auto allowed = std::chrono::duration_cast<Duration>(core.settings.stopGrace * lastShareOfGrace);
+    const auto held = std::chrono::duration_cast<Duration>(heldAnswerFactor * std::min(directoryValidity, core.settings.directoryValidity));
+    core.plannedStop = PlannedStop { now, now + allowed, now + held };
     logInfo("graceful shutdown begins", { { "in_progress", core.jobs.size() } });
     gossip.announce();
 }
@@ -380,10 +383,10 @@
 void EntryNode::State::checkDrained()
 {
     const auto grace = core.settings.stopGrace;
-    const auto waited = clock.now() - drainStarted;
-    if (waited < grace * noticeShareOfGrace)
+    const auto now = clock.now();
+    if (now - core.plannedStop->began < grace * noticeShareOfGrace)
         return;
-    if (!core.jobs.empty() && waited < grace * lastShareOfGrace)
+    if (!core.jobs.empty() && now < core.plannedStop->endsBy)
         return;
     stop();
 }
--- a/src/yuccashift/entry/failure_answer.cpp
+++ b/src/yuccashift/entry/failure_answer.cpp
@@ -20,6 +20,8 @@
     constexpr double leastOfTimeLeft = 0.12;
     constexpr double mostOfTimeLeft = 0.32;
     constexpr Seconds leastReturn { 0.02 };
+    /** Other instances can take the request now; only the callers of this one are spread. */
+    constexpr Seconds mostReturnElsewhere { 0.2 };
     /** Nobody is asked to wait longer, however much time is left. */
     constexpr Seconds mostReturn { 5.0 };
 
@@ -35,14 +37,19 @@
         return status;
     }
 
-    std::string returnTime(const Error& error, Duration timeLeft, RandomSource& random)
+    Seconds drawReturn(const Error& error, Seconds left, RandomSource& random)
     {
-        const Seconds left(timeLeft);
+        if (error.kind == ErrorKind::Draining)
+            return std::max(leastReturn, mostReturnElsewhere * random.unit());
         const Seconds from = error.retryAfter ? Seconds(*error.retryAfter) : left * leastOfTimeLeft;
         const Seconds most = std::max(from, left * mostOfTimeLeft);
-        const Seconds bounded = std::clamp(from + (most - from) * random.unit(), leastReturn, mostReturn);
+        return std::clamp(from + (most - from) * random.unit(), leastReturn, mostReturn);
+    }
+
+    std::string returnTime(const Error& error, Duration timeLeft, RandomSource& random)
+    {
         std::array<char, 24> text {};
-        std::snprintf(text.data(), text.size(), "%.2f", bounded.count());
+        std::snprintf(text.data(), text.size(), "%.2f", drawReturn(error, Seconds(timeLeft), random).count());
         return text.data();
     }
 
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -179,8 +179,8 @@
     beat.sender = shortNameOf(settings.instance);
     beat.incarnation = m_incarnation;
     beat.sequence = ++m_sequence;
-    beat.draining = m_core.draining;
-    beat.takesCallers = !m_core.draining && m_core.world.configVersion() > 0;
+    beat.draining = m_core.draining();
+    beat.takesCallers = !m_core.draining() && m_core.world.configVersion() > 0;
     beat.configVersion = m_core.world.configVersion();
     beat.storeRevision = m_core.world.held().revision();
     beat.crashes = m_core.crashes.ownDeaths();
@@ -297,7 +297,7 @@
         for (const auto& address : near)
             sendTo(address, bytes);
     }
-    if (m_round % roundsBetweenRegions != 0 && !m_core.draining)
+    if (m_round % roundsBetweenRegions != 0 && !m_core.draining())
         return;
     const auto far = someFarAddresses();
     if (far.empty())
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <boost/algorithm/string/predicate.hpp>
 #include <cmath>
+#include <utility>
 
 namespace yuccashift {
 
@@ -154,6 +155,8 @@
         m_deadline = arrived + patience;
         m_objectiveAt = arrived + m_route->latencyObjective;
     }
+    if (m_core.plannedStop && m_core.plannedStop->refuses(m_core.clock.now(), m_deadline))
+        return fail(ErrorKind::Draining);
     if (crashesServers())
         return fail(ErrorKind::Quarantined);
     return {};
@@ -293,6 +296,7 @@
     request.mostIdle = m_route->repeatable() ? mostIdleRepeatable : mostIdleOnce;
     request.connectTimeout = instanceConnectTimeout;
     m_core.members.noteHop(member.instance);
+    m_hopInProgress = true;
     m_triedInstances.insert(member.instance);
     m_viaInstance = member.instance;
     m_serverId.clear();
@@ -420,7 +424,7 @@
 {
     m_core.book.firstByte(m_ticket);
     const bool failed = m_head.status >= firstServerFailure;
-    releaseServer(failed ? ServerOutcome::Failed : ServerOutcome::Succeeded);
+    endSend(failed ? ServerOutcome::Failed : ServerOutcome::Succeeded);
     if (failed && m_route->repeatable() && repeat("the server answered with a failure"))
         return;
     if (m_exchange->headSent()) {
@@ -437,7 +441,7 @@
 
 void RequestJob::onStreamEnd()
 {
-    releaseServer(ServerOutcome::Succeeded);
+    endSend(ServerOutcome::Succeeded);
     sendStreamHead();
     if (m_route->repeatable())
         m_exchange->sendBody(std::string(m_gate.rest()));
@@ -447,7 +451,7 @@
 
 void RequestJob::onNotRun()
 {
-    releaseServer(ServerOutcome::Rejected);
+    endSend(ServerOutcome::Rejected);
     if (repeat("the server refused"))
         return;
     const bool began = m_mayHaveRun;
@@ -457,7 +461,7 @@
 
 void RequestJob::onHopFailure()
 {
-    releaseServer(ServerOutcome::Abandoned);
+    endSend(ServerOutcome::Abandoned);
     auto error = *m_hopError;
     m_hopError.reset();
     if (error.effectiveRunState() != RunState::NotRun)
@@ -487,8 +491,8 @@
         } else {
             m_core.book.markSuspect(m_ticket.server);
             m_core.servers.closeIdle(m_serverPool);
-            releaseServer(ServerOutcome::Lost);
         }
+        endSend(ServerOutcome::Lost);
         return dispatch();
     }
     onSendLost(failure, reason);
@@ -500,9 +504,10 @@
     if (m_viaInstance.empty()) {
         const auto server = m_ticket.server;
         m_core.crashes.onDeath(fingerprint(), server);
-        releaseServer(ServerOutcome::Lost);
+        endSend(ServerOutcome::Lost);
         m_core.probeSoon(server);
     } else {
+        endSend(ServerOutcome::Lost);
         m_core.members.avoid(m_viaInstance, instancePause);
     }
     if (m_route->repeatable() && repeat(reason))
@@ -531,8 +536,10 @@
     return true;
 }
 
-void RequestJob::releaseServer(ServerOutcome outcome)
+void RequestJob::endSend(ServerOutcome outcome)
 {
+    if (std::exchange(m_hopInProgress, false))
+        m_core.members.noteHopEnd(m_viaInstance);
     m_core.book.end(m_ticket, outcome);
 }
 
@@ -552,7 +559,7 @@
     if (m_done)
         return;
     m_outbound.reset();
-    releaseServer(ServerOutcome::Abandoned);
+    endSend(ServerOutcome::Abandoned);
     finish("caller_gone");
 }
 
@@ -562,7 +569,7 @@
     if (m_done)
         return;
     m_outbound.reset();
-    releaseServer(ServerOutcome::Abandoned);
+    endSend(ServerOutcome::Abandoned);
     if (m_exchange->headSent()) {
         m_exchange->abort();
         return finish("broken_off", reasonOf(error));
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -73,7 +73,8 @@
     void onSendLost(OutboundFailure, std::string_view reason);
     /** Sends the request once more where that is allowed; false where it is not. */
     bool repeat(std::string_view why);
-    void releaseServer(ServerOutcome);
+    /** The newest send is over; tells what it says of the server. */
+    void endSend(ServerOutcome);
     void onTimeLimit();
     void onCallerGone();
     void failWith(const Error&);
@@ -106,6 +107,7 @@
     std::string m_serverId;
     std::string m_serverPool;
     InstanceId m_viaInstance;
+    bool m_hopInProgress = false;
     Instant m_sentAt {};
     /** Time to the first byte as the newest send was planned. */
     Duration m_predicted {};
--- a/src/yuccashift/fleet/member_book.cpp
+++ b/src/yuccashift/fleet/member_book.cpp
@@ -164,6 +164,15 @@
         ++it->second.sentSinceHeard;
 }
 
+// The end may be that of a hop which a heartbeat has shown meanwhile: one that is in progress then counts
+// for nothing until the next heartbeat.
+void MemberBook::noteHopEnd(const InstanceId& instance)
+{
+    const auto it = m_members.find(instance);
+    if (it != m_members.end() && it->second.sentSinceHeard > 0)
+        --it->second.sentSinceHeard;
+}
+
 std::vector<InstanceId> MemberBook::expire()
 {
     std::vector<InstanceId> gone;
--- a/src/yuccashift/fleet/member_book.hpp
+++ b/src/yuccashift/fleet/member_book.hpp
@@ -37,7 +37,7 @@
     Instant lastHeard {};
     /** No hops there until then, since the last one could not be delivered. */
     Instant avoidUntil {};
-    /** Hops sent there since its last heartbeat, which does not show them yet. */
+    /** Hops sent there that have not ended and that its last heartbeat does not show yet. */
     std::int32_t sentSinceHeard = 0;
 };
 
@@ -79,7 +79,10 @@
     /** Notes which instances of the region are heard now; to be called several times a second. */
     void noteOwners(const RegionName&);
     void avoid(const InstanceId&, Duration);
+    /** A request goes there now. */
     void noteHop(const InstanceId&);
+    /** A request that went there has ended. */
+    void noteHopEnd(const InstanceId&);
     /** Forgets members that were silent for long; their names. */
     std::vector<InstanceId> expire();
 
--- a/tests/entry/answers_test.cpp
+++ b/tests/entry/answers_test.cpp
@@ -2,6 +2,7 @@
 #include "yuccashift/entry/failure_answer.hpp"
 #include "yuccashift/entry/home_demand.hpp"
 #include "yuccashift/entry/hop.hpp"
+#include "yuccashift/entry/planned_stop.hpp"
 
 #include <gtest/gtest.h>
 
@@ -49,6 +50,22 @@
         EXPECT_LT(returnTime({ ErrorKind::Overloaded, {}, {}, {} }, milliseconds(900)), 0.3);
     }
 
+    TEST_F(AFailureAnswer, SendsCallersOfAStoppingInstanceToOthersAtOnce)
+    {
+        for (int n = 0; n < 200; ++n)
+            EXPECT_LE(returnTime({ ErrorKind::Draining, {}, {}, {} }, seconds(15)), 0.2);
+    }
+
+    // Pattern: two restarts overlap, so that callers find no other instance of their region in the directory.
+    TEST(APlannedStop, RefusesOnlyLateRequestsThatMayNotBeWholeBeforeItsEnd)
+    {
+        const Instant began { seconds(100) };
+        const PlannedStop stop { began, began + milliseconds(7600), began + seconds(3) };
+        EXPECT_FALSE(stop.refuses(began + seconds(2), began + seconds(17)));
+        EXPECT_TRUE(stop.refuses(began + seconds(4), began + seconds(19)));
+        EXPECT_FALSE(stop.refuses(began + seconds(4), began + seconds(7)));
+    }
+
     TEST_F(AFailureAnswer, DoesNotBlameACallerForWhatTheFleetLacks)
     {
         EXPECT_EQ(failureAnswer({ ErrorKind::Quarantined, {}, {}, {} }, seconds(3), random).head.status, 503);
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -221,6 +221,21 @@
         EXPECT_EQ(reply.header("connection"), "close");
     }
 
+    TEST_F(EntryInstances, RefuseLateInTheirStopWhatMayNotBeWholeBeforeTheirEnd)
+    {
+        m_fleet.entry("sofia-1").signal(SIGTERM);
+        HttpReply reply;
+        int n = 0;
+        EXPECT_TRUE(waitUntil([&] {
+            reply = m_fleet.call("sofia-1", "l" + std::to_string(++n), "POST", "/once/stream/x", "prompt", std::chrono::seconds(10));
+            return !reply.ok();
+        }));
+        EXPECT_EQ(reply.status, 503);
+        EXPECT_LE(std::stod(reply.header("retry-after")), 0.2);
+        EXPECT_EQ(m_fleet.runsOf("l" + std::to_string(n)), 0u);
+        EXPECT_TRUE(m_fleet.call("sofia-1", "short", "GET", "/read/x", {}, std::chrono::milliseconds(500)).ok());
+    }
+
     TEST_F(EntryInstances, LeaveKilledInstancesOutOfTheDirectory)
     {
         EXPECT_EQ(m_fleet.directory("sofia-2", "sofia").size(), 2u);
--- a/tests/fleet/member_book_test.cpp
+++ b/tests/fleet/member_book_test.cpp
@@ -123,6 +123,25 @@
         EXPECT_EQ(view.wait[urgencyRanks - 1], milliseconds(90));
     }
 
+    // Pattern: an instance sends hundreds of short requests to another region between two heartbeats.
+    TEST_F(AMemberBook, CountsHopsUntilTheyEndOrAHeartbeatShowsThem)
+    {
+        auto beat = beatOf("a", 1, 1);
+        beat.rooms.emplace_back();
+        book.take(beat);
+        book.noteHop("a");
+        book.noteHop("a");
+        EXPECT_EQ(book.find("a")->sentSinceHeard, 2);
+        book.noteHopEnd("a");
+        EXPECT_EQ(book.find("a")->sentSinceHeard, 1);
+        beat.sequence = 2;
+        book.take(beat);
+        EXPECT_EQ(book.find("a")->sentSinceHeard, 0);
+        book.noteHopEnd("a");
+        EXPECT_EQ(book.find("a")->sentSinceHeard, 0);
+        book.noteHopEnd("nobody");
+    }
+
     TEST(AHeartbeat, ComesOutOfItsDatagramAsItWentIn)
     {
         auto beat = beatOf("a", 2, 5);
