--- a/examples/demo/platform_demo.cpp
+++ b/examples/demo/platform_demo.cpp
@@ -165,6 +165,7 @@
     m_out << "\n-- SIGTERM for sofia-1 while " << streamsUnderStop << " streams are in progress\n";
     std::vector<char> whole(streamsUnderStop, 0);
     std::vector<std::thread> callers;
+    callers.reserve(streamsUnderStop);
     for (int n = 0; n < streamsUnderStop; ++n) {
         callers.emplace_back([&, n] {
             const auto attempt = "stop-" + std::to_string(n);
--- a/fuzzing/drains/drains.cpp
+++ b/fuzzing/drains/drains.cpp
@@ -61,7 +61,7 @@
         void stopOne(unsigned n)
         {
             const auto all = TwoRegions::allInstances();
-            const auto stopped = all[below(static_cast<unsigned>(all.size()))];
+            const auto& stopped = all[below(static_cast<unsigned>(all.size()))];
             std::vector<std::thread> callers;
             callers.reserve(callersPerStop);
             for (unsigned i = 0; i < callersPerStop; ++i) {
