Wait at a prefix's holder only in proportion to the reading that it saves

Change: the wait beyond the best server may be five times the reading saved.

Test LeavesTheHolderOfAShortPrefixForAnIdleServer fails without the bound.

--- a/src/yuccashift/dispatch/server_choice.cpp
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace yuccashift {
 
@@ -39,6 +40,8 @@
     constexpr double tieMs = 4.0;
     /** How much the delay of others counts against a server that has to read the prompt again. */
     constexpr double othersWeight = 1.0;
+    /** How many times the reading that it saves a request may wait longer at the server that holds its prefix. */
+    constexpr double waitForReading = 5.0;
 
     double engineMs(const ServerCandidate& server, const WorkSize& work)
     {
@@ -160,13 +163,21 @@
 
 namespace {
 
-    /** The usable server with the longest cached prefix among those that answer soon enough. */
-    std::optional<std::size_t> prefixHolder(std::span<const ServerCandidate> candidates, std::span<const PassedOver> passedOver, const WorkSize& work, Duration soonEnough)
+    /**
+     * The usable server with the longest cached prefix among those that answer soon
+     * enough, and whose wait beyond the chosen one stands in proportion to what need
+     * not be read again.
+     */
+    std::optional<std::size_t> prefixHolder(std::span<const ServerCandidate> candidates, const ServerChoice& choice, const WorkSize& work, Duration soonEnough)
     {
         std::optional<std::size_t> holder;
         for (std::size_t i = 0; i < candidates.size(); ++i) {
-            const bool longer = candidates[i].cachedTokens > (holder ? candidates[*holder].cachedTokens : 0);
-            if (passedOver[i] == PassedOver::No && longer && predictFirstByte(candidates[i], work) <= soonEnough)
+            const auto cached = candidates[i].cachedTokens;
+            const auto chosen = candidates[*choice.best].cachedTokens;
+            if (choice.passedOver[i] != PassedOver::No || cached <= chosen || cached <= (holder ? candidates[*holder].cachedTokens : 0))
+                continue;
+            const auto predicted = predictFirstByte(candidates[i], work);
+            if (predicted <= soonEnough && predicted <= choice.predicted + readingTime(waitForReading * (cached - chosen)))
                 holder = i;
         }
         return holder;
@@ -174,6 +185,19 @@
 
 } // namespace
 
+std::string ServerChoice::passedOverText() const
+{
+    std::map<std::string_view, std::size_t> counts;
+    for (const auto reason : passedOver) {
+        if (reason != PassedOver::No)
+            ++counts[toString(reason)];
+    }
+    std::string text;
+    for (const auto& [reason, count] : counts)
+        text.append(text.empty() ? "" : ",").append(reason).append(":").append(std::to_string(count));
+    return text;
+}
+
 ServerChoice chooseServer(std::span<const ServerCandidate> candidates, const WorkSize& work, Duration soonEnough, std::uint64_t draw)
 {
     ServerChoice choice;
@@ -211,7 +235,7 @@
             runnerUpCost = cost;
         }
     }
-    const auto holder = prefixHolder(candidates, choice.passedOver, work, soonEnough);
+    const auto holder = choice.best ? prefixHolder(candidates, choice, work, soonEnough) : std::nullopt;
     if (holder && holder != choice.best) {
         choice.runnerUp = choice.best;
         choice.runnerUpPredicted = choice.predicted;
--- a/src/yuccashift/dispatch/server_choice.hpp
+++ b/src/yuccashift/dispatch/server_choice.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -80,6 +81,9 @@
     std::size_t usable = 0;
     /** Reasons, one for each candidate. */
     std::vector<PassedOver> passedOver;
+
+    /** How many were passed over for each reason, as `reason:count` with commas; for the log. */
+    std::string passedOverText() const;
 };
 
 /**
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -214,7 +214,7 @@
     const bool anywhere = plan.local.choice.best || !plan.remote.rooms.empty();
     Error error { anywhere ? ErrorKind::Overloaded : ErrorKind::NoBackend, {}, {}, {} };
     error.runState = m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun;
-    logInfo("refused", { { "request", m_facts.attemptId }, { "reason", error.code() }, { "predicted_ms", toMilliseconds(plan.placement.predicted) }, { "objective_ms", toMilliseconds(objectiveLeft()) }, { "left_ms", toMilliseconds(timeLeft()) }, { "servers", plan.local.servers.size() }, { "usable", plan.local.choice.usable }, { "regions", plan.remote.rooms.size() } });
+    logInfo("refused", { { "request", m_facts.attemptId }, { "reason", error.code() }, { "predicted_ms", toMilliseconds(plan.placement.predicted) }, { "objective_ms", toMilliseconds(objectiveLeft()) }, { "left_ms", toMilliseconds(timeLeft()) }, { "servers", plan.local.servers.size() }, { "usable", plan.local.choice.usable }, { "passed_over", plan.local.choice.passedOverText() }, { "regions", plan.remote.rooms.size() } });
     failWith(error);
 }
 
@@ -436,7 +436,9 @@
     if (!m_route->repeatable() && (status == 503 || status == 429 || status == 408 || status == 421))
         return failWith({ ErrorKind::BackendLost, "the server's refusal does not say whether it ran", RunState::OutcomeUnknown, {} });
     m_exchange->sendWhole(forwardedHead(m_head), m_body);
-    finish(failed ? "server_failure" : "ok");
+    if (failed)
+        return finish("server_failure", "the server answered with status " + std::to_string(status));
+    finish("ok");
 }
 
 void RequestJob::onStreamEnd()
--- a/tests/dispatch/server_choice_test.cpp
+++ b/tests/dispatch/server_choice_test.cpp
@@ -67,6 +67,7 @@
             const auto choice = choose(query());
             ASSERT_EQ(choice.best, 2u) << toString(row.reason);
             EXPECT_EQ(choice.passedOver[0], row.reason);
+            EXPECT_EQ(choice.passedOverText(), std::string(toString(row.reason)) + (row.reason == PassedOver::Failing ? ":1" : ":2"));
         }
     }
 
@@ -122,6 +123,19 @@
         EXPECT_GT(predictFirstByte(servers[0], query()), milliseconds(800));
     }
 
+    // Pattern: a popular prefix fills its server's queue while others of the region are idle.
+    TEST_F(AServerChoice, LeavesTheHolderOfAShortPrefixForAnIdleServer)
+    {
+        auto work = query();
+        work.parts = { { 1, 500 }, { 9, 1300 } };
+        servers[0].cachedTokens = 500;
+        servers[0].load.waitingPromptTokens[0] = 40000;
+        const auto choice = choose(work, milliseconds(800));
+        EXPECT_NE(choice.best, 0u);
+        servers[0].load.waitingPromptTokens[0] = 1500;
+        EXPECT_EQ(choose(work, milliseconds(800)).best, 0u);
+    }
+
     // Pattern: the same documents come again and again, and reading them twice delays everybody.
     TEST_F(AServerChoice, PrefersTheHolderOfThePrefixWhileItAnswersSoonEnough)
     {
