--- a/src/yuccashift/dispatch/placement.cpp
+++ b/src/yuccashift/dispatch/placement.cpp
@@ -1,5 +1,7 @@
 #include "yuccashift/dispatch/placement.hpp"
 
+#include "yuccashift/dispatch/prefix_home.hpp"
+
 #include <algorithm>
 
 namespace yuccashift {
@@ -15,9 +17,6 @@
     /** Callers that come back late still get this long. */
     constexpr Duration leastPatience = milliseconds(700);
 
-    /** Part of the objective within which another region's first byte is soon enough to go there for a prefix. */
-    constexpr double soonEnoughShare = 0.8;
-
     Duration firstByteAt(const RemoteRoom& room)
     {
         return room.wait + room.prompt + room.roundTrip;
--- a/src/yuccashift/entry/dispatcher.cpp
+++ b/src/yuccashift/entry/dispatcher.cpp
@@ -18,8 +18,6 @@
     constexpr double leastColdRate = 0.5;
     /** Part of a server's connections that instances use together; probes and instances that were just added take the rest. */
     constexpr double usedConnectionShare = 0.8;
-    /** Part of the objective within which a first byte is soon enough to prefer a server that holds the prefix. */
-    constexpr double soonEnoughShare = 0.8;
     /** How long the pace of a server's streams is remembered; then it may show that it is faster again. */
     constexpr Duration partMemory = seconds(3);
     /** Instances up to this number know each other's loads well enough to use the best server each. */
