--- a/benchmarks/entry/entry_speed.cpp
+++ b/benchmarks/entry/entry_speed.cpp
@@ -80,7 +80,7 @@
 
 Ways measure(Setup& setup, LoadSpec spec, const std::string& worker, const std::string& here, const std::string& there)
 {
-    spec.headers = { { "Host", "a.example" }, { "X-Attempt-Id", "speed" }, { "X-Deadline-Ms", "5000" } };
+    spec.headers = test::callerHeaders("speed", std::chrono::seconds(5));
     spec.eventMark = "data: ";
     Ways ways;
     spec.path = here;
--- a/examples/demo/demo.cpp
+++ b/examples/demo/demo.cpp
@@ -70,6 +70,7 @@
     : m_deployment(deployment)
     , m_plan(deployment.plan())
     , m_out(out)
+    , m_steps(out)
 {
 }
 
@@ -84,14 +85,7 @@
     changeDocument();
     drainUnderLoad();
     answerFromEveryRegion();
-    return m_right;
-}
-
-void Demo::check(bool right, const std::string& what)
-{
-    m_out << (right ? "  ok: " : "  WRONG: ") << what << "\n"
-          << std::flush;
-    m_right = m_right && right;
+    return m_steps.allRight();
 }
 
 std::vector<std::string> Demo::instanceFlags(const std::vector<InstanceId>& instances)
@@ -138,7 +132,7 @@
         m_out << "  " << region.region << "/" << region.datacentre << ": " << region.instances << " entry instances\n";
     auto arguments = instanceFlags(m_deployment.fleet().instances());
     arguments.insert(arguments.begin(), "status");
-    check(client(arguments).first == 0, "'yuccashift status' says that all " + std::to_string(m_deployment.fleet().instances().size()) + " are ready");
+    m_steps.check(client(arguments).first == 0, "'yuccashift status' says that all " + std::to_string(m_deployment.fleet().instances().size()) + " are ready");
 }
 
 std::string Demo::sendChat(const InstanceId& entry, const OrganisationName& organisation, const std::string& prompt)
@@ -146,7 +140,7 @@
     const ChatCall chat { m_plan.model, prompt, shortAnswer, true };
     const auto reply = send(chatRequest(m_deployment.entry(entry), Deployment::credential(organisation), chat));
     m_out << "  answer: " << (reply.status == 200 ? test::streamedText(reply.body) : reply.body) << "\n";
-    check(judgeChat(chat, reply) == Outcome::Whole, "the answer is whole and the caller's own");
+    m_steps.check(judgeChat(chat, reply) == Outcome::Whole, "the answer is whole and the caller's own");
     return showTrace(reply);
 }
 
@@ -164,7 +158,7 @@
     const auto call = plainRequest(m_deployment.entry(entry), Deployment::credential(m_plan.organisation), "GET", m_plan.readPath, "");
     const auto reply = send(call);
     m_out << "  answer: " << reply.body << "\n";
-    check(judgePlain(call, reply) == Outcome::Whole, "the answer is whole and the caller's own");
+    m_steps.check(judgePlain(call, reply) == Outcome::Whole, "the answer is whole and the caller's own");
     showTrace(reply);
 }
 
@@ -181,10 +175,10 @@
         call.headers["Idempotency-Key"] = offer.key;
         const auto reply = send(call);
         m_out << "  answer: " << reply.body << "\n";
-        check(judgePlain(call, reply) == Outcome::Whole, "the answer at " + entry + " is whole and the caller's own");
+        m_steps.check(judgePlain(call, reply) == Outcome::Whole, "the answer at " + entry + " is whole and the caller's own");
         showTrace(reply);
     }
-    check(m_deployment.runsOf(offer.key) == 1, "it ran once");
+    m_steps.check(m_deployment.runsOf(offer.key) == 1, "it ran once");
 }
 
 void Demo::callBoundFromElsewhere()
@@ -193,7 +187,7 @@
     const auto entry = m_deployment.instanceIn(0);
     m_out << "\n-- a request of " << m_plan.boundOrganisation << ", bound to " << home << ", that arrives at " << entry << "\n";
     const auto trace = sendChat(entry, m_plan.boundOrganisation, m_plan.prompt);
-    check(trace.find("@" + home) != std::string::npos, "it was served in " + home);
+    m_steps.check(trace.find("@" + home) != std::string::npos, "it was served in " + home);
 }
 
 void Demo::callWithShortDeadline()
@@ -205,8 +199,8 @@
     call.headers["X-Deadline-Ms"] = "20";
     const auto reply = send(call);
     m_out << "  answer: " << reply.status << " " << reply.body << "\n";
-    check(test::errorField(reply, "code") == "deadline_unreachable", "it was refused early");
-    check(test::errorField(reply, "runState") == "not run", "it did not run");
+    m_steps.check(test::errorField(reply, "code") == "deadline_unreachable", "it was refused early");
+    m_steps.check(test::errorField(reply, "runState") == "not run", "it did not run");
     showTrace(reply);
 }
 
@@ -221,13 +215,13 @@
     std::ofstream(folder + "/after.yaml") << after;
     const auto [code, differences] = client({ "diff", folder + "/before.yaml", folder + "/after.yaml" });
     m_out << indented(differences, "  ");
-    check(code == 1, "'yuccashift diff' shows what changes");
+    m_steps.check(code == 1, "'yuccashift diff' shows what changes");
     const auto begin = std::chrono::steady_clock::now();
     m_deployment.publish(service, after);
     const bool everywhere = m_deployment.fleet().waitForRevision(service, 2);
     const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begin;
     m_out << "  revision 2 in force at " << m_deployment.fleet().instances().size() << " instances after " << std::fixed << std::setprecision(2) << took.count() << " s\n";
-    check(everywhere && took.count() <= secondsToBeInForce, "it is in force everywhere within 3 s");
+    m_steps.check(everywhere && took.count() <= secondsToBeInForce, "it is in force everywhere within 3 s");
 }
 
 void Demo::drainUnderLoad()
@@ -262,10 +256,10 @@
     std::size_t whole = 0;
     for (std::size_t n = 0; n < streamsUnderDrain; ++n)
         whole += judgeChat(chats[n], replies[n]) == Outcome::Whole ? 1 : 0;
-    check(drained.first == 0 && whole == streamsUnderDrain, std::to_string(whole) + " of " + std::to_string(streamsUnderDrain) + " streams ended whole");
+    m_steps.check(drained.first == 0 && whole == streamsUnderDrain, std::to_string(whole) + " of " + std::to_string(streamsUnderDrain) + " streams ended whole");
     auto& process = *fleet.instance(leaving).process;
     const auto exit = process.waitForExit();
-    check(exit == 0, leaving + " stopped with exit code " + (exit ? std::to_string(*exit) : "none"));
+    m_steps.check(exit == 0, leaving + " stopped with exit code " + (exit ? std::to_string(*exit) : "none"));
     if (exit != 0)
         m_out << indented(process.errors(), "    ");
     fleet.removeInstance(leaving);
@@ -279,7 +273,7 @@
         const auto call = plainRequest(m_deployment.entry(entry), Deployment::credential(m_plan.organisation), "GET", m_plan.readPath, "");
         const auto reply = send(call);
         m_out << "  " << entry << ": " << withoutNewline(reply.body) << "\n";
-        check(judgePlain(call, reply) == Outcome::Whole, m_plan.regions[n].region + " answers");
+        m_steps.check(judgePlain(call, reply) == Outcome::Whole, m_plan.regions[n].region + " answers");
     }
 }
 
--- a/examples/demo/demo.hpp
+++ b/examples/demo/demo.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "demo/deployment.hpp"
+#include "demo/step_log.hpp"
 #include "tests/support/workload.hpp"
 
 #include <iosfwd>
@@ -26,8 +27,6 @@
     void drainUnderLoad();
     void answerFromEveryRegion();
 
-    /** Prints whether a step was right. */
-    void check(bool right, const std::string& what);
     /** Prints the trace of an answer with a line for each hop, and returns it. */
     std::string showTrace(const test::HttpReply&);
     /** Runs the operator's client; prints nothing. */
@@ -38,7 +37,7 @@
     Deployment& m_deployment;
     const DeploymentPlan& m_plan;
     std::ostream& m_out;
-    bool m_right = true;
+    StepLog m_steps;
     unsigned m_clientRuns = 0;
 };
 
--- a/examples/demo/platform_demo.cpp
+++ b/examples/demo/platform_demo.cpp
@@ -41,6 +41,7 @@
 
 PlatformDemo::PlatformDemo(std::ostream& out)
     : m_out(out)
+    , m_steps(out)
     , m_folder(test::makeFolder("platform-demo-logs"))
 {
 }
@@ -55,14 +56,7 @@
     serveWhileTheStoreIsDown();
     evacuate();
     stopUnderLoad();
-    return m_right;
-}
-
-void PlatformDemo::check(bool right, const std::string& what)
-{
-    m_out << (right ? "  ok: " : "  WRONG: ") << what << "\n"
-          << std::flush;
-    m_right = m_right && right;
+    return m_steps.allRight();
 }
 
 void PlatformDemo::showRequestLog(const std::string& attempt)
@@ -83,7 +77,7 @@
         return lines.find("request served") != std::string::npos;
     });
     m_out << lines;
-    check(ended, "'yuccashift request-log " + attempt + "' tells its way from the instances' logs");
+    m_steps.check(ended, "'yuccashift request-log " + attempt + "' tells its way from the instances' logs");
 }
 
 void PlatformDemo::start()
@@ -102,34 +96,34 @@
     bool ready = true;
     for (const auto& name : instances)
         ready = m_fleet.waitReady(name) && ready;
-    check(ready, "three instances read the configuration and say that they are ready");
+    m_steps.check(ready, "three instances read the configuration and say that they are ready");
     const auto others = static_cast<double>(instances.size()) - 1;
-    check(waitUntil([&] { return m_fleet.metric("varna-1", "yuccashift_instances_heard") == others && m_fleet.metric("sofia-1", "yuccashift_instances_heard") == others; }), "they hear each other");
+    m_steps.check(waitUntil([&] { return m_fleet.metric("varna-1", "yuccashift_instances_heard") == others && m_fleet.metric("sofia-1", "yuccashift_instances_heard") == others; }), "they hear each other");
 }
 
 void PlatformDemo::askTheDirectory()
 {
     const auto named = m_fleet.directory("varna-1", "sofia");
     m_out << "\n-- the directory of varna-1, asked for sofia\n  " << boost::algorithm::join(named, " ") << "\n";
-    check(named.size() == 2, "it names the two instances of sofia");
+    m_steps.check(named.size() == 2, "it names the two instances of sofia");
 }
 
 void PlatformDemo::callInTheOwnRegion()
 {
     m_out << "\n-- an idempotent call, a redemption and a stream at sofia-1\n";
     const auto balance = m_fleet.call("sofia-1", "balance-1", "GET", "/balance/x");
-    check(balance.ok() && answersAttempt(balance, "balance-1"), "the answer is whole and the caller's own, sealed by " + sealOf(balance));
+    m_steps.check(balance.ok() && answersAttempt(balance, "balance-1"), "the answer is whole and the caller's own, sealed by " + sealOf(balance));
     const auto redeemed = m_fleet.call("sofia-1", "redeem-1", "POST", "/redeem/x", "pass");
-    check(redeemed.ok() && m_fleet.runsOf("redeem-1") == 1, "the redemption ran once");
+    m_steps.check(redeemed.ok() && m_fleet.runsOf("redeem-1") == 1, "the redemption ran once");
     const auto draft = m_fleet.call("sofia-1", "draft-1", "POST", "/stream/draft/x", "prompt");
-    check(wholeStream(draft, "draft-1"), "the stream came to its end");
+    m_steps.check(wholeStream(draft, "draft-1"), "the stream came to its end");
 }
 
 void PlatformDemo::callBoundFromElsewhere()
 {
     m_out << "\n-- a request bound to varna that arrives at sofia-1\n";
     const auto reply = m_fleet.call("sofia-1", "bound-1", "GET", "/varna-only/x");
-    check(reply.ok() && sealOf(reply) == "pass-ledger-varna.bound-1", "it was served in varna");
+    m_steps.check(reply.ok() && sealOf(reply) == "pass-ledger-varna.bound-1", "it was served in varna");
     showRequestLog("bound-1");
 }
 
@@ -140,14 +134,14 @@
     changed.push_back({ "/entries/", "idempotent", "pass-ledger", {}, false, 2 });
     m_fleet.publishConfig(secondVersion, changed);
     for (const auto& name : instances)
-        check(waitUntil([&] { return m_fleet.call(name, "entries-" + name, "GET", "/entries/x").ok(); }), "the added route is served at " + name);
+        m_steps.check(waitUntil([&] { return m_fleet.call(name, "entries-" + name, "GET", "/entries/x").ok(); }), "the added route is served at " + name);
 }
 
 void PlatformDemo::serveWhileTheStoreIsDown()
 {
     m_out << "\n-- the store resets every connection\n";
     m_fleet.control("store", "/control/mode", R"({"mode":"reset"})");
-    check(m_fleet.call("sofia-2", "down-1", "GET", "/balance/x").ok(), "sofia-2 goes on with what it knows");
+    m_steps.check(m_fleet.call("sofia-2", "down-1", "GET", "/balance/x").ok(), "sofia-2 goes on with what it knows");
     m_fleet.control("store", "/control/mode", R"({"mode":"up"})");
 }
 
@@ -155,9 +149,9 @@
 {
     m_out << "\n-- hall-sofia is evacuated and taken back\n";
     m_fleet.evacuate("hall-sofia", true);
-    check(waitUntil([&] { return sealOf(m_fleet.call("sofia-1", "evacuated-1", "GET", "/balance/x")) == "pass-ledger-varna.evacuated-1"; }), "requests of sofia go to varna");
+    m_steps.check(waitUntil([&] { return sealOf(m_fleet.call("sofia-1", "evacuated-1", "GET", "/balance/x")) == "pass-ledger-varna.evacuated-1"; }), "requests of sofia go to varna");
     m_fleet.evacuate("hall-sofia", false);
-    check(waitUntil([&] { return sealOf(m_fleet.call("sofia-1", "back-1", "GET", "/balance/x")) == "pass-ledger-sofia.back-1"; }), "and come back");
+    m_steps.check(waitUntil([&] { return sealOf(m_fleet.call("sofia-1", "back-1", "GET", "/balance/x")) == "pass-ledger-sofia.back-1"; }), "and come back");
 }
 
 void PlatformDemo::stopUnderLoad()
@@ -174,11 +168,11 @@
     }
     waitUntil([&] { return m_fleet.metric("sofia-1", "yuccashift_requests_in_progress") > 0; });
     m_fleet.entry("sofia-1").signal(SIGTERM);
-    check(waitUntil([&] { return m_fleet.directory("sofia-2", "sofia").size() == 1; }), "the directory leaves it out");
+    m_steps.check(waitUntil([&] { return m_fleet.directory("sofia-2", "sofia").size() == 1; }), "the directory leaves it out");
     for (auto& it : callers)
         it.join();
-    check(std::ranges::count(whole, 1) == streamsUnderStop, "every stream came to its end");
-    check(m_fleet.entry("sofia-1").waitForExit() == 0, "it ended with status 0");
+    m_steps.check(std::ranges::count(whole, 1) == streamsUnderStop, "every stream came to its end");
+    m_steps.check(m_fleet.entry("sofia-1").waitForExit() == 0, "it ended with status 0");
 }
 
 } // namespace yuccashift::demo
--- a/examples/demo/platform_demo.hpp
+++ b/examples/demo/platform_demo.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "demo/step_log.hpp"
 #include "platform/standins/entry_fleet.hpp"
 
 #include <iosfwd>
@@ -28,14 +29,13 @@
     void evacuate();
     void stopUnderLoad();
 
-    void check(bool right, const std::string& what);
     /** Prints what the logs of all instances say of a request. */
     void showRequestLog(const std::string& attempt);
 
     std::ostream& m_out;
+    StepLog m_steps;
     std::string m_folder;
     test::EntryFleet m_fleet { "platform-demo" };
-    bool m_right = true;
 };
 
 } // namespace yuccashift::demo
--- a/fuzzing/drains/drains.cpp
+++ b/fuzzing/drains/drains.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <mutex>
 #include <ostream>
 #include <random>
 #include <thread>
@@ -54,6 +55,7 @@
         {
             if (right)
                 return;
+            const std::lock_guard lock(m_mutex);
             m_out << "seed " << m_plan.seed << " drain " << n << ": " << what << "\n";
             m_right = false;
         }
@@ -95,9 +97,7 @@
                 const ChatCall chat { "itinerary", "drain " + std::to_string(n), call.tokens, call.kind == 1 };
                 outcome = test::judgeChat(chat, test::send(test::chatRequest(entry, test::anywhereCredential, chat)));
             }
-            if (outcome == Outcome::Wrong)
-                m_wrong = true;
-            check(!m_wrong, n, "an answer was presented as whole that is not the caller's own");
+            check(outcome != Outcome::Wrong, n, "an answer was presented as whole that is not the caller's own");
         }
 
         DrainPlan m_plan;
@@ -105,7 +105,8 @@
         std::mt19937_64 m_random;
         TwoRegions m_regions { "drains" };
         std::atomic<bool> m_right = true;
-        std::atomic<bool> m_wrong = false;
+        /** Callers judge their answers on threads of their own. */
+        std::mutex m_mutex;
     };
 
 } // namespace
--- a/fuzzing/fleet_fuzz.cpp
+++ b/fuzzing/fleet_fuzz.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/io_context.hpp>
 #include <deque>
 #include <memory>
 
@@ -203,21 +202,18 @@
             : world(clock, items)
             , members(clock, name)
             , book(clock)
-            , pool(io, clock)
             , repeats(clock, RepeatBound())
-            , dispatcher(clock, settings, world, book, members, pool, random)
+            , dispatcher(clock, settings, world, book, members, random)
         {
             settings.instance = name;
             settings.region = "sofia";
             settings.regions = { { "hall", "sofia" } };
         }
 
-        boost::asio::io_context io;
         EntrySettings settings;
         World world;
         MemberBook members;
         ServerBook book;
-        OutboundPool pool;
         RepeatAllowance repeats;
         SeededRandom random { 5 };
         Dispatcher dispatcher;
--- a/src/yuccashift/entry/dispatcher.cpp
+++ b/src/yuccashift/entry/dispatcher.cpp
@@ -46,13 +46,12 @@
     return server.identity.id + "|" + std::to_string(server.identity.born) + "|" + toString(server.address);
 }
 
-Dispatcher::Dispatcher(const Clock& clock, const EntrySettings& settings, const World& world, const ServerBook& book, const MemberBook& members, const OutboundPool& pool, RandomSource& random)
+Dispatcher::Dispatcher(const Clock& clock, const EntrySettings& settings, const World& world, const ServerBook& book, const MemberBook& members, RandomSource& random)
     : m_clock(clock)
     , m_settings(settings)
     , m_world(world)
     , m_book(book)
     , m_members(members)
-    , m_pool(pool)
     , m_random(random)
 {
 }
--- a/src/yuccashift/entry/dispatcher.hpp
+++ b/src/yuccashift/entry/dispatcher.hpp
@@ -6,7 +6,6 @@
 #include "yuccashift/entry/entry_settings.hpp"
 #include "yuccashift/fleet/member_book.hpp"
 #include "yuccashift/fleet/world.hpp"
-#include "yuccashift/http/outbound.hpp"
 #include "yuccashift/kernel/random.hpp"
 
 #include <set>
@@ -37,7 +36,7 @@
 /** Joins entries, loads and heartbeats into what the decisions need. */
 class Dispatcher {
 public:
-    Dispatcher(const Clock&, const EntrySettings&, const World&, const ServerBook&, const MemberBook&, const OutboundPool&, RandomSource&);
+    Dispatcher(const Clock&, const EntrySettings&, const World&, const ServerBook&, const MemberBook&, RandomSource&);
 
     /** The region where requests with this one's shared prefix meet; nothing where it has none. */
     std::optional<RegionName> prefixHome(const Route&, const ServiceName&, const WorkSize&) const;
@@ -69,7 +68,6 @@
     const World& m_world;
     const ServerBook& m_book;
     const MemberBook& m_members;
-    const OutboundPool& m_pool;
     RandomSource& m_random;
 };
 
--- a/src/yuccashift/entry/entry_core.cpp
+++ b/src/yuccashift/entry/entry_core.cpp
@@ -19,7 +19,7 @@
     , crashes(clock)
     , servers(io, clock)
     , peers(io, clock)
-    , dispatcher(clock, settings, world, book, members, servers, *random)
+    , dispatcher(clock, settings, world, book, members, *random)
     , record(metrics)
 {
 }
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -234,11 +234,13 @@
     }
 }
 
-void Gossip::sendTo(const Address& address, const std::string& bytes)
+void Gossip::sendTo(std::span<const Address> addresses, const std::string& bytes)
 {
-    error_code ec;
-    // A datagram that cannot leave now is lost like any other; the next one follows shortly.
-    m_socket.send_to(asio::buffer(bytes), { address, m_core.settings.peerPort }, 0, ec);
+    for (const auto& address : addresses) {
+        error_code ec;
+        // A datagram that cannot leave now is lost like any other; the next one follows shortly.
+        m_socket.send_to(asio::buffer(bytes), { address, m_core.settings.peerPort }, 0, ec);
+    }
 }
 
 std::vector<Gossip::Address> Gossip::nearAddresses() const
@@ -294,8 +296,7 @@
         addLoads(datagram.heartbeat);
         const auto bytes = encodeDatagram(datagram);
         m_bytesNear.add(bytes.size() * near.size());
-        for (const auto& address : near)
-            sendTo(address, bytes);
+        sendTo(near, bytes);
     }
     if (m_round % roundsBetweenRegions != 0 && !m_core.draining())
         return;
@@ -308,8 +309,7 @@
     addRooms(datagram.heartbeat);
     const auto bytes = encodeDatagram(datagram);
     m_bytesFar.add(bytes.size() * far.size());
-    for (const auto& address : far)
-        sendTo(address, bytes);
+    sendTo(far, bytes);
 }
 
 void Gossip::passOn(std::int64_t after)
@@ -321,8 +321,7 @@
     const auto bytes = encodeDatagram(datagram);
     if (bytes.size() > mostNewsBytes)
         return;
-    for (const auto& address : nearAddresses())
-        sendTo(address, bytes);
+    sendTo(nearAddresses(), bytes);
 }
 
 void Gossip::tick()
--- a/src/yuccashift/entry/gossip.hpp
+++ b/src/yuccashift/entry/gossip.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <set>
+#include <span>
 #include <vector>
 
 namespace yuccashift {
@@ -39,7 +40,7 @@
     std::vector<Address> nearAddresses() const;
     std::vector<Address> someFarAddresses();
     void tick();
-    void sendTo(const Address&, const std::string& bytes);
+    void sendTo(std::span<const Address>, const std::string& bytes);
     fleetwire::Heartbeat ownBeat(bool withProfile);
     void addLoads(fleetwire::Heartbeat&) const;
     void addRooms(fleetwire::Heartbeat&) const;
--- a/tests/entry/request_record_test.cpp
+++ b/tests/entry/request_record_test.cpp
@@ -1,28 +1,17 @@
 #include "yuccashift/entry/request_record.hpp"
 
-#include "yuccashift/kernel/log.hpp"
+#include "tests/support/kept_log.hpp"
 
 #include <gtest/gtest.h>
 #include <string>
-#include <vector>
 
 namespace yuccashift {
 namespace {
 
-    /** Keeps the lines instead of writing them. */
-    struct KeptLines final : LogSink {
-        void write(LogLevel, std::string_view message, LogFields fields) override { lines.push_back(formatLogLine(message, fields)); }
-
-        std::vector<std::string> lines;
-    };
-
     struct ARequestRecord : testing::Test {
-        ARequestRecord() { setLogSink(&kept); }
-        ~ARequestRecord() override { setLogSink(nullptr); }
-
         std::string metrics() const { return series.renderPrometheus(); }
 
-        KeptLines kept;
+        test::KeptLog kept;
         Metrics series;
         RequestRecord record { series };
     };
--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -1,7 +1,7 @@
+#include "tests/support/kept_log.hpp"
 #include "tests/support/scripted_server.hpp"
 #include "yuccashift/http/inbound.hpp"
 #include "yuccashift/http/outbound.hpp"
-#include "yuccashift/kernel/log.hpp"
 
 #include <array>
 #include <boost/asio/connect.hpp>
@@ -262,33 +262,25 @@
         rlimit m_before {};
     };
 
-    struct CountedLines final : LogSink {
-        void write(LogLevel, std::string_view, LogFields) override { ++lines; }
-
-        int lines = 0;
-    };
-
     // Pattern: callers take all descriptors; the loop still has the requests in progress to serve.
     TEST_F(AnInboundServer, WaitsBeforeItAcceptsAgainWithoutADescriptor)
     {
-        constexpr int turns = 200;
+        constexpr std::size_t turns = 200;
         tcp::socket socket(client);
         socket.connect({ asio::ip::make_address(endpoint.host), endpoint.port });
-        CountedLines log;
-        setLogSink(&log);
+        test::KeptLog log;
         // UBSan opens a pipe where it meets a type for the first time, so the sink is used once while it can.
         logWarning("a line before");
-        log.lines = 0;
+        log.lines.clear();
         {
             const NoDescriptors none;
-            for (int n = 0; n < turns; ++n) {
+            for (std::size_t n = 0; n < turns; ++n) {
                 io.poll_one();
                 io.restart();
             }
         }
-        setLogSink(nullptr);
-        EXPECT_GE(log.lines, 1);
-        EXPECT_LT(log.lines, turns / 2);
+        EXPECT_GE(log.lines.size(), 1u);
+        EXPECT_LT(log.lines.size(), turns / 2);
         EXPECT_NE(exchange("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").find("GET:"), std::string::npos);
     }
 
