--- a/src/yuccashift/config/watcher_selection.cpp
+++ b/src/yuccashift/config/watcher_selection.cpp
@@ -33,6 +33,13 @@
     return std::ranges::find(watchers, self) != watchers.end();
 }
 
+Duration pollInterval(std::size_t instancesInRegion)
+{
+    constexpr Duration shortest = milliseconds(2500);
+    constexpr Duration perInstance = milliseconds(400);
+    return std::max(shortest, perInstance * static_cast<std::int64_t>(instancesInRegion));
+}
+
 Duration nextPollDelay(const PollTiming& timing, std::uint32_t failures, RandomSource& random)
 {
     constexpr std::uint32_t maxDoublings = 16;
--- a/src/yuccashift/config/watcher_selection.hpp
+++ b/src/yuccashift/config/watcher_selection.hpp
@@ -19,6 +19,12 @@
 /** Whether this instance is one of the watchers. */
 bool isWatcher(const InstanceId& self, const RegionName&, std::span<const InstanceId> live, std::size_t count = watchersPerRegion);
 
+/**
+ * Mean interval between the polls of an instance that does not watch the published items. It grows with the
+ * region, so that the polls of a region together stay at the same rate: they notice a change if no watcher does.
+ */
+Duration pollInterval(std::size_t instancesInRegion);
+
 /** Poll interval and back-off of an instance that does not hold a watch. */
 struct PollTiming {
     Duration interval = seconds(60);
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -157,7 +157,7 @@
     , core(io, clock, std::move(settings), adapters.protocol, adapters.decoder, makeSystemRandom())
     , gossip(core)
     , prober(core)
-    , snapshots(core)
+    , snapshots(core, [this] { store->pollNow(); })
     , store(adapters.makeStore(io, clock, core.settings.storeEndpoint))
 {
     core.fleetState.setObserver(this);
@@ -196,7 +196,8 @@
 {
     const auto before = core.fleetState.replica().revision();
     core.fleetState.apply(changes, through);
-    if (watching)
+    // An instance that polls learns something new only if the watchers of the region do not.
+    if (core.fleetState.replica().revision() > before)
         gossip.forwardChanges(before);
 }
 
@@ -290,6 +291,7 @@
     const auto now = clock.now();
     core.fleetState.tick();
     snapshots.tick();
+    store->skipTo(core.fleetState.replica().revision());
     core.retryBudget.setInstanceCount(core.peerTable.knownInstanceCount() + unseenInstanceMargin);
     if (pauses.resumedFromPause(now, clock.wallNow())) {
         logWarning("process resumed after a pause; reloading published items");
@@ -312,6 +314,7 @@
     // A draining instance takes no watcher role, but still follows the published items.
     const auto& region = core.settings.region;
     const auto activeInstances = core.peerTable.activeInstancesIn(region, !core.draining());
+    store->setPollInterval(pollInterval(activeInstances.size()));
     const bool shouldWatch = activeInstances.size() <= maxInstancesAllWatching || isWatcher(core.settings.instance, region, activeInstances);
     if (shouldWatch == watching)
         return;
--- a/src/yuccashift/entry/snapshot_exchange.cpp
+++ b/src/yuccashift/entry/snapshot_exchange.cpp
@@ -19,6 +19,9 @@
     constexpr Duration minFetchInterval = milliseconds(400);
     constexpr Duration fetchTimeout = milliseconds(1500);
     constexpr Duration connectTimeout = milliseconds(500);
+    constexpr int statusOk = 200;
+    /** Status by which an instance answers that it has sent too many snapshots recently. */
+    constexpr int statusBusy = 503;
 
     std::optional<std::int64_t> parseRequestedRevision(const RequestMessage& request)
     {
@@ -92,21 +95,23 @@
         m_timer.start(fetchTimeout, [this] { onAnswerFailure(OutboundFailure::Lost, "no answer in time"); });
     }
 
-    void onAnswerHead(const AnswerHead& head) override { m_statusOk = head.status == 200; }
+    void onAnswerHead(const AnswerHead& head) override { m_status = head.status; }
     void onAnswerBody(std::string_view data) override { m_body.append(data); }
     void onAnswerEnd() override
     {
         const auto snapshot = decodeSnapshot(m_body);
-        if (m_statusOk && snapshot)
+        if (m_status == statusOk && snapshot)
             take(*snapshot);
+        else if (m_status == statusBusy)
+            logInfo("peer sends no further snapshots now; reading the store", { { "peer", m_instance } });
         else
-            logWarning("snapshot invalid", { { "peer", m_instance } });
-        m_owner.onFetchEnded();
+            logWarning("snapshot invalid", { { "peer", m_instance }, { "status", m_status } });
+        m_owner.onFetchEnded(m_status == statusOk && snapshot);
     }
     void onAnswerFailure(OutboundFailure, std::string_view reason) override
     {
         logWarning("snapshot fetch failed", { { "peer", m_instance }, { "reason", reason } });
-        m_owner.onFetchEnded();
+        m_owner.onFetchEnded(false);
     }
 
     void stop()
@@ -128,12 +133,14 @@
     InstanceId m_instance;
     OneShotTimer m_timer;
     std::string m_body;
-    bool m_statusOk = false;
+    int m_status = 0;
     std::unique_ptr<OutboundExchange> m_outbound;
 };
 
-SnapshotExchange::SnapshotExchange(EntryCore& core)
+SnapshotExchange::SnapshotExchange(EntryCore& core, std::function<void()> readStore)
     : m_core(core)
+    , m_readStore(std::move(readStore))
+    , m_budget(core.clock.now())
     , m_fetchDelay(drawFetchDelay())
 {
 }
@@ -145,28 +152,20 @@
     return minFetchDelay + std::chrono::duration_cast<Duration>(fetchDelaySpread * m_core.random->uniformReal());
 }
 
-void SnapshotExchange::onFetchEnded()
+void SnapshotExchange::onFetchEnded(bool succeeded)
 {
     // This runs inside a callback of the fetch, so the fetch is destroyed later by the event loop.
     std::shared_ptr<Fetch> fetch = std::move(m_fetch);
     fetch->stop();
     boost::asio::post(m_core.io, [fetch] {});
+    if (!succeeded)
+        m_readStore();
 }
 
 void SnapshotExchange::tick()
 {
     const auto now = m_core.clock.now();
-    const PeerState* ahead = nullptr;
-    const auto& own = m_core.settings.region;
-    for (const auto* peer : m_core.peerTable.alive()) {
-        if (peer->storeRevision <= m_core.fleetState.replica().revision())
-            continue;
-        // Instances of this region are preferred: they are nearer, and bandwidth between regions is scarce.
-        const bool nearer = ahead && peer->region == own && ahead->region != own;
-        const bool farther = ahead && peer->region != own && ahead->region == own;
-        if (!ahead || nearer || (!farther && peer->storeRevision > ahead->storeRevision))
-            ahead = peer;
-    }
+    const auto* ahead = chooseSnapshotSource(m_core.peerTable.alive(), m_core.settings.region, m_core.fleetState.replica().revision(), *m_core.random);
     if (!ahead) {
         m_behindSince = {};
         return;
@@ -185,9 +184,17 @@
     const auto after = parseRequestedRevision(exchange.request());
     if (!after)
         return false;
+    const auto now = m_core.clock.now();
     AnswerHead head;
+    if (!m_budget.available(now)) {
+        head.status = statusBusy;
+        exchange.sendComplete(std::move(head), {});
+        return true;
+    }
+    const auto body = encodeSnapshot(snapshotAfter(m_core.fleetState.replica(), *after));
+    m_budget.charge(body.size(), now);
     head.headers.push_back({ "Content-Type", "application/octet-stream" });
-    exchange.sendComplete(std::move(head), encodeSnapshot(snapshotAfter(m_core.fleetState.replica(), *after)));
+    exchange.sendComplete(std::move(head), body);
     return true;
 }
 
--- a/src/yuccashift/entry/snapshot_exchange.hpp
+++ b/src/yuccashift/entry/snapshot_exchange.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "yuccashift/entry/entry_core.hpp"
+#include "yuccashift/entry/snapshot_source.hpp"
 #include "yuccashift/http/inbound.hpp"
 
+#include <functional>
 #include <memory>
 
 namespace yuccashift {
@@ -18,7 +20,8 @@
  */
 class SnapshotExchange {
 public:
-    explicit SnapshotExchange(EntryCore&);
+    /** @param readStore reads the changes from the platform's store, for when no instance sends them */
+    SnapshotExchange(EntryCore&, std::function<void()> readStore);
     ~SnapshotExchange();
     SnapshotExchange(const SnapshotExchange&) = delete;
     SnapshotExchange& operator=(const SnapshotExchange&) = delete;
@@ -30,10 +33,12 @@
 
 private:
     class Fetch;
-    void onFetchEnded();
+    void onFetchEnded(bool succeeded);
     Duration drawFetchDelay() const;
 
     EntryCore& m_core;
+    std::function<void()> m_readStore;
+    SnapshotBudget m_budget;
     std::unique_ptr<Fetch> m_fetch;
     Duration m_fetchDelay;
     Instant m_behindSince {};
--- a/src/yuccashift/entry/store_reader.hpp
+++ b/src/yuccashift/entry/store_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "yuccashift/fleet/item_replica.hpp"
+#include "yuccashift/kernel/clock.hpp"
 
 #include <cstdint>
 #include <string>
@@ -30,6 +31,12 @@
     virtual void resync() = 0;
     /** Selects between watching for changes and occasional polling, for when other instances forward the changes. */
     virtual void setWatching(bool) = 0;
+    /** Sets the mean interval between polls while not watching. */
+    virtual void setPollInterval(Duration) = 0;
+    /** Polls now, if the reader waits for its next poll. */
+    virtual void pollNow() = 0;
+    /** All changes up to this revision have arrived from other instances and need not be read. */
+    virtual void skipTo(std::int64_t revision) = 0;
     /** Number of calls to the store since the start. */
     virtual std::uint64_t callCount() const = 0;
 };
--- a/tests/config/source_reader_test.cpp
+++ b/tests/config/source_reader_test.cpp
@@ -23,6 +23,17 @@
         EXPECT_TRUE(isWatcher(watchers[1], "lagos", live));
     }
 
+    TEST(PollsOfARegion, StayAtTheSameRateHoweverManyInstancesItHas)
+    {
+        const auto pollsPerSecond = [](std::size_t instances) {
+            return static_cast<double>(instances) / std::chrono::duration<double>(pollInterval(instances)).count();
+        };
+        EXPECT_GE(pollInterval(1), milliseconds(2500));
+        EXPECT_NEAR(pollsPerSecond(100), pollsPerSecond(400), 0.01);
+        // With a third of the instances turned away by the store, the region still learns of a change within about a second.
+        EXPECT_GE(pollsPerSecond(100), 1.5);
+    }
+
     /** Several readers of one configuration service; counts the calls to it. */
     class SourceReaders : public ::testing::Test {
     protected:
--- /dev/null
+++ b/tests/entry/snapshot_source_test.cpp
@@ -0,0 +1,71 @@
+#include "yuccashift/entry/snapshot_source.hpp"
+
+#include <gtest/gtest.h>
+#include <map>
+
+namespace yuccashift {
+namespace {
+
+    struct ASnapshotSource : testing::Test {
+        void addPeers(int count, const RegionName& region, std::int64_t revision)
+        {
+            for (int n = 0; n < count; ++n) {
+                PeerState peer;
+                peer.instance = region + std::to_string(peers.size());
+                peer.region = region;
+                peer.storeRevision = revision;
+                peers.push_back(peer);
+            }
+        }
+        std::vector<const PeerState*> pointers() const
+        {
+            std::vector<const PeerState*> result;
+            for (const auto& it : peers)
+                result.push_back(&it);
+            return result;
+        }
+
+        std::vector<PeerState> peers;
+        SeededRandom random { 7 };
+    };
+
+    TEST_F(ASnapshotSource, IsAnInstanceOfTheOwnRegionIfOneIsAhead)
+    {
+        addPeers(5, "varna", 90);
+        addPeers(1, "sofia", 12);
+        for (int n = 0; n < 20; ++n)
+            EXPECT_EQ(chooseSnapshotSource(pointers(), "sofia", 10, random)->region, "sofia");
+        EXPECT_EQ(chooseSnapshotSource(pointers(), "sofia", 12, random)->region, "varna");
+        EXPECT_FALSE(chooseSnapshotSource(pointers(), "sofia", 90, random));
+    }
+
+    // All instances of a region fall behind together when the configuration grows.
+    TEST_F(ASnapshotSource, DiffersBetweenInstancesThatFallBehindTogether)
+    {
+        addPeers(20, "sofia", 50);
+        std::map<InstanceId, int> fetches;
+        for (int n = 0; n < 100; ++n)
+            ++fetches[chooseSnapshotSource(pointers(), "sofia", 10, random)->instance];
+        for (const auto& [instance, count] : fetches)
+            EXPECT_LE(count, 20) << instance;
+    }
+
+    TEST(ASnapshotBudget, BoundsWhatAnInstanceSendsAtOnce)
+    {
+        constexpr std::size_t snapshotBytes = 900'000;
+        VirtualClock clock;
+        SnapshotBudget budget(clock.now());
+        std::size_t sent = 0;
+        for (int n = 0; n < 100; ++n) {
+            if (budget.available(clock.now())) {
+                budget.charge(snapshotBytes, clock.now());
+                sent += snapshotBytes;
+            }
+        }
+        EXPECT_EQ(sent, snapshotBytes);
+        clock.advance(seconds(2));
+        EXPECT_TRUE(budget.available(clock.now()));
+    }
+
+} // namespace
+} // namespace yuccashift
