Name the instances of the caller's data centre, and all of them equally often

Cause: an answer names at most 64 instances. A region of 98 always named the first 64 in the order of their names, so that 34 instances took no callers and those of one data centre took callers of both.

Change: the instances of the caller's data centre if it has eight or more, else those of the region; a random choice where there are more than 64.

--- a/src/yuccashift/entry/directory_choice.hpp
+++ b/src/yuccashift/entry/directory_choice.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "yuccashift/kernel/ids.hpp"
+#include "yuccashift/kernel/random.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -12,6 +13,7 @@
 /** An instance that the directory may name to callers. */
 struct DirectoryEntry {
     RegionName region;
+    DatacentreName datacentre;
     std::string ip;
     bool takesCallers = false;
 };
@@ -26,11 +28,17 @@
 /** Returns the share of the callers' requests that a region may serve, from 0 to 1. */
 using RegionScore = std::function<double(const RegionName&)>;
 
+/** Where a caller is. */
+struct CallerLocation {
+    RegionName region;
+    DatacentreName datacentre;
+};
+
 /**
- * Chooses the addresses for a caller: the instances of its region that accept
- * callers or, if there are none, those of the regions with the highest fitness.
- * Empty if no instance accepts callers.
+ * Chooses the addresses for a caller: the instances of its data centre that accept callers if there are many,
+ * else all of its region or, if there are none, those of the regions with the highest fitness. If there are more
+ * than callers use, the choice among them is random. Empty if no instance accepts callers.
  */
-std::vector<std::string> chooseAddresses(const DirectoryView&, const RegionName& callerRegion, const RegionScore&, std::uint16_t port);
+std::vector<std::string> chooseAddresses(const DirectoryView&, const CallerLocation&, const RegionScore&, std::uint16_t port, RandomSource&);
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -260,14 +260,14 @@
     if (!question)
         return sendText(exchange, 404, "text/plain", "unknown question\n");
     DirectoryView view;
-    view.self = { core.settings.region, core.settings.ip, ready() };
+    view.self = { core.settings.region, core.settings.datacentre, core.settings.ip, ready() };
     for (const auto* member : core.peerTable.alive())
-        view.others.push_back({ member->region, member->ip, member->takesCallers && !member->draining });
+        view.others.push_back({ member->region, member->datacentre, member->ip, member->takesCallers && !member->draining });
     const auto routes = core.fleetState.routes();
     const auto fitness = [&](const RegionName& region) {
         return core.regionDemand.servableShare(region, routes ? std::span<const Route>(routes->config().routes) : std::span<const Route>());
     };
-    const auto named = chooseAddresses(view, question->region, fitness, core.settings.callerEndpoint.port);
+    const auto named = chooseAddresses(view, { question->region, question->datacentre }, fitness, core.settings.callerEndpoint.port, *core.random);
     logInfo("directory query answered", { { "host", question->host }, { "caller_region", question->region }, { "named", boost::algorithm::join(named, ",") }, { "heard", view.others.size() }, { "config", core.fleetState.configVersion() } });
     if (named.empty())
         return sendText(exchange, 503, "text/plain", "no instance takes callers\n");
--- a/tests/entry/answers_test.cpp
+++ b/tests/entry/answers_test.cpp
@@ -4,7 +4,9 @@
 #include "yuccashift/entry/hop.hpp"
 #include "yuccashift/entry/region_demand_estimator.hpp"
 
+#include <algorithm>
 #include <gtest/gtest.h>
+#include <map>
 
 namespace yuccashift {
 namespace {
@@ -101,28 +103,37 @@
         EXPECT_FALSE(extractHopMetadata(headers));
     }
 
-    TEST(AHopFailure, PreservesTheRunState)
+    TEST(AHopFailure, PreservesTheRunStateAndWhetherAServerWasReached)
     {
         for (const auto state : { RunState::NotRun, RunState::Ran, RunState::OutcomeUnknown }) {
-            AnswerHead head;
-            head.headers.push_back(encodeHopFailure({ ErrorKind::Overloaded, {}, state, {} }));
-            const auto error = decodeHopFailure(head);
-            ASSERT_TRUE(error);
-            EXPECT_EQ(error->kind, ErrorKind::Overloaded);
-            EXPECT_EQ(error->effectiveRunState(), state);
+            for (const bool reachedServer : { false, true }) {
+                AnswerHead head;
+                head.headers.push_back(encodeHopFailure({ { ErrorKind::Overloaded, {}, state, {} }, reachedServer }));
+                const auto failure = decodeHopFailure(head);
+                ASSERT_TRUE(failure);
+                EXPECT_EQ(failure->error.kind, ErrorKind::Overloaded);
+                EXPECT_EQ(failure->error.effectiveRunState(), state);
+                EXPECT_EQ(failure->reachedServer, reachedServer);
+            }
         }
         EXPECT_FALSE(decodeHopFailure(AnswerHead()));
     }
 
     struct ADirectoryAnswer : testing::Test {
-        DirectoryView view { { "sofia", "10.0.0.1", true }, { { "sofia", "10.0.0.2", true }, { "varna", "10.0.0.3", true }, { "plovdiv", "10.0.0.4", true } } };
+        DirectoryView view { { "sofia", "hall", "10.0.0.1", true }, { { "sofia", "annex", "10.0.0.2", true }, { "varna", "port", "10.0.0.3", true }, { "plovdiv", "old", "10.0.0.4", true } } };
+        SeededRandom random { 3 };
         RegionDemandEstimator demand;
         std::vector<Route> routes;
 
-        std::vector<std::string> named() const
+        std::vector<std::string> named()
         {
             return chooseAddresses(
-                view, "sofia", [this](const RegionName& region) { return demand.servableShare(region, routes); }, 80);
+                view, { "sofia", "hall" }, [this](const RegionName& region) { return demand.servableShare(region, routes); }, 80, random);
+        }
+        void addInstances(int count, const DatacentreName& datacentre)
+        {
+            for (int n = 0; n < count; ++n)
+                view.others.push_back({ "sofia", datacentre, datacentre + std::to_string(n), true });
         }
     };
 
@@ -131,6 +142,32 @@
         EXPECT_EQ(named(), (std::vector<std::string> { "10.0.0.2:80", "10.0.0.1:80" }));
     }
 
+    TEST_F(ADirectoryAnswer, StaysInTheCallersDataCentreIfItHasManyInstances)
+    {
+        addInstances(6, "hall");
+        EXPECT_EQ(named().size(), 8u);
+        addInstances(1, "hall");
+        EXPECT_EQ(named().size(), 8u);
+        EXPECT_EQ(std::ranges::count(named(), "10.0.0.2:80"), 0);
+    }
+
+    // Hundreds of instances in a region, of which an answer names a part.
+    TEST_F(ADirectoryAnswer, NamesEachOfManyInstancesEquallyOften)
+    {
+        addInstances(127, "hall");
+        std::map<std::string, int> times;
+        for (int n = 0; n < 400; ++n) {
+            const auto addresses = named();
+            ASSERT_EQ(addresses.size(), 64u);
+            for (const auto& it : addresses)
+                ++times[it];
+        }
+        ASSERT_EQ(times.size(), 128u);
+        // Five standard deviations around half of the answers.
+        for (const auto& [address, count] : times)
+            EXPECT_NEAR(count, 200, 50) << address;
+    }
+
     TEST_F(ADirectoryAnswer, OmitsInstancesThatDoNotAcceptCallers)
     {
         view.self.takesCallers = false;
