--- a/benchmarks/capacity/capacity.cpp
+++ b/benchmarks/capacity/capacity.cpp
@@ -51,7 +51,7 @@
     TCLAP::CmdLine line("Measures the slopes of the capacity model and writes its page.", ' ', "1");
     TCLAP::UnlabeledValueArg<std::string> action("action", "measure or page", true, "", "action", line);
     TCLAP::UnlabeledValueArg<std::string> folder("folder", "folder of size.yaml, rows.yaml and slopes.json", true, "", "folder", line);
-    TCLAP::UnlabeledValueArg<std::string> page("page", "file to write the page to", false, "docs/CAPACITY.md", "page", line);
+    TCLAP::UnlabeledValueArg<std::string> page("page", "file to write the page to", false, "docs/CAPACITY-MODEL.md", "page", line);
     line.parse(argc, argv);
     if (action.getValue() == "measure")
         measure(folder.getValue() + "/slopes.json");
--- a/benchmarks/capacity/page.cpp
+++ b/benchmarks/capacity/page.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr auto introduction = R"(# Capacity
+    constexpr auto introduction = R"(# Capacity model
 
 What each role costs at the size of the next two years, and the mechanism that carries it.
 This page is generated: `./tools/capacity` measures the slopes again and writes it anew,
--- a/benchmarks/capacity/page.hpp
+++ b/benchmarks/capacity/page.hpp
@@ -6,7 +6,7 @@
 
 namespace yuccashift::capacity {
 
-/** Returns the full text of docs/CAPACITY.md; the same input gives the same bytes. */
+/** Returns the full text of docs/CAPACITY-MODEL.md; the same input gives the same bytes. */
 std::string renderPage(const Model&, const Slopes&);
 
 } // namespace yuccashift::capacity
--- a/src/yuccashift/dispatch/server_choice.cpp
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -29,7 +29,6 @@
     constexpr double minStallMs = 500.0;
     /** A server is excluded as failing if its share of failures exceeds this share and, by the factor, the mean of all candidates; it needs at least this many samples. */
     constexpr double failingShare = 0.35;
-    constexpr std::uint32_t minFailingSamples = 4;
     constexpr double failingMeanFactor = 1.8;
     /** Streams slower than the median by this factor indicate a slow server rather than a fuller batch. */
     constexpr double slowStreamFactor = 1.8;
@@ -78,7 +77,7 @@
             return ServerRejectReason::Tried;
         if (server.suspect)
             return ServerRejectReason::Suspect;
-        if (server.full)
+        if (server.fullFor > Duration::zero())
             return ServerRejectReason::Full;
         if (server.cold && !server.warmUpAllowed)
             return ServerRejectReason::Cold;
--- a/src/yuccashift/dispatch/server_choice.hpp
+++ b/src/yuccashift/dispatch/server_choice.hpp
@@ -12,6 +12,9 @@
 
 namespace yuccashift {
 
+/** Outcomes that must be known of a server before it can count as failing. */
+constexpr std::uint32_t minFailingSamples = 4;
+
 /** A backend server with the inputs to the choice. */
 struct ServerCandidate {
     std::uint64_t key = 0;
@@ -35,8 +38,8 @@
     Duration oldestWait {};
     /** Connections to it fail. */
     bool suspect = false;
-    /** It refused a request as full a moment ago. */
-    bool full = false;
+    /** Positive if it is full: it refused a request a moment ago or has as many as it takes. The time until it may take another. */
+    Duration fullFor {};
     /** It started recently and takes requests at a limited rate. */
     bool cold = false;
     /** Whether this instance may send it the next request while it is cold. */
--- a/src/yuccashift/dispatch/server_tracker.cpp
+++ b/src/yuccashift/dispatch/server_tracker.cpp
@@ -17,9 +17,15 @@
     /** Ratios outside these limits are outliers of single requests rather than the slowness of a server. */
     constexpr double minSlownessRatio = 0.3;
     constexpr double maxSlownessRatio = 6.0;
+    /** A server's limit is tried out again after this time, since what it takes may have grown. */
+    constexpr Duration requestLimitLifetime = seconds(5);
     /** Shorter predictions say little about the slowness. */
     constexpr Duration minComparablePrediction = milliseconds(20);
 
+    /** Outcomes from which an owner reports a share of failures, and the share from which it reports an idle server. */
+    constexpr std::uint32_t minReportedOutcomes = 4;
+    constexpr double reportedFailureShare = 0.2;
+
     /** Prompt tokens that an engine prefills in a millisecond while nothing else runs. */
     constexpr double soloPrefillTokensPerMs = 75.0;
     /** Age from which the prefills that other instances reported are ignored. */
@@ -91,6 +97,7 @@
     ticket.load.requests = 1;
     ticket.load.waitingPromptTokens[ticket.priority] = static_cast<std::int32_t>(send.uncachedTokens);
     ticket.load.memoryTokens = static_cast<std::int32_t>(send.work.memoryTokens());
+    ticket.slots = send.slots;
     ticket.sentAt = m_clock.now();
     ticket.unscaledPrediction = std::chrono::duration_cast<Duration>(send.predicted / send.slowness);
     ticket.engine = send.engine;
@@ -112,6 +119,9 @@
     const auto index = std::min(priority, priorityLevels - 1);
     const auto& status = statusOf(server);
     const double samples = status.slownessSamples[index];
+    const auto& report = status.ownerReport;
+    if (samples == 0 && report && report->slowness[index] > 0 && m_clock.now() - report->receivedAt < ownerReportLifetime)
+        return report->slowness[index];
     return (status.slowness[index] * samples + m_overallSlowness[engine ? 1 : 0][index] * priorSampleWeight) / (samples + priorSampleWeight);
 }
 
@@ -172,6 +182,10 @@
     if (!ticket.firstByteSeen)
         removePending(it->second, ticket);
     ticket.server = 0;
+    if (outcome == ServerOutcome::Rejected) {
+        status.requestLimit = std::max(static_cast<std::int32_t>(ticket.slots), status.total().requests);
+        status.requestLimitUntil = m_clock.now() + requestLimitLifetime;
+    }
     if (outcome == ServerOutcome::Abandoned || outcome == ServerOutcome::Rejected)
         return;
     ++status.outcomeSamples;
@@ -276,10 +290,38 @@
 {
     std::vector<std::pair<std::uint64_t, ServerLoadSum>> loads;
     for (const auto& [server, record] : m_records) {
-        if (record.status.own.requests > 0)
-            loads.emplace_back(server, record.status.own);
+        const auto& status = record.status;
+        if (status.own.requests > 0 || status.suspect || status.failureShare > reportedFailureShare)
+            loads.emplace_back(server, status.own);
     }
     return loads;
 }
 
+OwnerReport ServerTracker::observedHealth(std::uint64_t server) const
+{
+    const auto& status = statusOf(server);
+    OwnerReport report;
+    for (std::size_t i = 0; i < priorityLevels; ++i)
+        report.slowness[i] = status.slownessSamples[i] > 0 ? status.slowness[i] : 0;
+    report.suspect = status.suspect;
+    report.failureShare = status.outcomeSamples >= minReportedOutcomes ? status.failureShare : 0;
+    return report;
+}
+
+void ServerTracker::setOwnerReports(const InstanceId& instance, const std::map<std::uint64_t, OwnerReport>& reports)
+{
+    for (const auto server : m_reportedServers[instance]) {
+        if (const auto it = m_records.find(server); it != m_records.end())
+            it->second.status.ownerReport.reset();
+    }
+    auto& reported = m_reportedServers[instance];
+    reported.clear();
+    for (const auto& [server, report] : reports) {
+        m_records[server].status.ownerReport = report;
+        reported.push_back(server);
+    }
+    if (reported.empty())
+        m_reportedServers.erase(instance);
+}
+
 } // namespace yuccashift
--- a/src/yuccashift/dispatch/server_tracker.hpp
+++ b/src/yuccashift/dispatch/server_tracker.hpp
@@ -51,6 +51,19 @@
     Abandoned,
 };
 
+/** An owner's report is used for this long; heartbeats repeat it every second or more often. */
+constexpr Duration ownerReportLifetime = seconds(3);
+
+/** Health of a server as its owner observes it. Other instances send it few requests themselves. */
+struct OwnerReport {
+    /** Observed slowness by priority; 0 where the owner has no samples. */
+    std::array<double, priorityLevels> slowness {};
+    bool suspect = false;
+    /** Share of recent requests that failed; 0 while the owner has seen too few. */
+    double failureShare = 0.0;
+    Instant receivedAt {};
+};
+
 /** Observed load and health of one server, in addition to its registered entry. */
 struct ServerStatus {
     ServerLoadSum own;
@@ -66,6 +79,9 @@
     Instant suspectSince {};
     /** The server refused a request as full; it gets no requests until then. */
     Instant fullUntil {};
+    /** Requests in progress with which the server refused another one, and until when that is taken for its limit. */
+    std::int32_t requestLimit = 0;
+    Instant requestLimitUntil {};
     /** When this instance last sent a request while the server was cold. */
     Instant lastColdSend {};
     /** When this instance last started a health probe. */
@@ -78,8 +94,13 @@
     Duration streamChunkGap {};
     Instant lastChunkAt {};
 
+    /** The newest report of the server's owner, if that is another instance. */
+    std::optional<OwnerReport> ownerReport;
+
     /** Load of this instance and its peers together. */
     ServerLoadSum total() const;
+    /** Whether the server has as many requests in progress as it took when it last refused one. */
+    bool atRequestLimit(Instant now) const { return now < requestLimitUntil && total().requests >= requestLimit; }
 };
 
 /** A request that is about to be sent to a server. */
@@ -93,6 +114,8 @@
     bool engine = false;
     /** Tokens that fit into the engine's memory. */
     std::uint64_t memoryTokens = 0;
+    /** Maximum number of requests that the server processes concurrently. */
+    std::uint32_t slots = 1;
 };
 
 /** Accounting of one request at one server, from sending to completion. */
@@ -101,6 +124,7 @@
     std::uint64_t server = 0;
     ServerLoadSum load;
     std::size_t priority = 0;
+    std::uint32_t slots = 1;
     Instant sentAt {};
     /** Predicted time to first byte divided by the slowness factor that it included. */
     Duration unscaledPrediction {};
@@ -125,7 +149,7 @@
     /** Records that a request is sent, and returns its accounting. */
     RequestTicket onSend(std::uint64_t server, const OutgoingRequest&);
     /**
-     * Expected slowness of a server: its observed slowness blended with that of all
+     * Expected slowness of a server: what its owner reports as long as this instance has no samples, or else its observed slowness blended with that of all
      * servers, which dominates while this instance has few samples of the server.
      * With many servers an instance uses each of them rarely.
      */
@@ -149,8 +173,12 @@
     /** Drops the records of a removed server; does nothing while own requests are in progress there. */
     void remove(std::uint64_t server);
 
-    /** Own requests in progress, for heartbeats. */
+    /** Own requests in progress, for heartbeats; also lists servers without requests that are suspect or fail. */
     std::vector<std::pair<std::uint64_t, ServerLoadSum>> ownLoads() const;
+    /** What this instance has observed of a server that it owns, for heartbeats. */
+    OwnerReport observedHealth(std::uint64_t server) const;
+    /** Replaces the reports of another instance about the servers that it owns. */
+    void setOwnerReports(const InstanceId&, const std::map<std::uint64_t, OwnerReport>&);
     /** The oldest own prompt without a first byte, with the tokens left of it now; zero tokens if there is none. */
     ActivePrefill ownPrefill(std::uint64_t server) const;
     /** Tokens left of a less urgent prompt in prefill that delays a request of this priority; 0 if there is none. */
@@ -166,11 +194,13 @@
         std::multimap<Instant, ActivePrefill> pending;
         std::map<InstanceId, ActivePrefill> peerPrefills;
     };
-    void removePending(Record&, const RequestTicket&);
+    static void removePending(Record&, const RequestTicket&);
 
     const Clock& m_clock;
     std::unordered_map<std::uint64_t, Record> m_records;
     std::map<InstanceId, std::map<std::uint64_t, ServerLoadSum>> m_peerLoads;
+    /** Servers of which each other instance has reported as their owner. */
+    std::map<InstanceId, std::vector<std::uint64_t>> m_reportedServers;
     /** Slowness over all servers, for plain services (0) and engines (1), by priority. */
     std::array<std::array<double, priorityLevels>, 2> m_overallSlowness;
 };
--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -1,9 +1,9 @@
 #include "yuccashift/entry/dispatch_planner.hpp"
 
 #include "yuccashift/dispatch/prefix_home.hpp"
-#include "yuccashift/kernel/rendezvous.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace yuccashift {
 
@@ -20,9 +20,13 @@
     constexpr double usableConnectionShare = 0.8;
     /** Lifetime of a measured stream gap. It expires so that a server that has become faster receives requests again. */
     constexpr Duration streamGapLifetime = seconds(3);
-    /** Up to this many instances know each other's loads well enough for each to use the best server. */
-    constexpr std::size_t maxInstancesWithoutSampling = 4;
-    /** With more instances, each request considers a random sample of servers; otherwise all instances would choose the same best server at once. */
+    /** Interval in which a request asks again for a slot at a server that has as many requests as it takes. */
+    constexpr Duration slotCheckInterval = milliseconds(20);
+    /** How often the owners are computed again from the instances that are active. */
+    constexpr Duration ownershipInterval = milliseconds(50);
+    /** Share of that which a server's owner uses alone; the other instances send it few requests. */
+    constexpr double ownerConnectionShare = 0.5;
+    /** With many instances, each request considers a random sample of servers; otherwise all instances would choose the same best server at once. */
     constexpr std::size_t minSampledServers = 4;
     constexpr std::size_t sampledServersPerShare = 2;
     /** Prompt size for which heartbeats report the queue wait. */
@@ -94,23 +98,66 @@
     return prefixHomeRegion(shared.back().id, regions);
 }
 
-std::size_t DispatchPlanner::instancesSharingServers() const
+const ServerOwnership& DispatchPlanner::ownership() const
 {
-    return std::max<std::size_t>(1, m_peerTable.activeInstancesIn(m_settings.region, true).size());
+    const auto now = m_clock.now();
+    if (m_ownershipUpdatedAt && now - *m_ownershipUpdatedAt < ownershipInterval)
+        return m_ownership;
+    m_ownershipUpdatedAt = now;
+    std::vector<ServerOwnerCandidate> candidates { { m_settings.instance, m_settings.datacentre, m_settings.capacityForPeers() } };
+    for (const auto* peer : m_peerTable.alive()) {
+        if (peer->region == m_settings.region && !peer->draining)
+            candidates.push_back({ peer->instance, peer->datacentre, peer->capacity });
+    }
+    m_ownership.setCandidates(std::move(candidates));
+    return m_ownership;
 }
 
-bool DispatchPlanner::warmUpAllowed(const BackendServer& server, const ServerStatus& known, const ServiceConfig& traits, std::span<const InstanceId> owners) const
+bool DispatchPlanner::isOwner(const BackendServer& server) const
 {
-    if (!m_peerTable.mayTakeRegionRole(m_settings.region))
+    return ownership().ownerOf(server.identityHash, server.datacentre) == m_settings.instance;
+}
+
+bool DispatchPlanner::forwardsToOwners(const ServiceName& service) const
+{
+    const auto instances = ownership().candidateCount();
+    if (instances <= maxInstancesKnowingLoads)
         return false;
-    const auto order = rendezvousTop(server.identityHash, owners, 1);
-    if (order.empty() || order.front() != m_settings.instance)
+    std::size_t slots = 0;
+    for (const auto& [key, server] : m_fleetState.servers())
+        slots += server.service == service && isUsableLocally(server) ? server.slots : 0;
+    return slots < slotsPerInstanceWithoutOwners * instances;
+}
+
+bool DispatchPlanner::owns(std::uint64_t hash) const
+{
+    return std::ranges::any_of(m_fleetState.servers(), [&](const auto& it) {
+        const auto& server = it.second;
+        return server.identityHash == hash && isOwner(server) && forwardsToOwners(server.service);
+    });
+}
+
+const PeerState* DispatchPlanner::remoteOwner(const BackendServer& server, const std::set<InstanceId>& excluded) const
+{
+    if (!forwardsToOwners(server.service))
+        return nullptr;
+    const auto& owner = ownership().ownerOf(server.identityHash, server.datacentre);
+    if (owner == m_settings.instance || excluded.contains(owner))
+        return nullptr;
+    const auto* peer = m_peerTable.find(owner);
+    const bool reachable = peer && m_peerTable.isAlive(*peer) && !peer->draining && m_clock.now() >= peer->backOffUntil;
+    return reachable ? peer : nullptr;
+}
+
+bool DispatchPlanner::warmUpAllowed(const BackendServer& server, const ServerStatus& known, const ServiceConfig& traits) const
+{
+    if (!m_peerTable.mayTakeRegionRole(m_settings.region) || !isOwner(server))
         return false;
     const auto spacing = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(coldIntervalFactor / std::max(minColdRate, traits.coldRate)));
     return known.lastColdSend == Instant {} || m_clock.now() - known.lastColdSend >= spacing;
 }
 
-ServerCandidate DispatchPlanner::candidate(const BackendServer& server, const ServiceConfig& traits, const WorkSize& work, std::span<const InstanceId> owners) const
+ServerCandidate DispatchPlanner::candidate(const BackendServer& server, const ServiceConfig& traits, const WorkSize& work, bool viaOwner) const
 {
     const auto now = m_clock.now();
     const auto& known = m_serverTracker.statusOf(server.identityHash);
@@ -126,19 +173,37 @@
     it.slowness = m_serverTracker.expectedSlowness(server.identityHash, traits.engine, work.priority);
     it.failureShare = known.failureShare;
     it.outcomeSamples = known.outcomeSamples;
+    it.suspect = known.suspect;
+    if (known.ownerReport && now - known.ownerReport->receivedAt < ownerReportLifetime) {
+        const auto& report = *known.ownerReport;
+        it.suspect = it.suspect || report.suspect;
+        if (report.failureShare > 0) {
+            it.failureShare = report.failureShare;
+            it.outcomeSamples = std::max(it.outcomeSamples, minFailingSamples);
+        }
+    }
     if (now - known.lastChunkAt < streamGapLifetime)
         it.streamChunkGap = known.streamChunkGap;
     if (known.waitingSince)
         it.oldestWait = now - *known.waitingSince;
-    it.suspect = known.suspect;
-    it.full = now < known.fullUntil;
+    it.fullFor = std::max(Duration::zero(), known.fullUntil - now);
+    if (known.atRequestLimit(now))
+        it.fullFor = std::max(it.fullFor, slotCheckInterval);
     it.cold = now < server.coldUntil;
-    it.warmUpAllowed = it.cold && warmUpAllowed(server, known, traits, owners);
-    const auto share = static_cast<std::size_t>(usableConnectionShare * traits.connectionLimit / static_cast<double>(std::max<std::size_t>(1, owners.size())));
+    it.warmUpAllowed = it.cold && warmUpAllowed(server, known, traits);
+    const auto share = static_cast<std::size_t>(usableConnections(server, viaOwner) * traits.connectionLimit);
     it.connectionsLeft = traits.connectionLimit == 0 || static_cast<std::size_t>(std::max(0, known.own.requests)) < std::max<std::size_t>(1, share);
     return it;
 }
 
+double DispatchPlanner::usableConnections(const BackendServer& server, bool viaOwner) const
+{
+    const auto instances = static_cast<double>(ownership().candidateCount());
+    if (!viaOwner)
+        return usableConnectionShare / instances;
+    return usableConnectionShare * (isOwner(server) ? ownerConnectionShare : (1 - ownerConnectionShare) / instances);
+}
+
 void DispatchPlanner::assumePrefixCachedAtOwner(std::span<ServerCandidate> candidates, const WorkSize& work)
 {
     const auto shared = work.sharedParts();
@@ -158,9 +223,10 @@
     home->cachedTokens = std::max(home->cachedTokens, work.sharedTokens());
 }
 
-void DispatchPlanner::sampleCandidates(std::span<ServerCandidate> candidates, const WorkSize& work, std::size_t instances) const
+void DispatchPlanner::sampleCandidates(std::span<ServerCandidate> candidates, const WorkSize& work) const
 {
-    if (instances <= maxInstancesWithoutSampling || candidates.empty())
+    const auto instances = ownership().candidateCount();
+    if (instances <= maxInstancesKnowingLoads || candidates.empty())
         return;
     const auto sampleSize = std::max<std::size_t>(minSampledServers, sampledServersPerShare * candidates.size() / instances);
     const auto sharedTokens = work.sharedTokens();
@@ -170,34 +236,81 @@
     }
 }
 
-LocalPlan DispatchPlanner::planLocal(const ServiceName& service, const WorkSize& work, Duration objective, const std::set<std::uint64_t>& tried, const std::optional<RegionName>& prefixHome) const
+void DispatchPlanner::sampleOne(std::span<ServerCandidate> candidates) const
+{
+    const auto weight = [](const ServerCandidate& it) { return it.tried || it.suspect || it.fullFor > Duration::zero() ? 0U : it.slots; };
+    std::uint64_t total = 0;
+    for (const auto& it : candidates)
+        total += weight(it);
+    auto draw = m_random.uniformBelow(total);
+    for (auto& it : candidates) {
+        it.sampled = draw < weight(it);
+        draw = it.sampled ? std::numeric_limits<std::uint64_t>::max() : draw - weight(it);
+    }
+}
+
+LocalPlan DispatchPlanner::collectCandidates(const ServiceName& service, const WorkSize& work, const std::set<std::uint64_t>& tried) const
 {
     LocalPlan plan;
     const auto routes = m_fleetState.routes();
     if (!routes)
         return plan;
     const auto& traits = routes->config().serviceConfig(service);
-    const auto owners = m_peerTable.activeInstancesIn(m_settings.region, true);
+    plan.viaOwner = forwardsToOwners(service);
     for (const auto& [key, server] : m_fleetState.servers()) {
         if (server.service != service || !isUsableLocally(server))
             continue;
         plan.servers.push_back(&server);
-        plan.candidates.push_back(candidate(server, traits, work, owners));
+        plan.candidates.push_back(candidate(server, traits, work, plan.viaOwner));
         plan.candidates.back().tried = tried.contains(server.identityHash);
     }
+    return plan;
+}
+
+LocalPlan DispatchPlanner::planLocal(const ServiceName& service, const WorkSize& work, Duration objective, const std::set<std::uint64_t>& tried, const std::optional<RegionName>& prefixHome) const
+{
+    auto plan = collectCandidates(service, work, tried);
     if (prefixHome == m_settings.region)
         assumePrefixCachedAtOwner(plan.candidates, work);
     applyStreamSlowness(plan.candidates);
     const auto soonEnough = std::chrono::duration_cast<Duration>(objective * prefixAffinityObjectiveShare);
-    sampleCandidates(plan.candidates, work, owners.size());
+    if (plan.viaOwner)
+        sampleOne(plan.candidates);
+    else
+        sampleCandidates(plan.candidates, work);
     plan.choice = chooseServer(plan.candidates, work, soonEnough, m_random.next());
-    if (traits.engine && plan.choice.best) {
-        const auto shared = work.sharedTokens();
-        plan.prefixPrefillTime = prefillTime(shared - std::min(shared, plan.candidates[*plan.choice.best].cachedTokens));
+    describeChoice(plan, work);
+    return plan;
+}
+
+LocalPlan DispatchPlanner::planAt(std::uint64_t hash, const ServiceName& service, const WorkSize& work) const
+{
+    LocalPlan plan;
+    const auto routes = m_fleetState.routes();
+    for (const auto& [key, server] : m_fleetState.servers()) {
+        if (!routes || server.identityHash != hash || server.service != service || !isUsableLocally(server))
+            continue;
+        plan.servers.push_back(&server);
+        plan.candidates.push_back(candidate(server, routes->config().serviceConfig(service), work, true));
     }
+    plan.choice = chooseServer(plan.candidates, work, Duration::zero(), m_random.next());
+    describeChoice(plan, work);
     return plan;
 }
 
+void DispatchPlanner::describeChoice(LocalPlan& plan, const WorkSize& work)
+{
+    for (std::size_t i = 0; !plan.choice.best && i < plan.candidates.size(); ++i) {
+        const auto fullFor = plan.candidates[i].fullFor;
+        if (plan.choice.rejectReasons[i] == ServerRejectReason::Full)
+            plan.slotWait = std::min(plan.slotWait.value_or(fullFor), fullFor);
+    }
+    if (!plan.choice.best || !plan.candidates[*plan.choice.best].engine)
+        return;
+    const auto shared = work.sharedTokens();
+    plan.prefixPrefillTime = prefillTime(shared - std::min(shared, plan.candidates[*plan.choice.best].cachedTokens));
+}
+
 RemotePlan DispatchPlanner::planRemote(const Route& route, const ServiceName& service, const WorkSize& work, const std::set<InstanceId>& tried, const std::optional<RegionName>& prefixHome) const
 {
     RemotePlan plan;
@@ -232,7 +345,10 @@
         ServiceCapacity capacity;
         for (std::size_t level = 0; level < priorityLevels; ++level) {
             typical.priority = level;
-            const auto plan = planLocal(service, typical, Duration::zero(), {}, std::nullopt);
+            auto plan = collectCandidates(service, typical, {});
+            if (!plan.viaOwner)
+                sampleCandidates(plan.candidates, typical);
+            plan.choice = chooseServer(plan.candidates, typical, Duration::zero(), m_random.next());
             if (!plan.choice.best)
                 break;
             capacity.wait[level] = plan.choice.predicted;
--- a/src/yuccashift/entry/dispatch_planner.hpp
+++ b/src/yuccashift/entry/dispatch_planner.hpp
@@ -2,12 +2,14 @@
 
 #include "yuccashift/dispatch/placement.hpp"
 #include "yuccashift/dispatch/server_choice.hpp"
+#include "yuccashift/dispatch/server_ownership.hpp"
 #include "yuccashift/dispatch/server_tracker.hpp"
 #include "yuccashift/entry/entry_settings.hpp"
 #include "yuccashift/fleet/fleet_state.hpp"
 #include "yuccashift/fleet/peer_table.hpp"
 #include "yuccashift/kernel/random.hpp"
 
+#include <optional>
 #include <set>
 
 namespace yuccashift {
@@ -20,9 +22,14 @@
     ServerChoice choice;
     std::vector<const BackendServer*> servers;
     std::vector<ServerCandidate> candidates;
+    /** Whether requests for the service go through the owners of its servers. */
+    bool viaOwner = false;
     /** Predicted prefill time of the part of the shared prefix that the chosen server has not cached. */
     Duration prefixPrefillTime {};
 
+    /** If all servers that could take the request are full: the time until it is worth asking for a slot again. */
+    std::optional<Duration> slotWait;
+
     /** The chosen server, or nullptr if none can take the request. */
     const BackendServer* server() const { return choice.best ? servers[*choice.best] : nullptr; }
 };
@@ -46,30 +53,55 @@
     std::optional<RegionName> prefixHome(const Route&, const ServiceName&, const WorkSize&) const;
     /** Chooses among this region's servers. Those in `tried` have already been sent the request. */
     LocalPlan planLocal(const ServiceName&, const WorkSize&, Duration objective, const std::set<std::uint64_t>& tried, const std::optional<RegionName>& prefixHome) const;
+    /** Plans for one given server, which this instance owns: nothing is chosen, but the server may be unable to take the request. */
+    LocalPlan planAt(std::uint64_t server, const ServiceName&, const WorkSize&) const;
+    /** The instance through which this one sends requests to the server; nullptr if it sends them itself, because it is the owner or cannot reach the owner. */
+    const PeerState* remoteOwner(const BackendServer&, const std::set<InstanceId>& excluded) const;
+    /** Whether requests to the server go through its owner, and this instance is the owner. */
+    bool owns(std::uint64_t server) const;
     /** Collects the other regions with free capacity. Instances in `tried` have already been sent the request. */
     RemotePlan planRemote(const Route&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried, const std::optional<RegionName>& prefixHome) const;
     /** Free capacity of each service in this region, as heartbeats report it to other regions. */
     std::map<ServiceName, ServiceCapacity> freeCapacity() const;
     /** Whether the server is in this region, not draining and not in an evacuated data centre. */
     bool isUsableLocally(const BackendServer&) const;
-    /** Number of instances that share the servers of this region, at least 1. */
-    std::size_t instancesSharingServers() const;
 
 private:
     /** The server's region, or nullptr if it is unknown or the server is draining or evacuated. */
     const RegionName* servingRegion(const BackendServer&) const;
     /** Whether the region is this one or has a live instance that is not draining. */
     bool hasReachableInstance(const RegionName&) const;
-    ServerCandidate candidate(const BackendServer&, const ServiceConfig&, const WorkSize&, std::span<const InstanceId> owners) const;
+    ServerCandidate candidate(const BackendServer&, const ServiceConfig&, const WorkSize&, bool viaOwner) const;
+    /** Candidates for a request among this region's servers, without a choice. */
+    LocalPlan collectCandidates(const ServiceName&, const WorkSize&, const std::set<std::uint64_t>& tried) const;
+    /** The owners of this region's servers among the instances that are active now. */
+    const ServerOwnership& ownership() const;
+    bool isOwner(const BackendServer&) const;
+    /**
+     * Whether requests for the service go through the owners of its servers: the region has many instances and the
+     * servers few slots. Where each instance uses several slots, their number evens out what it does not know of the others.
+     */
+    bool forwardsToOwners(const ServiceName&) const;
     /**
      * Counts the shared prefix as cached at its owner. All instances of the region
      * compute the same owner, so they prefill the prefix there once without coordination.
      */
     static void assumePrefixCachedAtOwner(std::span<ServerCandidate>, const WorkSize&);
     /** Limits the request to a random sample of the servers, if many instances share them. */
-    void sampleCandidates(std::span<ServerCandidate>, const WorkSize&, std::size_t instances) const;
+    void sampleCandidates(std::span<ServerCandidate>, const WorkSize&) const;
     /** Whether this instance owns the cold server and its rate allows another request now. */
-    bool warmUpAllowed(const BackendServer&, const ServerStatus&, const ServiceConfig&, std::span<const InstanceId> owners) const;
+    bool warmUpAllowed(const BackendServer&, const ServerStatus&, const ServiceConfig&) const;
+
+    /** Samples one server in proportion to the slots: of a few servers, all instances would choose the one that seemed best a moment ago. */
+    void sampleOne(std::span<ServerCandidate>) const;
+    /** Share of a server's connection limit that this instance may use. */
+    double usableConnections(const BackendServer&, bool viaOwner) const;
+    /** Fills in what follows from the choice. */
+    static void describeChoice(LocalPlan&, const WorkSize&);
+
+    /** Up to this many instances know each other's loads well enough for each to use the best server itself. */
+    static constexpr std::size_t maxInstancesKnowingLoads = 4;
+    static constexpr std::size_t slotsPerInstanceWithoutOwners = 4;
 
     const Clock& m_clock;
     const EntrySettings& m_settings;
@@ -77,6 +109,8 @@
     const ServerTracker& m_serverTracker;
     const PeerTable& m_peerTable;
     RandomSource& m_random;
+    mutable ServerOwnership m_ownership;
+    mutable std::optional<Instant> m_ownershipUpdatedAt;
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/entry_settings.hpp
+++ b/src/yuccashift/entry/entry_settings.hpp
@@ -4,6 +4,7 @@
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/ids.hpp"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -34,6 +35,14 @@
     /** The platform's store. */
     Endpoint storeEndpoint;
 
+    /** Processor cores, or a share of one, that the machine grants this process. */
+    double processorCores = 1;
+    /** Bandwidth of the machine's link in Mbit/s. */
+    double linkMbps = 1000;
+    /** Capacity for requests of other instances, in cores; a slow link bounds it like a slow processor. */
+    double capacityForPeers() const { return std::min(processorCores, linkMbps / linkMbpsPerCore); }
+    /** Link bandwidth that forwarded requests use while they take a whole core. */
+    static constexpr double linkMbpsPerCore = 200;
     /** Limit on the file descriptors of the process. */
     std::size_t maxFileDescriptors = 1024;
 
--- /dev/null
+++ b/src/yuccashift/entry/forwarding.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "yuccashift/entry/protocol_codec.hpp"
+#include "yuccashift/http/message.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace yuccashift {
+
+/**
+ * The bytes of a caller's request as they are sent on: without hop-by-hop headers and those that only this
+ * system sets, and with `extraHeaders`, which are complete header lines.
+ */
+std::string forwardedRequest(const RequestMessage&, const ProtocolCodec&, std::string_view extraHeaders);
+
+/** The head of an answer as the caller receives it, without hop-by-hop headers. */
+AnswerHead forwardedHead(const AnswerHead&);
+
+} // namespace yuccashift
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -6,6 +6,7 @@
 #include "yuccashift/kernel/log.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace yuccashift {
 
@@ -45,6 +46,27 @@
         return sum;
     }
 
+    constexpr double percent = 100;
+
+    OwnerReport decodeReport(const fleetwire::ServerLoad& load, Instant now)
+    {
+        OwnerReport report;
+        for (std::size_t i = 0; i < std::min(priorityLevels, load.slownessPercent.size()); ++i)
+            report.slowness[i] = load.slownessPercent[i] / percent;
+        report.suspect = load.suspect;
+        report.failureShare = load.failurePercent / percent;
+        report.receivedAt = now;
+        return report;
+    }
+
+    void addReport(fleetwire::ServerLoad& load, const OwnerReport& report)
+    {
+        for (const auto slowness : report.slowness)
+            load.slownessPercent.push_back(static_cast<std::int32_t>(std::lround(slowness * percent)));
+        load.suspect = report.suspect;
+        load.failurePercent = static_cast<std::int32_t>(std::lround(report.failureShare * percent));
+    }
+
 } // namespace
 
 Gossip::Gossip(EntryCore& core)
@@ -158,12 +180,16 @@
     if (peer->region != m_core.settings.region)
         return;
     std::map<std::uint64_t, ServerLoadSum> loads;
+    std::map<std::uint64_t, OwnerReport> reports;
     for (const auto& load : heartbeat.loads) {
         const auto server = static_cast<std::uint64_t>(static_cast<std::uint32_t>(load.server));
         loads[server] = decodeLoad(load);
+        if (!load.slownessPercent.empty())
+            reports[server] = decodeReport(load, now);
         m_core.serverTracker.setPeerPrefill(*sender, server, { load.readingTokens, static_cast<std::size_t>(std::max(0, load.readingRank)), now });
     }
     m_core.serverTracker.setPeerLoads(*sender, std::move(loads));
+    m_core.serverTracker.setOwnerReports(*sender, reports);
 }
 
 Duration Gossip::heartbeatInterval() const
@@ -192,6 +218,7 @@
     profile.region = settings.region;
     profile.datacentre = settings.datacentre;
     profile.ip = settings.ip;
+    profile.capacity = static_cast<std::int32_t>(std::lround(settings.capacityForPeers() * capacityUnitsPerCore));
     heartbeat.__set_profile(profile);
     auto alive = m_core.peerTable.alive();
     while (!alive.empty() && heartbeat.hears.size() < maxNamedAddresses) {
@@ -209,6 +236,9 @@
 void Gossip::addLoads(fleetwire::Heartbeat& heartbeat) const
 {
     for (const auto& [server, load] : m_core.serverTracker.ownLoads()) {
+        const bool owned = m_core.planner.owns(server);
+        if (load.requests == 0 && !owned)
+            continue;
         fleetwire::ServerLoad it;
         it.server = static_cast<std::int32_t>(server);
         it.requests = load.requests;
@@ -219,6 +249,8 @@
         const auto reading = m_core.serverTracker.ownPrefill(server);
         it.readingTokens = reading.tokens;
         it.readingRank = static_cast<std::int32_t>(reading.priority);
+        if (owned)
+            addReport(it, m_core.serverTracker.observedHealth(server));
         heartbeat.loads.push_back(std::move(it));
     }
 }
@@ -333,6 +365,7 @@
     for (const auto& instance : m_core.peerTable.expire()) {
         logInfo("instance removed after prolonged silence", { { "peer", instance } });
         m_core.serverTracker.setPeerLoads(instance, {});
+        m_core.serverTracker.setOwnerReports(instance, {});
         m_core.crashTracker.setPeerCrashes(instance, {});
     }
     const auto currentInterval = heartbeatInterval();
--- a/src/yuccashift/entry/hop.cpp
+++ b/src/yuccashift/entry/hop.cpp
@@ -13,8 +13,14 @@
     constexpr std::string_view deadlineField = "Yuccashift-Deadline";
     constexpr std::string_view objectiveField = "Yuccashift-Objective";
     constexpr std::string_view resumeField = "Yuccashift-Resume-After";
+    constexpr std::string_view serverField = "Yuccashift-Server";
+    constexpr std::string_view acceptField = "Yuccashift-Accept-Within";
     constexpr std::string_view failureField = "Yuccashift-Failure";
     constexpr std::string_view fieldPrefix = "Yuccashift-";
+    constexpr std::string_view reachedServerMark = "; reached a server";
+
+    /** A request is sent on after at most this many hops that reached no server. */
+    constexpr std::uint32_t maxRefusedHops = 3;
 
     void appendField(std::string& out, std::string_view name, std::string_view value)
     {
@@ -35,6 +41,15 @@
 
 } // namespace
 
+HopRecovery recoverFromHop(const HopFailure& failure, bool retryable, std::uint32_t refusedHops)
+{
+    const bool notRun = failure.error.effectiveRunState() == RunState::NotRun;
+    if (notRun && !failure.reachedServer)
+        return refusedHops <= maxRefusedHops ? HopRecovery::SendOn : HopRecovery::GiveUp;
+    // A server that refused the request has proved that it did not run, but the arrival there counts.
+    return notRun || retryable ? HopRecovery::Retry : HopRecovery::GiveUp;
+}
+
 void appendHopMetadata(std::string& out, const HopMetadata& metadata)
 {
     appendField(out, originField, metadata.origin);
@@ -44,6 +59,10 @@
     appendField(out, objectiveField, std::to_string(metadata.objective.count()));
     if (metadata.resumeAfter)
         appendField(out, resumeField, *metadata.resumeAfter);
+    if (metadata.server != 0)
+        appendField(out, serverField, std::to_string(metadata.server));
+    if (metadata.acceptWithin)
+        appendField(out, acceptField, std::to_string(metadata.acceptWithin->count()));
 }
 
 std::optional<HopMetadata> extractHopMetadata(HeaderFields& headers)
@@ -63,28 +82,39 @@
     metadata.objective = milliseconds(*objective);
     if (const auto after = findHeader(headers, resumeField))
         metadata.resumeAfter = std::string(*after);
+    metadata.server = static_cast<std::uint64_t>(integerField(headers, serverField).value_or(0));
+    if (const auto within = integerField(headers, acceptField))
+        metadata.acceptWithin = milliseconds(*within);
     std::erase_if(headers, [](const HeaderField& field) { return boost::algorithm::istarts_with(field.name, fieldPrefix); });
     return metadata;
 }
 
-HeaderField encodeHopFailure(const Error& error)
+HeaderField encodeHopFailure(const HopFailure& failure)
 {
-    return { std::string(failureField), std::string(error.code()) + "; " + std::string(toString(error.effectiveRunState())) };
+    auto value = std::string(failure.error.code()) + "; " + std::string(toString(failure.error.effectiveRunState()));
+    if (failure.reachedServer)
+        value += reachedServerMark;
+    return { std::string(failureField), std::move(value) };
 }
 
-std::optional<Error> decodeHopFailure(const AnswerHead& head)
+std::optional<HopFailure> decodeHopFailure(const AnswerHead& head)
 {
     const auto value = findHeader(head.headers, failureField);
     if (!value)
         return {};
-    const auto end = value->find(';');
-    Error error { errorKindFromCode(value->substr(0, end)), {}, RunState::OutcomeUnknown, {} };
-    const auto state = end == std::string_view::npos ? std::string_view() : value->substr(end + 1);
+    auto text = std::string_view(*value);
+    HopFailure failure;
+    failure.reachedServer = text.ends_with(reachedServerMark);
+    if (failure.reachedServer)
+        text.remove_suffix(reachedServerMark.size());
+    const auto end = text.find(';');
+    failure.error = { errorKindFromCode(text.substr(0, end)), {}, RunState::OutcomeUnknown, {} };
+    const auto state = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
     if (state == " not run")
-        error.runState = RunState::NotRun;
+        failure.error.runState = RunState::NotRun;
     else if (state == " ran")
-        error.runState = RunState::Ran;
-    return error;
+        failure.error.runState = RunState::Ran;
+    return failure;
 }
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/hop.hpp
+++ b/src/yuccashift/entry/hop.hpp
@@ -22,16 +22,43 @@
     milliseconds objective {};
     /** Id of the event after which the stream resumes. */
     std::optional<std::string> resumeAfter;
+    /** Hash of the identity of the server to use, which the receiver owns; 0 if the receiver chooses. */
+    std::uint64_t server = 0;
+    /** Longest predicted time to first byte with which the receiver accepts the request; only with a server. */
+    std::optional<milliseconds> acceptWithin;
 };
 
+/** The executing instance's own failure. */
+struct HopFailure {
+    Error error;
+    /** Whether the request was sent to a server. One that a server refused has not run, but counts as an attempt. */
+    bool reachedServer = false;
+};
+
+/** What the sender of a hop does after the receiver's own failure. */
+enum class HopRecovery {
+    /** Sends the request on, without counting the hop as an attempt: no server has seen the request. */
+    SendOn,
+    /** Sends the request again if the retry budget and the route's number of attempts allow it. */
+    Retry,
+    /** Returns the failure to the caller. */
+    GiveUp,
+};
+
+/**
+ * @param retryable whether the route's requests may run more than once
+ * @param refusedHops hops of the request, including this one, after which no server had seen it
+ */
+HopRecovery recoverFromHop(const HopFailure&, bool retryable, std::uint32_t refusedHops);
+
 /** Appends the metadata as header lines. */
 void appendHopMetadata(std::string& out, const HopMetadata&);
 /** Removes the hop's headers and returns their content; std::nullopt if a required one is missing or malformed. */
 std::optional<HopMetadata> extractHopMetadata(HeaderFields&);
 
 /** Header by which the executing instance reports its own failure and whether the request may have run. */
-HeaderField encodeHopFailure(const Error&);
+HeaderField encodeHopFailure(const HopFailure&);
 /** The failure that the executing instance reports; std::nullopt if the answer comes from a backend server. */
-std::optional<Error> decodeHopFailure(const AnswerHead&);
+std::optional<HopFailure> decodeHopFailure(const AnswerHead&);
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -1,12 +1,12 @@
 #include "yuccashift/entry/request_job.hpp"
 
 #include "yuccashift/entry/failure_answer.hpp"
+#include "yuccashift/entry/forwarding.hpp"
 #include "yuccashift/kernel/hash.hpp"
 #include "yuccashift/kernel/log.hpp"
 
 #include <algorithm>
 #include <array>
-#include <boost/algorithm/string/predicate.hpp>
 #include <cmath>
 #include <utility>
 
@@ -20,7 +20,8 @@
     /** Limit on the body of a buffered answer, in bytes. */
     constexpr std::size_t maxBufferedAnswerBytes = 8 << 20;
     /** Time reserved for the answer's way back over a hop, subtracted from the forwarded deadline and objective. */
-    constexpr Duration hopReturnTime = milliseconds(60);
+    constexpr Duration regionHopReturnTime = milliseconds(60);
+    constexpr Duration ownerHopReturnTime = milliseconds(5);
     /** For servers of the same region, where connecting takes about 1 ms. */
     constexpr Duration serverConnectTimeout = milliseconds(400);
     constexpr Duration instanceConnectTimeout = milliseconds(600);
@@ -35,27 +36,13 @@
     constexpr int highestEnginePriority = 2;
     constexpr int enginePriorityStep = 2;
     constexpr int lowestEnginePriority = 9;
+    /** A request may wait this long for a slot even if its objective has passed, as long as its deadline leaves four times that. */
+    constexpr Duration minLongestSlotWait = milliseconds(250);
+    /** Time limit for the answer to a request without a route. */
+    constexpr Duration unresolvedTimeLimit = seconds(10);
     /** No attempt is started with less time left than this. */
     constexpr Duration minAttemptTime = milliseconds(30);
 
-    /** Whether the `Connection` header lists the named header as hop-by-hop. */
-    bool listsAsHopByHop(std::string_view connection, std::string_view name)
-    {
-        return boost::algorithm::icontains(connection, name) && !boost::algorithm::iequals(name, "host");
-    }
-
-    /** Copies the head for the caller, without hop-by-hop headers. */
-    AnswerHead forwardedHead(const AnswerHead& head)
-    {
-        AnswerHead out;
-        out.status = head.status;
-        for (const auto& field : head.headers) {
-            if (!isHopByHop(field.name))
-                out.headers.push_back(field);
-        }
-        return out;
-    }
-
 } // namespace
 
 void RequestJob::start(EntryCore& core, std::shared_ptr<InboundExchange> exchange, std::optional<HopMetadata> hop)
@@ -75,6 +62,7 @@
     , m_exchange(std::move(exchange))
     , m_hopMetadata(std::move(hop))
     , m_timer(core.io)
+    , m_slotTimer(core.io)
 {
 }
 
@@ -82,17 +70,17 @@
 
 Duration RequestJob::timeLeft() const
 {
-    return std::max(Duration::zero(), m_deadline - m_core.clock.now());
+    return std::max(Duration::zero(), m_request.deadline - m_core.clock.now());
 }
 
 Duration RequestJob::firstByteTimeLeft() const
 {
-    return std::max(Duration::zero(), m_firstByteDueAt - m_core.clock.now());
+    return std::max(Duration::zero(), m_request.firstByteDueAt - m_core.clock.now());
 }
 
 std::optional<std::string> RequestJob::resumeAfter() const
 {
-    return m_eventGate.lastId() ? m_eventGate.lastId() : m_metadata.resumeAfter;
+    return m_eventGate.lastId() ? m_eventGate.lastId() : m_request.metadata.resumeAfter;
 }
 
 std::uint64_t RequestJob::fingerprint() const
@@ -110,52 +98,31 @@
 
 bool RequestJob::prepare()
 {
-    m_deadline = m_exchange->arrivedAt() + seconds(10);
-    m_firstByteDueAt = m_deadline;
-    const auto resolved = resolveRoute();
+    m_request.deadline = m_exchange->arrivedAt() + unresolvedTimeLimit;
+    m_request.firstByteDueAt = m_request.deadline;
+    const auto resolved = resolve();
     if (!resolved) {
         failWith(resolved.error());
         return false;
     }
     armTimeLimit();
     if (!m_hopMetadata) {
-        m_core.retryBudget.onRequest(m_service);
-        m_core.regionDemand.onRequest(*m_route);
+        m_core.retryBudget.onRequest(m_request.service);
+        m_core.regionDemand.onRequest(*m_request.route);
     }
     return true;
 }
 
-Result<void> RequestJob::resolveRoute()
+Result<void> RequestJob::resolve()
 {
     const auto& request = m_exchange->request();
-    m_metadata = m_core.protocol.decodeRequest(request);
-    m_routes = m_core.fleetState.routes();
-    if (!m_routes)
-        return fail(ErrorKind::NotReady);
-    const auto host = findHeader(request.headers, "Host");
-    if (!host)
-        return fail(ErrorKind::MalformedRequest, "a request without a host");
-    m_route = m_routes->find(*host, request.target);
-    if (!m_route || m_route->services.empty()) {
-        // The origin resolved the route with a configuration that has not arrived here yet.
-        return fail(m_hopMetadata ? ErrorKind::NotReady : ErrorKind::UnknownRoute);
-    }
-    m_metadata.work.priority = std::min<std::size_t>(m_route->priority, priorityLevels - 1);
-    const auto arrived = m_exchange->arrivedAt();
-    if (m_hopMetadata) {
-        if (!m_route->usesService(m_hopMetadata->service) || !m_route->allowsRegion(m_core.settings.region))
-            return fail(ErrorKind::NotReady, "the two instances hold different configurations");
-        m_service = m_hopMetadata->service;
-        m_deadline = arrived + m_hopMetadata->deadline;
-        m_firstByteDueAt = arrived + m_hopMetadata->objective;
-        m_metadata.resumeAfter = m_hopMetadata->resumeAfter;
-    } else {
-        m_service = m_route->pickService(hash64(m_metadata.attemptId));
-        const auto timeLimit = std::min(m_metadata.deadline.value_or(m_route->timeLimit), m_route->timeLimit);
-        m_deadline = arrived + timeLimit;
-        m_firstByteDueAt = arrived + m_route->latencyObjective;
-    }
-    if (m_core.shutdown && m_core.shutdown->mustRefuse(m_core.clock.now(), m_deadline))
+    auto metadata = m_core.protocol.decodeRequest(request);
+    m_request.metadata.attemptId = metadata.attemptId;
+    auto resolved = resolveRequest(request, std::move(metadata), m_core.fleetState.routes(), m_core.settings.region, m_hopMetadata ? &*m_hopMetadata : nullptr, m_exchange->arrivedAt());
+    if (!resolved)
+        return tl::unexpected(resolved.error());
+    m_request = std::move(*resolved);
+    if (m_core.shutdown && m_core.shutdown->mustRefuse(m_core.clock.now(), m_request.deadline))
         return fail(ErrorKind::Draining);
     if (isQuarantined())
         return fail(ErrorKind::Quarantined);
@@ -164,7 +131,7 @@
 
 void RequestJob::armTimeLimit()
 {
-    m_timer.expires_at(m_deadline);
+    m_timer.expires_at(m_request.deadline);
     m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& ec) {
         const auto self = weak.lock();
         if (!ec && self)
@@ -175,20 +142,25 @@
 RequestJob::Plan RequestJob::plan() const
 {
     Plan plan;
-    const auto prefixHome = m_core.planner.prefixHome(*m_route, m_service, m_metadata.work);
-    if (m_route->allowsRegion(m_core.settings.region))
-        plan.local = m_core.planner.planLocal(m_service, m_metadata.work, firstByteTimeLeft(), m_triedServers, prefixHome);
+    const auto prefixHome = assignedServer() == 0 ? m_core.planner.prefixHome(*m_request.route, m_request.service, m_request.metadata.work) : std::nullopt;
+    if (assignedServer() != 0)
+        plan.local = m_core.planner.planAt(assignedServer(), m_request.service, m_request.metadata.work);
+    else if (m_request.route->allowsRegion(m_core.settings.region))
+        plan.local = m_core.planner.planLocal(m_request.service, m_request.metadata.work, firstByteTimeLeft(), m_triedServers, prefixHome);
     if (!m_hopMetadata)
-        plan.remote = m_core.planner.planRemote(*m_route, m_service, m_metadata.work, m_triedInstances, prefixHome);
+        plan.remote = m_core.planner.planRemote(*m_request.route, m_request.service, m_request.metadata.work, m_triedInstances, prefixHome);
     PlacementInput input;
     if (plan.local.choice.best)
         input.localTimeToFirstByte = plan.local.choice.predicted;
     input.prefixPrefillTime = plan.local.prefixPrefillTime;
     input.remotes = plan.remote.candidates;
-    input.idleTimeToFirstByte = predictIdleTimeToFirstByte(m_routes->config().serviceConfig(m_service).engine, m_metadata.work);
+    input.idleTimeToFirstByte = predictIdleTimeToFirstByte(m_request.routes->config().serviceConfig(m_request.service).engine, m_request.metadata.work);
     input.objective = firstByteTimeLeft();
     input.deadline = timeLeft();
     plan.placement = place(input);
+    const bool tooLate = m_hopMetadata && m_hopMetadata->acceptWithin && plan.placement.predicted > *m_hopMetadata->acceptWithin;
+    if (tooLate)
+        plan.placement.action = Placement::Action::Refuse;
     return plan;
 }
 
@@ -205,37 +177,40 @@
 {
     switch (plan.placement.action) {
     case Placement::Action::Local:
+        if (const auto* owner = assignedServer() == 0 ? m_core.planner.remoteOwner(*plan.local.server(), m_triedInstances) : nullptr)
+            return sendToOwner(*owner, plan.local);
         return sendToServer(plan.local);
     case Placement::Action::Remote:
-        return sendToInstance(*plan.remote.peers[plan.placement.remoteIndex], plan.placement.predicted);
+        return sendToRegion(*plan.remote.peers[plan.placement.remoteIndex], plan.placement.predicted);
     case Placement::Action::Refuse:
+        if (waitForSlot(plan.local))
+            return;
         break;
     }
     const bool anyCandidate = plan.local.choice.best || !plan.remote.candidates.empty();
     Error error { anyCandidate ? ErrorKind::Overloaded : ErrorKind::NoBackend, {}, {}, {} };
     error.runState = m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun;
-    logInfo("refused", { { "request", m_metadata.attemptId }, { "reason", error.code() }, { "predicted_ms", toMilliseconds(plan.placement.predicted) }, { "objective_ms", toMilliseconds(firstByteTimeLeft()) }, { "left_ms", toMilliseconds(timeLeft()) }, { "servers", plan.local.servers.size() }, { "usable", plan.local.choice.usable }, { "passed_over", plan.local.choice.rejectSummary() }, { "regions", plan.remote.candidates.size() } });
+    logInfo("refused", { { "request", m_request.metadata.attemptId }, { "reason", error.code() }, { "predicted_ms", toMilliseconds(plan.placement.predicted) }, { "objective_ms", toMilliseconds(firstByteTimeLeft()) }, { "left_ms", toMilliseconds(timeLeft()) }, { "servers", plan.local.servers.size() }, { "usable", plan.local.choice.usable }, { "passed_over", plan.local.choice.rejectSummary() }, { "regions", plan.remote.candidates.size() } });
     failWith(error);
 }
 
-std::string RequestJob::requestBytes(const std::string& extraHeaders) const
+bool RequestJob::waitForSlot(const LocalPlan& plan)
 {
-    const auto& request = m_exchange->request();
-    std::string out;
-    out.reserve(512 + extraHeaders.size() + request.body.size());
-    out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
-    const auto connection = findHeader(request.headers, "Connection").value_or("");
-    for (const auto& field : request.headers) {
-        if (isHopByHop(field.name) || m_core.protocol.isReservedHeader(field.name) || listsAsHopByHop(connection, field.name))
-            continue;
-        out.append(field.name).append(": ").append(field.value).append("\r\n");
+    // The origin of a first attempt can still choose another server.
+    if (!plan.slotWait || (m_hopMetadata && m_hopMetadata->acceptWithin))
+        return false;
+    const auto now = m_core.clock.now();
+    if (!m_slotWaitEndsAt) {
+        const auto longest = std::min<Duration>(std::max<Duration>(minLongestSlotWait, firstByteTimeLeft() / 2), timeLeft() / 4);
+        m_slotWaitEndsAt = now + longest;
+        logInfo("waiting for a slot", { { "request", m_request.metadata.attemptId }, { "servers", plan.servers.size() }, { "longest_ms", toMilliseconds(longest) } });
     }
-    out += extraHeaders;
-    const bool bodyExpected = request.method != "GET" && request.method != "HEAD";
-    if (bodyExpected || !request.body.empty())
-        out.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
-    out.append("\r\n").append(request.body);
-    return out;
+    if (now + *plan.slotWait > *m_slotWaitEndsAt)
+        return false;
+    // Requests that wait for the same server ask again one after another.
+    const auto spread = std::chrono::duration_cast<Duration>(*plan.slotWait * m_core.random->uniformReal());
+    m_slotTimer.start(*plan.slotWait + spread, [this] { dispatch(); });
+    return true;
 }
 
 void RequestJob::sendToServer(const LocalPlan& plan)
@@ -246,7 +221,7 @@
     metadata.serverId = server.identity.id;
     metadata.deadline = std::chrono::duration_cast<milliseconds>(timeLeft());
     if (candidate.engine)
-        metadata.priority = std::min(lowestEnginePriority, highestEnginePriority + enginePriorityStep * static_cast<int>(m_route->priority));
+        metadata.priority = std::min(lowestEnginePriority, highestEnginePriority + enginePriorityStep * static_cast<int>(m_request.route->priority));
     metadata.resumeAfter = resumeAfter();
     std::string headers;
     m_core.protocol.appendServerMetadata(headers, metadata);
@@ -254,58 +229,80 @@
     OutboundRequest request;
     request.endpoint = server.address;
     request.poolKey = poolKeyOf(server);
-    request.bytes = requestBytes(headers);
-    request.maxIdleAge = m_route->retryable() ? maxIdleRetryable : maxIdleNonRetryable;
+    request.bytes = forwardedRequest(m_exchange->request(), m_core.protocol, headers);
+    request.maxIdleAge = m_request.route->retryable() ? maxIdleRetryable : maxIdleNonRetryable;
     request.connectTimeout = serverConnectTimeout;
-    request.matchesRequest = [&protocol = m_core.protocol, id = m_metadata.attemptId](const AnswerHead& head) {
+    request.matchesRequest = [&protocol = m_core.protocol, id = m_request.metadata.attemptId](const AnswerHead& head) {
         const auto echoed = protocol.decodeAnswer(head).attemptId;
         return !echoed || *echoed == id;
     };
-    const auto uncachedTokens = m_metadata.work.promptTokens - std::min(m_metadata.work.promptTokens, candidate.cachedTokens);
-    m_requestTicket = m_core.serverTracker.onSend(server.identityHash, { m_metadata.work, uncachedTokens, plan.choice.predicted, candidate.slowness, candidate.engine, candidate.memoryTokens });
+    const auto uncachedTokens = m_request.metadata.work.promptTokens - std::min(m_request.metadata.work.promptTokens, candidate.cachedTokens);
+    m_requestTicket = m_core.serverTracker.onSend(server.identityHash, { m_request.metadata.work, uncachedTokens, plan.choice.predicted, candidate.slowness, candidate.engine, candidate.memoryTokens, candidate.slots });
     if (candidate.cold)
         m_core.serverTracker.recordColdSend(server.identityHash);
     m_triedServers.insert(server.identityHash);
     m_serverId = server.identity.id;
     m_serverPoolKey = request.poolKey;
     m_peerInstance.clear();
+    m_serverOfHop = 0;
     m_sentAt = m_core.clock.now();
     m_predictedFirstByte = plan.choice.predicted;
     m_answerMode = AnswerMode::None;
     ++m_attempts;
-    m_core.requestRecorder.recordServerSend(m_metadata.work.promptTokens, candidate.cachedTokens);
-    logInfo("sent to server", { { "request", m_metadata.attemptId }, { "server", m_serverId }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "slowness_percent", std::lround(candidate.slowness * 100) }, { "prompt", m_metadata.work.promptTokens }, { "prefix", m_metadata.work.sharedParts().empty() ? 0 : m_metadata.work.sharedParts().back().id }, { "cached_prompt", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
+    m_core.requestRecorder.recordServerSend(m_request.metadata.work.promptTokens, candidate.cachedTokens);
+    logInfo("sent to server", { { "request", m_request.metadata.attemptId }, { "server", m_serverId }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "slowness_percent", std::lround(candidate.slowness * 100) }, { "prompt", m_request.metadata.work.promptTokens }, { "prefix", m_request.metadata.work.sharedParts().empty() ? 0 : m_request.metadata.work.sharedParts().back().id }, { "cached_prompt", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
     m_outbound = m_core.serverConnections.start(std::move(request), *this);
 }
 
-void RequestJob::sendToInstance(const PeerState& member, Duration predicted)
+HopMetadata RequestJob::hopMetadata(Duration returnTime) const
 {
     HopMetadata metadata;
     metadata.origin = m_core.settings.instance;
-    metadata.configVersion = m_routes->config().version;
-    metadata.service = m_service;
-    metadata.deadline = std::chrono::duration_cast<milliseconds>(std::max(Duration::zero(), timeLeft() - hopReturnTime));
-    metadata.objective = std::chrono::duration_cast<milliseconds>(std::max(Duration::zero(), firstByteTimeLeft() - hopReturnTime));
+    metadata.configVersion = m_request.routes->config().version;
+    metadata.service = m_request.service;
+    metadata.deadline = std::chrono::duration_cast<milliseconds>(std::max(Duration::zero(), timeLeft() - returnTime));
+    metadata.objective = std::chrono::duration_cast<milliseconds>(std::max(Duration::zero(), firstByteTimeLeft() - returnTime));
     metadata.resumeAfter = resumeAfter();
+    return metadata;
+}
+
+void RequestJob::sendToOwner(const PeerState& owner, const LocalPlan& plan)
+{
+    const auto& server = *plan.server();
+    auto metadata = hopMetadata(ownerHopReturnTime);
+    metadata.server = server.identityHash;
+    if (m_refusedHops == 0)
+        metadata.acceptWithin = std::chrono::duration_cast<milliseconds>(firstAttemptLimit(plan.choice.predicted, firstByteTimeLeft()));
+    startHop(owner, metadata, plan.choice.predicted);
+}
+
+void RequestJob::sendToRegion(const PeerState& peer, Duration predicted)
+{
+    m_core.peerTable.onHopStarted(peer.instance);
+    m_regionHopInProgress = true;
+    m_triedInstances.insert(peer.instance);
+    startHop(peer, hopMetadata(regionHopReturnTime), predicted);
+}
+
+void RequestJob::startHop(const PeerState& member, const HopMetadata& metadata, Duration predicted)
+{
     std::string headers;
     appendHopMetadata(headers, metadata);
     OutboundRequest request;
     request.endpoint = { member.ip, m_core.settings.peerPort };
     request.poolKey = member.instance + "|" + std::to_string(member.incarnation);
-    request.bytes = requestBytes(headers);
-    request.maxIdleAge = m_route->retryable() ? maxIdleRetryable : maxIdleNonRetryable;
+    request.bytes = forwardedRequest(m_exchange->request(), m_core.protocol, headers);
+    request.maxIdleAge = m_request.route->retryable() ? maxIdleRetryable : maxIdleNonRetryable;
     request.connectTimeout = instanceConnectTimeout;
-    m_core.peerTable.onHopStarted(member.instance);
-    m_hopInProgress = true;
-    m_triedInstances.insert(member.instance);
     m_peerInstance = member.instance;
+    m_serverOfHop = metadata.server;
     m_serverId.clear();
     m_sentAt = m_core.clock.now();
     m_predictedFirstByte = predicted;
     m_answerMode = AnswerMode::None;
     ++m_attempts;
     m_core.requestRecorder.recordHopSend(request.bytes.size());
-    logInfo("sent to instance", { { "request", m_metadata.attemptId }, { "peer", member.instance }, { "region", member.region }, { "predicted_ms", toMilliseconds(predicted) } });
+    logInfo("sent to instance", { { "request", m_request.metadata.attemptId }, { "peer", member.instance }, { "region", member.region }, { "server", metadata.server }, { "predicted_ms", toMilliseconds(predicted) } });
     m_outbound = m_core.peerConnections.start(std::move(request), *this);
 }
 
@@ -313,8 +310,8 @@
 {
     const auto self = shared_from_this();
     if (!m_peerInstance.empty()) {
-        m_hopError = decodeHopFailure(head);
-        if (m_hopError) {
+        m_hopFailure = decodeHopFailure(head);
+        if (m_hopFailure) {
             m_answerMode = AnswerMode::HopFailure;
             return;
         }
@@ -325,7 +322,7 @@
         if (!m_peerInstance.empty())
             return;
         if (facts.wrongServer) {
-            logWarning("another server has the address", { { "request", m_metadata.attemptId }, { "server", m_serverId } });
+            logWarning("another server has the address", { { "request", m_request.metadata.attemptId }, { "server", m_serverId } });
             m_core.serverTracker.markSuspect(m_requestTicket.server);
         } else {
             m_core.serverTracker.markFull(m_requestTicket.server, fullServerBackOff);
@@ -335,7 +332,7 @@
     m_mayHaveRun = true;
     m_head = head;
     const bool success = head.status < 300;
-    m_answerMode = success && m_route->kind == RouteKind::Streaming ? AnswerMode::Stream : AnswerMode::Buffered;
+    m_answerMode = success && m_request.route->kind == RouteKind::Streaming ? AnswerMode::Stream : AnswerMode::Buffered;
 }
 
 void RequestJob::onAnswerBody(std::string_view data)
@@ -385,7 +382,7 @@
 void RequestJob::forwardStreamData(std::string_view data)
 {
     std::string completeEvents;
-    if (m_route->retryable()) {
+    if (m_request.route->retryable()) {
         m_eventGate.feed(data, completeEvents);
         data = completeEvents;
     }
@@ -425,7 +422,9 @@
     m_core.serverTracker.onFirstByte(m_requestTicket);
     const bool failed = m_head.status >= firstServerFailure;
     endAttempt(failed ? ServerOutcome::Failed : ServerOutcome::Succeeded);
-    if (failed && m_route->retryable() && retry("the server answered with a failure"))
+    if (failed && m_serverOfHop != 0)
+        m_triedServers.insert(m_serverOfHop);
+    if (failed && m_request.route->retryable() && retry("the server answered with a failure"))
         return;
     if (m_exchange->headSent()) {
         m_exchange->abort();
@@ -434,7 +433,7 @@
     // Callers take these statuses as proof that the request has not run. A server's plain status does not
     // prove it; proof arrives as AnswerMode::NotRun and is handled in onNotRun().
     const auto status = m_head.status;
-    if (!m_route->retryable() && (status == 503 || status == 429 || status == 408 || status == 421))
+    if (!m_request.route->retryable() && (status == 503 || status == 429 || status == 408 || status == 421))
         return failWith({ ErrorKind::BackendLost, "the server's refusal does not say whether it ran", RunState::OutcomeUnknown, {} });
     m_exchange->sendComplete(forwardedHead(m_head), m_body);
     if (failed)
@@ -446,7 +445,7 @@
 {
     endAttempt(ServerOutcome::Succeeded);
     sendStreamHead();
-    if (m_route->retryable())
+    if (m_request.route->retryable())
         m_exchange->sendBody(std::string(m_eventGate.incompleteEvent()));
     m_exchange->finish();
     finish("ok");
@@ -465,24 +464,32 @@
 void RequestJob::onHopFailure()
 {
     endAttempt(ServerOutcome::Abandoned);
-    auto error = *m_hopError;
-    m_hopError.reset();
+    const auto failure = *std::exchange(m_hopFailure, std::nullopt);
+    const auto& error = failure.error;
     if (error.effectiveRunState() != RunState::NotRun)
         m_mayHaveRun = true;
-    logInfo("forwarded request failed", { { "request", m_metadata.attemptId }, { "peer", m_peerInstance }, { "reason", error.code() }, { "run_state", toString(error.effectiveRunState()) } });
-    // The other region has not sent the request to a server, so another attempt does not count as a retry.
-    if (error.effectiveRunState() == RunState::NotRun && m_triedInstances.size() < 2) {
+    if (!failure.reachedServer) {
         --m_attempts;
-        return dispatch();
+        ++m_refusedHops;
     }
-    failWith(error);
+    logInfo("forwarded request failed", { { "request", m_request.metadata.attemptId }, { "peer", m_peerInstance }, { "server", m_serverOfHop }, { "reason", error.code() }, { "run_state", toString(error.effectiveRunState()) }, { "reached_server", failure.reachedServer ? 1 : 0 } });
+    // An owner that is about to stop or lacks the configuration says nothing about its server.
+    if (error.kind == ErrorKind::Draining || error.kind == ErrorKind::NotReady)
+        m_triedInstances.insert(m_peerInstance);
+    else if (m_serverOfHop != 0)
+        m_triedServers.insert(m_serverOfHop);
+    const auto recovery = recoverFromHop(failure, m_request.route->retryable(), m_refusedHops);
+    if (recovery == HopRecovery::SendOn)
+        return dispatch();
+    if (recovery != HopRecovery::Retry || !retry(error.code()))
+        failWith(error);
 }
 
 void RequestJob::onAnswerFailure(OutboundFailure failure, std::string_view reason)
 {
     const auto self = shared_from_this();
     const bool viaInstance = !m_peerInstance.empty();
-    logInfo("attempt failed", { { "request", m_metadata.attemptId }, { "server", m_serverId }, { "peer", m_peerInstance }, { "how", toString(failure) }, { "reason", reason }, { "after_ms", toMilliseconds(m_core.clock.now() - m_sentAt) } });
+    logInfo("attempt failed", { { "request", m_request.metadata.attemptId }, { "server", m_serverId }, { "peer", m_peerInstance }, { "how", toString(failure) }, { "reason", reason }, { "after_ms", toMilliseconds(m_core.clock.now() - m_sentAt) } });
     if (m_answerMode == AnswerMode::NotRun)
         return onNotRun();
     if (m_answerMode == AnswerMode::HopFailure)
@@ -491,6 +498,7 @@
         --m_attempts;
         if (viaInstance) {
             m_core.peerTable.backOff(m_peerInstance, instanceBackOff);
+            m_triedInstances.insert(m_peerInstance);
         } else {
             m_core.serverTracker.markSuspect(m_requestTicket.server);
             m_core.serverConnections.closeIdle(m_serverPoolKey);
@@ -511,9 +519,13 @@
         m_core.requestProbe(server);
     } else {
         endAttempt(ServerOutcome::Lost);
-        m_core.peerTable.backOff(m_peerInstance, instanceBackOff);
+        // After the head, it is rather the server's answer that broke off.
+        if (m_answerMode == AnswerMode::None)
+            m_core.peerTable.backOff(m_peerInstance, instanceBackOff);
+        if (m_serverOfHop != 0)
+            m_triedServers.insert(m_serverOfHop);
     }
-    if (m_route->retryable() && retry(reason))
+    if (m_request.route->retryable() && retry(reason))
         return;
     const auto kind = failure == OutboundFailure::Truncated ? ErrorKind::AnswerIncomplete : m_peerInstance.empty() ? ErrorKind::BackendLost
                                                                                                                    : ErrorKind::PeerLost;
@@ -523,15 +535,15 @@
 bool RequestJob::retry(std::string_view why)
 {
     // Only the instance that received the request from the caller retries, since it knows all attempts.
-    const bool allowed = !m_hopMetadata && m_attempts < m_route->maxAttempts && timeLeft() > minAttemptTime;
+    const bool allowed = !m_hopMetadata && m_attempts < m_request.route->maxAttempts && timeLeft() > minAttemptTime;
     if (!allowed || isQuarantined())
         return false;
     const auto next = plan();
     // If no server can take the retry, the caller gets the answer that has already arrived.
-    if (next.placement.action == Placement::Action::Refuse || !m_core.retryBudget.tryRetry(m_service))
+    if (next.placement.action == Placement::Action::Refuse || !m_core.retryBudget.tryRetry(m_request.service))
         return false;
     m_core.requestRecorder.recordRetry();
-    logInfo("request retried", { { "request", m_metadata.attemptId }, { "why", why }, { "attempt", m_attempts + 1 }, { "after_event", m_eventGate.lastId().value_or("") } });
+    logInfo("request retried", { { "request", m_request.metadata.attemptId }, { "why", why }, { "attempt", m_attempts + 1 }, { "after_event", m_eventGate.lastId().value_or("") } });
     m_eventGate.discardIncompleteEvent();
     m_body.clear();
     m_outbound.reset();
@@ -541,7 +553,7 @@
 
 void RequestJob::endAttempt(ServerOutcome outcome)
 {
-    if (std::exchange(m_hopInProgress, false))
+    if (std::exchange(m_regionHopInProgress, false))
         m_core.peerTable.onHopEnded(m_peerInstance);
     m_core.serverTracker.onComplete(m_requestTicket, outcome);
 }
@@ -552,7 +564,7 @@
         return;
     const bool sent = m_outbound && m_outbound->sent();
     const Error error { ErrorKind::DeadlineExceeded, {}, sent || m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun, {} };
-    logInfo("deadline exceeded", { { "request", m_metadata.attemptId }, { "server", m_serverId }, { "peer", m_peerInstance }, { "events", m_eventGate.events() }, { "head_seen", m_answerMode != AnswerMode::None ? 1 : 0 } });
+    logInfo("deadline exceeded", { { "request", m_request.metadata.attemptId }, { "server", m_serverId }, { "peer", m_peerInstance }, { "events", m_eventGate.events() }, { "head_seen", m_answerMode != AnswerMode::None ? 1 : 0 } });
     failWith(error);
 }
 
@@ -579,7 +591,7 @@
     }
     auto answer = failureAnswer(error, timeLeft(), *m_core.random);
     if (m_hopMetadata)
-        answer.head.headers.push_back(encodeHopFailure(error));
+        answer.head.headers.push_back(encodeHopFailure({ error, m_attempts > 0 }));
     m_exchange->sendComplete(std::move(answer.head), answer.body);
     finish(error.code(), reasonOf(error));
 }
@@ -588,10 +600,11 @@
 {
     m_done = true;
     m_timer.cancel();
+    m_slotTimer.cancel();
     const auto arrived = m_exchange->arrivedAt();
     RequestSummary end;
-    end.requestId = m_metadata.attemptId;
-    end.route = m_route ? std::string_view(m_route->name) : std::string_view();
+    end.requestId = m_request.metadata.attemptId;
+    end.route = m_request.route ? std::string_view(m_request.route->name) : std::string_view();
     end.outcome = outcome;
     end.reason = reason;
     end.duration = m_core.clock.now() - arrived;
@@ -600,7 +613,7 @@
     end.server = m_serverId;
     end.peer = m_peerInstance;
     end.attempts = m_attempts;
-    end.configVersion = m_routes ? m_routes->config().version : 0;
+    end.configVersion = m_request.routes ? m_request.routes->config().version : 0;
     m_core.requestRecorder.recordEnd(end);
     // finish() may run inside a callback of the exchange that still uses this job.
     boost::asio::post(m_core.io, [&core = m_core, self = shared_from_this()] {
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -3,8 +3,10 @@
 #include "yuccashift/answers/sse_event_filter.hpp"
 #include "yuccashift/entry/entry_core.hpp"
 #include "yuccashift/entry/hop.hpp"
+#include "yuccashift/entry/request_resolution.hpp"
 #include "yuccashift/http/inbound.hpp"
 #include "yuccashift/http/outbound.hpp"
+#include "yuccashift/kernel/one_shot_timer.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -16,8 +18,9 @@
 
 /**
  * Handles one request from its arrival to the end of its answer: resolves the
- * route, chooses a server of this region or an instance of another one, forwards
- * the answer, and retries if the route allows it.
+ * route, chooses a server of this region or an instance of another one, sends the
+ * request there or to the server's owner, forwards the answer, and retries if the
+ * route allows it.
  */
 class RequestJob final : public OutboundListener, public std::enable_shared_from_this<RequestJob> {
 public:
@@ -55,14 +58,23 @@
     };
 
     bool prepare();
-    Result<void> resolveRoute();
+    Result<void> resolve();
     void armTimeLimit();
     Plan plan() const;
     void dispatch();
     void executePlan(const Plan&);
+    /** Plans again after a short time and returns true, if only full servers could take the request and it can still wait. */
+    bool waitForSlot(const LocalPlan&);
     void sendToServer(const LocalPlan&);
-    void sendToInstance(const PeerState&, Duration predicted);
-    std::string requestBytes(const std::string& extraHeaders) const;
+    /** Sends the request to the instance that owns the chosen server. */
+    void sendToOwner(const PeerState&, const LocalPlan&);
+    /** Sends the request to an instance of another region. */
+    void sendToRegion(const PeerState&, Duration predicted);
+    /** Metadata of a hop whose answer needs `returnTime` for its way back. */
+    HopMetadata hopMetadata(Duration returnTime) const;
+    void startHop(const PeerState&, const HopMetadata&, Duration predicted);
+    /** The server that the origin chose, if this instance executes the request as its owner; else 0. */
+    std::uint64_t assignedServer() const { return m_hopMetadata ? m_hopMetadata->server : 0; }
     void forwardStreamData(std::string_view);
     void sendStreamHead();
     /** Records the time and size of received answer data. */
@@ -93,13 +105,11 @@
     EntryCore& m_core;
     std::shared_ptr<InboundExchange> m_exchange;
     std::optional<HopMetadata> m_hopMetadata;
-    std::shared_ptr<const RouteIndex> m_routes;
-    const Route* m_route = nullptr;
-    ServiceName m_service;
-    RequestMetadata m_metadata;
-    Instant m_deadline {};
-    Instant m_firstByteDueAt {};
+    ResolvedRequest m_request;
     boost::asio::steady_timer m_timer;
+    OneShotTimer m_slotTimer;
+    /** When the request stops waiting for a slot; std::nullopt before it waits. */
+    std::optional<Instant> m_slotWaitEndsAt;
 
     /** Attempts that may have reached a server. */
     std::uint32_t m_attempts = 0;
@@ -111,7 +121,11 @@
     std::string m_serverId;
     std::string m_serverPoolKey;
     InstanceId m_peerInstance;
-    bool m_hopInProgress = false;
+    /** The server that the hop in progress names; 0 if there is none or the receiver chooses. */
+    std::uint64_t m_serverOfHop = 0;
+    bool m_regionHopInProgress = false;
+    /** Hops after which the receiver had not sent the request to a server. */
+    std::uint32_t m_refusedHops = 0;
     Instant m_sentAt {};
     /** Time to first byte that was predicted for the current attempt. */
     Duration m_predictedFirstByte {};
@@ -121,7 +135,7 @@
     AnswerMode m_answerMode = AnswerMode::None;
     AnswerHead m_head;
     std::string m_body;
-    std::optional<Error> m_hopError;
+    std::optional<HopFailure> m_hopFailure;
     SseEventFilter m_eventGate;
     bool m_done = false;
 };
--- /dev/null
+++ b/src/yuccashift/entry/request_resolution.cpp
@@ -0,0 +1,51 @@
+#include "yuccashift/entry/request_resolution.hpp"
+
+#include "yuccashift/kernel/hash.hpp"
+
+#include <algorithm>
+
+namespace yuccashift {
+
+namespace {
+
+    void setTimes(ResolvedRequest& resolved, const HopMetadata* hop, Instant arrivedAt)
+    {
+        if (hop) {
+            resolved.deadline = arrivedAt + hop->deadline;
+            resolved.firstByteDueAt = arrivedAt + hop->objective;
+            return;
+        }
+        const auto& route = *resolved.route;
+        resolved.deadline = arrivedAt + std::min(resolved.metadata.deadline.value_or(route.timeLimit), route.timeLimit);
+        resolved.firstByteDueAt = arrivedAt + route.latencyObjective;
+    }
+
+} // namespace
+
+Result<ResolvedRequest> resolveRequest(const RequestMessage& request, RequestMetadata metadata, std::shared_ptr<const RouteIndex> routes, const RegionName& region, const HopMetadata* hop, Instant arrivedAt)
+{
+    if (!routes)
+        return fail(ErrorKind::NotReady);
+    const auto host = findHeader(request.headers, "Host");
+    if (!host)
+        return fail(ErrorKind::MalformedRequest, "a request without a host");
+    ResolvedRequest resolved;
+    resolved.metadata = std::move(metadata);
+    resolved.routes = std::move(routes);
+    resolved.route = resolved.routes->find(*host, request.target);
+    if (!resolved.route || resolved.route->services.empty()) {
+        // The origin resolved the route with a configuration that has not arrived here yet.
+        return fail(hop ? ErrorKind::NotReady : ErrorKind::UnknownRoute);
+    }
+    const auto& route = *resolved.route;
+    if (hop && (!route.usesService(hop->service) || !route.allowsRegion(region)))
+        return fail(ErrorKind::NotReady, "the two instances hold different configurations");
+    resolved.service = hop ? hop->service : route.pickService(hash64(resolved.metadata.attemptId));
+    resolved.metadata.work.priority = std::min<std::size_t>(route.priority, priorityLevels - 1);
+    if (hop)
+        resolved.metadata.resumeAfter = hop->resumeAfter;
+    setTimes(resolved, hop, arrivedAt);
+    return resolved;
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/entry/request_resolution.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "yuccashift/entry/hop.hpp"
+#include "yuccashift/entry/protocol_codec.hpp"
+#include "yuccashift/fleet/route_config.hpp"
+#include "yuccashift/kernel/clock.hpp"
+#include "yuccashift/kernel/error.hpp"
+
+#include <memory>
+
+namespace yuccashift {
+
+/** A request with its route and its times. */
+struct ResolvedRequest {
+    RequestMetadata metadata;
+    /** Keeps the route alive while a newer configuration comes into force. */
+    std::shared_ptr<const RouteIndex> routes;
+    const Route* route = nullptr;
+    ServiceName service;
+    /** When the complete answer is due. */
+    Instant deadline {};
+    /** When the first byte is due under the latency objective. */
+    Instant firstByteDueAt {};
+};
+
+/**
+ * Finds the route of a request that arrived at an instance of `region`, and derives its times. Returns UnknownRoute
+ * or MalformedRequest, or NotReady if no configuration is known or if it disagrees with that of the request's origin.
+ * @param hop set if another instance forwarded the request
+ */
+Result<ResolvedRequest> resolveRequest(const RequestMessage&, RequestMetadata, std::shared_ptr<const RouteIndex>, const RegionName& region, const HopMetadata* hop, Instant arrivedAt);
+
+} // namespace yuccashift
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -14,6 +14,12 @@
     5: i32 readingTokens,
     // Priority level of that prompt.
     6: i32 readingRank,
+    // Only from the server's owner: observed time to first byte in percent of the expected one, by priority level.
+    7: list<i32> slownessPercent,
+    // Only from the server's owner: whether connections to the server fail.
+    8: bool suspect,
+    // Only from the server's owner: share of recent requests that failed; 0 while it has seen too few.
+    9: i32 failurePercent,
 }
 
 // Capacity of the sender's region for one service, as the sender sees it.
@@ -31,6 +37,8 @@
     2: string region,
     3: string datacentre,
     4: string ip,
+    // Capacity for requests of other instances, in thousandths of a processor core.
+    5: i32 capacity,
 }
 
 struct Heartbeat {
--- a/src/yuccashift/fleet/peer_table.cpp
+++ b/src/yuccashift/fleet/peer_table.cpp
@@ -84,6 +84,7 @@
         peer.region = beat.profile.region;
         peer.datacentre = beat.profile.datacentre;
         peer.ip = beat.profile.ip;
+        peer.capacity = beat.profile.capacity > 0 ? beat.profile.capacity / capacityUnitsPerCore : 1.0;
     }
     if (newlyAlive)
         logInfo("peer is alive", { { "peer", peer.instance }, { "region", peer.region }, { "incarnation", beat.incarnation } });
--- a/src/yuccashift/fleet/peer_table.hpp
+++ b/src/yuccashift/fleet/peer_table.hpp
@@ -31,6 +31,8 @@
     RegionName region;
     DatacentreName datacentre;
     std::string ip;
+    /** Capacity for requests of other instances, in processor cores. */
+    double capacity = 1;
     bool takesCallers = false;
     bool draining = false;
     std::int64_t configVersion = 0;
@@ -44,6 +46,9 @@
     std::int32_t unreportedHops = 0;
 };
 
+/** Unit of the capacity in heartbeats, as a part of a core. */
+constexpr double capacityUnitsPerCore = 1000;
+
 /** The short hash by which heartbeats identify their sender. */
 std::int32_t hashOfInstance(const InstanceId&);
 
--- a/tests/capacity/model_test.cpp
+++ b/tests/capacity/model_test.cpp
@@ -88,7 +88,7 @@
     {
         const auto model = parseModel(readSource("benchmarks/capacity/size.yaml"), readSource("benchmarks/capacity/rows.yaml"));
         const auto slopes = slopesFromJson(readSource("benchmarks/capacity/slopes.json"));
-        EXPECT_EQ(renderPage(model, slopes), readSource("docs/CAPACITY.md")) << "run tools/capacity page";
+        EXPECT_EQ(renderPage(model, slopes), readSource("docs/CAPACITY-MODEL.md")) << "run tools/capacity page";
     }
 
     TEST(CapacityPage, NoControlTrafficOfAnInstanceGrowsWithBothInstancesAndWorkers)
--- a/tests/dispatch/server_choice_test.cpp
+++ b/tests/dispatch/server_choice_test.cpp
@@ -52,7 +52,7 @@
         const std::vector<Case> cases {
             { ServerRejectReason::Tried, [](ServerCandidate& it) { it.tried = true; } },
             { ServerRejectReason::Suspect, [](ServerCandidate& it) { it.suspect = true; } },
-            { ServerRejectReason::Full, [](ServerCandidate& it) { it.full = true; } },
+            { ServerRejectReason::Full, [](ServerCandidate& it) { it.fullFor = milliseconds(1); } },
             { ServerRejectReason::Cold, [](ServerCandidate& it) { it.cold = true; } },
             { ServerRejectReason::NoConnections, [](ServerCandidate& it) { it.connectionsLeft = false; } },
             { ServerRejectReason::Failing, [](ServerCandidate& it) { it.failureShare = 0.9; it.outcomeSamples = 9; } },
--- a/tests/dispatch/server_tracker_test.cpp
+++ b/tests/dispatch/server_tracker_test.cpp
@@ -72,6 +72,43 @@
         EXPECT_NEAR(tracker.expectedSlowness(999, true, 1), 2.5, 0.2);
     }
 
+    TEST_F(AServerTracker, LearnsHowManyRequestsAServerTakes)
+    {
+        std::vector<RequestTicket> tickets;
+        tickets.reserve(32);
+        for (int n = 0; n < 31; ++n)
+            tickets.push_back(tracker.onSend(server, { work, 0, milliseconds(100), 1.0, false, 0, 6 }));
+        tracker.onComplete(tickets.back(), ServerOutcome::Rejected);
+        EXPECT_TRUE(tracker.statusOf(server).atRequestLimit(clock.now()));
+        tracker.onComplete(tickets.front(), ServerOutcome::Succeeded);
+        EXPECT_FALSE(tracker.statusOf(server).atRequestLimit(clock.now()));
+        tickets.push_back(tracker.onSend(server, { work, 0, milliseconds(100), 1.0, false, 0, 6 }));
+        EXPECT_TRUE(tracker.statusOf(server).atRequestLimit(clock.now()));
+        clock.advance(seconds(5));
+        EXPECT_FALSE(tracker.statusOf(server).atRequestLimit(clock.now()));
+    }
+
+    TEST_F(AServerTracker, ExpectsAServerToTakeAtLeastAsManyRequestsAsItHasSlots)
+    {
+        auto ticket = tracker.onSend(server, { work, 0, milliseconds(100), 1.0, false, 0, 6 });
+        tracker.onComplete(ticket, ServerOutcome::Rejected);
+        EXPECT_EQ(tracker.statusOf(server).requestLimit, 6);
+    }
+
+    TEST_F(AServerTracker, UsesWhatTheOwnerReportsUntilItHasSamplesOfItsOwn)
+    {
+        OwnerReport report;
+        report.slowness = { 0, 2.5, 0, 0 };
+        report.receivedAt = clock.now();
+        tracker.setOwnerReports("a", { { server, report } });
+        EXPECT_DOUBLE_EQ(tracker.expectedSlowness(server, true, 1), 2.5);
+        EXPECT_DOUBLE_EQ(tracker.expectedSlowness(server, true, 0), 1.0);
+        clock.advance(ownerReportLifetime);
+        EXPECT_DOUBLE_EQ(tracker.expectedSlowness(server, true, 1), 1.0);
+        tracker.setOwnerReports("a", {});
+        EXPECT_FALSE(tracker.statusOf(server).ownerReport);
+    }
+
     TEST_F(AServerTracker, LearnsNothingFromAbandonedRequests)
     {
         auto ticket = tracker.onSend(server, { work, 0, milliseconds(100), 1.0, true, memory });
--- a/tests/entry/answers_test.cpp
+++ b/tests/entry/answers_test.cpp
@@ -76,7 +76,7 @@
 
     TEST(HopHeaders, SurviveARoundTripAndAreRemovedFromTheRequest)
     {
-        HopMetadata order { "sofia-1", 12, "draft", milliseconds(900), milliseconds(400), "17" };
+        HopMetadata order { "sofia-1", 12, "draft", milliseconds(900), milliseconds(400), "17", 4000000000U, milliseconds(250) };
         std::string text;
         appendHopMetadata(text, order);
         HeaderFields headers { { "Host", "a.example" } };
@@ -94,6 +94,8 @@
         EXPECT_EQ(extracted->deadline, milliseconds(900));
         EXPECT_EQ(extracted->objective, milliseconds(400));
         EXPECT_EQ(extracted->resumeAfter, "17");
+        EXPECT_EQ(extracted->server, 4000000000U);
+        EXPECT_EQ(extracted->acceptWithin, milliseconds(250));
         EXPECT_EQ(headers.size(), 1u);
     }
 
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -285,5 +285,99 @@
         m_fleet.entry("sofia-2").signal(SIGCONT);
     }
 
+    /** So many instances in one region that requests go through the owners of its servers. */
+    class EntryInstancesWithOwners : public testing::Test {
+    protected:
+        static constexpr int instanceCount = 6;
+
+        EntryInstancesWithOwners()
+        {
+            for (const auto& [id, service] : { std::pair("ledger-1", "ledger"), std::pair("draft-1", "draft") })
+                m_fleet.publish({ id, service, "hall-sofia", m_fleet.startWorker(id, "sofia") });
+            m_fleet.publishConfig(3, routes);
+            for (int n = 0; n < instanceCount; ++n)
+                m_fleet.startEntry(name(n), "sofia");
+            for (int n = 0; n < instanceCount; ++n)
+                EXPECT_TRUE(waitUntil([&] { return m_fleet.metric(name(n), "yuccashift_instances_heard") == instanceCount - 1; })) << name(n);
+        }
+
+        static std::string name(int n) { return "sofia-" + std::to_string(n); }
+        double connects(int n) const { return m_fleet.metric(name(n), "yuccashift_server_connects"); }
+
+        /** Number of instances that have connected to a server. */
+        int countOwners() const
+        {
+            int owners = 0;
+            for (int n = 0; n < instanceCount; ++n)
+                owners += connects(n) > 0 ? 1 : 0;
+            return owners;
+        }
+
+        /** Sends one request of each kind to every instance that runs; returns how many were answered by a server. */
+        int callAll(const std::string& round)
+        {
+            int served = 0;
+            for (int n = 0; n < instanceCount; ++n) {
+                if (!m_fleet.runs(name(n)))
+                    continue;
+                const auto attempt = round + std::to_string(n);
+                served += m_fleet.call(name(n), attempt + "r", "GET", "/read/x").ok() ? 1 : 0;
+                served += m_fleet.call(name(n), attempt + "w", "POST", "/write/x", "body").ok() ? 1 : 0;
+                const auto stream = m_fleet.call(name(n), attempt + "s", "POST", "/once/stream/x", "prompt");
+                served += stream.ok() && stream.body.ends_with("data: " + attempt + "s.20\n\n") ? 1 : 0;
+                EXPECT_EQ(m_fleet.runsOf(attempt + "w"), 1u);
+            }
+            return served;
+        }
+
+        EntryFleet m_fleet { "owners" };
+    };
+
+    TEST_F(EntryInstancesWithOwners, AloneConnectToTheirServers)
+    {
+        EXPECT_EQ(callAll("a"), 3 * instanceCount);
+        EXPECT_EQ(callAll("b"), 3 * instanceCount);
+        // The gauges are updated several times a second.
+        EXPECT_TRUE(waitUntil([&] { return countOwners() > 0; }));
+        EXPECT_LE(countOwners(), 2);
+    }
+
+    TEST_F(EntryInstancesWithOwners, AreReplacedWhenTheyDie)
+    {
+        EXPECT_EQ(callAll("a"), 3 * instanceCount);
+        EXPECT_TRUE(waitUntil([&] { return countOwners() > 0; }));
+        int killed = 0;
+        for (int n = 0; n < instanceCount; ++n) {
+            if (connects(n) > 0) {
+                m_fleet.entry(name(n)).signal(SIGKILL);
+                EXPECT_TRUE(waitUntil([&] { return !m_fleet.runs(name(n)); }));
+                ++killed;
+            }
+        }
+        EXPECT_EQ(callAll("b"), 3 * (instanceCount - killed));
+    }
+
+    TEST_F(EntryInstancesWithOwners, ReportThatARefusedRequestHasNotRun)
+    {
+        m_fleet.control("ledger-1", "/control/refuse", R"({"on":true})");
+        for (int n = 0; n < instanceCount; ++n) {
+            const auto attempt = "q" + std::to_string(n);
+            const auto reply = m_fleet.call(name(n), attempt, "POST", "/write/x", "body");
+            EXPECT_EQ(reply.status, 503);
+            EXPECT_FALSE(reply.header("retry-after").empty());
+            EXPECT_EQ(m_fleet.runsOf(attempt), 0u);
+        }
+    }
+
+    TEST_F(EntryInstancesWithOwners, RunANonIdempotentRequestOnceWhenItsAnswerIsLost)
+    {
+        m_fleet.control("ledger-1", "/control/lose-answers", R"({"count":6})");
+        for (int n = 0; n < instanceCount; ++n) {
+            const auto attempt = "w" + std::to_string(n);
+            EXPECT_EQ(m_fleet.call(name(n), attempt, "POST", "/write/x", "body").status, 502);
+            EXPECT_EQ(m_fleet.runsOf(attempt), 1u);
+        }
+    }
+
 } // namespace
 } // namespace yuccashift::test
--- /dev/null
+++ b/tests/platform/forwarding_test.cpp
@@ -0,0 +1,32 @@
+#include "yuccashift/entry/forwarding.hpp"
+
+#include "platform/platform_codec.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccashift::platform {
+namespace {
+
+    TEST(AForwardedRequest, KeepsItsBodyAndTheCallersHeadersButNoneOfTheConnection)
+    {
+        const PlatformCodec codec;
+        RequestMessage request { "POST", "/draft/x?y=1", { { "Host", "a.example" }, { "Connection", "close, X-Trace" }, { "X-Trace", "1" }, { "X-Other", "2" } }, "body" };
+        const auto bytes = forwardedRequest(request, codec, "X-Extra: 3\r\n");
+        EXPECT_TRUE(bytes.starts_with("POST /draft/x?y=1 HTTP/1.1\r\n"));
+        EXPECT_TRUE(bytes.ends_with("Content-Length: 4\r\n\r\nbody"));
+        EXPECT_NE(bytes.find("X-Other: 2\r\n"), std::string::npos);
+        EXPECT_NE(bytes.find("X-Extra: 3\r\n"), std::string::npos);
+        EXPECT_EQ(bytes.find("X-Trace"), std::string::npos);
+        EXPECT_EQ(bytes.find("Connection"), std::string::npos);
+    }
+
+    TEST(AForwardedHead, KeepsTheStatusAndDropsHeadersOfTheConnection)
+    {
+        const auto head = forwardedHead({ 503, { { "Keep-Alive", "timeout=3" }, { "X-Seal", "s" } }, {} });
+        EXPECT_EQ(head.status, 503);
+        ASSERT_EQ(head.headers.size(), 1u);
+        EXPECT_EQ(head.headers.front().name, "X-Seal");
+    }
+
+} // namespace
+} // namespace yuccashift::platform
