Accept at an owner only what begins within 0.7 of the objective

Cause: an owner accepted up to the limit of late work, 700 ms for an objective of 500 ms.

Change: one limit for all requests of a route, 0.7 of its objective. What is refused goes to the next owner or region.

--- a/src/yuccashift/dispatch/server_ownership.cpp
+++ b/src/yuccashift/dispatch/server_ownership.cpp
@@ -10,9 +10,8 @@
 
 namespace {
 
-    /** Share of the objective up to which an owner accepts a request in any case, and factor on the origin's prediction up to which it does. */
-    constexpr double acceptedObjectiveShare = 0.5;
-    constexpr double acceptedPredictionFactor = 1.5;
+    /** Leaves the rest of the objective for the hop, and for work that takes longer than the mean. */
+    constexpr double queueLimitShare = 0.7;
 
     /** Score of weighted rendezvous hashing: each candidate wins in proportion to its capacity. */
     double ownershipScore(std::uint64_t server, const ServerOwnerCandidate& candidate)
@@ -24,10 +23,9 @@
 
 } // namespace
 
-Duration firstAttemptLimit(Duration predicted, Duration objective)
+Duration ownerQueueLimit(Duration latencyObjective)
 {
-    const auto onTime = std::chrono::duration_cast<Duration>(objective * acceptedObjectiveShare);
-    return std::max(onTime, std::chrono::duration_cast<Duration>(predicted * acceptedPredictionFactor));
+    return std::chrono::duration_cast<Duration>(latencyObjective * queueLimitShare);
 }
 
 void ServerOwnership::setCandidates(std::vector<ServerOwnerCandidate> candidates)
--- a/src/yuccashift/dispatch/server_ownership.hpp
+++ b/src/yuccashift/dispatch/server_ownership.hpp
@@ -10,10 +10,10 @@
 namespace yuccashift {
 
 /**
- * Longest time to first byte with which an owner accepts the first attempt of a request, given what the origin
- * predicted and the time left until the objective. Beyond it, another server is worth the further hop.
+ * Longest time to first byte with which an owner accepts a request of a route with this latency objective. It is
+ * the same for requests that are late already: a queue that grows beyond it makes all that follow late as well.
  */
-Duration firstAttemptLimit(Duration predicted, Duration objective);
+Duration ownerQueueLimit(Duration latencyObjective);
 
 /** An instance of a region that may own backend servers. */
 struct ServerOwnerCandidate {
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -196,8 +196,8 @@
 
 bool RequestJob::waitForSlot(const LocalPlan& plan)
 {
-    // The origin of a first attempt can still choose another server.
-    if (!plan.slotWait || (m_hopMetadata && m_hopMetadata->acceptWithin))
+    // The origin of a request for an assigned server can choose another one.
+    if (!plan.slotWait || assignedServer() != 0)
         return false;
     const auto now = m_core.clock.now();
     if (!m_slotWaitEndsAt) {
@@ -271,8 +271,7 @@
     const auto& server = *plan.server();
     auto metadata = hopMetadata(ownerHopReturnTime);
     metadata.server = server.identityHash;
-    if (m_refusedHops == 0)
-        metadata.acceptWithin = std::chrono::duration_cast<milliseconds>(firstAttemptLimit(plan.choice.predicted, firstByteTimeLeft()));
+    metadata.acceptWithin = std::chrono::duration_cast<milliseconds>(ownerQueueLimit(m_request.route->latencyObjective));
     startHop(owner, metadata, plan.choice.predicted);
 }
 
--- a/tests/entry/server_owners_test.cpp
+++ b/tests/entry/server_owners_test.cpp
@@ -167,18 +167,17 @@
                     break;
                 const auto* peer = origin.planner.remoteOwner(*plan.server(), {});
                 auto& sender = peer ? *find(peer->instance) : origin;
-                const auto limit = attempt == 0 ? firstAttemptLimit(plan.choice.predicted, objective) : objective;
-                if (send(sender, plan.server()->identityHash, limit))
+                if (send(sender, plan.server()->identityHash))
                     return;
                 tried.insert(plan.server()->identityHash);
             }
             ++m_refused;
         }
 
-        bool send(Instance& sender, std::uint64_t server, Duration limit)
+        bool send(Instance& sender, std::uint64_t server)
         {
             const auto plan = sender.planner.planAt(server, "ledger", {});
-            if (!plan.server() || plan.choice.predicted > limit)
+            if (!plan.server() || plan.choice.predicted > ownerQueueLimit(objective))
                 return false;
             const WorkSize work;
             auto ticket = sender.tracker.onSend(server, { work, 0, plan.choice.predicted, plan.candidates.front().slowness, false, 0, PlainServer::slots });
