--- a/src/yuccashift/dispatch/server_tracker.hpp
+++ b/src/yuccashift/dispatch/server_tracker.hpp
@@ -149,9 +149,9 @@
     /** Records that a request is sent, and returns its accounting. */
     RequestTicket onSend(std::uint64_t server, const OutgoingRequest&);
     /**
-     * Expected slowness of a server: what its owner reports as long as this instance has no samples, or else its observed slowness blended with that of all
-     * servers, which dominates while this instance has few samples of the server.
-     * With many servers an instance uses each of them rarely.
+     * Expected slowness of a server. Without samples of its own, this instance takes what the
+     * server's owner reports. Otherwise it blends its observed slowness with that of all servers, which
+     * dominates while it has few samples: with many servers an instance uses each of them rarely.
      */
     double expectedSlowness(std::uint64_t server, bool engine, std::size_t priority) const;
     /** Records the first byte of a stream's body, or of an answer; later calls have no effect. */
--- a/src/yuccashift/entry/dispatch_planner.hpp
+++ b/src/yuccashift/entry/dispatch_planner.hpp
@@ -91,7 +91,6 @@
     void sampleCandidates(std::span<ServerCandidate>, const WorkSize&) const;
     /** Whether this instance owns the cold server and its rate allows another request now. */
     bool warmUpAllowed(const BackendServer&, const ServerStatus&, const ServiceConfig&) const;
-
     /** Samples one server in proportion to the slots: of a few servers, all instances would choose the one that seemed best a moment ago. */
     void sampleOne(std::span<ServerCandidate>) const;
     /** Share of a server's connection limit that this instance may use. */
@@ -101,6 +100,7 @@
 
     /** Up to this many instances know each other's loads well enough for each to use the best server itself. */
     static constexpr std::size_t maxInstancesKnowingLoads = 4;
+    /** From this many slots for each instance on, requests go to the servers directly. */
     static constexpr std::size_t slotsPerInstanceWithoutOwners = 4;
 
     const Clock& m_clock;
--- a/tests/entry/server_owners_test.cpp
+++ b/tests/entry/server_owners_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/support/fakes/fleet_items.hpp"
 #include "yuccashift/entry/dispatch_planner.hpp"
 #include "yuccashift/fleet/datagram.hpp"
+#include "yuccashift/kernel/log.hpp"
 
 #include <algorithm>
 #include <deque>
@@ -75,6 +76,7 @@
 
         ManyInstancesBeforeFewSlots()
         {
+            initialiseLog("error", "server_owners_test");
             m_items.config.services["ledger"] = { "/health", 1800, {}, 0, false, 0 };
             std::vector<ItemChange> listing { { "config", "config 1", 2 } };
             for (int n = 0; n < serverCount; ++n) {
