Tell the truth about earlier attempts, and drop callers' headers that look like those of a hop

(1) When an owner answered that a request had not run, its origin passed that on as 503 although an earlier attempt of the same request had run. It concerns requests that may be repeated; before owners it needed a hop between regions. owners_fuzz did not see it, because its harness held the right rule itself. (2) A caller's own Yuccashift-* headers were sent on before those of the hop, so that the receiving instance believed the caller's deadline, service or server.

Change: withEarlierAttempts() decides what may be reported, for all failures of a request; RequestJob and the fuzzer use it, and a fourth seeded fault forgets it. Forwarded requests lack callers' headers with the prefix of a hop.

Tests, both failed before: NeverReportThatARequestHasNotRunIfAnEarlierAttemptHas (503 for m18, m36, m54 and others; with six instances two servers have too many slots for owners, hence ten) and LacksTheCallersHeadersThatLookLikeThoseOfAHop. RunANonIdempotentRequestOnceWhenItsAnswerIsLost failed once on this tree: it lost six answers for what are ten instances now; it loses one for each.

--- a/fuzzing/owners_fuzz.cpp
+++ b/fuzzing/owners_fuzz.cpp
@@ -101,8 +101,10 @@
             }
             const auto recovery = recoverFromHop(failure, m_retryable, m_refusedHops);
             const bool retries = recovery == HopRecovery::Retry && m_attempts < m_maxAttempts;
+            const bool forgets = m_mutant == "an earlier run is forgotten";
+            const auto reported = withEarlierAttempts(failure.error, m_mayHaveRun && !forgets);
             if (recovery != HopRecovery::SendOn && !retries)
-                end(notRun && !m_mayHaveRun);
+                end(reported.effectiveRunState() == RunState::NotRun);
         }
 
         void end(bool notRun)
@@ -127,7 +129,7 @@
     public:
         std::vector<std::string> mutants() const override
         {
-            return { "a server's refusal counts as none", "an owner calls a lost answer not run", "a lost owner counts as one that refused" };
+            return { "a server's refusal counts as none", "an owner calls a lost answer not run", "a lost owner counts as one that refused", "an earlier run is forgotten" };
         }
 
         std::optional<std::string> run(std::span<const Step> steps, std::string_view mutant) override
--- a/src/yuccashift/entry/forwarding.cpp
+++ b/src/yuccashift/entry/forwarding.cpp
@@ -1,5 +1,7 @@
 #include "yuccashift/entry/forwarding.hpp"
 
+#include "yuccashift/entry/hop.hpp"
+
 #include <boost/algorithm/string/predicate.hpp>
 
 namespace yuccashift {
@@ -24,7 +26,7 @@
     out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     const auto connection = findHeader(request.headers, "Connection").value_or("");
     for (const auto& field : request.headers) {
-        if (isHopByHop(field.name) || protocol.isReservedHeader(field.name) || listsAsHopByHop(connection, field.name))
+        if (isHopByHop(field.name) || isHopHeader(field.name) || protocol.isReservedHeader(field.name) || listsAsHopByHop(connection, field.name))
             continue;
         out.append(field.name).append(": ").append(field.value).append("\r\n");
     }
--- a/src/yuccashift/entry/hop.cpp
+++ b/src/yuccashift/entry/hop.cpp
@@ -50,6 +50,18 @@
     return notRun || retryable ? HopRecovery::Retry : HopRecovery::GiveUp;
 }
 
+Error withEarlierAttempts(Error error, bool mayHaveRun)
+{
+    if (mayHaveRun && error.effectiveRunState() == RunState::NotRun)
+        error.runState = RunState::OutcomeUnknown;
+    return error;
+}
+
+bool isHopHeader(std::string_view name)
+{
+    return boost::algorithm::istarts_with(name, fieldPrefix);
+}
+
 void appendHopMetadata(std::string& out, const HopMetadata& metadata)
 {
     appendField(out, originField, metadata.origin);
@@ -85,7 +97,7 @@
     metadata.server = static_cast<std::uint64_t>(integerField(headers, serverField).value_or(0));
     if (const auto within = integerField(headers, acceptField))
         metadata.acceptWithin = milliseconds(*within);
-    std::erase_if(headers, [](const HeaderField& field) { return boost::algorithm::istarts_with(field.name, fieldPrefix); });
+    std::erase_if(headers, [](const HeaderField& field) { return isHopHeader(field.name); });
     return metadata;
 }
 
--- a/src/yuccashift/entry/hop.hpp
+++ b/src/yuccashift/entry/hop.hpp
@@ -51,6 +51,12 @@
  */
 HopRecovery recoverFromHop(const HopFailure&, bool retryable, std::uint32_t refusedHops);
 
+/** The error as the sender may report it: "not run" speaks for all attempts of the request, not only for the last one. */
+Error withEarlierAttempts(Error, bool mayHaveRun);
+
+/** Whether only instances set this header, for each other. */
+bool isHopHeader(std::string_view name);
+
 /** Appends the metadata as header lines. */
 void appendHopMetadata(std::string& out, const HopMetadata&);
 /** Removes the hop's headers and returns their content; std::nullopt if a required one is missing or malformed. */
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -577,11 +577,12 @@
     finish("caller_gone");
 }
 
-void RequestJob::failWith(const Error& error)
+void RequestJob::failWith(const Error& lastError)
 {
     const auto self = shared_from_this();
     if (m_done)
         return;
+    const auto error = withEarlierAttempts(lastError, m_mayHaveRun);
     m_outbound.reset();
     endAttempt(ServerOutcome::Abandoned);
     if (m_exchange->headSent()) {
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -288,7 +288,7 @@
     /** So many instances in one region that requests go through the owners of its servers. */
     class EntryInstancesWithOwners : public testing::Test {
     protected:
-        static constexpr int instanceCount = 6;
+        static constexpr int instanceCount = 10;
 
         EntryInstancesWithOwners()
         {
@@ -369,9 +369,31 @@
         }
     }
 
+    // The first server runs the request and fails, the second one refuses it.
+    TEST_F(EntryInstancesWithOwners, NeverReportThatARequestHasNotRunIfAnEarlierAttemptHas)
+    {
+        m_fleet.publish({ "ledger-2", "ledger", "hall-sofia", m_fleet.startWorker("ledger-2", "sofia") });
+        for (int n = 0; n < instanceCount; ++n)
+            EXPECT_TRUE(waitUntil([&] { return m_fleet.metric(name(n), "yuccashift_servers_known") == 3; })) << name(n);
+        m_fleet.control("ledger-2", "/control/refuse", R"({"on":true})");
+        int failed = 0;
+        for (int n = 0; n < 300; ++n) {
+            // Single failures among successes, so that the first server stays in use.
+            if (n % 6 == 0)
+                m_fleet.control("ledger-1", "/control/fail-answers", R"({"count":1})");
+            const auto attempt = "m" + std::to_string(n);
+            const auto reply = m_fleet.call(name(n % instanceCount), attempt, "GET", "/read/x");
+            if (reply.ok() || m_fleet.runsOf(attempt) == 0)
+                continue;
+            ++failed;
+            EXPECT_NE(reply.status, 503) << attempt;
+        }
+        EXPECT_GT(failed, 0);
+    }
+
     TEST_F(EntryInstancesWithOwners, RunANonIdempotentRequestOnceWhenItsAnswerIsLost)
     {
-        m_fleet.control("ledger-1", "/control/lose-answers", R"({"count":6})");
+        m_fleet.control("ledger-1", "/control/lose-answers", R"({"count":)" + std::to_string(instanceCount) + "}");
         for (int n = 0; n < instanceCount; ++n) {
             const auto attempt = "w" + std::to_string(n);
             EXPECT_EQ(m_fleet.call(name(n), attempt, "POST", "/write/x", "body").status, 502);
--- a/tests/platform/forwarding_test.cpp
+++ b/tests/platform/forwarding_test.cpp
@@ -20,6 +20,17 @@
         EXPECT_EQ(bytes.find("Connection"), std::string::npos);
     }
 
+    // Only an instance may name a server, a deadline or a service to another instance.
+    TEST(AForwardedRequest, LacksTheCallersHeadersThatLookLikeThoseOfAHop)
+    {
+        const PlatformCodec codec;
+        const RequestMessage request { "GET", "/x", { { "Host", "a.example" }, { "yuccashift-server", "7" }, { "Yuccashift-Deadline", "99999" } }, {} };
+        const auto bytes = forwardedRequest(request, codec, "Yuccashift-Deadline: 100\r\n");
+        EXPECT_EQ(bytes.find("yuccashift-server"), std::string::npos);
+        EXPECT_EQ(bytes.find("99999"), std::string::npos);
+        EXPECT_NE(bytes.find("Yuccashift-Deadline: 100\r\n"), std::string::npos);
+    }
+
     TEST(AForwardedHead, KeepsTheStatusAndDropsHeadersOfTheConnection)
     {
         const auto head = forwardedHead({ 503, { { "Keep-Alive", "timeout=3" }, { "X-Seal", "s" } }, {} });
