--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -335,6 +335,7 @@
     metrics.gauge("yuccashift_store_calls").set(static_cast<std::int64_t>(store->callCount()));
     metrics.gauge("yuccashift_store_reachable").set(storeReachable ? 1 : 0);
     metrics.gauge("yuccashift_store_revision").set(core.fleetState.replica().revision());
+    metrics.gauge("yuccashift_items_behind_milliseconds").set(std::chrono::duration_cast<milliseconds>(snapshots.behindFor()).count());
     metrics.gauge("yuccashift_config_version").set(core.fleetState.configVersion());
     metrics.gauge("yuccashift_instances_heard").set(static_cast<std::int64_t>(core.peerTable.alive().size()));
     rusage used {};
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -76,6 +76,7 @@
     , m_self(asio::ip::make_address_v4(core.settings.ip))
     , m_ownRegionBytes(core.metrics.counter("yuccashift_heartbeat_bytes_total", { { "to", "own_region" } }))
     , m_otherRegionBytes(core.metrics.counter("yuccashift_heartbeat_bytes_total", { { "to", "other_regions" } }))
+    , m_skippedChanges(core.metrics.counter("yuccashift_skipped_changes_total"))
     // A later start has a later wall time. After a backward clock jump, the others ignore this instance
     // until they have forgotten its previous incarnation.
     , m_incarnation(std::chrono::duration_cast<milliseconds>(core.clock.wallNow().time_since_epoch()).count())
@@ -151,6 +152,8 @@
     const auto before = m_core.fleetState.replica().revision();
     if (applySnapshot(m_core.fleetState, snapshot))
         logInfo("changes received from an instance", { { "from", m_sender.address().to_string() }, { "revision", snapshot.revision }, { "before", before } });
+    else if (snapshot.revision > before)
+        m_skippedChanges.add();
 }
 
 void Gossip::learnAddresses(const fleetwire::Heartbeat& heartbeat, const std::optional<InstanceId>& sender)
--- a/src/yuccashift/entry/gossip.hpp
+++ b/src/yuccashift/entry/gossip.hpp
@@ -54,6 +54,8 @@
     /** Bytes of heartbeats sent, without network headers. */
     Counter& m_ownRegionBytes;
     Counter& m_otherRegionBytes;
+    /** Datagrams with changes that could not be applied because earlier changes are missing. */
+    Counter& m_skippedChanges;
     std::set<Address> m_seeds;
     /** When an instance was last heard at an address, or first named in a heartbeat. */
     std::map<Address, Instant> m_lastSeen;
--- a/src/yuccashift/entry/snapshot_exchange.cpp
+++ b/src/yuccashift/entry/snapshot_exchange.cpp
@@ -84,6 +84,7 @@
         : m_owner(owner)
         , m_instance(peer.instance)
         , m_timer(owner.m_core.io)
+        , m_startedAt(owner.m_core.clock.now())
     {
         auto& core = owner.m_core;
         OutboundRequest request;
@@ -110,7 +111,7 @@
     }
     void onAnswerFailure(OutboundFailure, std::string_view reason) override
     {
-        logWarning("snapshot fetch failed", { { "peer", m_instance }, { "reason", reason } });
+        logWarning("snapshot fetch failed", { { "peer", m_instance }, { "reason", reason }, { "bytes", m_body.size() }, { "took_ms", toMilliseconds(m_owner.m_core.clock.now() - m_startedAt) } });
         m_owner.onFetchEnded(false);
     }
 
@@ -126,12 +127,13 @@
         auto& fleetState = m_owner.m_core.fleetState;
         const auto before = fleetState.replica().revision();
         const bool taken = applySnapshot(fleetState, snapshot);
-        logInfo("snapshot received", { { "peer", m_instance }, { "revision", snapshot.revision }, { "before", before }, { "items", snapshot.items.size() }, { "whole", snapshot.whole ? 1 : 0 }, { "taken", taken ? 1 : 0 } });
+        logInfo("snapshot received", { { "peer", m_instance }, { "revision", snapshot.revision }, { "before", before }, { "items", snapshot.items.size() }, { "whole", snapshot.whole ? 1 : 0 }, { "taken", taken ? 1 : 0 }, { "bytes", m_body.size() }, { "took_ms", toMilliseconds(m_owner.m_core.clock.now() - m_startedAt) } });
     }
 
     SnapshotExchange& m_owner;
     InstanceId m_instance;
     OneShotTimer m_timer;
+    Instant m_startedAt;
     std::string m_body;
     int m_status = 0;
     std::unique_ptr<OutboundExchange> m_outbound;
@@ -179,6 +181,11 @@
     m_fetch = std::make_unique<Fetch>(*this, *ahead);
 }
 
+Duration SnapshotExchange::behindFor() const
+{
+    return m_behindSince == Instant {} ? Duration::zero() : m_core.clock.now() - m_behindSince;
+}
+
 bool SnapshotExchange::answer(InboundExchange& exchange)
 {
     const auto after = parseRequestedRevision(exchange.request());
--- a/src/yuccashift/entry/snapshot_exchange.hpp
+++ b/src/yuccashift/entry/snapshot_exchange.hpp
@@ -28,6 +28,8 @@
 
     /** Starts a fetch if a peer has had a newer revision for some time. */
     void tick();
+    /** How long a peer has had changes that this instance lacks; zero if none has. */
+    Duration behindFor() const;
     /** Answers the request and returns true if it asks for a snapshot. */
     bool answer(InboundExchange&);
 
