--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -401,5 +401,31 @@
         }
     }
 
+    /** Routes that make a configuration of about half a megabyte. */
+    std::vector<PublishedRoute> manyRoutes()
+    {
+        std::vector<PublishedRoute> many = routes;
+        for (int n = 0; n < 1400; ++n)
+            many.push_back({ "/added-" + std::to_string(n) + "/", "idempotent", "ledger", {}, false, 2 });
+        return many;
+    }
+
+    // Guards against a transfer that is broken off and begun again because the whole of it takes longer than one time limit.
+    TEST(AnEntryInstanceBehindASlowLink, GetsAConfigurationWhoseTransferTakesLong)
+    {
+        EntryFleet fleet("slow-store");
+        Relay link;
+        link.setTarget(fleet.store());
+        fleet.publish({ "ledger-1", "ledger", "hall-sofia", fleet.startWorker("ledger-1", "sofia") });
+        fleet.publishConfig(3, routes);
+        fleet.startEntry("sofia-1", "sofia", link.endpoint());
+        ASSERT_TRUE(fleet.waitReady("sofia-1"));
+
+        link.setMode(RelayMode::Slow);
+        fleet.publishConfig(6, manyRoutes());
+        EXPECT_TRUE(waitUntil([&] { return fleet.metric("sofia-1", "yuccashift_config_version") == 6; }));
+        EXPECT_TRUE(fleet.call("sofia-1", "late-1", "GET", "/added-1399/x").ok());
+    }
+
 } // namespace
 } // namespace yuccashift::test
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <set>
@@ -21,6 +22,10 @@
 
     using SocketPtr = std::shared_ptr<tcp::socket>;
 
+    /** Bytes that a slow relay forwards at a time, and the pause after them. */
+    constexpr std::size_t slowPieceBytes = 4096;
+    constexpr std::chrono::milliseconds slowPause { 40 };
+
 } // namespace
 
 struct Relay::State {
@@ -46,18 +51,24 @@
         auto upstream = std::make_shared<tcp::socket>(context);
         sockets.insert({ client, upstream });
         co_await upstream->async_connect(target, net::use_awaitable);
-        net::co_spawn(context, pump(client, upstream), net::detached);
-        co_await pump(upstream, client);
+        net::co_spawn(context, pump(client, upstream, false), net::detached);
+        co_await pump(upstream, client, true);
     }
 
-    net::awaitable<void> pump(SocketPtr from, SocketPtr to)
+    net::awaitable<void> pump(SocketPtr from, SocketPtr to, bool maySlow)
     {
         std::array<char, 16384> buf {};
+        net::steady_timer timer(context);
         try {
             while (true) {
-                const auto n = co_await from->async_read_some(net::buffer(buf), net::use_awaitable);
-                if (mode == RelayMode::Pass)
+                const bool slow = maySlow && mode == RelayMode::Slow;
+                const auto n = co_await from->async_read_some(net::buffer(buf.data(), slow ? slowPieceBytes : buf.size()), net::use_awaitable);
+                if (mode == RelayMode::Pass || mode == RelayMode::Slow)
                     co_await net::async_write(*to, net::buffer(buf.data(), n), net::use_awaitable);
+                if (!slow)
+                    continue;
+                timer.expires_after(slowPause);
+                co_await timer.async_wait(net::use_awaitable);
             }
         } catch (const std::exception&) {
             closeAll({ from, to });
--- a/tests/support/relay.hpp
+++ b/tests/support/relay.hpp
@@ -13,6 +13,8 @@
     Swallow,
     /** Closes connections and refuses new ones. */
     Cut,
+    /** Forwards what the target sends at about 100 kB/s a connection. */
+    Slow,
 };
 
 /** TCP relay in front of one listener; runs on its own thread. */
