--- a/fuzzing/fleet_fuzz.cpp
+++ b/fuzzing/fleet_fuzz.cpp
@@ -2,6 +2,8 @@
 #include "tests/support/fakes/fleet_items.hpp"
 #include "yuccashift/dispatch/fleet_retry_budget.hpp"
 #include "yuccashift/entry/dispatch_planner.hpp"
+#include "yuccashift/entry/snapshot_exchange.hpp"
+#include "yuccashift/fleet/datagram.hpp"
 #include "yuccashift/kernel/log.hpp"
 
 #include <algorithm>
@@ -81,15 +83,18 @@
                 Listing,
                 StaleListing,
                 Snapshot,
+                Changes,
+                Value,
                 Time,
                 Count };
             const auto at = pick(step.a, instanceCount);
             auto& fleet = *m_fleets[at];
-            const auto known = fleet.replica().revision();
+            const auto known = watchPosition(fleet);
             switch (static_cast<Action>(pick(step.action, static_cast<std::size_t>(Action::Count)))) {
             case Action::Config:
                 m_version += 1 + pick(step.b, 3);
-                m_store.write("config", "config " + std::to_string(m_version));
+                // Every other configuration is too large to be sent along with other changes.
+                m_store.write("config", "config " + std::to_string(m_version) + std::string(step.c % 2 * (maxInlineValueBytes + 1), ' '));
                 break;
             case Action::Server:
                 m_store.write(serverKey(step), "server draft 10.0.0.1:80 hall " + std::string(step.c % 3 == 0 ? "draining" : "ready") + " " + std::to_string(1 + step.b % 2) + " 0 4");
@@ -109,6 +114,12 @@
             case Action::Snapshot:
                 snapshot(*m_fleets[pick(step.b, instanceCount)], fleet);
                 break;
+            case Action::Changes:
+                applySnapshot(fleet, snapshotAfter(m_fleets[pick(step.b, instanceCount)]->replica(), fleet.replica().revision()));
+                break;
+            case Action::Value:
+                fetchValue(*m_fleets[pick(step.b, instanceCount)], fleet);
+                break;
             default:
                 m_clock.advance(milliseconds(pick(step.b, 3000)));
                 fleet.tick();
@@ -116,14 +127,32 @@
             return checkReplica(at);
         }
 
+        /** Lets every instance read the rest from the store. Each must then equal the store. */
+        std::optional<std::string> finish()
+        {
+            for (std::size_t n = 0; n < instanceCount; ++n) {
+                auto& fleet = *m_fleets[n];
+                watch(fleet, m_store.revision());
+                if (auto violation = checkReplica(n))
+                    return violation;
+                if (!fleet.replica().awaitedValues().empty())
+                    return "a value is awaited although the store was read to its end";
+            }
+            return std::nullopt;
+        }
+
     private:
         bool is(std::string_view mutant) const { return m_mutant == mutant; }
+        std::int64_t watchPosition(const FleetState& fleet) const
+        {
+            return is("a watch skips values that follow") ? fleet.replica().revision() : fleet.replica().completeRevision();
+        }
         static std::string serverKey(const Step& step) { return "s" + std::to_string(pick(step.c, serverCount)); }
 
         void watch(FleetState& fleet, std::int64_t upTo)
         {
             const auto through = std::min(upTo, m_store.revision());
-            auto changes = m_store.changesBetween(fleet.replica().revision(), through);
+            auto changes = m_store.changesBetween(watchPosition(fleet), through);
             if (is("a watch loses a change") && changes.size() > 1)
                 changes.erase(changes.begin());
             fleet.apply(changes, through);
@@ -139,8 +168,20 @@
                 fleet.replaceAll(listing, revision);
         }
 
+        void fetchValue(const FleetState& from, FleetState& to)
+        {
+            const auto held = to.replica().items().find("config");
+            CompressedValues values;
+            const auto message = values.encode(from.replica(), "config", held == to.replica().items().end() ? 0 : held->second.revision);
+            if (message)
+                applyItemValue(to, *decodeItemValue(*message));
+        }
+
         void snapshot(const FleetState& from, FleetState& to)
         {
+            // Earlier versions send snapshots with all values, which takes that none is missing.
+            if (!from.replica().awaitedValues().empty())
+                return;
             if (!is("an older snapshot is taken") && from.replica().revision() <= to.replica().revision())
                 return;
             std::vector<ItemChange> items;
@@ -157,7 +198,14 @@
                 return "an instance went back to an older configuration";
             m_versionsSeen[at] = fleet.configVersion();
             const auto expected = m_store.itemsAt(fleet.replica().revision());
+            const auto& awaited = fleet.replica().awaitedValues();
+            for (const auto& [key, revision] : awaited) {
+                if (!expected.contains(key) || expected.at(key).revision > revision)
+                    return "a value is awaited that is not the newest of its item";
+            }
             for (const auto& [key, item] : expected) {
+                if (awaited.contains(key))
+                    continue;
                 const auto it = fleet.replica().items().find(key);
                 if (it == fleet.replica().items().end())
                     return "an item is missing at the revision that is said to be known";
@@ -182,7 +230,7 @@
 
     class PublishedCheck final : public Check {
     public:
-        std::vector<std::string> mutants() const override { return { "a watch loses a change", "a late listing counts as new", "an older snapshot is taken" }; }
+        std::vector<std::string> mutants() const override { return { "a watch loses a change", "a late listing counts as new", "an older snapshot is taken", "a watch skips values that follow" }; }
 
         std::optional<std::string> run(std::span<const Step> steps, std::string_view mutant) override
         {
@@ -192,7 +240,7 @@
                 if (auto violation = simulation.apply(step))
                     return violation;
             }
-            return std::nullopt;
+            return simulation.finish();
         }
     };
 
--- a/src/yuccashift/config/watcher_selection.cpp
+++ b/src/yuccashift/config/watcher_selection.cpp
@@ -33,6 +33,21 @@
     return std::ranges::find(watchers, self) != watchers.end();
 }
 
+std::vector<InstanceId> strongestCandidates(std::span<const WatcherCandidate> candidates, std::size_t count)
+{
+    std::vector<double> capacities;
+    for (const auto& it : candidates)
+        capacities.push_back(it.capacity);
+    std::ranges::sort(capacities, std::greater());
+    const double required = capacities.size() < count ? 0 : capacities[count - 1] / 2;
+    std::vector<InstanceId> strongest;
+    for (const auto& it : candidates) {
+        if (it.capacity >= required)
+            strongest.push_back(it.instance);
+    }
+    return strongest;
+}
+
 Duration pollInterval(std::size_t instancesInRegion)
 {
     constexpr Duration shortest = milliseconds(2500);
--- a/src/yuccashift/config/watcher_selection.hpp
+++ b/src/yuccashift/config/watcher_selection.hpp
@@ -19,6 +19,19 @@
 /** Whether this instance is one of the watchers. */
 bool isWatcher(const InstanceId& self, const RegionName&, std::span<const InstanceId> live, std::size_t count = watchersPerRegion);
 
+/** An instance that may watch for its region. */
+struct WatcherCandidate {
+    InstanceId instance;
+    /** Capacity for work on behalf of others, in processor cores; a slow link bounds it like a slow processor. */
+    double capacity = 1;
+};
+
+/**
+ * The candidates that can receive and pass on large items quickly: those with at least half of the capacity of
+ * the `count`-th strongest one.
+ */
+std::vector<InstanceId> strongestCandidates(std::span<const WatcherCandidate>, std::size_t count = watchersPerRegion);
+
 /**
  * Mean interval between the polls of an instance that does not watch the published items. It grows with the
  * region, so that the polls of a region together stay at the same rate: they notice a change if no watcher does.
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -291,7 +291,7 @@
     const auto now = clock.now();
     core.fleetState.tick();
     snapshots.tick();
-    store->skipTo(core.fleetState.replica().revision());
+    store->skipTo(core.fleetState.replica().completeRevision());
     core.retryBudget.setInstanceCount(core.peerTable.knownInstanceCount() + unseenInstanceMargin);
     if (pauses.resumedFromPause(now, clock.wallNow())) {
         logWarning("process resumed after a pause; reloading published items");
@@ -313,13 +313,19 @@
 {
     // A draining instance takes no watcher role, but still follows the published items.
     const auto& region = core.settings.region;
-    const auto activeInstances = core.peerTable.activeInstancesIn(region, !core.draining());
-    store->setPollInterval(pollInterval(activeInstances.size()));
-    const bool shouldWatch = activeInstances.size() <= maxInstancesAllWatching || isWatcher(core.settings.instance, region, activeInstances);
+    std::vector<WatcherCandidate> candidates;
+    for (const auto* peer : core.peerTable.alive()) {
+        if (peer->region == region && !peer->draining)
+            candidates.push_back({ peer->instance, peer->capacity });
+    }
+    if (!core.draining())
+        candidates.push_back({ core.settings.instance, core.settings.capacityForPeers() });
+    store->setPollInterval(pollInterval(candidates.size()));
+    const bool shouldWatch = candidates.size() <= maxInstancesAllWatching || isWatcher(core.settings.instance, region, strongestCandidates(candidates));
     if (shouldWatch == watching)
         return;
     watching = shouldWatch;
-    logInfo(shouldWatch ? "started watching the store for the region" : "stopped watching the store", { { "instances", activeInstances.size() } });
+    logInfo(shouldWatch ? "started watching the store for the region" : "stopped watching the store", { { "instances", candidates.size() } });
     store->setWatching(shouldWatch);
 }
 
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -145,6 +145,8 @@
         onHeartbeat(datagram->heartbeat);
     if (datagram->__isset.news)
         onSnapshot(datagram->news);
+    if (datagram->__isset.newsWithoutValues)
+        onSnapshot(datagram->newsWithoutValues);
 }
 
 void Gossip::onSnapshot(const fleetwire::Snapshot& snapshot)
@@ -212,7 +214,8 @@
     heartbeat.draining = m_core.draining();
     heartbeat.takesCallers = !m_core.draining() && m_core.fleetState.configVersion() > 0;
     heartbeat.configVersion = m_core.fleetState.configVersion();
-    heartbeat.storeRevision = m_core.fleetState.replica().revision();
+    heartbeat.storeRevision = m_core.fleetState.replica().completeRevision();
+    heartbeat.knownRevision = m_core.fleetState.replica().revision();
     heartbeat.crashes = m_core.crashTracker.ownCrashes();
     if (!withProfile)
         return heartbeat;
@@ -350,10 +353,14 @@
 
 void Gossip::forwardChanges(std::int64_t after)
 {
-    fleetwire::Datagram datagram;
-    datagram.__set_news(snapshotAfter(m_core.fleetState.replica(), after));
-    if (datagram.news.whole)
+    const auto news = snapshotAfter(m_core.fleetState.replica(), after);
+    if (news.whole)
         return;
+    fleetwire::Datagram datagram;
+    if (std::ranges::any_of(news.items, &fleetwire::HeldItem::valueFollows))
+        datagram.__set_newsWithoutValues(news);
+    else
+        datagram.__set_news(news);
     const auto bytes = encodeDatagram(datagram);
     if (bytes.size() > maxForwardedBytes)
         return;
--- a/src/yuccashift/entry/snapshot_source.cpp
+++ b/src/yuccashift/entry/snapshot_source.cpp
@@ -6,9 +6,16 @@
 
 namespace {
 
-    /** About a third of the slowest machines' links, which have 20 Mbit/s. */
-    constexpr double budgetBytesPerSecond = 800e3;
-    constexpr double budgetBurstBytes = 512e3;
+    /** The rest of the link is for callers' requests and for what this instance fetches itself. */
+    constexpr double linkShare = 1.0 / 3;
+    constexpr double bytesPerMegabit = 1e6 / 8;
+    /** Time in which the budget for a burst accumulates. */
+    constexpr double burstSeconds = 0.6;
+
+    double budgetBytesPerSecond(double linkMbps)
+    {
+        return linkShare * linkMbps * bytesPerMegabit;
+    }
 
 } // namespace
 
@@ -17,7 +24,7 @@
     std::vector<const PeerState*> near;
     std::vector<const PeerState*> far;
     for (const auto* peer : peers) {
-        if (peer->storeRevision > ownRevision)
+        if (peer->knownRevision > ownRevision)
             (peer->region == ownRegion ? near : far).push_back(peer);
     }
     const auto& ahead = near.empty() ? far : near;
@@ -26,11 +33,23 @@
     // The newer of two random ones: whoever is only slightly ahead may lack the change that matters.
     const auto* first = ahead[random.uniformBelow(ahead.size())];
     const auto* second = ahead[random.uniformBelow(ahead.size())];
-    return second->storeRevision > first->storeRevision ? second : first;
+    return second->knownRevision > first->knownRevision ? second : first;
+}
+
+const PeerState* chooseValueSource(std::span<const PeerState* const> peers, const RegionName& ownRegion, std::int64_t revision, RandomSource& random)
+{
+    std::vector<const PeerState*> near;
+    std::vector<const PeerState*> far;
+    for (const auto* peer : peers) {
+        if (peer->sendsValues && peer->storeRevision >= revision)
+            (peer->region == ownRegion ? near : far).push_back(peer);
+    }
+    const auto& holders = near.empty() ? far : near;
+    return holders.empty() ? nullptr : holders[random.uniformBelow(holders.size())];
 }
 
-SnapshotBudget::SnapshotBudget(Instant now)
-    : m_bytes(budgetBytesPerSecond, budgetBurstBytes, now)
+SnapshotBudget::SnapshotBudget(double linkMbps, Instant now)
+    : m_bytes(budgetBytesPerSecond(linkMbps), budgetBytesPerSecond(linkMbps) * burstSeconds, now)
 {
 }
 
--- a/src/yuccashift/entry/snapshot_source.hpp
+++ b/src/yuccashift/entry/snapshot_source.hpp
@@ -16,10 +16,17 @@
  */
 const PeerState* chooseSnapshotSource(std::span<const PeerState* const> peers, const RegionName& ownRegion, std::int64_t ownRevision, RandomSource&);
 
-/** Limits the bytes of the snapshots that one instance sends, so that many requests at once fill neither its memory nor its link. */
+/**
+ * Chooses the instance to fetch a value from that was written with the given revision, or nullptr if
+ * none of the peers has it. Prefers instances of the own region and is random among them.
+ */
+const PeerState* chooseValueSource(std::span<const PeerState* const> peers, const RegionName& ownRegion, std::int64_t revision, RandomSource&);
+
+/** Limits the bytes of the snapshots and values that one instance sends, so that many requests at once fill neither its memory nor its link. */
 class SnapshotBudget {
 public:
-    explicit SnapshotBudget(Instant now);
+    /** @param linkMbps bandwidth of the machine's link in Mbit/s */
+    SnapshotBudget(double linkMbps, Instant now);
 
     /** Whether another snapshot may be sent now. */
     bool available(Instant now);
--- a/src/yuccashift/fleet/datagram.cpp
+++ b/src/yuccashift/fleet/datagram.cpp
@@ -35,6 +35,11 @@
     return encode(snapshot);
 }
 
+std::string encodeItemValue(const fleetwire::ItemValue& value)
+{
+    return encode(value);
+}
+
 Result<fleetwire::Datagram> decodeDatagram(std::string_view bytes)
 {
     return decode<fleetwire::Datagram>(bytes);
@@ -45,4 +50,9 @@
     return decode<fleetwire::Snapshot>(bytes);
 }
 
+Result<fleetwire::ItemValue> decodeItemValue(std::string_view bytes)
+{
+    return decode<fleetwire::ItemValue>(bytes);
+}
+
 } // namespace yuccashift
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -57,6 +57,9 @@
     11: list<i32> hears,
     // Fingerprints of requests that crashed servers, with the number of crashes that the sender saw.
     12: map<i64, i32> crashes,
+    // Revision up to which the sender knows all changes of the store, though it may lack values that follow. Not sent
+    // by earlier versions; `storeRevision` is the one up to which it has the values too.
+    13: i64 knownRevision,
 }
 
 // One item of the platform's store, or its removal.
@@ -64,6 +67,8 @@
     1: string key,
     2: optional binary value,
     3: i64 revision,
+    // The item was written, but its value is large and has to be requested apart.
+    4: bool valueFollows,
 }
 
 // All items of the store, or the changes after a revision.
@@ -77,9 +82,21 @@
     4: i64 after,
 }
 
+// The newest value of an item that the sender has.
+struct ItemValue {
+    1: string key,
+    2: i64 revision,
+    // Bytes of the value.
+    3: i32 size,
+    // The value, compressed with deflate.
+    4: binary compressed,
+}
+
 // Holds exactly one of the fields.
 struct Datagram {
     1: optional Heartbeat heartbeat,
     // Changes that the receiver may lack.
     2: optional Snapshot news,
+    // The same if values of items follow; earlier versions would take these items for removed and ignore the field.
+    3: optional Snapshot newsWithoutValues,
 }
--- a/src/yuccashift/fleet/fleet_state.cpp
+++ b/src/yuccashift/fleet/fleet_state.cpp
@@ -50,7 +50,7 @@
     std::size_t servingCount = 0;
     for (const auto& change : changes) {
         const auto it = m_servers.find(change.key);
-        removedCount += !change.value && it != m_servers.end() && !it->second.draining ? 1 : 0;
+        removedCount += change.isRemoval() && it != m_servers.end() && !it->second.draining ? 1 : 0;
     }
     for (const auto& [key, server] : m_servers)
         servingCount += server.draining ? 0 : 1;
--- a/src/yuccashift/fleet/item_replica.cpp
+++ b/src/yuccashift/fleet/item_replica.cpp
@@ -15,12 +15,20 @@
 
 bool ItemReplica::applyChange(const ItemChange& change)
 {
+    if (change.valueFollows) {
+        awaitValue(change);
+        return false;
+    }
     const auto it = m_items.find(change.key);
     const bool present = it != m_items.end();
     if (present && it->second.revision >= change.revision)
         return false;
+    const auto awaited = m_awaitedValues.find(change.key);
+    const bool isAwaited = awaited != m_awaitedValues.end() && awaited->second <= change.revision;
+    if (isAwaited)
+        m_awaitedValues.erase(awaited);
     // All changes up to m_revision are known, so an older change to an absent item was followed by its removal.
-    if (!present && (!change.value || change.revision <= m_revision))
+    if (!present && (!change.value || (change.revision <= m_revision && !isAwaited)))
         return false;
     if (change.value)
         m_items[change.key] = { *change.value, change.revision };
@@ -29,10 +37,32 @@
     return true;
 }
 
+void ItemReplica::awaitValue(const ItemChange& change)
+{
+    const auto it = m_items.find(change.key);
+    const bool outdated = it == m_items.end() ? change.revision <= m_revision : change.revision <= it->second.revision;
+    if (outdated)
+        return;
+    auto& awaited = m_awaitedValues[change.key];
+    awaited = std::max(awaited, change.revision);
+}
+
+std::int64_t ItemReplica::completeRevision() const
+{
+    auto complete = m_revision;
+    for (const auto& [key, revision] : m_awaitedValues)
+        complete = std::min(complete, revision - 1);
+    return complete;
+}
+
 void ItemReplica::appendHistory(std::span<const ItemChange> changes)
 {
     for (const auto& change : changes) {
-        if (change.revision > m_revision)
+        if (change.revision <= m_revision)
+            continue;
+        if (change.value && change.value->size() > maxInlineValueBytes)
+            m_history.push_back({ change.key, std::nullopt, change.revision, true });
+        else
             m_history.push_back(change);
     }
     while (m_history.size() > maxHistory) {
@@ -74,6 +104,7 @@
         if (item.revision <= through && !listed.contains(key))
             removals.push_back({ key, std::nullopt, through });
     }
+    std::erase_if(m_awaitedValues, [&](const auto& it) { return it.second <= through && !listed.contains(it.first); });
     auto applied = apply(removals, m_revision);
     const auto updates = apply(listing, through);
     applied.insert(applied.end(), updates.begin(), updates.end());
--- a/src/yuccashift/fleet/item_replica.hpp
+++ b/src/yuccashift/fleet/item_replica.hpp
@@ -11,18 +11,26 @@
 
 namespace yuccashift {
 
+/** Larger values are not sent along with the changes of items, so that no change waits for the transfer of another item's value. */
+constexpr std::size_t maxInlineValueBytes = 16 * 1024;
+
 /** A change of one published item: its new value or its removal. */
 struct ItemChange {
     std::string key;
-    /** std::nullopt if the item was removed. */
+    /** std::nullopt if the item was removed or the value follows. */
     std::optional<std::string> value;
     std::int64_t revision = 0;
+    /** Whether the item was written and its value is transferred separately. */
+    bool valueFollows = false;
+
+    bool isRemoval() const { return !value && !valueFollows; }
 };
 
 /**
  * This instance's copy of the published items. A change with an older revision
  * never replaces one with a newer revision, whether it comes from a watch, from
- * a page of a listing or from a peer.
+ * a page of a listing or from a peer. An item whose value follows keeps its
+ * previous value until the new one arrives.
  */
 class ItemReplica {
 public:
@@ -32,7 +40,8 @@
     };
 
     /**
-     * Applies changes, which may be in any order, and returns those that took effect.
+     * Applies changes, which may be in any order, and returns those that took effect. Changes whose
+     * value follows take effect when the value is applied.
      * @param through no change up to and including this revision is missing after the call
      */
     std::vector<ItemChange> apply(std::span<const ItemChange> changes, std::int64_t through);
@@ -44,17 +53,23 @@
      */
     std::vector<ItemChange> replaceAll(std::span<const ItemChange> listing, std::int64_t through);
 
-    /** The changes after a revision, or std::nullopt if the history does not reach back to it. */
+    /** The changes after a revision, without large values, or std::nullopt if the history does not reach back to it. */
     std::optional<std::vector<ItemChange>> changesAfter(std::int64_t revision) const;
-    /** Every change up to and including this revision is known. */
+    /** Every change up to and including this revision is known, though values may follow. */
     std::int64_t revision() const { return m_revision; }
+    /** Every change up to and including this revision is known with its value. */
+    std::int64_t completeRevision() const;
     const std::map<std::string, Item>& items() const { return m_items; }
+    /** Items whose newest value has not arrived, with the revision of that value. */
+    const std::map<std::string, std::int64_t>& awaitedValues() const { return m_awaitedValues; }
 
 private:
     bool applyChange(const ItemChange&);
+    void awaitValue(const ItemChange&);
     void appendHistory(std::span<const ItemChange>);
 
     std::map<std::string, Item> m_items;
+    std::map<std::string, std::int64_t> m_awaitedValues;
     std::int64_t m_revision = 0;
     /** All changes after m_historyFrom, in the order of their arrival. */
     std::deque<ItemChange> m_history;
--- a/src/yuccashift/fleet/peer_table.cpp
+++ b/src/yuccashift/fleet/peer_table.cpp
@@ -96,6 +96,8 @@
     peer.draining = beat.draining;
     peer.configVersion = beat.configVersion;
     peer.storeRevision = beat.storeRevision;
+    peer.sendsValues = beat.knownRevision > 0;
+    peer.knownRevision = std::max(beat.storeRevision, beat.knownRevision);
     peer.lastHeartbeatAt = m_clock.now();
     updateCapacity(peer, beat);
     return peer.instance;
--- a/src/yuccashift/fleet/peer_table.hpp
+++ b/src/yuccashift/fleet/peer_table.hpp
@@ -36,7 +36,12 @@
     bool takesCallers = false;
     bool draining = false;
     std::int64_t configVersion = 0;
+    /** Revision up to which the peer has all published items with their values. */
     std::int64_t storeRevision = 0;
+    /** Revision up to which it knows all changes, though it may lack values. */
+    std::int64_t knownRevision = 0;
+    /** Whether it answers requests for single values; earlier versions do not. */
+    bool sendsValues = false;
     std::map<ServiceName, ServiceCapacity> capacityByService;
     /** When the last heartbeat was accepted. */
     Instant lastHeartbeatAt {};
--- a/tests/config/source_reader_test.cpp
+++ b/tests/config/source_reader_test.cpp
@@ -203,5 +203,15 @@
         EXPECT_EQ(it.reader->staleServices(), std::vector<ServiceName> { "s0" });
     }
 
+    TEST(WatcherCandidates, AreTheStrongestInstancesAndNeverTooFew)
+    {
+        const std::vector<WatcherCandidate> mixed { { "small-1", 0.05 }, { "large-1", 0.5 }, { "small-2", 0.05 }, { "large-2", 0.3 }, { "large-3", 0.5 } };
+        EXPECT_EQ(strongestCandidates(mixed), (std::vector<InstanceId> { "large-1", "large-2", "large-3" }));
+        const std::vector<WatcherCandidate> oneLarge { { "small-1", 0.05 }, { "large-1", 0.5 }, { "small-2", 0.04 } };
+        EXPECT_EQ(strongestCandidates(oneLarge).size(), 3u);
+        const std::vector<WatcherCandidate> alone { { "small-1", 0.05 } };
+        EXPECT_EQ(strongestCandidates(alone).size(), 1u);
+    }
+
 } // namespace
 } // namespace yuccashift
--- a/tests/entry/snapshot_exchange_test.cpp
+++ b/tests/entry/snapshot_exchange_test.cpp
@@ -2,6 +2,7 @@
 #include "yuccashift/entry/snapshot_exchange.hpp"
 #include "yuccashift/fleet/datagram.hpp"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace yuccashift {
@@ -42,5 +43,63 @@
         EXPECT_TRUE(behind.servers().at("s1").draining);
     }
 
+    TEST_F(AChangeBehindALargeConfiguration, LeavesTheConfigurationInForceUntilTheNewOneArrives)
+    {
+        applySnapshot(behind, snapshotAfter(held, known));
+        EXPECT_EQ(behind.configVersion(), 0);
+        EXPECT_EQ(behind.replica().awaitedValues().count("config"), 1u);
+
+        CompressedValues values;
+        const auto message = values.encode(held, "config", 0);
+        ASSERT_TRUE(message);
+        EXPECT_LE(message->size(), promptBytes);
+        EXPECT_TRUE(applyItemValue(behind, *decodeItemValue(*message)));
+        EXPECT_EQ(behind.configVersion(), 7);
+        EXPECT_TRUE(behind.replica().awaitedValues().empty());
+        EXPECT_EQ(behind.replica().completeRevision(), held.revision());
+    }
+
+    TEST_F(AChangeBehindALargeConfiguration, ArrivesWithItIfTheReceiverIsAnEarlierVersion)
+    {
+        const auto snapshot = snapshotAfter(held, known, LargeValues::Included);
+        EXPECT_TRUE(std::ranges::none_of(snapshot.items, &fleetwire::HeldItem::valueFollows));
+        applySnapshot(behind, snapshot);
+        EXPECT_EQ(behind.configVersion(), 7);
+        EXPECT_TRUE(behind.servers().at("s1").draining);
+    }
+
+    TEST_F(AChangeBehindALargeConfiguration, IsPassedOnByAnInstanceThatLacksTheConfigurationItself)
+    {
+        applySnapshot(behind, snapshotAfter(held, known));
+        FleetState third(clock, items);
+        ASSERT_TRUE(applySnapshot(third, snapshotAfter(behind.replica(), 0)));
+        EXPECT_TRUE(third.servers().at("s1").draining);
+        EXPECT_EQ(third.replica().awaitedValues(), behind.replica().awaitedValues());
+    }
+
+    TEST_F(AChangeBehindALargeConfiguration, IsNotUndoneByADamagedValue)
+    {
+        applySnapshot(behind, snapshotAfter(held, known));
+        CompressedValues values;
+        auto message = *decodeItemValue(*values.encode(held, "config", 0));
+        message.compressed.resize(message.compressed.size() / 2);
+        EXPECT_FALSE(applyItemValue(behind, message));
+        message.size = -1;
+        EXPECT_FALSE(applyItemValue(behind, message));
+        EXPECT_EQ(behind.replica().awaitedValues().count("config"), 1u);
+        EXPECT_TRUE(behind.servers().at("s1").draining);
+    }
+
+    TEST(CompressedValuesOfItems, AreSentOnlyIfTheyAreNewer)
+    {
+        ItemReplica held;
+        const std::vector<ItemChange> changes { { "config", "config 7", 12 } };
+        held.apply(changes, 12);
+        CompressedValues values;
+        EXPECT_TRUE(values.encode(held, "config", 11));
+        EXPECT_FALSE(values.encode(held, "config", 12));
+        EXPECT_FALSE(values.encode(held, "other", 0));
+    }
+
 } // namespace
 } // namespace yuccashift
--- a/tests/entry/snapshot_source_test.cpp
+++ b/tests/entry/snapshot_source_test.cpp
@@ -14,6 +14,7 @@
                 peer.instance = region + std::to_string(peers.size());
                 peer.region = region;
                 peer.storeRevision = revision;
+                peer.knownRevision = revision;
                 peers.push_back(peer);
             }
         }
@@ -50,11 +51,38 @@
             EXPECT_LE(count, 20) << instance;
     }
 
+    TEST_F(ASnapshotSource, OfAValueIsAnInstanceThatHasIt)
+    {
+        addPeers(3, "sofia", 50);
+        addPeers(1, "varna", 50);
+        for (auto& it : peers)
+            it.sendsValues = true;
+        // Two know of the value but wait for it themselves, and one is of an earlier version.
+        peers[0].storeRevision = 40;
+        peers[1].storeRevision = 40;
+        peers[2].sendsValues = false;
+        EXPECT_EQ(chooseValueSource(pointers(), "sofia", 45, random)->region, "varna");
+        peers[1].storeRevision = 50;
+        EXPECT_EQ(chooseValueSource(pointers(), "sofia", 45, random), &peers[1]);
+        EXPECT_FALSE(chooseValueSource(pointers(), "sofia", 51, random));
+    }
+
+    TEST(ASnapshotBudget, FollowsTheLinkOfTheMachine)
+    {
+        VirtualClock clock;
+        SnapshotBudget slow(10, clock.now());
+        SnapshotBudget fast(200, clock.now());
+        slow.charge(1'000'000, clock.now());
+        fast.charge(1'000'000, clock.now());
+        EXPECT_FALSE(slow.available(clock.now()));
+        EXPECT_TRUE(fast.available(clock.now()));
+    }
+
     TEST(ASnapshotBudget, BoundsWhatAnInstanceSendsAtOnce)
     {
         constexpr std::size_t snapshotBytes = 900'000;
         VirtualClock clock;
-        SnapshotBudget budget(clock.now());
+        SnapshotBudget budget(20, clock.now());
         std::size_t sent = 0;
         for (int n = 0; n < 100; ++n) {
             if (budget.available(clock.now())) {
--- a/tests/fleet/item_replica_test.cpp
+++ b/tests/fleet/item_replica_test.cpp
@@ -83,5 +83,89 @@
         EXPECT_EQ(replica.revision(), 20);
     }
 
+    struct ValuesThatFollow : ItemsOfAReplica {
+        ValuesThatFollow()
+        {
+            change("config", "old", 3);
+            announce("config", 5);
+            change("a", "1", 6);
+        }
+
+        void announce(const std::string& key, std::int64_t revision)
+        {
+            const std::vector<ItemChange> changes { { key, std::nullopt, revision, true } };
+            replica.apply(changes, revision);
+        }
+        void deliver(const std::string& key, const std::string& value, std::int64_t revision)
+        {
+            const std::vector<ItemChange> changes { { key, value, revision } };
+            replica.apply(changes, replica.revision());
+        }
+    };
+
+    TEST_F(ValuesThatFollow, LeaveThePreviousValueInPlaceAndHoldUpNoOtherChange)
+    {
+        EXPECT_EQ(replica.items().at("config").value, "old");
+        EXPECT_TRUE(replica.items().contains("a"));
+        EXPECT_EQ(replica.revision(), 6);
+        EXPECT_EQ(replica.completeRevision(), 4);
+        EXPECT_EQ(replica.awaitedValues().at("config"), 5);
+    }
+
+    TEST_F(ValuesThatFollow, AreTakenWhenTheyArrive)
+    {
+        deliver("config", "new", 5);
+        EXPECT_EQ(replica.items().at("config").value, "new");
+        EXPECT_TRUE(replica.awaitedValues().empty());
+        EXPECT_EQ(replica.completeRevision(), 6);
+    }
+
+    TEST_F(ValuesThatFollow, AreTakenButStillAwaitedIfANewerOneIsKnown)
+    {
+        announce("config", 8);
+        deliver("config", "between", 5);
+        EXPECT_EQ(replica.items().at("config").value, "between");
+        EXPECT_EQ(replica.awaitedValues().at("config"), 8);
+        EXPECT_EQ(replica.completeRevision(), 7);
+    }
+
+    TEST_F(ValuesThatFollow, AreNotAwaitedOnceTheItemIsRemoved)
+    {
+        change("config", nullptr, 9);
+        EXPECT_FALSE(replica.items().contains("config"));
+        EXPECT_TRUE(replica.awaitedValues().empty());
+        deliver("config", "late", 5);
+        EXPECT_FALSE(replica.items().contains("config"));
+    }
+
+    TEST_F(ValuesThatFollow, AreNotAwaitedOnceAListingLacksTheItem)
+    {
+        replica.replaceAll({}, 9);
+        EXPECT_TRUE(replica.awaitedValues().empty());
+        EXPECT_EQ(replica.completeRevision(), 9);
+    }
+
+    TEST_F(ValuesThatFollow, OfNewItemsAreTakenToo)
+    {
+        announce("other", 7);
+        EXPECT_FALSE(replica.items().contains("other"));
+        deliver("other", "there", 7);
+        EXPECT_EQ(replica.items().at("other").value, "there");
+        EXPECT_EQ(replica.completeRevision(), 4);
+    }
+
+    TEST_F(ItemsOfAReplica, LeaveLargeValuesOutOfTheHistory)
+    {
+        const std::string large(maxInlineValueBytes + 1, 'x');
+        change("config", large.c_str(), 3);
+        change("a", "1", 4);
+        const auto changes = *replica.changesAfter(2);
+        ASSERT_EQ(changes.size(), 2u);
+        EXPECT_TRUE(changes[0].valueFollows);
+        EXPECT_FALSE(changes[0].value);
+        EXPECT_EQ(changes[1].value, "1");
+        EXPECT_EQ(replica.items().at("config").value, large);
+    }
+
 } // namespace
 } // namespace yuccashift
