--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -401,6 +401,29 @@
         }
     }
 
+    // Guards against instances that ignore the rate limit that a server names in its answers.
+    TEST_F(EntryInstances, KeepToTheRateLimitThatAServerNames)
+    {
+        startServer("ledger-2-sofia", "ledger", "sofia");
+        for (const auto* name : { "sofia-1", "sofia-2" })
+            EXPECT_TRUE(waitUntil([&] { return m_fleet.metric(name, "yuccashift_servers_known") == 7; }));
+        m_fleet.control("ledger-sofia", "/control/limit", R"({"perSecond":"0.05"})");
+        const auto runsAtLimitedServer = [&] { return m_fleet.read("ledger-sofia", "/control/runs").at("total").to_number<int>(); };
+        const auto callBoth = [&](const std::string& round) {
+            int served = 0;
+            for (int n = 0; n < 40; ++n) {
+                for (const auto* name : { "sofia-1", "sofia-2" })
+                    served += m_fleet.call(name, round + name + std::to_string(n), "GET", "/read/x").ok() ? 1 : 0;
+            }
+            return served;
+        };
+        EXPECT_EQ(callBoth("told-"), 80);
+        const auto before = runsAtLimitedServer();
+        EXPECT_GT(before, 0);
+        EXPECT_EQ(callBoth("limited-"), 80);
+        EXPECT_LE(runsAtLimitedServer() - before, 5);
+    }
+
     /** Routes that make a configuration of about half a megabyte. */
     std::vector<PublishedRoute> manyRoutes()
     {
