--- a/tests/dispatch/retry_budget_and_crash_tracker_test.cpp
+++ b/tests/dispatch/retry_budget_and_crash_tracker_test.cpp
@@ -1,6 +1,7 @@
 #include "yuccashift/dispatch/crash_tracker.hpp"
 #include "yuccashift/dispatch/fleet_retry_budget.hpp"
 
+#include <array>
 #include <gtest/gtest.h>
 #include <memory>
 #include <vector>
@@ -34,6 +35,83 @@
         EXPECT_GE(retries, limits.ratio * requests / 2);
     }
 
+    /** Budgets of a fleet that fail every request from one moment on. */
+    struct BudgetsOfAFleet : AFleetRetryBudget {
+        static constexpr std::size_t instances = 66;
+
+        BudgetsOfAFleet()
+        {
+            limits.slack = 172;
+            for (std::size_t n = 0; n < instances; ++n)
+                restart(n);
+        }
+
+        void restart(std::size_t n)
+        {
+            budgets[n] = std::make_unique<FleetRetryBudget>(clock, limits);
+            // An instance that has heard nobody reckons with a few others.
+            budgets[n]->setInstanceCount(4);
+        }
+        void hear(std::size_t others)
+        {
+            for (auto& it : budgets)
+                it->setInstanceCount(others + 4);
+        }
+        int retryUntilRefused(std::size_t n)
+        {
+            int retries = 0;
+            while (budgets[n]->tryRetry("draft"))
+                ++retries;
+            return retries;
+        }
+        int retryEverywhere()
+        {
+            int retries = 0;
+            for (std::size_t n = 0; n < instances; ++n)
+                retries += retryUntilRefused(n);
+            return retries;
+        }
+
+        std::array<std::unique_ptr<FleetRetryBudget>, instances> budgets;
+    };
+
+    // Guards against instances that start together and each take a large part of the slack before they hear of the others.
+    TEST_F(BudgetsOfAFleet, StayUnderTheLimitInSumWhenAllInstancesStartAtOnce)
+    {
+        EXPECT_LE(retryEverywhere(), limits.slack);
+    }
+
+    // Guards against regions that forget each other during a long partition and then each use the whole slack.
+    TEST_F(BudgetsOfAFleet, StayUnderTheLimitInSumWhenRegionsForgetEachOther)
+    {
+        hear(instances - 1);
+        clock.advance(seconds(60));
+        hear(instances / 3 - 1);
+        EXPECT_LE(retryEverywhere(), limits.slack);
+    }
+
+    // Guards against a restart that lets an instance use its part a second time within one window.
+    TEST_F(BudgetsOfAFleet, StayUnderTheLimitInSumWhenInstancesRestartInTurn)
+    {
+        hear(instances - 1);
+        clock.advance(seconds(60));
+        int retries = 0;
+        for (std::size_t n = 0; n < instances; ++n) {
+            retries += retryUntilRefused(n);
+            restart(n);
+            budgets[n]->setInstanceCount(instances + 3);
+            retries += retryUntilRefused(n);
+        }
+        EXPECT_LE(retries, limits.slack);
+    }
+
+    TEST_F(BudgetsOfAFleet, AllowRetriesAgainOnceTheFleetIsKnown)
+    {
+        hear(instances - 1);
+        clock.advance(seconds(60));
+        EXPECT_GE(retryEverywhere(), limits.slack / 3);
+    }
+
     TEST_F(AFleetRetryBudget, ForgetsRetriesOlderThanTheWindow)
     {
         FleetRetryBudget budget(clock, limits);
