Keep the retries of a fleet in their budget while instances start or forget each other

Cause, reproduced: an instance divided the slack of the budget by the instances that it knew at the moment. One that had just started knew none and took a quarter of it; after 30 s of silence the other side of a partition no longer counted. Class: a share of a common bound computed from a view that is smallest when the fleet is in trouble.

Change: no part of the slack for two seconds after the start nor while an instance hears none of the peers that it expects, half of it in the first window, since the process before may have used its part; the largest count of instances so far divides it. yuccashift_retry_slack shows the part.

Tests changed because their start has no part of the budget any more: AFleetRetryBudget.ForgetsRetriesOlderThanTheWindow and CountsEachServiceSeparately set a count and let the first window pass, EntryInstances.RetryAnIdempotentRequestWhenItsAnswerIsLostOrAFailure waits for the gauge. What they check is as it was.

--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -161,7 +161,6 @@
     , store(adapters.makeStore(io, clock, core.settings.storeEndpoint))
 {
     core.fleetState.setObserver(this);
-    core.retryBudget.setInstanceCount(core.peerTable.knownInstanceCount() + unseenInstanceMargin);
 }
 
 InboundLimits EntryNode::State::CallerHandler::limits() const
@@ -292,7 +291,8 @@
     core.fleetState.tick();
     snapshots.tick();
     store->skipTo(core.fleetState.replica().completeRevision());
-    core.retryBudget.setInstanceCount(core.peerTable.knownInstanceCount() + unseenInstanceMargin);
+    if (!core.peerTable.isIsolated())
+        core.retryBudget.setInstanceCount(core.peerTable.knownInstanceCount() + unseenInstanceMargin);
     if (pauses.resumedFromPause(now, clock.wallNow())) {
         logWarning("process resumed after a pause; reloading published items");
         store->resync();
@@ -343,6 +343,7 @@
     metrics.gauge("yuccashift_store_revision").set(core.fleetState.replica().revision());
     metrics.gauge("yuccashift_items_behind_milliseconds").set(std::chrono::duration_cast<milliseconds>(snapshots.behindFor()).count());
     metrics.gauge("yuccashift_config_version").set(core.fleetState.configVersion());
+    metrics.gauge("yuccashift_retry_slack").set(static_cast<std::int64_t>(core.retryBudget.shareOfSlack()));
     metrics.gauge("yuccashift_instances_heard").set(static_cast<std::int64_t>(core.peerTable.alive().size()));
     rusage used {};
     ::getrusage(RUSAGE_SELF, &used);
--- a/src/yuccashift/fleet/peer_table.cpp
+++ b/src/yuccashift/fleet/peer_table.cpp
@@ -46,7 +46,7 @@
 {
     if (m_clock.now() - m_startedAt < listeningTime || m_clock.now() - m_activeInstancesSince < settlingTime)
         return false;
-    if (m_expectsPeers && m_peers.empty())
+    if (isIsolated())
         return false;
     std::size_t knownCount = 1;
     std::size_t aliveCount = 1;
--- a/src/yuccashift/fleet/peer_table.hpp
+++ b/src/yuccashift/fleet/peer_table.hpp
@@ -98,6 +98,8 @@
      * region of two instances or fewer, whose number limits how many hold the role at once.
      */
     bool mayTakeRegionRole(const RegionName&) const;
+    /** Whether the settings name other instances and none of them has been heard lately. */
+    bool isIsolated() const { return m_expectsPeers && m_peers.empty(); }
     /** To be called if the settings name other instances: an instance that hears none of them is then cut off and takes no role. */
     void expectPeers() { m_expectsPeers = true; }
     /** Records which instances of the region are active now, for mayTakeRegionRole(); to be called several times a second. */
--- a/tests/dispatch/retry_budget_and_crash_tracker_test.cpp
+++ b/tests/dispatch/retry_budget_and_crash_tracker_test.cpp
@@ -105,6 +105,43 @@
         EXPECT_LE(retries, limits.slack);
     }
 
+    TEST_F(AFleetRetryBudget, HasNoSlackBeforeTheFleetIsKnown)
+    {
+        FleetRetryBudget budget(clock, limits);
+        clock.advance(seconds(60));
+        EXPECT_FALSE(budget.tryRetry("draft"));
+        for (int n = 0; n < 100; ++n)
+            budget.onRequest("draft");
+        EXPECT_TRUE(budget.tryRetry("draft"));
+    }
+
+    // At the size of the smallest deployment.
+    TEST_F(AFleetRetryBudget, StaysUnderTheLimitInSumWhenAFewInstancesRestartInTurn)
+    {
+        constexpr int instances = 7;
+        limits.slack = 54;
+        int retries = 0;
+        const auto spend = [&](FleetRetryBudget& budget) {
+            budget.setInstanceCount(instances + 3);
+            while (budget.tryRetry("draft"))
+                ++retries;
+        };
+        std::vector<std::unique_ptr<FleetRetryBudget>> predecessors;
+        for (int n = 0; n < instances; ++n)
+            predecessors.push_back(std::make_unique<FleetRetryBudget>(clock, limits));
+        clock.advance(seconds(60));
+        for (auto& it : predecessors)
+            spend(*it);
+        std::vector<std::unique_ptr<FleetRetryBudget>> successors;
+        for (int n = 0; n < instances; ++n)
+            successors.push_back(std::make_unique<FleetRetryBudget>(clock, limits));
+        clock.advance(seconds(9));
+        for (auto& it : successors)
+            spend(*it);
+        EXPECT_LE(retries, limits.slack);
+        EXPECT_GE(retries, limits.slack / 2);
+    }
+
     TEST_F(BudgetsOfAFleet, AllowRetriesAgainOnceTheFleetIsKnown)
     {
         hear(instances - 1);
@@ -115,6 +152,8 @@
     TEST_F(AFleetRetryBudget, ForgetsRetriesOlderThanTheWindow)
     {
         FleetRetryBudget budget(clock, limits);
+        budget.setInstanceCount(1);
+        clock.advance(limits.window);
         while (budget.tryRetry("draft")) { }
         EXPECT_FALSE(budget.tryRetry("draft"));
         clock.advance(seconds(11));
@@ -124,6 +163,8 @@
     TEST_F(AFleetRetryBudget, CountsEachServiceSeparately)
     {
         FleetRetryBudget budget(clock, limits);
+        budget.setInstanceCount(1);
+        clock.advance(limits.window);
         while (budget.tryRetry("draft")) { }
         EXPECT_TRUE(budget.tryRetry("ledger"));
     }
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -111,6 +111,8 @@
 
     TEST_F(EntryInstances, RetryAnIdempotentRequestWhenItsAnswerIsLostOrAFailure)
     {
+        // An instance that has just started has no part of the retry budget yet.
+        ASSERT_TRUE(waitUntil([&] { return m_fleet.metric("sofia-1", "yuccashift_retry_slack") >= 3; }));
         for (const auto* path : { "/control/lose-answers", "/control/cut-answers", "/control/fail-answers" }) {
             m_fleet.control("ledger-sofia", path, R"({"count":1})");
             const auto attempt = std::string("r") + path;
