Stay away from servers whose answers say that they leave or want a rest

Any answer with the departure header, also of a probe, an error or a stream's head, takes the server out of this instance's choice at once; a 503 with Retry-After does so for the time named, 60 s at most. Both are told to the region's other instances by heartbeat and stand with the rate limit in dispatch/server_constraints. A departure is never withdrawn by a later answer, which may have been on its way, and is remembered for five minutes when the server's entry goes missing. Where all servers of a service rest, the caller is refused at once with the earliest end.

On the way: the records of a server that had drained were never dropped, because the removal of a draining server was not told apart from its departure; ReportsTheRemovalOfADrainingServer failed to compile before and states it now.

The 30 tests of entry_processes_tests and those of dispatch, platform, fleet and entry pass.

--- a/src/yuccashift/dispatch/server_choice.cpp
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -77,6 +77,8 @@
             return ServerRejectReason::Tried;
         if (server.suspect)
             return ServerRejectReason::Suspect;
+        if (server.restFor > Duration::zero())
+            return ServerRejectReason::Resting;
         if (server.fullFor > Duration::zero())
             return ServerRejectReason::Full;
         if (server.limited)
@@ -111,6 +113,8 @@
         return "suspect";
     case ServerRejectReason::Full:
         return "full";
+    case ServerRejectReason::Resting:
+        return "resting";
     case ServerRejectReason::Limited:
         return "limited";
     case ServerRejectReason::Cold:
--- a/src/yuccashift/dispatch/server_choice.hpp
+++ b/src/yuccashift/dispatch/server_choice.hpp
@@ -42,6 +42,8 @@
     Duration fullFor {};
     /** It started recently and takes requests at a limited rate. */
     bool cold = false;
+    /** It asked for no requests for this time; zero if it takes them. */
+    Duration restFor {};
     /** It named a rate limit, of which this instance has no request left at the moment. */
     bool limited = false;
     /** Whether this instance may send it the next request while it is cold. */
@@ -59,6 +61,7 @@
     Tried,
     Suspect,
     Full,
+    Resting,
     Limited,
     Cold,
     NoConnections,
--- a/src/yuccashift/dispatch/server_constraints.cpp
+++ b/src/yuccashift/dispatch/server_constraints.cpp
@@ -16,6 +16,8 @@
     constexpr std::size_t minParticipants = 2;
     /** Instances with the same limit report for this long that it was withdrawn. */
     constexpr Duration withdrawalReportTime = seconds(10);
+    /** A server whose entry is missing for longer than this does not return under the same start. */
+    constexpr Duration memoryAfterRemoval = std::chrono::minutes(5);
     /** Bounds the heartbeat's size if many servers name limits at once. */
     constexpr std::size_t maxReports = 48;
     /** At a lower rate, a request is sent now and then all the same: only an answer shows that the limit has ended. */
@@ -33,45 +35,61 @@
 {
 }
 
-void ServerConstraints::onAnswer(std::uint64_t server, std::optional<double> requestsPerSecond)
+const ServerConstraints::Entry* ServerConstraints::find(std::uint64_t server) const
 {
-    const auto now = m_clock.now();
     const auto it = m_entries.find(server);
-    if (it == m_entries.end()) {
-        if (!requestsPerSecond)
-            return;
-        logInfo("server names a rate limit", { { "server", server }, { "requests_per_second", *requestsPerSecond } });
-        // The request of this answer counts, so that no burst follows the first naming of a limit.
-        m_entries[server] = { requestsPerSecond, now, true, now };
+    return it == m_entries.end() ? nullptr : &it->second;
+}
+
+void ServerConstraints::setLimit(Entry& entry, std::uint64_t server, std::optional<double> requestsPerSecond)
+{
+    if (entry.requestsPerSecond == requestsPerSecond)
         return;
-    }
-    auto& entry = it->second;
-    if (entry.requestsPerSecond && !requestsPerSecond)
-        logInfo("server names no rate limit any more", { { "server", server } });
-    else if (requestsPerSecond && entry.requestsPerSecond != requestsPerSecond)
+    if (requestsPerSecond)
         logInfo("server names a rate limit", { { "server", server }, { "requests_per_second", *requestsPerSecond } });
-    if (!entry.requestsPerSecond && requestsPerSecond)
-        entry.lastSend = now;
+    else
+        logInfo("server names no rate limit any more", { { "server", server } });
+    // The request of this answer counts, so that no burst follows the first naming of a limit.
+    if (!entry.requestsPerSecond)
+        entry.lastSend = m_clock.now();
     entry.requestsPerSecond = requestsPerSecond;
+}
+
+bool ServerConstraints::onAnswer(std::uint64_t server, const ServerStatement& statement)
+{
+    const auto now = m_clock.now();
+    const bool asksForSomething = statement.requestsPerSecond || statement.leaving || statement.restFor > Duration::zero();
+    if (!asksForSomething && !m_entries.contains(server))
+        return false;
+    auto& entry = m_entries[server];
+    setLimit(entry, server, statement.requestsPerSecond);
     entry.statedAt = now;
     entry.fromOwnAnswer = true;
+    if (statement.restFor > Duration::zero()) {
+        logInfo("server wants no requests for a while", { { "server", server }, { "rest_ms", toMilliseconds(statement.restFor) } });
+        entry.restUntil = std::max(entry.restUntil, now + statement.restFor);
+    }
+    // An answer that was on its way when the server decided to leave does not say so, which withdraws nothing.
+    const bool isNews = statement.leaving && !entry.leaving;
+    if (isNews)
+        logInfo("server leaves, as its answer says", { { "server", server } });
+    entry.leaving = entry.leaving || statement.leaving;
+    return isNews;
 }
 
-void ServerConstraints::onReport(const RateLimitReport& report)
+void ServerConstraints::onReport(const ConstraintReport& report)
 {
-    const auto statedAt = m_clock.now() - report.age;
-    const auto it = m_entries.find(report.server);
-    if (it == m_entries.end()) {
-        if (report.requestsPerSecond)
-            m_entries[report.server] = { report.requestsPerSecond, statedAt, false, m_clock.now() };
+    const auto now = m_clock.now();
+    const auto& statement = report.statement;
+    if (!m_entries.contains(report.server) && !statement.requestsPerSecond && !statement.leaving && statement.restFor <= Duration::zero())
         return;
-    }
-    auto& entry = it->second;
+    auto& entry = m_entries[report.server];
+    entry.leaving = entry.leaving || statement.leaving;
+    entry.restUntil = std::max(entry.restUntil, now + statement.restFor);
+    const auto statedAt = now - report.age;
     if (statedAt <= entry.statedAt)
         return;
-    if (!entry.requestsPerSecond && report.requestsPerSecond)
-        entry.lastSend = m_clock.now();
-    entry.requestsPerSecond = report.requestsPerSecond;
+    setLimit(entry, report.server, statement.requestsPerSecond);
     entry.statedAt = statedAt;
     entry.fromOwnAnswer = false;
 }
@@ -84,26 +102,39 @@
 
 std::optional<double> ServerConstraints::rateLimit(std::uint64_t server) const
 {
-    const auto it = m_entries.find(server);
-    return it == m_entries.end() ? std::nullopt : it->second.requestsPerSecond;
+    const auto* entry = find(server);
+    return entry ? entry->requestsPerSecond : std::nullopt;
 }
 
 bool ServerConstraints::maySend(std::uint64_t server, double requestsPerSecond) const
 {
-    const auto it = m_entries.find(server);
-    if (it == m_entries.end() || !it->second.requestsPerSecond)
+    const auto* entry = find(server);
+    if (!entry || !entry->requestsPerSecond)
         return true;
-    return requestsPerSecond > 0 && m_clock.now() - it->second.lastSend >= intervalOf(requestsPerSecond);
+    return requestsPerSecond > 0 && m_clock.now() - entry->lastSend >= intervalOf(requestsPerSecond);
 }
 
-std::vector<RateLimitReport> ServerConstraints::reports() const
+bool ServerConstraints::isLeaving(std::uint64_t server) const
+{
+    const auto* entry = find(server);
+    return entry && entry->leaving;
+}
+
+Duration ServerConstraints::restFor(std::uint64_t server) const
+{
+    const auto* entry = find(server);
+    return entry ? std::max(Duration::zero(), entry->restUntil - m_clock.now()) : Duration::zero();
+}
+
+std::vector<ConstraintReport> ServerConstraints::reports() const
 {
     const auto now = m_clock.now();
-    std::vector<RateLimitReport> reports;
+    std::vector<ConstraintReport> reports;
     for (const auto& [server, entry] : m_entries) {
         const auto age = now - entry.statedAt;
-        if (entry.fromOwnAnswer && (entry.requestsPerSecond || age < withdrawalReportTime))
-            reports.push_back({ server, entry.requestsPerSecond, age });
+        const bool inForce = entry.requestsPerSecond || entry.leaving || entry.restUntil > now;
+        if (entry.fromOwnAnswer && !entry.removedAt && (inForce || age < withdrawalReportTime))
+            reports.push_back({ server, { entry.requestsPerSecond, entry.leaving, std::max(Duration::zero(), entry.restUntil - now) }, age });
     }
     std::ranges::sort(reports, {}, [](const auto& it) { return std::pair(it.age, it.server); });
     if (reports.size() > maxReports)
@@ -113,7 +144,10 @@
 
 void ServerConstraints::remove(std::uint64_t server)
 {
-    m_entries.erase(server);
+    const auto now = m_clock.now();
+    std::erase_if(m_entries, [&](const auto& it) { return it.second.removedAt && now - *it.second.removedAt >= memoryAfterRemoval; });
+    if (const auto it = m_entries.find(server); it != m_entries.end() && !it->second.removedAt)
+        it->second.removedAt = now;
 }
 
 double shareOfRateLimit(double limit, std::uint64_t server, const LimitDivision& division)
--- a/src/yuccashift/dispatch/server_constraints.hpp
+++ b/src/yuccashift/dispatch/server_constraints.hpp
@@ -12,27 +12,37 @@
 
 namespace yuccashift {
 
-/** A statement about a server's rate limit, as instances pass it on to each other. */
-struct RateLimitReport {
-    std::uint64_t server = 0;
-    /** Requests per second that the server takes from all instances together; std::nullopt if it no longer names a limit. */
+/** What one answer of a backend server asks of the instances that send to it. */
+struct ServerStatement {
+    /** Requests per second that the server takes from all instances together; std::nullopt if it names no limit. */
     std::optional<double> requestsPerSecond;
-    /** Time since the server's answer that said so. */
+    /** The server is about to leave. */
+    bool leaving = false;
+    /** Time for which the server wants no requests from the instance that it answers; zero if it names none. */
+    Duration restFor {};
+};
+
+/** What a server asked for, as instances pass it on to each other. */
+struct ConstraintReport {
+    std::uint64_t server = 0;
+    ServerStatement statement;
+    /** Time since the server's answer that named the limit, or named none. */
     Duration age {};
 };
 
 /**
- * What backend servers asked of the instances that send to them. A request of a
- * server is in force until a later answer of the same server withdraws it.
+ * What backend servers asked of the instances that send to them. A limit is in
+ * force until a later answer of the same server withdraws it, a rest for the time
+ * named, and a departure until the server is removed.
  */
 class ServerConstraints {
 public:
     explicit ServerConstraints(const Clock&);
 
-    /** Records the limit that an answer of the server names. An answer without one withdraws an earlier limit. */
-    void onAnswer(std::uint64_t server, std::optional<double> requestsPerSecond);
-    /** Takes a report of another instance if it is newer than what is known. */
-    void onReport(const RateLimitReport&);
+    /** Records what an answer of the server asks for; returns whether it is news that the server leaves. An answer without a limit withdraws an earlier one. */
+    bool onAnswer(std::uint64_t server, const ServerStatement&);
+    /** Takes a report of another instance, its limit only if it is newer than what is known. */
+    void onReport(const ConstraintReport&);
     /** Records that a request is sent to the server, by this instance itself or through the server's owner. */
     void onSend(std::uint64_t server);
 
@@ -40,8 +50,12 @@
     std::optional<double> rateLimit(std::uint64_t server) const;
     /** Whether this instance may send the next request to the server now, if it may send at this rate. Never with a rate of 0. */
     bool maySend(std::uint64_t server, double requestsPerSecond) const;
-    /** What this instance learned from answers, newest first, for heartbeats; limits in force and recently withdrawn ones. */
-    std::vector<RateLimitReport> reports() const;
+    bool isLeaving(std::uint64_t server) const;
+    /** Time for which the server still wants no requests; zero if it takes them. */
+    Duration restFor(std::uint64_t server) const;
+    /** What this instance learned from answers, newest first, for heartbeats: what is in force, and limits withdrawn recently. */
+    std::vector<ConstraintReport> reports() const;
+    /** Forgets a server that was removed, some time later: its entry may only be missing for a while. */
     void remove(std::uint64_t server);
 
 private:
@@ -51,7 +65,12 @@
         Instant statedAt {};
         bool fromOwnAnswer = false;
         Instant lastSend {};
+        bool leaving = false;
+        Instant restUntil {};
+        std::optional<Instant> removedAt;
     };
+    void setLimit(Entry&, std::uint64_t server, std::optional<double> requestsPerSecond);
+    const Entry* find(std::uint64_t server) const;
 
     const Clock& m_clock;
     std::unordered_map<std::uint64_t, Entry> m_entries;
--- a/src/yuccashift/dispatch/server_tracker.cpp
+++ b/src/yuccashift/dispatch/server_tracker.cpp
@@ -103,6 +103,7 @@
     ticket.unscaledPrediction = std::chrono::duration_cast<Duration>(send.predicted / send.slowness);
     ticket.engine = send.engine;
     auto& record = m_records[server];
+    record.removed = false;
     auto& status = record.status;
     status.own += ticket.load;
     record.pending.emplace(ticket.sentAt, ActivePrefill { static_cast<std::int32_t>(send.uncachedTokens), ticket.priority, ticket.sentAt });
@@ -175,14 +176,17 @@
 
 void ServerTracker::onComplete(RequestTicket& ticket, ServerOutcome outcome)
 {
-    const auto it = m_records.find(ticket.server);
-    if (ticket.server == 0 || it == m_records.end())
+    const auto server = ticket.server;
+    const auto it = m_records.find(server);
+    if (server == 0 || it == m_records.end())
         return;
     auto& status = it->second.status;
     status.own -= ticket.load;
     if (!ticket.firstByteSeen)
         removePending(it->second, ticket);
     ticket.server = 0;
+    if (it->second.removed && status.own.requests <= 0)
+        return remove(server);
     if (outcome == ServerOutcome::Rejected) {
         status.requestLimit = std::max(static_cast<std::int32_t>(ticket.slots), status.total().requests);
         status.requestLimitUntil = m_clock.now() + requestLimitLifetime;
@@ -281,7 +285,10 @@
 {
     m_constraints.remove(server);
     const auto it = m_records.find(server);
-    if (it == m_records.end() || it->second.status.own.requests > 0)
+    if (it == m_records.end())
+        return;
+    it->second.removed = true;
+    if (it->second.status.own.requests > 0)
         return;
     for (auto& [instance, loads] : m_peerLoads)
         loads.erase(server);
--- a/src/yuccashift/dispatch/server_tracker.hpp
+++ b/src/yuccashift/dispatch/server_tracker.hpp
@@ -174,7 +174,7 @@
     void markFull(std::uint64_t server, Duration);
     /** Replaces the load that another instance has in progress; an empty map removes the instance. */
     void setPeerLoads(const InstanceId&, std::map<std::uint64_t, ServerLoadSum>);
-    /** Drops the records of a removed server; does nothing while own requests are in progress there. */
+    /** Drops the records of a removed server, once no own request is in progress there. */
     void remove(std::uint64_t server);
 
     /** Own requests in progress, for heartbeats; also lists servers without requests that are suspect or fail. */
@@ -197,6 +197,8 @@
         /** Prompts of requests without a first byte, by the time of sending. */
         std::multimap<Instant, ActivePrefill> pending;
         std::map<InstanceId, ActivePrefill> peerPrefills;
+        /** Dropped when the last own request ends. */
+        bool removed = false;
     };
     static void removePending(Record&, const RequestTicket&);
 
--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -71,7 +71,7 @@
 bool DispatchPlanner::isUsableLocally(const BackendServer& server) const
 {
     const auto* region = servingRegion(server);
-    return region && *region == m_settings.region;
+    return region && *region == m_settings.region && !m_serverTracker.constraints().isLeaving(server.identityHash);
 }
 
 bool DispatchPlanner::hasReachableInstance(const RegionName& region) const
@@ -205,6 +205,7 @@
     it.fullFor = std::max(Duration::zero(), known.fullUntil - now);
     if (known.atRequestLimit(now))
         it.fullFor = std::max(it.fullFor, slotCheckInterval);
+    it.restFor = m_serverTracker.constraints().restFor(server.identityHash);
     it.limited = !withinRateLimit(server, viaOwner);
     it.cold = now < server.coldUntil;
     it.warmUpAllowed = it.cold && warmUpAllowed(server, known, traits);
@@ -230,7 +231,7 @@
     std::uint64_t highest = 0;
     for (auto& it : candidates) {
         const auto weight = prefixServerWeight(shared.back().id, it.key);
-        if (it.suspect || it.cold || it.limited || (home && weight < highest))
+        if (it.suspect || it.cold || it.limited || it.restFor > Duration::zero() || (home && weight < highest))
             continue;
         home = &it;
         highest = weight;
@@ -255,7 +256,7 @@
 
 void DispatchPlanner::sampleOne(std::span<ServerCandidate> candidates) const
 {
-    const auto weight = [](const ServerCandidate& it) { return it.tried || it.suspect || it.limited || it.fullFor > Duration::zero() ? 0U : it.slots; };
+    const auto weight = [](const ServerCandidate& it) { return it.tried || it.suspect || it.limited || it.restFor > Duration::zero() || it.fullFor > Duration::zero() ? 0U : it.slots; };
     std::uint64_t total = 0;
     for (const auto& it : candidates)
         total += weight(it);
@@ -322,6 +323,9 @@
         if (plan.choice.rejectReasons[i] == ServerRejectReason::Full)
             plan.slotWait = std::min(plan.slotWait.value_or(fullFor), fullFor);
     }
+    const bool allRest = !plan.candidates.empty() && std::ranges::all_of(plan.choice.rejectReasons, [](auto reason) { return reason == ServerRejectReason::Resting; });
+    if (allRest)
+        plan.restFor = std::ranges::min(plan.candidates, {}, &ServerCandidate::restFor).restFor;
     if (!plan.choice.best || !plan.candidates[*plan.choice.best].engine)
         return;
     const auto shared = work.sharedTokens();
--- a/src/yuccashift/entry/dispatch_planner.hpp
+++ b/src/yuccashift/entry/dispatch_planner.hpp
@@ -29,6 +29,8 @@
 
     /** If all servers that could take the request are full: the time until it is worth asking for a slot again. */
     std::optional<Duration> slotWait;
+    /** If all servers asked for a rest: the time until the first of them takes requests again. */
+    std::optional<Duration> restFor;
 
     /** The chosen server, or nullptr if none can take the request. */
     const BackendServer* server() const { return choice.best ? servers[*choice.best] : nullptr; }
@@ -63,7 +65,7 @@
     RemotePlan planRemote(const Route&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried, const std::optional<RegionName>& prefixHome) const;
     /** Free capacity of each service in this region, as heartbeats report it to other regions. */
     std::map<ServiceName, ServiceCapacity> freeCapacity() const;
-    /** Whether the server is in this region, not draining and not in an evacuated data centre. */
+    /** Whether the server is in this region, not leaving and not in an evacuated data centre. */
     bool isUsableLocally(const BackendServer&) const;
 
 private:
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -108,6 +108,7 @@
     void onListing(const std::vector<ItemChange>&, std::int64_t through) override;
     void onReachable(bool reachable, std::string_view reason) override;
     void onServerGone(const BackendServer&) override;
+    void onServerRemoved(const BackendServer&) override;
     void onServerAdded(const BackendServer&) override;
     void onConfig(const RouteIndex&) override;
 
@@ -223,8 +224,11 @@
 void EntryNode::State::onServerGone(const BackendServer& server)
 {
     core.serverConnections.closeIdle(poolKeyOf(server));
-    if (!server.draining)
-        core.serverTracker.remove(server.identityHash);
+}
+
+void EntryNode::State::onServerRemoved(const BackendServer& server)
+{
+    core.serverTracker.remove(server.identityHash);
 }
 
 void EntryNode::State::onServerAdded(const BackendServer& server)
--- a/src/yuccashift/entry/failure_answer.cpp
+++ b/src/yuccashift/entry/failure_answer.cpp
@@ -43,7 +43,7 @@
             return std::max(minRetryDelay, maxRetryDelayDraining * random.uniformReal());
         const Seconds shortest = error.retryAfter ? Seconds(*error.retryAfter) : left * minShareOfTimeLeft;
         const Seconds longest = std::max(shortest, left * maxShareOfTimeLeft);
-        return std::clamp(shortest + (longest - shortest) * random.uniformReal(), minRetryDelay, maxRetryDelay);
+        return std::clamp(shortest + (longest - shortest) * random.uniformReal(), minRetryDelay, std::max(maxRetryDelay, shortest));
     }
 
     std::string retryAfterValue(const Error& error, Duration timeLeft, RandomSource& random)
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -46,24 +46,28 @@
         return sum;
     }
 
-    RateLimitReport decodeRateLimit(const fleetwire::RateLimit& limit)
+    ConstraintReport decodeServerRequest(const fleetwire::ServerRequest& request)
     {
-        RateLimitReport report;
-        report.server = static_cast<std::uint64_t>(static_cast<std::uint32_t>(limit.server));
-        if (limit.__isset.requestsPerSecond)
-            report.requestsPerSecond = limit.requestsPerSecond;
-        report.age = milliseconds(std::max(0, limit.ageMs));
+        ConstraintReport report;
+        report.server = static_cast<std::uint64_t>(static_cast<std::uint32_t>(request.server));
+        if (request.__isset.requestsPerSecond)
+            report.statement.requestsPerSecond = request.requestsPerSecond;
+        report.statement.leaving = request.leaving;
+        report.statement.restFor = milliseconds(std::max(0, request.restMs));
+        report.age = milliseconds(std::max(0, request.ageMs));
         return report;
     }
 
-    fleetwire::RateLimit encodeRateLimit(const RateLimitReport& report)
+    fleetwire::ServerRequest encodeServerRequest(const ConstraintReport& report)
     {
-        fleetwire::RateLimit limit;
-        limit.server = static_cast<std::int32_t>(report.server);
-        if (report.requestsPerSecond)
-            limit.__set_requestsPerSecond(*report.requestsPerSecond);
-        limit.ageMs = static_cast<std::int32_t>(toMilliseconds(report.age));
-        return limit;
+        fleetwire::ServerRequest request;
+        request.server = static_cast<std::int32_t>(report.server);
+        if (report.statement.requestsPerSecond)
+            request.__set_requestsPerSecond(*report.statement.requestsPerSecond);
+        request.leaving = report.statement.leaving;
+        request.restMs = static_cast<std::int32_t>(toMilliseconds(report.statement.restFor));
+        request.ageMs = static_cast<std::int32_t>(toMilliseconds(report.age));
+        return request;
     }
 
     constexpr double percent = 100;
@@ -213,8 +217,8 @@
             reports[server] = decodeReport(load, now);
         m_core.serverTracker.setPeerPrefill(*sender, server, { load.readingTokens, static_cast<std::size_t>(std::max(0, load.readingRank)), now });
     }
-    for (const auto& limit : heartbeat.rateLimits)
-        m_core.serverTracker.constraints().onReport(decodeRateLimit(limit));
+    for (const auto& request : heartbeat.serverRequests)
+        m_core.serverTracker.constraints().onReport(decodeServerRequest(request));
     m_core.serverTracker.setPeerLoads(*sender, std::move(loads));
     m_core.serverTracker.setOwnerReports(*sender, reports);
 }
@@ -356,7 +360,7 @@
         datagram.__set_heartbeat(makeHeartbeat(withProfile));
         addLoads(datagram.heartbeat);
         for (const auto& report : m_core.serverTracker.constraints().reports())
-            datagram.heartbeat.rateLimits.push_back(encodeRateLimit(report));
+            datagram.heartbeat.serverRequests.push_back(encodeServerRequest(report));
         const auto bytes = encodeDatagram(datagram);
         m_ownRegionBytes.add(bytes.size() * ownRegion.size());
         sendTo(ownRegion, bytes);
--- a/src/yuccashift/entry/protocol_codec.hpp
+++ b/src/yuccashift/entry/protocol_codec.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccashift/dispatch/server_constraints.hpp"
 #include "yuccashift/dispatch/work.hpp"
 #include "yuccashift/http/message.hpp"
 #include "yuccashift/kernel/clock.hpp"
@@ -39,8 +40,7 @@
     bool notRun = false;
     /** A different server answers at this address. */
     bool wrongServer = false;
-    /** Requests per second that the server takes from all instances together, while it limits them. */
-    std::optional<double> rateLimit;
+    ServerStatement statement;
 };
 
 /** Health that a server reports. */
@@ -49,8 +49,7 @@
     std::string serverId;
     /** Time for which the server is still cold. */
     Duration coldFor {};
-    /** As in AnswerMetadata. */
-    std::optional<double> rateLimit;
+    ServerStatement statement;
 };
 
 /** A caller's query for the addresses of instances. */
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -190,6 +190,8 @@
     const bool anyCandidate = plan.local.choice.best || !plan.remote.candidates.empty();
     Error error { anyCandidate ? ErrorKind::Overloaded : ErrorKind::NoBackend, {}, {}, {} };
     error.runState = m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun;
+    if (plan.remote.candidates.empty())
+        error.retryAfter = plan.local.restFor;
     logInfo("refused", { { "request", m_request.metadata.attemptId }, { "reason", error.code() }, { "predicted_ms", toMilliseconds(plan.placement.predicted) }, { "objective_ms", toMilliseconds(firstByteTimeLeft()) }, { "left_ms", toMilliseconds(timeLeft()) }, { "servers", plan.local.servers.size() }, { "usable", plan.local.choice.usable }, { "passed_over", plan.local.choice.rejectSummary() }, { "regions", plan.remote.candidates.size() } });
     failWith(error);
 }
@@ -319,8 +321,8 @@
     }
     const auto facts = m_core.protocol.decodeAnswer(head);
     const auto answering = m_peerInstance.empty() ? m_requestTicket.server : m_serverOfHop;
-    if (answering != 0 && !facts.wrongServer)
-        m_core.serverTracker.constraints().onAnswer(answering, facts.rateLimit);
+    if (answering != 0 && !facts.wrongServer && m_core.serverTracker.constraints().onAnswer(answering, facts.statement))
+        m_core.serverConnections.closeIdle(m_serverPoolKey);
     if (facts.notRun) {
         m_answerMode = AnswerMode::NotRun;
         if (!m_peerInstance.empty())
--- a/src/yuccashift/entry/server_prober.cpp
+++ b/src/yuccashift/entry/server_prober.cpp
@@ -41,8 +41,14 @@
     void onAnswerHead(const AnswerHead& head) override
     {
         m_health = m_owner.m_core.protocol.decodeHealth(head);
-        if (m_health.rateLimit && m_health.serverId == m_server.identity.id)
-            m_owner.m_core.serverTracker.constraints().onAnswer(m_server.identityHash, m_health.rateLimit);
+        auto& constraints = m_owner.m_core.serverTracker.constraints();
+        if (m_health.serverId != m_server.identity.id)
+            return;
+        // A health answer need not name a limit that holds for requests.
+        auto statement = m_health.statement;
+        if (!statement.requestsPerSecond)
+            statement.requestsPerSecond = constraints.rateLimit(m_server.identityHash);
+        constraints.onAnswer(m_server.identityHash, statement);
     }
     void onAnswerBody(std::string_view) override { }
     void onAnswerEnd() override
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -31,14 +31,18 @@
     3: i32 freeSlots,
 }
 
-// Rate limit that a backend server of the sender's region named in an answer to the sender.
-struct RateLimit {
+// What a backend server of the sender's region asked for in its answers to the sender.
+struct ServerRequest {
     // Short hash of the server's identity.
     1: i32 server,
-    // Not set if the server named a limit before and no longer does.
+    // Limit for all instances together. Not set if the server names none or no longer names one.
     2: optional double requestsPerSecond,
-    // Time since that answer.
+    // Time since the answer that said so.
     3: i32 ageMs,
+    // The server is about to leave.
+    4: bool leaving,
+    // Time for which the server wants no requests; 0 if it takes them.
+    5: i32 restMs,
 }
 
 // Properties that do not change while an instance runs; only some heartbeats carry them.
@@ -71,7 +75,7 @@
     // by earlier versions; `storeRevision` is the one up to which it has the values too.
     13: i64 knownRevision,
     // Only to instances of the own region.
-    14: list<RateLimit> rateLimits,
+    14: list<ServerRequest> serverRequests,
 }
 
 // One item of the platform's store, or its removal.
--- a/src/yuccashift/fleet/fleet_state.cpp
+++ b/src/yuccashift/fleet/fleet_state.cpp
@@ -129,8 +129,10 @@
     const auto server = std::move(it->second);
     m_servers.erase(it);
     logInfo("backend server removed", { { "id", server.identity.id }, { "service", server.service }, { "datacentre", server.datacentre } });
-    if (m_observer)
-        m_observer->onServerGone(server);
+    if (!m_observer)
+        return;
+    m_observer->onServerGone(server);
+    m_observer->onServerRemoved(server);
 }
 
 void FleetState::onRemoved(const std::string& key)
--- a/src/yuccashift/fleet/fleet_state.hpp
+++ b/src/yuccashift/fleet/fleet_state.hpp
@@ -45,6 +45,8 @@
     virtual ~FleetObserver();
     /** The server was removed, or is draining. */
     virtual void onServerGone(const BackendServer&) = 0;
+    /** The server was removed. Follows onServerGone(). */
+    virtual void onServerRemoved(const BackendServer&) = 0;
     /** The server is new, or is no longer draining. */
     virtual void onServerAdded(const BackendServer&) = 0;
     virtual void onConfig(const RouteIndex&) = 0;
--- a/tests/dispatch/server_constraints_test.cpp
+++ b/tests/dispatch/server_constraints_test.cpp
@@ -16,19 +16,19 @@
     TEST_F(ARateLimit, HoldsFromTheAnswerThatNamesItToOneThatDoesNot)
     {
         EXPECT_TRUE(constraints.maySend(server, 0));
-        constraints.onAnswer(server, 2.0);
+        constraints.onAnswer(server, { 2.0 });
         EXPECT_EQ(constraints.rateLimit(server), 2.0);
         EXPECT_FALSE(constraints.maySend(server, 2));
         clock.advance(milliseconds(500));
         EXPECT_TRUE(constraints.maySend(server, 2));
         EXPECT_FALSE(constraints.maySend(server, 0));
-        constraints.onAnswer(server, std::nullopt);
+        constraints.onAnswer(server, {});
         EXPECT_TRUE(constraints.maySend(server, 0));
     }
 
     TEST_F(ARateLimit, SpacesRequestsByTheShareOfTheInstance)
     {
-        constraints.onAnswer(server, 4.0);
+        constraints.onAnswer(server, { 4.0 });
         int sent = 0;
         for (int n = 0; n < 1000; ++n) {
             clock.advance(milliseconds(10));
@@ -43,41 +43,89 @@
 
     TEST_F(ARateLimit, IsTakenFromTheNewestStatement)
     {
-        constraints.onAnswer(server, 2.0);
+        constraints.onAnswer(server, { 2.0 });
         clock.advance(seconds(1));
-        constraints.onReport({ server, std::nullopt, seconds(2) });
+        constraints.onReport({ server, {}, seconds(2) });
         EXPECT_EQ(constraints.rateLimit(server), 2.0);
-        constraints.onReport({ server, std::nullopt, milliseconds(100) });
+        constraints.onReport({ server, {}, milliseconds(100) });
         EXPECT_FALSE(constraints.rateLimit(server));
-        constraints.onReport({ server, 3.0, milliseconds(500) });
+        constraints.onReport({ server, { 3.0 }, milliseconds(500) });
         EXPECT_FALSE(constraints.rateLimit(server));
-        constraints.onReport({ server, 3.0, {} });
+        constraints.onReport({ server, { 3.0 }, {} });
         EXPECT_EQ(constraints.rateLimit(server), 3.0);
     }
 
     TEST_F(ARateLimit, IsReportedByTheInstanceThatLearnedItFromAnAnswer)
     {
-        constraints.onReport({ 8, 1.0, {} });
-        constraints.onAnswer(server, 2.0);
+        constraints.onReport({ 8, { 1.0 }, {} });
+        constraints.onAnswer(server, { 2.0 });
         ASSERT_EQ(constraints.reports().size(), 1u);
         EXPECT_EQ(constraints.reports()[0].server, server);
-        constraints.onAnswer(server, std::nullopt);
+        constraints.onAnswer(server, {});
         ASSERT_EQ(constraints.reports().size(), 1u);
-        EXPECT_FALSE(constraints.reports()[0].requestsPerSecond);
+        EXPECT_FALSE(constraints.reports()[0].statement.requestsPerSecond);
         clock.advance(seconds(11));
         EXPECT_TRUE(constraints.reports().empty());
         EXPECT_EQ(constraints.rateLimit(8), 1.0);
         constraints.remove(8);
+        EXPECT_EQ(constraints.rateLimit(8), 1.0);
+        clock.advance(std::chrono::minutes(6));
+        constraints.remove(9);
         EXPECT_FALSE(constraints.rateLimit(8));
     }
 
     TEST_F(ARateLimit, FillsHeartbeatsWithABoundedNumberOfReports)
     {
         for (std::uint64_t n = 0; n < 1000; ++n)
-            constraints.onAnswer(n, 1.0);
+            constraints.onAnswer(n, { 1.0 });
         EXPECT_LE(constraints.reports().size(), 50u);
     }
 
+    struct ADeparture : ARateLimit {
+        const ServerStatement leaving { {}, true, {} };
+    };
+
+    TEST_F(ADeparture, IsNewsOnceAndHoldsWhateverLaterAnswersSay)
+    {
+        EXPECT_FALSE(constraints.isLeaving(server));
+        EXPECT_TRUE(constraints.onAnswer(server, leaving));
+        EXPECT_FALSE(constraints.onAnswer(server, leaving));
+        EXPECT_FALSE(constraints.onAnswer(server, {}));
+        constraints.onReport({ server, {}, {} });
+        EXPECT_TRUE(constraints.isLeaving(server));
+    }
+
+    TEST_F(ADeparture, IsRememberedWhileTheServersEntryIsMissing)
+    {
+        constraints.onAnswer(server, leaving);
+        constraints.remove(server);
+        clock.advance(seconds(30));
+        EXPECT_TRUE(constraints.isLeaving(server));
+        EXPECT_TRUE(constraints.reports().empty());
+    }
+
+    TEST_F(ADeparture, IsLearnedFromOtherInstances)
+    {
+        constraints.onReport({ server, leaving, seconds(20) });
+        EXPECT_TRUE(constraints.isLeaving(server));
+        EXPECT_TRUE(constraints.reports().empty());
+    }
+
+    TEST_F(ARateLimit, AndARestOfTheSameServerEndIndependently)
+    {
+        constraints.onAnswer(server, { 2.0, false, seconds(3) });
+        EXPECT_EQ(constraints.restFor(server), seconds(3));
+        clock.advance(seconds(1));
+        // A shorter rest named later, and a report of another instance, do not shorten it.
+        constraints.onAnswer(server, { 2.0, false, seconds(1) });
+        constraints.onReport({ server, { {}, false, milliseconds(500) }, seconds(9) });
+        EXPECT_EQ(constraints.restFor(server), seconds(2));
+        EXPECT_EQ(constraints.reports()[0].statement.restFor, seconds(2));
+        clock.advance(seconds(2));
+        EXPECT_EQ(constraints.restFor(server), Duration::zero());
+        EXPECT_EQ(constraints.rateLimit(server), 2.0);
+    }
+
     // The sum of the shares, and of one request that each may send at any time, stays within what a limit bears.
     TEST(SharesOfARateLimit, AddUpToLessThanTheLimit)
     {
--- a/tests/entry/server_limit_test.cpp
+++ b/tests/entry/server_limit_test.cpp
@@ -168,7 +168,7 @@
                     return false;
                 const auto server = it.ticket.server;
                 const bool limited = isLimited(indexOf(server));
-                it.instance->tracker.constraints().onAnswer(server, limited ? std::optional(GetParam().limit) : std::nullopt);
+                it.instance->tracker.constraints().onAnswer(server, { limited ? std::optional(GetParam().limit) : std::nullopt });
                 if (limited)
                     it.instance->toldAt.try_emplace(server, m_clock.now());
                 it.instance->tracker.onFirstByte(it.ticket);
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -403,6 +403,55 @@
         }
     }
 
+    // Guards against requests to a server whose answers say that it leaves, before the store says so.
+    TEST_F(EntryInstances, StaySilentToAServerWhoseAnswersSayThatItLeaves)
+    {
+        startServer("ledger-2-sofia", "ledger", "sofia");
+        for (const auto* name : { "sofia-1", "sofia-2" })
+            EXPECT_TRUE(waitUntil([&] { return m_fleet.metric(name, "yuccashift_servers_known") == 7; }));
+        m_fleet.control("ledger-sofia", "/control/leave", "{}");
+        const auto runs = [&] { return m_fleet.read("ledger-sofia", "/control/runs").at("total").to_number<int>(); };
+        EXPECT_TRUE(waitUntil([&, n = 0]() mutable {
+            m_fleet.call("sofia-1", "told-" + std::to_string(n++), "GET", "/read/x");
+            return runs() > 0;
+        }));
+        const auto before = runs();
+        for (int n = 0; n < 40; ++n)
+            EXPECT_TRUE(m_fleet.call("sofia-1", "later-" + std::to_string(n), "GET", "/read/x").ok());
+        EXPECT_EQ(runs(), before);
+        // The other instance of the region learns it by heartbeat.
+        EXPECT_TRUE(waitUntil([&, n = 0]() mutable {
+            const auto first = runs();
+            for (int k = 0; k < 10; ++k)
+                m_fleet.call("sofia-2", "other-" + std::to_string(n++), "GET", "/read/x");
+            return runs() == first;
+        }));
+    }
+
+    // Guards against requests to a server that asked for a rest when it turned one away.
+    TEST_F(EntryInstances, LeaveAServerAloneThatAsksForARest)
+    {
+        m_fleet.withdraw("ledger-varna");
+        EXPECT_TRUE(waitUntil([&] { return m_fleet.metric("sofia-1", "yuccashift_servers_known") == 5; }));
+        m_fleet.control("ledger-sofia", "/control/rest", R"({"seconds":"50"})");
+        m_fleet.control("ledger-sofia", "/control/refuse", R"({"on":true})");
+        const auto refused = [&] { return m_fleet.read("ledger-sofia", "/control/runs").at("refused").to_number<int>(); };
+        EXPECT_EQ(m_fleet.call("sofia-1", "first", "GET", "/read/x").status, 503);
+        EXPECT_EQ(refused(), 1);
+        for (int n = 0; n < 20; ++n) {
+            const auto reply = m_fleet.call("sofia-1", "rest-" + std::to_string(n), "GET", "/read/x");
+            EXPECT_EQ(reply.status, 503);
+            EXPECT_GT(std::stod(reply.header("retry-after")), 5);
+        }
+        EXPECT_EQ(refused(), 1);
+        EXPECT_TRUE(waitUntil([&, n = 0]() mutable {
+            const auto first = refused();
+            for (int k = 0; k < 10; ++k)
+                m_fleet.call("sofia-2", "other-" + std::to_string(n++), "GET", "/read/x");
+            return refused() == first;
+        }));
+    }
+
     // Guards against instances that ignore the rate limit that a server names in its answers.
     TEST_F(EntryInstances, KeepToTheRateLimitThatAServerNames)
     {
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -25,6 +25,7 @@
         }
 
         void onServerGone(const BackendServer& server) override { gone.push_back(server.identity.id); }
+        void onServerRemoved(const BackendServer& server) override { removed.push_back(server.identity.id); }
         void onServerAdded(const BackendServer& server) override { added.push_back(server.identity.id); }
         void onConfig(const RouteIndex&) override { ++configs; }
 
@@ -33,6 +34,7 @@
         FleetState fleetState { clock, items };
         std::int64_t revision = 0;
         std::vector<std::string> gone;
+        std::vector<std::string> removed;
         std::vector<std::string> added;
         int configs = 0;
     };
@@ -47,6 +49,16 @@
         EXPECT_EQ(fleetState.configVersion(), 9);
     }
 
+    TEST_F(AFleetState, ReportsTheRemovalOfADrainingServer)
+    {
+        publish("s", "server draft 10.0.0.1:80 hall ready 1 0 4");
+        publish("s", "server draft 10.0.0.1:80 hall draining 1 0 4");
+        EXPECT_EQ(gone.size(), 1u);
+        EXPECT_TRUE(removed.empty());
+        remove("s");
+        EXPECT_EQ(removed, std::vector<std::string> { "s" });
+    }
+
     TEST_F(AFleetState, KeepsItsConfigurationIfTheItemBecomesInvalid)
     {
         publish("config", "config 5");
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -59,14 +59,33 @@
 
     TEST_F(ThePlatformCodec, DecodesTheRateLimitOfAServer)
     {
-        const auto limitIn = [&](const char* value) { return codec.decodeAnswer({ 200, { { "server-limit", value } }, {} }).rateLimit; };
+        const auto limitIn = [&](const char* value) { return codec.decodeAnswer({ 200, { { "server-limit", value } }, {} }).statement.requestsPerSecond; };
         EXPECT_EQ(limitIn("1"), 1.0);
         EXPECT_EQ(limitIn("0.25"), 0.25);
         EXPECT_EQ(limitIn("0"), 0.0);
         for (const auto* value : { "", "-1", "much", "1 per second", "nan", "inf", "1e9999" })
             EXPECT_FALSE(limitIn(value)) << value;
-        EXPECT_FALSE(codec.decodeAnswer({ 200, {}, {} }).rateLimit);
-        EXPECT_EQ(codec.decodeHealth({ 200, { { "Server-Limit", "2" } }, {} }).rateLimit, 2.0);
+        EXPECT_FALSE(codec.decodeAnswer({ 200, {}, {} }).statement.requestsPerSecond);
+        EXPECT_EQ(codec.decodeHealth({ 200, { { "Server-Limit", "2" } }, {} }).statement.requestsPerSecond, 2.0);
+    }
+
+    TEST_F(ThePlatformCodec, DecodesTheDepartureOfAServer)
+    {
+        EXPECT_TRUE(codec.decodeAnswer({ 200, { { "server-leaving", "1" } }, {} }).statement.leaving);
+        EXPECT_TRUE(codec.decodeHealth({ 503, { { "Server-Leaving", "1" } }, {} }).statement.leaving);
+        EXPECT_FALSE(codec.decodeAnswer({ 200, { { "Server-Leaving", "0" } }, {} }).statement.leaving);
+        EXPECT_FALSE(codec.decodeAnswer({ 200, {}, {} }).statement.leaving);
+    }
+
+    TEST_F(ThePlatformCodec, DecodesTheRestThatARefusingServerAsksFor)
+    {
+        const auto restIn = [&](int status, const char* value) { return codec.decodeAnswer({ status, { { "Retry-After", value } }, {} }).statement.restFor; };
+        EXPECT_EQ(restIn(503, "3"), seconds(3));
+        EXPECT_EQ(restIn(503, "0.25"), milliseconds(250));
+        EXPECT_EQ(restIn(503, "86400"), seconds(60));
+        for (const auto* value : { "", "-1", "soon", "Fri, 31 Dec 1999 23:59:59 GMT", "nan" })
+            EXPECT_EQ(restIn(503, value), Duration::zero()) << value;
+        EXPECT_EQ(restIn(200, "3"), Duration::zero());
     }
 
     TEST_F(ThePlatformCodec, DecodesTheHealthOfAServer)
