Follow a store that comes back from an older copy, by its era

A later era is entered with a complete listing only; answers, watches and peers of an older one change nothing.

--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -104,8 +104,8 @@
         State& owner;
     };
 
-    void onChanges(const std::vector<ItemChange>&, std::int64_t through) override;
-    void onListing(const std::vector<ItemChange>&, std::int64_t through) override;
+    void onChanges(const std::vector<ItemChange>&, const StorePosition& through) override;
+    void onListing(const std::vector<ItemChange>&, const StorePosition& through) override;
     void onReachable(bool reachable, std::string_view reason) override;
     void onServerGone(const BackendServer&) override;
     void onServerRemoved(const BackendServer&) override;
@@ -192,19 +192,29 @@
     RequestJob::start(owner.core, std::move(exchange), std::move(metadata));
 }
 
-void EntryNode::State::onChanges(const std::vector<ItemChange>& changes, std::int64_t through)
+void EntryNode::State::onChanges(const std::vector<ItemChange>& changes, const StorePosition& through)
 {
+    core.fleetState.setFirstEra(through.era);
     const auto before = core.fleetState.replica().revision();
-    core.fleetState.apply(changes, through);
+    if (through.era < core.fleetState.replica().era())
+        return;
+    core.fleetState.apply(changes, through.revision);
     // An instance that polls learns something new only if the watchers of the region do not.
     if (core.fleetState.replica().revision() > before)
         gossip.forwardChanges(before);
 }
 
-void EntryNode::State::onListing(const std::vector<ItemChange>& items, std::int64_t through)
+void EntryNode::State::onListing(const std::vector<ItemChange>& items, const StorePosition& through)
 {
-    logInfo("published items loaded", { { "items", items.size() }, { "revision", through } });
-    core.fleetState.replaceAll(items, through);
+    auto& fleetState = core.fleetState;
+    fleetState.setFirstEra(through.era);
+    if (through.era < fleetState.replica().era())
+        return;
+    logInfo("published items loaded", { { "items", items.size() }, { "era", through.era }, { "revision", through.revision } });
+    if (through.era > fleetState.replica().era())
+        fleetState.beginEra(through.era, items, through.revision);
+    else
+        fleetState.replaceAll(items, through.revision);
 }
 
 void EntryNode::State::onReachable(bool reachable, std::string_view reason)
@@ -294,7 +304,7 @@
     const auto now = clock.now();
     core.fleetState.tick();
     snapshots.tick();
-    store->skipTo(core.fleetState.replica().completeRevision());
+    store->skipTo({ core.fleetState.replica().era(), core.fleetState.replica().completeRevision() });
     if (!core.peerTable.isIsolated())
         core.retryBudget.setInstanceCount(core.peerTable.knownInstanceCount() + unseenInstanceMargin);
     if (pauses.resumedFromPause(now, clock.wallNow())) {
@@ -345,6 +355,7 @@
     metrics.gauge("yuccashift_store_calls").set(static_cast<std::int64_t>(store->callCount()));
     metrics.gauge("yuccashift_store_reachable").set(storeReachable ? 1 : 0);
     metrics.gauge("yuccashift_store_revision").set(core.fleetState.replica().revision());
+    metrics.gauge("yuccashift_store_era").set(core.fleetState.replica().era());
     metrics.gauge("yuccashift_items_behind_milliseconds").set(std::chrono::duration_cast<milliseconds>(snapshots.behindFor()).count());
     metrics.gauge("yuccashift_config_version").set(core.fleetState.configVersion());
     metrics.gauge("yuccashift_retry_slack").set(static_cast<std::int64_t>(core.retryBudget.shareOfSlack()));
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -241,6 +241,7 @@
     heartbeat.takesCallers = !m_core.draining() && m_core.fleetState.configVersion() > 0;
     heartbeat.configVersion = m_core.fleetState.configVersion();
     heartbeat.storeRevision = m_core.fleetState.replica().completeRevision();
+    heartbeat.storeEra = m_core.fleetState.replica().era();
     heartbeat.knownRevision = m_core.fleetState.replica().revision();
     heartbeat.crashes = m_core.crashTracker.ownCrashes();
     if (!withProfile)
--- a/src/yuccashift/entry/snapshot_exchange.cpp
+++ b/src/yuccashift/entry/snapshot_exchange.cpp
@@ -17,6 +17,8 @@
     constexpr std::string_view snapshotPath = "/yuccashift-peer/snapshot?after=";
     /** Asks that large values are left out. Earlier versions ignore it and send them. */
     constexpr std::string_view valuesFollow = "&values=follow";
+    /** Introduces the era of the requester's revision. Earlier versions ignore it. */
+    constexpr std::string_view eraParameter = "&era=";
     constexpr std::string_view valuePath = "/yuccashift-peer/value?after=";
     /** Introduces the item's key in hexadecimal digits. */
     constexpr std::string_view keyParameter = "&key=";
@@ -32,6 +34,8 @@
     constexpr int failuresBeforeStoreRead = 2;
     /** Time to wait for another instance to have an awaited value before the store is read. */
     constexpr Duration maxWaitForHolder = milliseconds(1500);
+    /** Era of a store that has never come back from an older copy. */
+    constexpr std::int64_t firstEra = 1;
     /** Upper limit on the size of a value, in bytes. */
     constexpr std::int32_t maxValueBytes = 16 << 20;
     constexpr int statusOk = 200;
@@ -62,6 +66,20 @@
         return key;
     }
 
+    std::string snapshotTarget(const ItemReplica& replica)
+    {
+        std::string target(snapshotPath);
+        target.append(std::to_string(replica.revision())).append(eraParameter).append(std::to_string(replica.era())).append(valuesFollow);
+        return target;
+    }
+
+    /** The era that the target names; 0 if it names none. */
+    std::int64_t parseEra(std::string_view target)
+    {
+        const auto at = target.find(eraParameter);
+        return at == std::string_view::npos ? 0 : parseRevision(target.substr(at + eraParameter.size())).value_or(0);
+    }
+
     std::string valueTarget(const std::string& key, std::int64_t after)
     {
         return std::string(valuePath) + std::to_string(after) + std::string(keyParameter) + boost::algorithm::hex(key);
@@ -122,9 +140,20 @@
 
 } // namespace
 
+fleetwire::Snapshot wholeSnapshot(const ItemReplica& held, LargeValues largeValues)
+{
+    fleetwire::Snapshot snapshot;
+    snapshot.era = held.era();
+    snapshot.revision = held.revision();
+    snapshot.whole = true;
+    addAll(snapshot, held, largeValues);
+    return snapshot;
+}
+
 fleetwire::Snapshot snapshotAfter(const ItemReplica& held, std::int64_t revision, LargeValues largeValues)
 {
     fleetwire::Snapshot snapshot;
+    snapshot.era = held.era();
     snapshot.revision = held.revision();
     snapshot.after = revision;
     if (const auto changes = held.changesAfter(revision)) {
@@ -132,21 +161,28 @@
             addChange(snapshot, held, change, largeValues);
         return snapshot;
     }
-    snapshot.whole = true;
-    addAll(snapshot, held, largeValues);
-    return snapshot;
+    return wholeSnapshot(held, largeValues);
 }
 
 bool applySnapshot(FleetState& fleetState, const fleetwire::Snapshot& snapshot)
 {
     const auto known = fleetState.replica().revision();
-    if (snapshot.revision <= known || (!snapshot.whole && snapshot.after > known))
+    const auto era = fleetState.replica().era();
+    // An earlier version names no era. Its snapshot belongs to the own era unless the store has begun another.
+    const bool sameEra = snapshot.era == era || (snapshot.era == 0 && era <= firstEra);
+    const bool newEra = snapshot.era > era && era != 0;
+    if (!sameEra && !newEra && era != 0)
+        return false;
+    if (newEra ? !snapshot.whole : snapshot.revision <= known || (!snapshot.whole && snapshot.after > known))
         return false;
     std::vector<ItemChange> items;
     items.reserve(snapshot.items.size());
     for (const auto& it : snapshot.items)
         items.push_back({ it.key, it.__isset.value ? std::optional(it.value) : std::nullopt, it.revision, it.valueFollows });
-    if (snapshot.whole)
+    fleetState.setFirstEra(snapshot.era);
+    if (newEra)
+        fleetState.beginEra(snapshot.era, items, snapshot.revision);
+    else if (snapshot.whole)
         fleetState.replaceAll(items, snapshot.revision);
     else
         fleetState.apply(items, snapshot.revision);
@@ -159,13 +195,14 @@
     if (item == held.items().end() || item->second.revision <= after)
         return {};
     auto& entry = m_entries[key];
-    if (entry.revision != item->second.revision) {
+    if (entry.position != StorePosition { held.era(), item->second.revision }) {
         fleetwire::ItemValue message;
         message.key = key;
         message.revision = item->second.revision;
         message.size = static_cast<std::int32_t>(item->second.value.size());
         message.compressed = compress(item->second.value);
-        entry = { message.revision, encodeItemValue(message) };
+        message.era = held.era();
+        entry = { { message.era, message.revision }, encodeItemValue(message) };
     }
     return entry.message;
 }
@@ -174,11 +211,12 @@
 {
     if (message.size < 0 || message.size > maxValueBytes)
         return fail(ErrorKind::MalformedRequest, "a value of " + std::to_string(message.size) + " bytes");
+    if (message.era != fleetState.replica().era())
+        return fail(ErrorKind::MalformedRequest, "a value of era " + std::to_string(message.era));
     auto value = decompress(message.compressed, static_cast<std::size_t>(message.size));
     if (!value)
         return tl::unexpected(value.error());
-    const std::vector<ItemChange> changes { { message.key, std::move(*value), message.revision } };
-    fleetState.apply(changes, fleetState.replica().revision());
+    fleetState.applyValue({ message.key, std::move(*value), message.revision });
     return {};
 }
 
@@ -315,9 +353,9 @@
 {
     const auto& replica = m_core.fleetState.replica();
     const auto peers = m_core.peerTable.alive();
-    const auto* ahead = chooseSnapshotSource(peers, m_core.settings.region, replica.revision(), *m_core.random);
+    const auto* ahead = chooseSnapshotSource(peers, m_core.settings.region, { replica.era(), replica.revision() }, *m_core.random);
     if (isDue(m_changes, ahead))
-        startFetch(m_changes, *ahead, std::string(snapshotPath) + std::to_string(replica.revision()) + std::string(valuesFollow), [this](const auto& body) { return takeSnapshot(body); });
+        startFetch(m_changes, *ahead, snapshotTarget(replica), [this](const auto& body) { return takeSnapshot(body); });
     fetchAwaitedValue(peers);
 }
 
@@ -329,7 +367,7 @@
         return;
     }
     const auto& [key, revision] = *replica.awaitedValues().begin();
-    const auto* holder = chooseValueSource(peers, m_core.settings.region, revision, *m_core.random);
+    const auto* holder = chooseValueSource(peers, m_core.settings.region, { replica.era(), revision }, *m_core.random);
     const bool due = isDue(m_values, true);
     const auto now = m_core.clock.now();
     if (due && holder) {
@@ -373,7 +411,9 @@
         const auto largeValues = target.ends_with(valuesFollow) ? LargeValues::Follow : LargeValues::Included;
         if (!after || (largeValues == LargeValues::Included && !replica.awaitedValues().empty()))
             return {};
-        return encodeSnapshot(snapshotAfter(replica, *after, largeValues));
+        const auto era = parseEra(target);
+        // The requester's revision means nothing here if it belongs to another era.
+        return encodeSnapshot(era == 0 || era == replica.era() ? snapshotAfter(replica, *after, largeValues) : wholeSnapshot(replica, largeValues));
     }
     const auto after = parseRevision(target.substr(valuePath.size()));
     const auto key = parseKey(target);
--- a/src/yuccashift/entry/snapshot_exchange.hpp
+++ b/src/yuccashift/entry/snapshot_exchange.hpp
@@ -21,7 +21,9 @@
 
 /** The changes after the given revision or, if they are no longer available, all items. */
 fleetwire::Snapshot snapshotAfter(const ItemReplica&, std::int64_t revision, LargeValues = LargeValues::Follow);
-/** Applies a snapshot from another instance; returns false if it is not newer or leaves a gap after the revision held. */
+/** All items. */
+fleetwire::Snapshot wholeSnapshot(const ItemReplica&, LargeValues = LargeValues::Follow);
+/** Applies a snapshot from another instance; returns false if it is not newer, leaves a gap after the revision held or belongs to an older era. */
 bool applySnapshot(FleetState&, const fleetwire::Snapshot&);
 
 /** Compressed values of items for other instances. Compresses each revision of an item once. */
@@ -32,7 +34,7 @@
 
 private:
     struct Entry {
-        std::int64_t revision = 0;
+        StorePosition position;
         std::string message;
     };
     std::map<std::string, Entry> m_entries;
--- a/src/yuccashift/entry/snapshot_source.cpp
+++ b/src/yuccashift/entry/snapshot_source.cpp
@@ -8,6 +8,8 @@
 
     /** The rest of the link is for callers' requests and for what this instance fetches itself. */
     constexpr double linkShare = 1.0 / 3;
+    /** Era of a store that has never come back from an older copy. */
+    constexpr std::int64_t firstEra = 1;
     constexpr double bytesPerMegabit = 1e6 / 8;
     /** Time in which the budget for a burst accumulates. */
     constexpr double burstSeconds = 0.6;
@@ -17,14 +19,21 @@
         return linkShare * linkMbps * bytesPerMegabit;
     }
 
+    /** A revision of the peer. Peers of an earlier version name no era; they count as being in the own one only while it is the first. */
+    StorePosition positionOf(const PeerState& peer, std::int64_t revision, const StorePosition& own)
+    {
+        const bool namesNone = peer.storeEra == 0 && own.era <= firstEra;
+        return { namesNone ? own.era : peer.storeEra, revision };
+    }
+
 } // namespace
 
-const PeerState* chooseSnapshotSource(std::span<const PeerState* const> peers, const RegionName& ownRegion, std::int64_t ownRevision, RandomSource& random)
+const PeerState* chooseSnapshotSource(std::span<const PeerState* const> peers, const RegionName& ownRegion, const StorePosition& own, RandomSource& random)
 {
     std::vector<const PeerState*> near;
     std::vector<const PeerState*> far;
     for (const auto* peer : peers) {
-        if (peer->knownRevision > ownRevision)
+        if (positionOf(*peer, peer->knownRevision, own) > own)
             (peer->region == ownRegion ? near : far).push_back(peer);
     }
     const auto& ahead = near.empty() ? far : near;
@@ -33,15 +42,15 @@
     // The newer of two random ones: whoever is only slightly ahead may lack the change that matters.
     const auto* first = ahead[random.uniformBelow(ahead.size())];
     const auto* second = ahead[random.uniformBelow(ahead.size())];
-    return second->knownRevision > first->knownRevision ? second : first;
+    return positionOf(*second, second->knownRevision, own) > positionOf(*first, first->knownRevision, own) ? second : first;
 }
 
-const PeerState* chooseValueSource(std::span<const PeerState* const> peers, const RegionName& ownRegion, std::int64_t revision, RandomSource& random)
+const PeerState* chooseValueSource(std::span<const PeerState* const> peers, const RegionName& ownRegion, const StorePosition& position, RandomSource& random)
 {
     std::vector<const PeerState*> near;
     std::vector<const PeerState*> far;
     for (const auto* peer : peers) {
-        if (peer->sendsValues && peer->storeRevision >= revision)
+        if (peer->sendsValues && peer->storeEra == position.era && peer->storeRevision >= position.revision)
             (peer->region == ownRegion ? near : far).push_back(peer);
     }
     const auto& holders = near.empty() ? far : near;
--- a/src/yuccashift/entry/snapshot_source.hpp
+++ b/src/yuccashift/entry/snapshot_source.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccashift/fleet/item_replica.hpp"
 #include "yuccashift/fleet/peer_table.hpp"
 #include "yuccashift/kernel/random.hpp"
 #include "yuccashift/limits/token_bucket.hpp"
@@ -14,13 +15,13 @@
  * Prefers instances of the own region. The choice is random, so that a region that falls behind together
  * does not fetch from the same instance.
  */
-const PeerState* chooseSnapshotSource(std::span<const PeerState* const> peers, const RegionName& ownRegion, std::int64_t ownRevision, RandomSource&);
+const PeerState* chooseSnapshotSource(std::span<const PeerState* const> peers, const RegionName& ownRegion, const StorePosition& own, RandomSource&);
 
 /**
- * Chooses the instance to fetch a value from that was written with the given revision, or nullptr if
+ * Chooses the instance to fetch a value from that was written at the given position, or nullptr if
  * none of the peers has it. Prefers instances of the own region and is random among them.
  */
-const PeerState* chooseValueSource(std::span<const PeerState* const> peers, const RegionName& ownRegion, std::int64_t revision, RandomSource&);
+const PeerState* chooseValueSource(std::span<const PeerState* const> peers, const RegionName& ownRegion, const StorePosition& position, RandomSource&);
 
 /** Limits the bytes of the snapshots and values that one instance sends, so that many requests at once fill neither its memory nor its link. */
 class SnapshotBudget {
--- a/src/yuccashift/entry/store_reader.hpp
+++ b/src/yuccashift/entry/store_reader.hpp
@@ -13,10 +13,10 @@
 class StoreListener {
 public:
     virtual ~StoreListener();
-    /** Changes in the order of their revisions, complete up to revision `through`. */
-    virtual void onChanges(const std::vector<ItemChange>&, std::int64_t through) = 0;
-    /** All items as of revision `through`. */
-    virtual void onListing(const std::vector<ItemChange>&, std::int64_t through) = 0;
+    /** Changes in the order of their revisions, complete up to the position `through`. */
+    virtual void onChanges(const std::vector<ItemChange>&, const StorePosition& through) = 0;
+    /** All items as of the position `through`. */
+    virtual void onListing(const std::vector<ItemChange>&, const StorePosition& through) = 0;
     /** The store has become unreachable or reachable again; `reason` is for the log. */
     virtual void onReachable(bool reachable, std::string_view reason) = 0;
 };
@@ -35,8 +35,8 @@
     virtual void setPollInterval(Duration) = 0;
     /** Polls now, if the reader waits for its next poll. */
     virtual void pollNow() = 0;
-    /** All changes up to this revision have arrived from other instances and need not be read. */
-    virtual void skipTo(std::int64_t revision) = 0;
+    /** All changes up to this position have arrived from other instances and need not be read. */
+    virtual void skipTo(const StorePosition&) = 0;
     /** Number of calls to the store since the start. */
     virtual std::uint64_t callCount() const = 0;
 };
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -76,6 +76,8 @@
     13: i64 knownRevision,
     // Only to instances of the own region.
     14: list<ServerRequest> serverRequests,
+    // Era of the store to which the revisions belong. Not sent by earlier versions.
+    15: i64 storeEra,
 }
 
 // One item of the platform's store, or its removal.
@@ -96,6 +98,8 @@
     3: bool whole,
     // Partial snapshots only: the items are the changes after this revision.
     4: i64 after,
+    // Era of the store to which the revisions belong. Not sent by earlier versions.
+    5: i64 era,
 }
 
 // The newest value of an item that the sender has.
@@ -106,6 +110,8 @@
     3: i32 size,
     // The value, compressed with deflate.
     4: binary compressed,
+    // Era of the store to which the revision belongs.
+    5: i64 era,
 }
 
 // Holds exactly one of the fields.
--- a/src/yuccashift/fleet/fleet_state.cpp
+++ b/src/yuccashift/fleet/fleet_state.cpp
@@ -8,6 +8,8 @@
 
     // Servers whose entries expired during an outage of the platform's store have registered again this long after it.
     constexpr Duration removalDelay = seconds(2);
+    // A store that comes back from a copy holds items that are some seconds old.
+    constexpr Duration departureMemory = std::chrono::minutes(5);
     // At least this many removals at once, if they are also at least half of the servers in service, look like
     // expired entries and not like departures.
     constexpr std::size_t minMassRemoval = 3;
@@ -37,6 +39,12 @@
     onChanges(applied);
 }
 
+void FleetState::applyValue(const ItemChange& change)
+{
+    if (m_replica.applyValue(change))
+        onChanges(std::span(&change, 1));
+}
+
 void FleetState::replaceAll(std::span<const ItemChange> listing, std::int64_t through)
 {
     const auto applied = m_replica.replaceAll(listing, through);
@@ -44,6 +52,16 @@
     onChanges(applied);
 }
 
+void FleetState::beginEra(std::int64_t era, std::span<const ItemChange> listing, std::int64_t through)
+{
+    logWarning("the store begins a new era; its items may be older than those known", { { "era", era }, { "before", m_replica.era() }, { "revision", through }, { "revision_before", m_replica.revision() } });
+    const auto applied = m_replica.beginEra(era, listing, through);
+    deferRemovals();
+    m_beginningEra = true;
+    onChanges(applied);
+    m_beginningEra = false;
+}
+
 void FleetState::deferIfMassRemoval(std::span<const ItemChange> changes)
 {
     std::size_t removedCount = 0;
@@ -106,6 +124,10 @@
     const auto it = m_servers.find(key);
     const bool known = it != m_servers.end() && it->second.identity == server.identity && it->second.address == server.address;
     server.coldUntil = now + entry.coldFor;
+    if (m_beginningEra && m_departures.contains(server.identityHash))
+        server.draining = true;
+    if (server.draining)
+        rememberDeparture(server);
     const bool changed = !known || it->second.draining != server.draining;
     if (changed)
         logInfo("backend server added or changed", { { "id", server.identity.id }, { "born", server.identity.startedAtMs }, { "service", server.service }, { "datacentre", server.datacentre }, { "draining", server.draining ? 1 : 0 }, { "cold_ms", toMilliseconds(server.coldUntil - now) } });
@@ -128,6 +150,7 @@
         return;
     const auto server = std::move(it->second);
     m_servers.erase(it);
+    rememberDeparture(server);
     logInfo("backend server removed", { { "id", server.identity.id }, { "service", server.service }, { "datacentre", server.datacentre } });
     if (!m_observer)
         return;
@@ -135,12 +158,28 @@
     m_observer->onServerRemoved(server);
 }
 
+void FleetState::rememberDeparture(const BackendServer& server)
+{
+    const auto now = m_clock.now();
+    std::erase_if(m_departures, [&](const auto& it) { return now - it.second >= departureMemory; });
+    m_departures[server.identityHash] = now;
+}
+
+void FleetState::endEvacuation(const std::string& key)
+{
+    const auto it = m_evacuations.find(key);
+    logInfo("data centre evacuation ended", { { "datacentre", it->second } });
+    m_evacuated.erase(it->second);
+    m_evacuations.erase(it);
+}
+
 void FleetState::onRemoved(const std::string& key)
 {
-    if (const auto it = m_evacuations.find(key); it != m_evacuations.end()) {
-        logInfo("data centre evacuation ended", { { "datacentre", it->second } });
-        m_evacuated.erase(it->second);
-        m_evacuations.erase(it);
+    if (m_evacuations.contains(key)) {
+        if (m_beginningEra)
+            m_deferredRemovals.insert(key);
+        else
+            endEvacuation(key);
         return;
     }
     const auto it = m_servers.find(key);
@@ -167,8 +206,12 @@
     if (m_deferredRemovals.empty() || m_clock.now() < m_removalsDeferredUntil)
         return;
     const auto due = std::exchange(m_deferredRemovals, {});
-    for (const auto& key : due)
-        removeServer(key);
+    for (const auto& key : due) {
+        if (m_evacuations.contains(key))
+            endEvacuation(key);
+        else
+            removeServer(key);
+    }
 }
 
 void FleetState::setCold(const std::string& id, Instant until)
--- a/src/yuccashift/fleet/fleet_state.hpp
+++ b/src/yuccashift/fleet/fleet_state.hpp
@@ -65,8 +65,15 @@
 
     /** Applies changes from a watch; see ItemReplica::apply(). */
     void apply(std::span<const ItemChange>, std::int64_t through);
+    /** Applies a value that followed its change; see ItemReplica::applyValue(). */
+    void applyValue(const ItemChange&);
     /** Applies a complete listing; see ItemReplica::replaceAll(). */
     void replaceAll(std::span<const ItemChange>, std::int64_t through);
+    /**
+     * Applies the first listing of an era; see ItemReplica::beginEra(). What the listing lacks is dropped after a delay,
+     * because its writers write it again. What was known of departures holds, though the listing may be older.
+     */
+    void beginEra(std::int64_t era, std::span<const ItemChange> listing, std::int64_t through);
 
     /**
      * To be called when the platform's store is reachable again after an outage. Servers
@@ -77,6 +84,8 @@
     /** Carries out the deferred removals that are due. */
     void tick();
 
+    /** See ItemReplica::setFirstEra(). */
+    void setFirstEra(std::int64_t era) { m_replica.setFirstEra(era); }
     const ItemReplica& replica() const { return m_replica; }
     /** Null until the first configuration arrives. */
     std::shared_ptr<const RouteIndex> routes() const { return m_routes; }
@@ -88,6 +97,8 @@
 
 private:
     void deferRemovalsUntil(Instant);
+    void endEvacuation(const std::string& key);
+    void rememberDeparture(const BackendServer&);
     void deferIfMassRemoval(std::span<const ItemChange>);
     void onChanges(std::span<const ItemChange>);
     void onItem(const ItemChange&);
@@ -105,9 +116,13 @@
     /** Evacuated data centres by their item's key. */
     std::map<std::string, DatacentreName> m_evacuations;
     std::set<DatacentreName> m_evacuated;
-    /** Keys of the servers whose removal is deferred. */
+    /** Keys of the servers and evacuations whose removal is deferred. */
     std::set<std::string> m_deferredRemovals;
     Instant m_removalsDeferredUntil {};
+    /** Whether the items being applied may be older than what was known before. */
+    bool m_beginningEra = false;
+    /** Identity hashes of the servers that drained or were removed, with the time. */
+    std::map<std::uint64_t, Instant> m_departures;
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/fleet/item_replica.cpp
+++ b/src/yuccashift/fleet/item_replica.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <utility>
 
 namespace yuccashift {
 
@@ -115,4 +116,30 @@
     return applied;
 }
 
+std::vector<ItemChange> ItemReplica::beginEra(std::int64_t era, std::span<const ItemChange> listing, std::int64_t through)
+{
+    const auto previous = std::exchange(m_items, {});
+    m_era = era;
+    m_revision = 0;
+    m_awaitedValues.clear();
+    m_history.clear();
+    auto applied = apply(listing, through);
+    m_history.clear();
+    m_historyFrom = m_revision;
+    std::erase_if(applied, [&](const auto& change) {
+        const auto it = previous.find(change.key);
+        return it != previous.end() && it->second.value == change.value;
+    });
+    for (const auto& [key, item] : previous) {
+        if (m_items.contains(key))
+            continue;
+        if (m_awaitedValues.contains(key))
+            // The value in force stays until the one of the new era arrives.
+            m_items[key] = { item.value, 0 };
+        else
+            applied.push_back({ key, std::nullopt, through });
+    }
+    return applied;
+}
+
 } // namespace yuccashift
--- a/src/yuccashift/fleet/peer_table.cpp
+++ b/src/yuccashift/fleet/peer_table.cpp
@@ -95,6 +95,7 @@
     peer.takesCallers = beat.takesCallers;
     peer.draining = beat.draining;
     peer.configVersion = beat.configVersion;
+    peer.storeEra = beat.storeEra;
     peer.storeRevision = beat.storeRevision;
     peer.sendsValues = beat.knownRevision > 0;
     peer.knownRevision = std::max(beat.storeRevision, beat.knownRevision);
--- a/src/yuccashift/fleet/peer_table.hpp
+++ b/src/yuccashift/fleet/peer_table.hpp
@@ -36,6 +36,8 @@
     bool takesCallers = false;
     bool draining = false;
     std::int64_t configVersion = 0;
+    /** Era of the store to which its revisions belong; 0 if it is an earlier version or the store names none. */
+    std::int64_t storeEra = 0;
     /** Revision up to which the peer has all published items with their values. */
     std::int64_t storeRevision = 0;
     /** Revision up to which it knows all changes, though it may lack values. */
--- a/tests/entry/snapshot_exchange_test.cpp
+++ b/tests/entry/snapshot_exchange_test.cpp
@@ -90,6 +90,45 @@
         EXPECT_TRUE(behind.servers().at("s1").draining);
     }
 
+    struct SnapshotsOfTwoEras : testing::Test {
+        SnapshotsOfTwoEras()
+        {
+            const std::vector<ItemChange> first { { "config", "config 7", 10 }, { "s1", "server draft 10.0.0.1:80 hall ready 1 0 4", 12 } };
+            for (auto* it : { &ahead, &behind }) {
+                it->setFirstEra(1);
+                it->replaceAll(first, 12);
+            }
+            const std::vector<ItemChange> second { { "config", "config 7", 4 }, { "s2", "server draft 10.0.0.2:80 hall ready 1 0 4", 5 } };
+            ahead.beginEra(2, second, 5);
+        }
+
+        VirtualClock clock;
+        test::WordItems items;
+        FleetState ahead { clock, items };
+        FleetState behind { clock, items };
+    };
+
+    TEST_F(SnapshotsOfTwoEras, MoveAnInstanceToTheLaterOneOnlyAsAWhole)
+    {
+        EXPECT_FALSE(applySnapshot(behind, snapshotAfter(ahead.replica(), 5)));
+        EXPECT_TRUE(applySnapshot(behind, wholeSnapshot(ahead.replica())));
+        EXPECT_EQ(behind.replica().era(), 2);
+        EXPECT_EQ(behind.replica().revision(), 5);
+        EXPECT_TRUE(behind.servers().contains("s2"));
+    }
+
+    TEST_F(SnapshotsOfTwoEras, NeverMoveAnInstanceBack)
+    {
+        EXPECT_FALSE(applySnapshot(ahead, wholeSnapshot(behind.replica())));
+        auto ofAnEarlierVersion = wholeSnapshot(behind.replica());
+        ofAnEarlierVersion.era = 0;
+        EXPECT_FALSE(applySnapshot(ahead, ofAnEarlierVersion));
+        CompressedValues values;
+        EXPECT_FALSE(applyItemValue(ahead, *decodeItemValue(*values.encode(behind.replica(), "config", 0))));
+        EXPECT_EQ(ahead.replica().era(), 2);
+        EXPECT_EQ(ahead.replica().items().at("config").revision, 4);
+    }
+
     TEST(CompressedValuesOfItems, AreSentOnlyIfTheyAreNewer)
     {
         ItemReplica held;
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -403,6 +403,29 @@
         }
     }
 
+    // Guards against instances that hold on to items of a store that came back from an older copy, and take its reissued
+    // revisions for changes that they know.
+    TEST_F(EntryInstances, FollowAStoreThatComesBackFromAnOlderCopy)
+    {
+        const auto revision = [&] { return m_fleet.read("store", "/control/counts").at("revision").to_number<std::int64_t>(); };
+        const auto copy = revision();
+        m_fleet.publishConfig(7, routes);
+        startServer("lost-1", "ledger", "sofia");
+        startServer("lost-2", "ledger", "sofia");
+        for (const auto* name : { "sofia-1", "sofia-2", "varna-1" })
+            EXPECT_TRUE(waitUntil([&] { return m_fleet.metric(name, "yuccashift_servers_known") == 8 && m_fleet.metric(name, "yuccashift_config_version") == 7; })) << name;
+
+        m_fleet.control("store", "/control/restore", R"({"revision":)" + std::to_string(copy) + "}");
+        // Reissues the lost revisions with other content.
+        startServer("new-1", "ledger", "sofia");
+        m_fleet.publishConfig(7, routes);
+        for (const auto* name : { "sofia-1", "sofia-2", "varna-1" }) {
+            EXPECT_TRUE(waitUntil([&] { return m_fleet.metric(name, "yuccashift_servers_known") == 7 && m_fleet.metric(name, "yuccashift_store_revision") == static_cast<double>(revision()); })) << name;
+            EXPECT_EQ(m_fleet.metric(name, "yuccashift_config_version"), 7) << name;
+            EXPECT_EQ(m_fleet.metric(name, "yuccashift_store_era"), 2) << name;
+        }
+    }
+
     // Guards against requests to a server whose answers say that it leaves, before the store says so.
     TEST_F(EntryInstances, StaySilentToAServerWhoseAnswersSayThatItLeaves)
     {
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -59,6 +59,73 @@
         EXPECT_EQ(removed, std::vector<std::string> { "s" });
     }
 
+    struct AStoreThatComesBackFromACopy : AFleetState {
+        AStoreThatComesBackFromACopy()
+        {
+            fleetState.setFirstEra(1);
+            publish("config", "config 5");
+            publish("s1", ready);
+            publish("s2", ready);
+            publish("evacuation", "evacuate annex");
+            publish("s1", draining);
+            publish("s2", nullptr);
+            publish("config", "config 9");
+        }
+        void publish(const std::string& key, const char* value)
+        {
+            if (value)
+                AFleetState::publish(key, value);
+            else
+                remove(key);
+        }
+        void comeBack(const std::vector<ItemChange>& copy) { fleetState.beginEra(2, copy, 4); }
+
+        static constexpr const char* ready = "server draft 10.0.0.1:80 hall ready 1 0 4";
+        static constexpr const char* draining = "server draft 10.0.0.1:80 hall draining 1 0 4";
+        const std::vector<ItemChange> olderCopy { { "config", "config 5", 1 }, { "s1", ready, 2 }, { "s2", ready, 3 } };
+    };
+
+    TEST_F(AStoreThatComesBackFromACopy, DoesNotBringBackAnOlderConfiguration)
+    {
+        comeBack(olderCopy);
+        EXPECT_EQ(fleetState.configVersion(), 9);
+    }
+
+    TEST_F(AStoreThatComesBackFromACopy, DoesNotUndoDepartures)
+    {
+        comeBack(olderCopy);
+        EXPECT_TRUE(fleetState.servers().at("s1").draining);
+        EXPECT_TRUE(fleetState.servers().at("s2").draining);
+        // A server that is still there writes its entry again.
+        const std::vector<ItemChange> rewritten { { "s2", "server draft 10.0.0.1:80 hall ready 1 7 4", 5 } };
+        fleetState.apply(rewritten, 5);
+        EXPECT_FALSE(fleetState.servers().at("s2").draining);
+    }
+
+    TEST_F(AStoreThatComesBackFromACopy, KeepsEvacuationsUntilTheyShouldHaveBeenWrittenAgain)
+    {
+        comeBack(olderCopy);
+        EXPECT_TRUE(fleetState.evacuated("annex"));
+        clock.advance(milliseconds(1900));
+        fleetState.tick();
+        EXPECT_TRUE(fleetState.evacuated("annex"));
+        clock.advance(milliseconds(200));
+        fleetState.tick();
+        EXPECT_FALSE(fleetState.evacuated("annex"));
+    }
+
+    TEST_F(AStoreThatComesBackFromACopy, KeepsServersUntilTheyShouldHaveBeenWrittenAgain)
+    {
+        publish("s3", ready);
+        comeBack(olderCopy);
+        EXPECT_TRUE(fleetState.servers().contains("s3"));
+        const std::vector<ItemChange> rewritten { { "s3", ready, 5 } };
+        fleetState.apply(rewritten, 5);
+        clock.advance(seconds(3));
+        fleetState.tick();
+        EXPECT_TRUE(fleetState.servers().contains("s3"));
+    }
+
     TEST_F(AFleetState, KeepsItsConfigurationIfTheItemBecomesInvalid)
     {
         publish("config", "config 5");
--- a/tests/fleet/item_replica_test.cpp
+++ b/tests/fleet/item_replica_test.cpp
@@ -145,6 +145,15 @@
         EXPECT_EQ(replica.completeRevision(), 9);
     }
 
+    // Found by fleet_fuzz: an instance passed on a change beyond the revision that it knew.
+    TEST_F(ValuesThatFollow, ThatAreNewerThanTheChangesKnownAreNotPassedOnAsChanges)
+    {
+        EXPECT_TRUE(replica.applyValue({ "config", "newest", 9 }));
+        EXPECT_EQ(replica.items().at("config").value, "newest");
+        EXPECT_EQ(replica.revision(), 6);
+        EXPECT_TRUE(replica.changesAfter(6)->empty());
+    }
+
     TEST_F(ValuesThatFollow, OfNewItemsAreTakenToo)
     {
         announce("other", 7);
@@ -154,6 +163,45 @@
         EXPECT_EQ(replica.completeRevision(), 4);
     }
 
+    struct ItemsOfANewEra : ItemsOfAReplica {
+        ItemsOfANewEra()
+        {
+            replica.setFirstEra(1);
+            change("same", "1", 3);
+            change("changed", "new", 8);
+            change("lost", "1", 9);
+        }
+    };
+
+    TEST_F(ItemsOfANewEra, ReplaceThoseOfThePreviousOneWhateverTheirRevisions)
+    {
+        const std::vector<ItemChange> listing { { "same", "1", 3 }, { "changed", "old", 2 } };
+        const auto applied = replica.beginEra(2, listing, 5);
+        EXPECT_EQ(replica.era(), 2);
+        EXPECT_EQ(replica.revision(), 5);
+        EXPECT_EQ(replica.items().size(), 2u);
+        EXPECT_EQ(replica.items().at("changed").value, "old");
+        ASSERT_EQ(applied.size(), 2u);
+        EXPECT_EQ(applied[0].key, "changed");
+        EXPECT_EQ(applied[1].key, "lost");
+        EXPECT_TRUE(applied[1].isRemoval());
+        change("changed", "reissued", 8);
+        EXPECT_EQ(replica.items().at("changed").value, "reissued");
+        EXPECT_FALSE(replica.changesAfter(4));
+        EXPECT_TRUE(replica.changesAfter(5));
+    }
+
+    TEST_F(ItemsOfANewEra, KeepTheValueInForceWhileTheNewOneFollows)
+    {
+        const std::vector<ItemChange> listing { { "changed", std::nullopt, 2, true } };
+        replica.beginEra(2, listing, 5);
+        EXPECT_EQ(replica.items().at("changed").value, "new");
+        EXPECT_EQ(replica.completeRevision(), 1);
+        const std::vector<ItemChange> value { { "changed", "old", 2 } };
+        EXPECT_EQ(replica.apply(value, 5).size(), 1u);
+        EXPECT_EQ(replica.completeRevision(), 5);
+    }
+
     TEST_F(ItemsOfAReplica, LeaveLargeValuesOutOfTheHistory)
     {
         const std::string large(maxInlineValueBytes + 1, 'x');
