Mend what the linter found in the new code

clang-tidy reports the defaulted three-way comparison as a null pointer, so that it is written out; two vectors of the retry budget's test become arrays.

--- a/src/yuccashift/fleet/item_replica.hpp
+++ b/src/yuccashift/fleet/item_replica.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace yuccashift {
@@ -21,7 +22,11 @@
     std::int64_t era = 0;
     std::int64_t revision = 0;
 
-    auto operator<=>(const StorePosition&) const = default;
+    friend bool operator==(const StorePosition&, const StorePosition&) = default;
+    friend std::strong_ordering operator<=>(const StorePosition& left, const StorePosition& right)
+    {
+        return std::pair(left.era, left.revision) <=> std::pair(right.era, right.revision);
+    }
 };
 
 /** A change of one published item: its new value or its removal. */
--- a/tests/dispatch/retry_budget_and_crash_tracker_test.cpp
+++ b/tests/dispatch/retry_budget_and_crash_tracker_test.cpp
@@ -126,15 +126,15 @@
             while (budget.tryRetry("draft"))
                 ++retries;
         };
-        std::vector<std::unique_ptr<FleetRetryBudget>> predecessors;
-        for (int n = 0; n < instances; ++n)
-            predecessors.push_back(std::make_unique<FleetRetryBudget>(clock, limits));
+        std::array<std::unique_ptr<FleetRetryBudget>, instances> predecessors;
+        for (auto& it : predecessors)
+            it = std::make_unique<FleetRetryBudget>(clock, limits);
         clock.advance(seconds(60));
         for (auto& it : predecessors)
             spend(*it);
-        std::vector<std::unique_ptr<FleetRetryBudget>> successors;
-        for (int n = 0; n < instances; ++n)
-            successors.push_back(std::make_unique<FleetRetryBudget>(clock, limits));
+        std::array<std::unique_ptr<FleetRetryBudget>, instances> successors;
+        for (auto& it : successors)
+            it = std::make_unique<FleetRetryBudget>(clock, limits);
         clock.advance(seconds(9));
         for (auto& it : successors)
             spend(*it);
