Log and count how each answer tells where its body ends

AnswerHead now carries the framing, set by both HTTP clients; attempt failed, request served and request ended print it, the last two with the bytes of an event that the stream left incomplete, and yuccashift_answers_total counts answers by framing. No behaviour changes.

--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -251,6 +251,7 @@
     m_sentAt = m_core.clock.now();
     m_predictedFirstByte = plan.choice.predicted;
     m_answerMode = AnswerMode::None;
+    m_framing = {};
     ++m_attempts;
     m_core.requestRecorder.recordServerSend(m_request.metadata.work.promptTokens, candidate.cachedTokens);
     logInfo("sent to server", { { "request", m_request.metadata.attemptId }, { "server", m_serverId }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "slowness_percent", std::lround(candidate.slowness * 100) }, { "prompt", m_request.metadata.work.promptTokens }, { "prefix", m_request.metadata.work.sharedParts().empty() ? 0 : m_request.metadata.work.sharedParts().back().id }, { "cached_prompt", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
@@ -303,6 +304,7 @@
     m_sentAt = m_core.clock.now();
     m_predictedFirstByte = predicted;
     m_answerMode = AnswerMode::None;
+    m_framing = {};
     ++m_attempts;
     m_core.requestRecorder.recordHopSend(request.bytes.size());
     logInfo("sent to instance", { { "request", m_request.metadata.attemptId }, { "peer", member.instance }, { "region", member.region }, { "server", metadata.server }, { "predicted_ms", toMilliseconds(predicted) } });
@@ -312,6 +314,8 @@
 void RequestJob::onAnswerHead(const AnswerHead& head)
 {
     const auto self = shared_from_this();
+    m_framing = toString(head.framing);
+    m_core.requestRecorder.recordAnswer(head.framing);
     if (!m_peerInstance.empty()) {
         m_hopFailure = decodeHopFailure(head);
         if (m_hopFailure) {
@@ -495,7 +499,7 @@
 {
     const auto self = shared_from_this();
     const bool viaInstance = !m_peerInstance.empty();
-    logInfo("attempt failed", { { "request", m_request.metadata.attemptId }, { "server", m_serverId }, { "peer", m_peerInstance }, { "how", toString(failure) }, { "reason", reason }, { "after_ms", toMilliseconds(m_core.clock.now() - m_sentAt) } });
+    logInfo("attempt failed", { { "request", m_request.metadata.attemptId }, { "server", m_serverId }, { "peer", m_peerInstance }, { "how", toString(failure) }, { "reason", reason }, { "framing", m_framing }, { "after_ms", toMilliseconds(m_core.clock.now() - m_sentAt) } });
     if (m_answerMode == AnswerMode::NotRun)
         return onNotRun();
     if (m_answerMode == AnswerMode::HopFailure)
@@ -619,6 +623,8 @@
         end.timeToFirstByte = m_firstByteAt - arrived;
     end.server = m_serverId;
     end.peer = m_peerInstance;
+    end.framing = m_framing;
+    end.incompleteEventBytes = m_eventGate.incompleteEvent().size();
     end.attempts = m_attempts;
     end.configVersion = m_request.routes ? m_request.routes->config().version : 0;
     m_core.requestRecorder.recordEnd(end);
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -134,6 +134,8 @@
 
     AnswerMode m_answerMode = AnswerMode::None;
     AnswerHead m_head;
+    /** Framing of the attempt's answer, for the log; empty before its head. */
+    std::string_view m_framing;
     std::string m_body;
     std::optional<HopFailure> m_hopFailure;
     SseEventFilter m_eventGate;
--- a/src/yuccashift/entry/request_recorder.cpp
+++ b/src/yuccashift/entry/request_recorder.cpp
@@ -11,6 +11,11 @@
     /** Logged as `first_byte_ms` if no first byte arrived. */
     constexpr std::int64_t noFirstByte = -1;
 
+    Counter& answerCounter(Metrics& metrics, AnswerFraming framing)
+    {
+        return metrics.counter("yuccashift_answers_total", { { "framing", toString(framing) } });
+    }
+
 } // namespace
 
 std::string_view reasonOf(const Error& error)
@@ -22,6 +27,7 @@
     : m_metrics(metrics)
     , m_serverSends(metrics.counter("yuccashift_sends_total", { { "to", "server" } }))
     , m_hopSends(metrics.counter("yuccashift_sends_total", { { "to", "instance" } }))
+    , m_answers { &answerCounter(metrics, AnswerFraming::Length), &answerCounter(metrics, AnswerFraming::Chunks), &answerCounter(metrics, AnswerFraming::Connection) }
     , m_retries(metrics.counter("yuccashift_repeats_total"))
     , m_uncachedTokens(metrics.counter("yuccashift_prompt_tokens_total", { { "cache", "none" } }))
     , m_cachedTokens(metrics.counter("yuccashift_prompt_tokens_total", { { "cache", "expected" } }))
@@ -40,7 +46,7 @@
     if (end.timeToFirstByte)
         m_metrics.latency("yuccashift_first_byte_seconds", { { "route", end.route } }).record(*end.timeToFirstByte);
     const auto firstByteMs = end.timeToFirstByte ? toMilliseconds(*end.timeToFirstByte) : noFirstByte;
-    logInfo(end.outcome == "ok" ? "request served" : "request ended", { { "request", end.requestId }, { "route", end.route }, { "outcome", end.outcome }, { "why", end.reason }, { "took_ms", toMilliseconds(end.duration) }, { "first_byte_ms", firstByteMs }, { "server", end.server }, { "peer", end.peer }, { "attempts", end.attempts }, { "config", end.configVersion } });
+    logInfo(end.outcome == "ok" ? "request served" : "request ended", { { "request", end.requestId }, { "route", end.route }, { "outcome", end.outcome }, { "why", end.reason }, { "took_ms", toMilliseconds(end.duration) }, { "first_byte_ms", firstByteMs }, { "server", end.server }, { "peer", end.peer }, { "framing", end.framing }, { "incomplete_event_bytes", end.incompleteEventBytes }, { "attempts", end.attempts }, { "config", end.configVersion } });
 }
 
 void RequestRecorder::recordServerSend(std::uint32_t promptTokens, std::uint32_t cachedTokens)
@@ -62,6 +68,11 @@
     m_hopBytesReceived.add(bytes);
 }
 
+void RequestRecorder::recordAnswer(AnswerFraming framing)
+{
+    m_answers[static_cast<std::size_t>(framing)]->add();
+}
+
 void RequestRecorder::recordRetry()
 {
     m_retries.add();
--- a/src/yuccashift/entry/request_recorder.hpp
+++ b/src/yuccashift/entry/request_recorder.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "yuccashift/http/message.hpp"
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/error.hpp"
 #include "yuccashift/kernel/ids.hpp"
 #include "yuccashift/observe/metrics.hpp"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -26,6 +28,10 @@
     std::string_view server {};
     /** The instance that the request was forwarded to. */
     std::string_view peer {};
+    /** How the last answer with a head was framed; empty if there was none. */
+    std::string_view framing {};
+    /** Bytes at the end of a stream that belong to an event without its end. */
+    std::size_t incompleteEventBytes = 0;
     std::uint32_t attempts = 0;
     std::int64_t configVersion = 0;
 };
@@ -49,6 +55,8 @@
     void recordHopSend(std::size_t bytes);
     /** Counts bytes of an answer received from another instance. */
     void recordHopBytesReceived(std::size_t bytes);
+    /** Counts an answer by how it is framed. */
+    void recordAnswer(AnswerFraming);
     void recordRetry();
     /** Records the difference between the observed and the predicted time to first byte. */
     void recordPredictionError(Duration predicted, Duration observed);
@@ -59,6 +67,8 @@
     Metrics& m_metrics;
     Counter& m_serverSends;
     Counter& m_hopSends;
+    /** By AnswerFraming. */
+    std::array<Counter*, 3> m_answers;
     Counter& m_retries;
     Counter& m_uncachedTokens;
     Counter& m_cachedTokens;
--- a/src/yuccashift/http/backend_client.cpp
+++ b/src/yuccashift/http/backend_client.cpp
@@ -1,5 +1,6 @@
 #include "yuccashift/http/backend_client.hpp"
 
+#include "yuccashift/http/detail/answer_framing.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
 
 #include <array>
@@ -161,6 +162,7 @@
             }
             if (const auto length = m_parser.content_length())
                 m_head.length = *length;
+            m_head.framing = detail::framingOf(m_parser);
             // Without a length or chunks, a lost connection cannot be told from the end of the body.
             m_hasEndMark = m_parser.chunked() || m_parser.content_length().has_value();
             co_return Result<void> {};
--- a/src/yuccashift/http/message.cpp
+++ b/src/yuccashift/http/message.cpp
@@ -18,6 +18,19 @@
 
 } // namespace
 
+std::string_view toString(AnswerFraming framing)
+{
+    switch (framing) {
+    case AnswerFraming::Length:
+        return "length";
+    case AnswerFraming::Chunks:
+        return "chunks";
+    case AnswerFraming::Connection:
+        break;
+    }
+    return "connection";
+}
+
 std::optional<std::string_view> findHeader(const HeaderFields& headers, std::string_view name)
 {
     const auto it = std::ranges::find_if(headers, [&](const HeaderField& field) { return sameName(field.name, name); });
--- a/src/yuccashift/http/message.hpp
+++ b/src/yuccashift/http/message.hpp
@@ -23,12 +23,25 @@
     std::string body;
 };
 
+/** How an answer tells where its body ends. */
+enum class AnswerFraming {
+    /** By a length, or by a status that allows no body. */
+    Length,
+    Chunks,
+    /** The body ends with its connection. */
+    Connection,
+};
+
+std::string_view toString(AnswerFraming);
+
 /** Status and headers of an answer. */
 struct AnswerHead {
     int status = 200;
     HeaderFields headers;
     /** Size of the body in bytes; std::nullopt if it is not known in advance. */
     std::optional<std::size_t> length;
+    /** Of a received answer; it is not forwarded. */
+    AnswerFraming framing = AnswerFraming::Length;
 };
 
 /** Returns the value of the first field with this name, or std::nullopt. */
--- a/src/yuccashift/http/outbound.cpp
+++ b/src/yuccashift/http/outbound.cpp
@@ -1,5 +1,6 @@
 #include "yuccashift/http/outbound.hpp"
 
+#include "yuccashift/http/detail/answer_framing.hpp"
 #include "yuccashift/http/detail/scratch.hpp"
 #include "yuccashift/kernel/log.hpp"
 
@@ -309,6 +310,7 @@
             head.status = static_cast<int>(message.result_int());
             if (const auto length = m_parser->content_length())
                 head.length = static_cast<std::size_t>(*length);
+            head.framing = framingOf(*m_parser);
             head.headers.reserve(8);
             for (const auto& field : message)
                 head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
