--- a/standins/common/http_server.cpp
+++ b/standins/common/http_server.cpp
@@ -163,7 +163,10 @@
     http::response<http::empty_body> head(http::status::ok, httpVersion11);
     head.set(http::field::content_type, contentType);
     head.keep_alive(m_request.keep_alive());
-    head.chunked(true);
+    if (m_unframed)
+        head.keep_alive(false);
+    else
+        head.chunked(true);
     http::response_serializer<http::empty_body> serializer(head);
     co_await http::async_write_header(m_stream, serializer, net::use_awaitable);
 }
@@ -171,13 +174,19 @@
 awaitable<void> Exchange::writeChunk(std::string_view data)
 {
     co_await hangIfSilent();
-    co_await net::async_write(m_stream, http::make_chunk(net::buffer(data)), net::use_awaitable);
+    if (m_unframed)
+        co_await net::async_write(m_stream, net::buffer(data), net::use_awaitable);
+    else
+        co_await net::async_write(m_stream, http::make_chunk(net::buffer(data)), net::use_awaitable);
 }
 
 awaitable<void> Exchange::endStream()
 {
     co_await hangIfSilent();
-    co_await net::async_write(m_stream, http::make_chunk_last(), net::use_awaitable);
+    if (m_unframed)
+        drop();
+    else
+        co_await net::async_write(m_stream, http::make_chunk_last(), net::use_awaitable);
 }
 
 awaitable<void> Exchange::truncate(Answer answer)
--- a/standins/common/http_server.hpp
+++ b/standins/common/http_server.hpp
@@ -72,6 +72,8 @@
     boost::json::value jsonBody() const;
 
     awaitable<void> answer(Answer);
+    /** Lets the stream end with its connection instead of sending it in chunks; to be called before beginStream(). */
+    void setUnframed() { m_unframed = true; }
     awaitable<void> beginStream(std::string_view contentType);
     awaitable<void> writeChunk(std::string_view);
     awaitable<void> endStream();
@@ -94,6 +96,7 @@
     detail::ServerState& m_state;
     std::uint64_t m_connection;
     bool m_dropped = false;
+    bool m_unframed = false;
 };
 
 using Handler = std::function<awaitable<void>(Exchange&)>;
--- /dev/null
+++ b/tests/entry/request_job_test.cpp
@@ -0,0 +1,214 @@
+#include "tests/support/fakes/fleet_items.hpp"
+#include "tests/support/fakes/word_protocol.hpp"
+#include "tests/support/scripted_server.hpp"
+#include "yuccashift/entry/request_job.hpp"
+#include "yuccashift/http/inbound.hpp"
+
+#include <atomic>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <gtest/gtest.h>
+#include <sstream>
+
+namespace yuccashift {
+namespace {
+
+    namespace asio = boost::asio;
+    namespace http = boost::beast::http;
+    using fakes::ScriptedConnection;
+    using fakes::ScriptedServer;
+    using tcp = asio::ip::tcp;
+    using test::WordItems;
+    using test::WordProtocol;
+
+    const std::string firstEvent = "id: 1\ndata: a\n\n";
+    const std::string secondEvent = "id: 2\ndata: b\n\n";
+    const std::string streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+
+    std::string chunk(const std::string& data)
+    {
+        std::ostringstream out;
+        out << std::hex << data.size() << "\r\n"
+            << data << "\r\n";
+        return out.str();
+    }
+
+    /** What the caller got. */
+    struct CallerAnswer {
+        int status = 0;
+        std::string body;
+        bool complete = false;
+    };
+
+    /** One instance, its callers and its scripted backend servers of the service `engines`. */
+    class Instance : public InboundHandler {
+    public:
+        Instance(const WordItems& items, std::initializer_list<const ScriptedServer*> servers)
+            : m_items(items)
+        {
+            std::vector<ItemChange> listing { { "config", "config 1", 2 } };
+            for (const auto* it : servers)
+                listing.push_back({ "s" + std::to_string(listing.size()), "server engines " + toString(it->endpoint()) + " hall ready 1 0 6", 3 });
+            core.fleetState.replaceAll(listing, 3);
+            core.requestProbe = [](std::uint64_t) {};
+            core.retryBudget.setInstanceCount(1);
+            for (int n = 0; n < 50; ++n)
+                core.retryBudget.onRequest("engines");
+            m_endpoint = m_callers.listen({ "127.0.0.1", 0 }).value();
+        }
+
+        void onRequest(std::shared_ptr<InboundExchange> exchange) override { RequestJob::start(core, std::move(exchange), std::nullopt); }
+        InboundLimits limits() const override { return {}; }
+        bool shouldCloseConnections() const override { return false; }
+
+        CallerAnswer call(const std::string& path, const std::string& version = "1.1", const std::string& extraHeaders = {})
+        {
+            tcp::socket socket(io);
+            socket.connect({ asio::ip::make_address(m_endpoint.host), m_endpoint.port });
+            asio::write(socket, asio::buffer("GET " + path + " HTTP/" + version + "\r\nHost: a\r\nAttempt: x\r\n" + extraHeaders + "\r\n"));
+            CallerAnswer answer;
+            boost::beast::flat_buffer buf;
+            http::response_parser<http::string_body> parser;
+            parser.body_limit(boost::none);
+            http::async_read(socket, buf, parser, [&](const boost::system::error_code& ec, std::size_t) {
+                answer.complete = !ec;
+                io.stop();
+            });
+            io.restart();
+            io.run();
+            answer.status = static_cast<int>(parser.get().result_int());
+            answer.body = parser.get().body();
+            return answer;
+        }
+
+        SystemClock clock;
+        asio::io_context io { 1 };
+        WordProtocol protocol;
+
+    private:
+        static EntrySettings settings()
+        {
+            EntrySettings it;
+            it.instance = "i1";
+            it.region = "here";
+            it.regions = { { "hall", "here" } };
+            return it;
+        }
+
+        const WordItems& m_items;
+
+    public:
+        EntryCore core { io, clock, settings(), protocol, m_items, std::make_unique<SeededRandom>(7) };
+
+    private:
+        InboundServer m_callers { io, clock, *this };
+        Endpoint m_endpoint;
+    };
+
+    class ARequestInProgress : public testing::Test {
+    protected:
+        ARequestInProgress()
+        {
+            addRoute("/resumable/", RouteKind::Streaming, true);
+            addRoute("/once/", RouteKind::Streaming, false);
+            addRoute("/read/", RouteKind::Idempotent, false);
+            m_items.config.services["engines"] = {};
+        }
+
+        WordItems m_items;
+
+    private:
+        void addRoute(const std::string& prefix, RouteKind kind, bool resumable)
+        {
+            Route route;
+            route.name = prefix;
+            route.host = "a";
+            route.pathPrefix = prefix;
+            route.kind = kind;
+            route.maxAttempts = 2;
+            route.resumable = resumable;
+            route.services = { { "engines", 1 } };
+            m_items.config.routes.push_back(route);
+        }
+    };
+
+    struct BrokenStream {
+        const char* name;
+        /** Sent by the server before it closes its connection in order. */
+        std::string sent;
+    };
+
+    const std::vector<BrokenStream> brokenStreams {
+        { "by its connection, inside an event", streamHead + "\r\n" + firstEvent + "id: 2\nda" },
+        { "by its connection, inside the empty line of an event", streamHead + "\r\n" + firstEvent + "id: 2\ndata: b\n" },
+        { "by its connection, before the first event", streamHead + "\r\n" },
+        { "in chunks, inside an event", streamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(firstEvent) + chunk("id: 2\nda") + "0\r\n\r\n" },
+        { "by its length, inside an event", streamHead + "Content-Length: " + std::to_string(firstEvent.size() + 8) + "\r\n\r\n" + firstEvent + "id: 2\nda" },
+    };
+
+    // A crashed server's close was read as the end of a stream without length or chunks.
+    TEST_F(ARequestInProgress, ForAStreamNeverGetsACompleteAnswerThatEndsInsideAnEvent)
+    {
+        for (const auto& it : brokenStreams) {
+            const ScriptedServer server([&it](ScriptedConnection& connection) {
+                if (connection.readRequest())
+                    connection.write(it.sent);
+            });
+            for (const auto* path : { "/once/x", "/resumable/x" }) {
+                Instance instance(m_items, { &server });
+                const auto answer = instance.call(path);
+                EXPECT_FALSE(answer.complete && answer.status == 200) << it.name << ", " << path;
+            }
+        }
+    }
+
+    TEST_F(ARequestInProgress, ForAStreamIsResumedAtAnotherServerWhenItsFirstOneBreaksOff)
+    {
+        for (const auto& it : brokenStreams) {
+            // Whichever server is chosen first breaks off; the other one has only the rest to send.
+            std::atomic<int> requests = 0;
+            const auto script = [&](ScriptedConnection& connection) {
+                if (connection.readRequest())
+                    connection.write(++requests == 1 ? it.sent : streamHead + "\r\n" + firstEvent + secondEvent);
+            };
+            const ScriptedServer first(script);
+            const ScriptedServer second(script);
+            Instance instance(m_items, { &first, &second });
+            const auto answer = instance.call("/resumable/x");
+            EXPECT_TRUE(answer.complete) << it.name;
+            EXPECT_EQ(answer.body, firstEvent + secondEvent) << it.name;
+            EXPECT_EQ(requests, 2) << it.name;
+        }
+    }
+
+    TEST_F(ARequestInProgress, ForAStreamGetsAWholeAnswerWithoutLengthOrChunks)
+    {
+        const ScriptedServer server([](ScriptedConnection& connection) {
+            if (connection.readRequest())
+                connection.write(streamHead + "\r\n" + firstEvent + secondEvent + ": the end\n");
+        });
+        for (const auto* path : { "/once/x", "/resumable/x" }) {
+            Instance instance(m_items, { &server });
+            const auto answer = instance.call(path);
+            EXPECT_TRUE(answer.complete) << path;
+            EXPECT_TRUE(answer.body.starts_with(firstEvent + secondEvent)) << path;
+        }
+    }
+
+    // Without chunks, only a reset tells the caller that the answer is incomplete.
+    TEST_F(ARequestInProgress, OverHttp10IsResetWhenItsStreamBreaksOff)
+    {
+        const ScriptedServer server([](ScriptedConnection& connection) {
+            if (connection.readRequest())
+                connection.write(streamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(firstEvent));
+        });
+        Instance instance(m_items, { &server });
+        const auto answer = instance.call("/once/x", "1.0");
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_FALSE(answer.complete);
+    }
+
+} // namespace
+} // namespace yuccashift
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -16,6 +16,7 @@
         { "/stream/", "streaming", "draft", {}, true, 2 },
         { "/once/stream/", "streaming", "draft", {}, false, 1 },
         { "/home/", "idempotent", "ledger", { "varna" }, false, 2 },
+        { "/home/stream/", "streaming", "draft", { "varna" }, false, 1 },
     };
 
     /** Two instances in sofia and one in varna. Each region has a ledger server and two engines. */
@@ -156,6 +157,34 @@
         EXPECT_EQ(m_fleet.runsOf("o1"), 1u);
     }
 
+    // A crashed server's close was read as the end of a stream without length or chunks, also behind an instance of another region.
+    TEST_F(EntryInstances, NeverPresentAStreamThatEndsInsideAnEventAsComplete)
+    {
+        const std::vector<std::string> servers { "draft-1-sofia", "draft-2-sofia", "draft-1-varna", "draft-2-varna" };
+        for (const bool unframed : { true, false }) {
+            const std::string framing = unframed ? "unframed" : "chunked";
+            for (const auto& it : servers) {
+                m_fleet.control(it, "/control/unframed-streams", unframed ? R"({"on":true})" : R"({"on":false})");
+                m_fleet.control(it, "/control/break-streams", R"({"count":9})");
+            }
+            for (const std::string path : { "/once/stream/x", "/home/stream/x" }) {
+                const auto attempt = framing + path;
+                const auto reply = m_fleet.call("sofia-1", attempt, "POST", path, "prompt");
+                EXPECT_EQ(reply.status, 200) << attempt;
+                EXPECT_FALSE(reply.complete) << attempt;
+                EXPECT_EQ(m_fleet.runsOf(attempt), 1u) << attempt;
+            }
+            for (const auto& it : servers)
+                m_fleet.control(it, "/control/break-streams", R"({"count":0})");
+            for (const std::string path : { "/once/stream/x", "/home/stream/x" }) {
+                const auto attempt = framing + "-whole" + path;
+                const auto reply = m_fleet.call("sofia-1", attempt, "POST", path, "prompt");
+                EXPECT_TRUE(reply.ok()) << attempt;
+                EXPECT_EQ(reply.body, expectedStream(attempt)) << attempt;
+            }
+        }
+    }
+
     TEST_F(EntryInstances, DropAnswersThatBelongToNoRequest)
     {
         m_fleet.control("ledger-sofia", "/control/extra-answers", R"({"count":5})");
