Reset callers of HTTP/1.0 whose answer breaks off

What callers saw: a caller of HTTP/1.0 gets an answer without length or chunks, which ends with its connection. When the server broke off, the instance closed that connection in order, so that the part looked like the whole.

Cause: the close of a connection stands for the end of such an answer, and an abort is a close. The same holds for a process that ends or is killed in the middle of an answer.

The connection is marked for a reset (SO_LINGER of 0 s) from the head of such an answer until its last byte is written, so that every way of closing it before then resets it, also the end of the process.

ARequestInProgress.OverHttp10IsResetWhenItsStreamBreaksOff failed before (complete, status 200) and passes.

--- a/src/yuccashift/http/inbound.cpp
+++ b/src/yuccashift/http/inbound.cpp
@@ -156,6 +156,14 @@
         std::size_t unsent() const { return m_output.size() + (m_writing ? m_outputInFlight.size() : 0); }
         bool closesAfterAnswer() const { return m_closeAfterAnswer || m_server->handler.shouldCloseConnections(); }
         void setCloseAfterAnswer() { m_closeAfterAnswer = true; }
+        /** Lets any close of the connection reset it until the whole answer is written, also one by the end of the process. */
+        void setResetUnlessWritten()
+        {
+            error_code ec;
+            m_socket.set_option(asio::socket_base::linger(true, 0), ec);
+            if (ec)
+                logWarning("cannot mark a caller connection for a reset; a broken answer would look complete", { { "reason", ec.message() } });
+        }
 
         void flush()
         {
@@ -308,6 +316,7 @@
             if (!m_discardingInput || m_writing || !m_output.empty() || m_closed)
                 return;
             error_code ec;
+            m_socket.set_option(asio::socket_base::linger(false, 0), ec);
             m_socket.shutdown(tcp::socket::shutdown_send, ec);
             m_timer.expires_after(lingerTimeout);
             m_timer.async_wait([self = shared_from_this()](const error_code& waitError) {
@@ -378,8 +387,10 @@
         return;
     m_headSent = true;
     m_chunked = !head.length && !m_session->m_http10;
-    if (!head.length && !m_chunked)
+    if (!head.length && !m_chunked) {
         m_session->setCloseAfterAnswer();
+        m_session->setResetUnlessWritten();
+    }
     if (m_session->closesAfterAnswer())
         m_session->setCloseAfterAnswer();
     appendHead(m_session->out(), head, m_chunked, m_session->closesAfterAnswer());
