Treat a stream that ends inside an event as broken off, however it is framed

Cause: where an answer has neither a length nor chunks, RequestJob took the close of its connection for its end, appended the bytes of the unfinished event and ended the caller's chunks. A crashed server closes its connections in order, so that nothing else told of the break. Class: an end that is inferred from the transport while the content says otherwise. A server that ends its chunks or meets its length inside an event took the same way.

Change: SseEventSplitter finds the events of a stream and tells whether it may end where it does. It replaces the two parsers in SseEventFilter (the platform's streams) and SseTracker (the own interface's). A stream that ends inside an event, or with its connection before any byte of its body, counts as an attempt whose answer was truncated: it is resumed at another server where the route allows it, else broken off towards the caller, and it counts as a crash of its server. Whole answers that are buffered are checked alike if they are streams of events; on a streaming route an answer with another content type is buffered.

--- a/src/yuccashift/answers/sse_event_filter.cpp
+++ b/src/yuccashift/answers/sse_event_filter.cpp
@@ -7,17 +7,6 @@
 
 namespace {
 
-    /** Length in bytes of the first event including its empty line; 0 if the event is not complete. */
-    std::size_t eventLength(std::string_view text)
-    {
-        const auto lfPosition = text.find("\n\n");
-        const auto crlfPosition = text.find("\r\n\r\n");
-        const auto lfEnd = lfPosition == std::string_view::npos ? lfPosition : lfPosition + 2;
-        const auto crlfEnd = crlfPosition == std::string_view::npos ? crlfPosition : crlfPosition + 4;
-        const auto end = std::min(lfEnd, crlfEnd);
-        return end == std::string_view::npos ? 0 : end;
-    }
-
     /** Value of the event's first `id` field; std::nullopt if it has none. */
     std::optional<std::string_view> idOf(std::string_view event)
     {
@@ -52,13 +41,9 @@
 
 void SseEventFilter::feed(std::string_view bytes, std::string& completeEvents)
 {
-    m_pending.append(bytes);
-    std::string_view text = m_pending;
-    for (auto n = eventLength(text); n > 0; n = eventLength(text)) {
-        accept(text.substr(0, n), completeEvents);
-        text.remove_prefix(n);
-    }
-    m_pending.erase(0, m_pending.size() - text.size());
+    m_events.feed(bytes);
+    while (const auto event = m_events.next())
+        accept(*event, completeEvents);
 }
 
 void SseEventFilter::accept(std::string_view event, std::string& completeEvents)
@@ -70,7 +55,7 @@
         m_lastId = std::string(*id);
         m_lastNumber = number;
     }
-    ++m_events;
+    ++m_forwardedEvents;
     completeEvents.append(event);
 }
 
--- a/src/yuccashift/answers/sse_event_filter.hpp
+++ b/src/yuccashift/answers/sse_event_filter.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "yuccashift/answers/sse_event_splitter.hpp"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -21,21 +23,23 @@
      */
     void feed(std::string_view bytes, std::string& completeEvents);
     /** Bytes received so far of the event that is not complete yet. */
-    std::string_view incompleteEvent() const { return m_pending; }
+    std::string_view incompleteEvent() const { return m_events.incompleteEvent(); }
+    /** Whether a stream without further bytes is broken off; see SseEventSplitter. */
+    bool endsInsideEvent() const { return m_events.endsInsideEvent(); }
     /** Discards the incomplete event; to be called before another server continues the stream, since it sends that event again. */
-    void discardIncompleteEvent() { m_pending.clear(); }
+    void discardIncompleteEvent() { m_events.discardIncompleteEvent(); }
     /** Id of the last forwarded event that had one; std::nullopt if there was none. */
     const std::optional<std::string>& lastId() const { return m_lastId; }
     /** Number of forwarded events. */
-    std::uint64_t events() const { return m_events; }
+    std::uint64_t events() const { return m_forwardedEvents; }
 
 private:
     void accept(std::string_view event, std::string& completeEvents);
 
-    std::string m_pending;
+    SseEventSplitter m_events;
     std::optional<std::string> m_lastId;
     std::optional<std::int64_t> m_lastNumber;
-    std::uint64_t m_events = 0;
+    std::uint64_t m_forwardedEvents = 0;
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/answers/sse_tracker.cpp
+++ b/src/yuccashift/answers/sse_tracker.cpp
@@ -65,42 +65,30 @@
         return fail(ErrorKind::AnswerIncomplete, "the stream failed before");
     if (m_done)
         return {};
-    m_pending.append(chunk);
+    m_events.feed(chunk);
     return scan(completeEvents);
 }
 
 void SseTracker::resume()
 {
-    m_pending.clear();
-    m_lineStart = 0;
+    m_events.discardIncompleteEvent();
     m_failed = false;
     m_resumed = true;
 }
 
 Result<void> SseTracker::scan(std::string& completeEvents)
 {
-    std::size_t eventStart = 0;
     while (!m_done) {
-        const auto lineEnd = m_pending.find('\n', m_lineStart);
-        if (lineEnd == std::string::npos)
+        const auto event = m_events.next();
+        if (!event)
             break;
-        const std::string_view text = m_pending;
-        const auto line = withoutCarriageReturn(text.substr(m_lineStart, lineEnd - m_lineStart));
-        m_lineStart = lineEnd + 1;
-        if (!line.empty())
-            continue;
-        auto accepted = accept(text.substr(eventStart, m_lineStart - eventStart), completeEvents);
+        auto accepted = accept(*event, completeEvents);
         if (!accepted)
             return accepted;
-        eventStart = m_lineStart;
     }
-    if (m_done) {
-        m_pending.clear();
-        return {};
-    }
-    m_pending.erase(0, eventStart);
-    m_lineStart -= eventStart;
-    if (m_pending.size() > m_maxEventBytes)
+    if (m_done)
+        m_events.discardIncompleteEvent();
+    if (pendingBytes() > m_maxEventBytes)
         return failStream("an event exceeds its bound");
     return {};
 }
@@ -139,8 +127,7 @@
 tl::unexpected<Error> SseTracker::failStream(std::string detail)
 {
     m_failed = true;
-    m_pending.clear();
-    m_lineStart = 0;
+    m_events.discardIncompleteEvent();
     return fail(ErrorKind::AnswerIncomplete, std::move(detail));
 }
 
--- a/src/yuccashift/answers/sse_tracker.hpp
+++ b/src/yuccashift/answers/sse_tracker.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccashift/answers/sse_event_splitter.hpp"
 #include "yuccashift/kernel/error.hpp"
 
 #include <cstddef>
@@ -46,7 +47,7 @@
     bool done() const { return m_done; }
 
     /** Size in bytes of the event that is not complete yet. */
-    std::size_t pendingBytes() const { return m_pending.size(); }
+    std::size_t pendingBytes() const { return m_events.incompleteEvent().size(); }
 
 private:
     Result<void> scan(std::string& completeEvents);
@@ -55,10 +56,7 @@
     tl::unexpected<Error> failStream(std::string detail);
 
     std::size_t m_maxEventBytes;
-    /** The incomplete event, from its first byte. */
-    std::string m_pending;
-    /** Offset in m_pending of the line that is not complete yet. */
-    std::size_t m_lineStart = 0;
+    SseEventSplitter m_events;
     std::uint32_t m_tokens = 0;
     bool m_done = false;
     bool m_failed = false;
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -341,8 +341,10 @@
     }
     m_mayHaveRun = true;
     m_head = head;
-    const bool success = head.status < 300;
-    m_answerMode = success && m_request.route->kind == RouteKind::Streaming ? AnswerMode::Stream : AnswerMode::Buffered;
+    m_answerBytes = 0;
+    const bool mayBeStream = isEventStream(head) || !findHeader(head.headers, "Content-Type");
+    const bool stream = head.status < 300 && m_request.route->kind == RouteKind::Streaming && mayBeStream;
+    m_answerMode = stream ? AnswerMode::Stream : AnswerMode::Buffered;
 }
 
 void RequestJob::onAnswerBody(std::string_view data)
@@ -372,6 +374,7 @@
         m_core.requestRecorder.recordHopBytesReceived(bytes);
     if (m_answerMode != AnswerMode::Stream && m_answerMode != AnswerMode::Buffered)
         return;
+    m_answerBytes += bytes;
     const auto now = m_core.clock.now();
     if (m_firstByteAt == Instant {}) {
         m_firstByteAt = now;
@@ -392,10 +395,9 @@
 void RequestJob::forwardStreamData(std::string_view data)
 {
     std::string completeEvents;
-    if (m_request.route->retryable()) {
-        m_eventGate.feed(data, completeEvents);
+    m_eventGate.feed(data, completeEvents);
+    if (m_request.route->retryable())
         data = completeEvents;
-    }
     if (data.empty())
         return;
     sendStreamHead();
@@ -429,6 +431,8 @@
 
 void RequestJob::onBufferedAnswer()
 {
+    if (isEventStream(m_head) && endsInsideEvent(m_body))
+        return onAnswerFailure(OutboundFailure::Truncated, "the stream ends inside an event");
     m_core.serverTracker.onFirstByte(m_requestTicket);
     const bool failed = m_head.status >= firstServerFailure;
     endAttempt(failed ? ServerOutcome::Failed : ServerOutcome::Succeeded);
@@ -453,6 +457,11 @@
 
 void RequestJob::onStreamEnd()
 {
+    // The close of a connection ends an answer without length or chunks, also if the server crashed. Only its last event shows that it is whole.
+    if (m_answerBytes == 0 && m_head.framing == AnswerFraming::Connection)
+        return onAnswerFailure(OutboundFailure::Truncated, "the connection ended before the first event of the stream");
+    if (m_eventGate.endsInsideEvent())
+        return onAnswerFailure(OutboundFailure::Truncated, "the stream ends inside an event");
     endAttempt(ServerOutcome::Succeeded);
     sendStreamHead();
     if (m_request.route->retryable())
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -136,6 +136,8 @@
     AnswerHead m_head;
     /** Framing of the attempt's answer, for the log; empty before its head. */
     std::string_view m_framing;
+    /** Bytes of the body of the attempt's answer so far. */
+    std::size_t m_answerBytes = 0;
     std::string m_body;
     std::optional<HopFailure> m_hopFailure;
     SseEventFilter m_eventGate;
--- a/src/yuccashift/gateway/answer_relay.cpp
+++ b/src/yuccashift/gateway/answer_relay.cpp
@@ -12,11 +12,6 @@
     /** Answers other than token streams are buffered up to this size in bytes before they are relayed. */
     constexpr std::size_t maxBufferedBytes = 512 * 1024;
 
-    bool isEventStream(const AnswerHead& head)
-    {
-        return findHeader(head.headers, "Content-Type").value_or("").starts_with("text/event-stream");
-    }
-
     tl::unexpected<Error> receiverGone()
     {
         return fail(ErrorKind::Cancelled, "the receiver of the answer is gone");
--- a/src/yuccashift/http/message.cpp
+++ b/src/yuccashift/http/message.cpp
@@ -45,6 +45,12 @@
     headers.push_back({ std::string(name), std::move(value) });
 }
 
+bool isEventStream(const AnswerHead& head)
+{
+    constexpr std::string_view type = "text/event-stream";
+    return sameName(findHeader(head.headers, "Content-Type").value_or("").substr(0, type.size()), type);
+}
+
 bool isHopByHop(std::string_view name)
 {
     return std::ranges::any_of(hopByHop, [&](std::string_view it) { return sameName(it, name); });
--- a/src/yuccashift/http/message.hpp
+++ b/src/yuccashift/http/message.hpp
@@ -50,6 +50,9 @@
 /** Replaces all fields with this name by a single one. */
 void setHeader(HeaderFields&, std::string_view name, std::string value);
 
+/** Whether the body is a stream of server-sent events. */
+bool isEventStream(const AnswerHead&);
+
 /** Whether the field applies to a single connection and must not be forwarded. */
 bool isHopByHop(std::string_view name);
 
--- a/src/yuccashift/http/server.cpp
+++ b/src/yuccashift/http/server.cpp
@@ -78,7 +78,7 @@
         asio::awaitable<bool> head(AnswerHead head) override
         {
             m_started = true;
-            m_isEventStream = findHeader(head.headers, "Content-Type").value_or("").starts_with("text/event-stream");
+            m_isEventStream = isEventStream(head);
             m_chunked = !head.length && m_version >= http11;
             m_keepAlive = m_keepAlive && !m_session.closing() && (head.length || m_chunked);
             http::response<http::empty_body> response(static_cast<http::status>(head.status), m_version);
