Pass on a stream of the own interface as whole once its end mark has arrived

What callers saw: a stream of a backend server that answers without length or chunks ended with answer_incomplete although its end mark had been passed on.

AnswerRelay takes the stream for whole if its end mark has arrived, however the connection ends. Answers without an end mark of their own and without length or chunks stay incomplete.

--- a/src/yuccashift/gateway/answer_relay.cpp
+++ b/src/yuccashift/gateway/answer_relay.cpp
@@ -64,6 +64,9 @@
     std::string events;
     for (;;) {
         const auto chunk = co_await answer.next();
+        // After the end mark, the end of the connection says nothing more; an answer without length or chunks has no other end.
+        if (!chunk && m_tracker->done())
+            break;
         if (!chunk)
             co_return tl::unexpected(chunk.error());
         if (chunk->empty())
--- /dev/null
+++ b/tests/gateway/answer_relay_test.cpp
@@ -0,0 +1,94 @@
+#include "yuccashift/gateway/answer_relay.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace yuccashift {
+namespace {
+
+    namespace asio = boost::asio;
+
+    const std::string token = "data: {\"token_index\":0}\n\n";
+    const std::string endMark = "data: [DONE]\n\n";
+
+    /** A stream of events that arrives in these parts and is then cut off. */
+    class CutOffStream final : public IncomingAnswer {
+    public:
+        explicit CutOffStream(std::vector<std::string> parts)
+            : m_parts(std::move(parts))
+        {
+            m_head.headers.push_back({ "Content-Type", "text/event-stream" });
+        }
+
+        const AnswerHead& head() const override { return m_head; }
+        asio::awaitable<Result<std::string_view>> next() override
+        {
+            if (m_next == m_parts.size())
+                co_return fail(ErrorKind::AnswerIncomplete, "the connection was closed");
+            co_return std::string_view(m_parts[m_next++]);
+        }
+
+    private:
+        AnswerHead m_head;
+        std::vector<std::string> m_parts;
+        std::size_t m_next = 0;
+    };
+
+    struct KeptAnswer final : AnswerSink {
+        asio::awaitable<bool> head(AnswerHead) override
+        {
+            started = true;
+            co_return true;
+        }
+        asio::awaitable<bool> chunk(std::string_view data) override
+        {
+            body += data;
+            co_return true;
+        }
+        asio::awaitable<bool> end() override
+        {
+            ended = true;
+            co_return true;
+        }
+        asio::awaitable<void> fail(const Error&, const HeaderFields&) override { co_return; }
+        bool headSent() const override { return started; }
+
+        std::string body;
+        bool started = false;
+        bool ended = false;
+    };
+
+    Result<void> relay(IncomingAnswer& answer, AnswerSink& sink)
+    {
+        asio::io_context io;
+        Result<void> result;
+        AnswerRelay it(sink, 0);
+        asio::co_spawn(io, it.run(answer), [&](std::exception_ptr, Result<void> relayed) { result = std::move(relayed); });
+        io.run();
+        return result;
+    }
+
+    // Answers without length or chunks end with their connection.
+    TEST(ARelayedStream, IsWholeOnceItsEndMarkHasArrivedHoweverItsConnectionEnds)
+    {
+        CutOffStream answer({ token, endMark });
+        KeptAnswer kept;
+        EXPECT_TRUE(relay(answer, kept));
+        EXPECT_TRUE(kept.ended);
+        EXPECT_EQ(kept.body, token + endMark);
+    }
+
+    TEST(ARelayedStream, IsIncompleteWithoutItsEndMark)
+    {
+        for (const auto& last : { std::string(), endMark.substr(0, endMark.size() - 1) }) {
+            CutOffStream answer({ token, last.empty() ? token : last });
+            KeptAnswer kept;
+            EXPECT_FALSE(relay(answer, kept));
+            EXPECT_FALSE(kept.ended);
+        }
+    }
+
+} // namespace
+} // namespace yuccashift
