--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <sstream>
 #include <utility>
 
 namespace yuccashift {
@@ -43,6 +44,15 @@
     /** No attempt is started with less time left than this. */
     constexpr Duration minAttemptTime = milliseconds(30);
 
+    /** Ids of the shared parts of the prompt, as callers name them, for the log. */
+    std::string sharedPartNames(const WorkSize& work)
+    {
+        std::ostringstream names;
+        for (const auto& part : work.sharedParts())
+            names << (names.tellp() > 0 ? "," : "") << std::hex << part.id;
+        return names.str();
+    }
+
 } // namespace
 
 void RequestJob::start(EntryCore& core, std::shared_ptr<InboundExchange> exchange, std::optional<HopMetadata> hop)
@@ -508,7 +518,7 @@
 {
     const auto self = shared_from_this();
     const bool viaInstance = !m_peerInstance.empty();
-    logInfo("attempt failed", { { "request", m_request.metadata.attemptId }, { "server", m_serverId }, { "peer", m_peerInstance }, { "how", toString(failure) }, { "reason", reason }, { "framing", m_framing }, { "after_ms", toMilliseconds(m_core.clock.now() - m_sentAt) } });
+    logInfo("attempt failed", { { "request", m_request.metadata.attemptId }, { "server", m_serverId }, { "peer", m_peerInstance }, { "how", toString(failure) }, { "reason", reason }, { "framing", m_framing }, { "events", m_eventGate.events() }, { "shared_parts", sharedPartNames(m_request.metadata.work) }, { "after_ms", toMilliseconds(m_core.clock.now() - m_sentAt) } });
     if (m_answerMode == AnswerMode::NotRun)
         return onNotRun();
     if (m_answerMode == AnswerMode::HopFailure)
