Quarantine parts of prompts that crash server after server

Cause: crashes were counted by the hash of the whole request, so that none reached the threshold. Class: a cause kept under a key that is too narrow.

PromptQuarantine counts losses of servers by the shared parts of the prompts in progress, over all instances. Three losses one after another without a request served quarantine a part; a part that explains losses takes them off the others, so that sound requests with the same document are served. Mass crashes count as one loss, and one served request proves a part sound everywhere. Requests with a quarantined part are refused at once as not run; the owner or region that refuses one is not asked around.

--- a/src/yuccashift/entry/entry_core.hpp
+++ b/src/yuccashift/entry/entry_core.hpp
@@ -14,6 +14,7 @@
 #include "yuccashift/http/outbound.hpp"
 #include "yuccashift/kernel/random.hpp"
 #include "yuccashift/observe/metrics.hpp"
+#include "yuccashift/resilience/prompt_quarantine.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -39,6 +40,7 @@
     ServerTracker serverTracker;
     FleetRetryBudget retryBudget;
     CrashTracker crashTracker;
+    PromptQuarantine promptQuarantine;
     RegionDemandEstimator regionDemand;
     /** Connection pool for backend servers. */
     OutboundPool serverConnections;
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -358,6 +358,7 @@
     metrics.gauge("yuccashift_store_era").set(core.fleetState.replica().era());
     metrics.gauge("yuccashift_items_behind_milliseconds").set(std::chrono::duration_cast<milliseconds>(snapshots.behindFor()).count());
     metrics.gauge("yuccashift_config_version").set(core.fleetState.configVersion());
+    metrics.gauge("yuccashift_quarantined_parts").set(static_cast<std::int64_t>(core.promptQuarantine.quarantinedCount(clock.now())));
     metrics.gauge("yuccashift_retry_slack").set(static_cast<std::int64_t>(core.retryBudget.shareOfSlack()));
     metrics.gauge("yuccashift_instances_heard").set(static_cast<std::int64_t>(core.peerTable.alive().size()));
     rusage used {};
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -33,6 +33,8 @@
     constexpr Duration addressLifetime = seconds(20);
     /** Maximum number of addresses that one heartbeat names. */
     constexpr std::size_t maxNamedAddresses = 24;
+    /** Maximum number of losses, and of successes, of parts of prompts that one heartbeat carries. */
+    constexpr std::size_t maxPromptEvidence = 8;
     /** Changes that do not fit into one packet are not forwarded; the other instances fetch them. */
     constexpr std::size_t maxForwardedBytes = 1200;
 
@@ -70,6 +72,41 @@
         return request;
     }
 
+    PromptEvidence decodePromptEvidence(const fleetwire::Heartbeat& heartbeat)
+    {
+        PromptEvidence evidence;
+        for (const auto& it : heartbeat.promptLosses) {
+            auto& loss = evidence.losses.emplace_back();
+            loss.id = static_cast<std::uint32_t>(it.id);
+            loss.server = static_cast<std::uint32_t>(it.server);
+            for (const auto part : it.parts)
+                loss.parts.push_back(static_cast<PartHash>(part));
+            loss.sentAgo = milliseconds(it.sentAgoMs);
+            loss.lostAgo = milliseconds(it.lostAgoMs);
+        }
+        for (const auto& it : heartbeat.partSuccesses)
+            evidence.successes.push_back({ static_cast<PartHash>(it.part), milliseconds(it.agoMs) });
+        return evidence;
+    }
+
+    void addPromptEvidence(fleetwire::Heartbeat& heartbeat, const PromptEvidence& evidence)
+    {
+        for (const auto& loss : evidence.losses) {
+            auto& it = heartbeat.promptLosses.emplace_back();
+            it.id = static_cast<std::int32_t>(loss.id);
+            it.server = static_cast<std::int32_t>(loss.server);
+            for (const auto part : loss.parts)
+                it.parts.push_back(static_cast<std::int32_t>(part));
+            it.sentAgoMs = static_cast<std::int32_t>(toMilliseconds(loss.sentAgo));
+            it.lostAgoMs = static_cast<std::int32_t>(toMilliseconds(loss.lostAgo));
+        }
+        for (const auto& success : evidence.successes) {
+            auto& it = heartbeat.partSuccesses.emplace_back();
+            it.part = static_cast<std::int32_t>(success.part);
+            it.agoMs = static_cast<std::int32_t>(toMilliseconds(success.ago));
+        }
+    }
+
     constexpr double percent = 100;
 
     OwnerReport decodeReport(const fleetwire::ServerLoad& load, Instant now)
@@ -206,6 +243,7 @@
     if (!peer)
         return;
     m_core.crashTracker.setPeerCrashes(*sender, heartbeat.crashes);
+    m_core.promptQuarantine.merge(decodePromptEvidence(heartbeat), now, peer->region != m_core.settings.region);
     if (peer->region != m_core.settings.region)
         return;
     std::map<std::uint64_t, ServerLoadSum> loads;
@@ -360,6 +398,7 @@
         fleetwire::Datagram datagram;
         datagram.__set_heartbeat(makeHeartbeat(withProfile));
         addLoads(datagram.heartbeat);
+        addPromptEvidence(datagram.heartbeat, m_core.promptQuarantine.takeForHeartbeat(now, maxPromptEvidence));
         for (const auto& report : m_core.serverTracker.constraints().reports())
             datagram.heartbeat.serverRequests.push_back(encodeServerRequest(report));
         const auto bytes = encodeDatagram(datagram);
@@ -375,6 +414,7 @@
     fleetwire::Datagram datagram;
     datagram.__set_heartbeat(makeHeartbeat(true));
     addCapacity(datagram.heartbeat);
+    addPromptEvidence(datagram.heartbeat, m_core.promptQuarantine.newest(now, maxPromptEvidence));
     const auto bytes = encodeDatagram(datagram);
     m_otherRegionBytes.add(bytes.size() * otherRegions.size());
     sendTo(otherRegions, bytes);
--- a/src/yuccashift/entry/hop.cpp
+++ b/src/yuccashift/entry/hop.cpp
@@ -43,6 +43,9 @@
 
 HopRecovery recoverFromHop(const HopFailure& failure, bool retryable, std::uint32_t refusedHops)
 {
+    // What the executing instance knows to crash servers is sent to no other one.
+    if (failure.error.kind == ErrorKind::Quarantined)
+        return HopRecovery::GiveUp;
     const bool notRun = failure.error.effectiveRunState() == RunState::NotRun;
     if (notRun && !failure.reachedServer)
         return refusedHops <= maxRefusedHops ? HopRecovery::SendOn : HopRecovery::GiveUp;
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -41,6 +41,8 @@
     constexpr Duration minLongestSlotWait = milliseconds(250);
     /** Time limit for the answer to a request without a route. */
     constexpr Duration unresolvedTimeLimit = seconds(10);
+    /** A prompt that crashes servers does so when its answer begins; one that was answered for this long does not. */
+    constexpr Duration soundAnswerTime = milliseconds(500);
     /** No attempt is started with less time left than this. */
     constexpr Duration minAttemptTime = milliseconds(30);
 
@@ -101,9 +103,33 @@
     return hash64(parts);
 }
 
-bool RequestJob::isQuarantined() const
+std::optional<Error> RequestJob::quarantineError() const
 {
-    return !m_core.crashTracker.empty() && m_core.crashTracker.blocked(fingerprint());
+    if (!m_core.crashTracker.empty() && m_core.crashTracker.blocked(fingerprint()))
+        return Error { ErrorKind::Quarantined, {}, {}, {} };
+    if (m_core.promptQuarantine.findQuarantined(m_sharedParts, m_core.clock.now()) != 0)
+        return Error { ErrorKind::Quarantined, "a part of the prompt has crashed backend servers", {}, {} };
+    return {};
+}
+
+void RequestJob::recordServed()
+{
+    if (m_peerInstance.empty() && !m_sharedParts.empty())
+        m_core.promptQuarantine.onSuccess(m_sharedParts, m_core.clock.now());
+}
+
+void RequestJob::recordServerLost()
+{
+    const auto server = m_requestTicket.server;
+    m_core.crashTracker.onServerCrash(fingerprint(), server);
+    if (m_sharedParts.empty())
+        return;
+    const auto now = m_core.clock.now();
+    const bool answeredLong = m_answerMode == AnswerMode::Stream && m_answerBytes > 0 && now - m_answerBeganAt >= soundAnswerTime;
+    if (answeredLong)
+        m_core.promptQuarantine.onSuccess(m_sharedParts, now);
+    else
+        m_core.promptQuarantine.onServerLost(static_cast<std::uint32_t>(server), m_sharedParts, m_sentAt, now);
 }
 
 bool RequestJob::prepare()
@@ -134,8 +160,10 @@
     m_request = std::move(*resolved);
     if (m_core.shutdown && m_core.shutdown->mustRefuse(m_core.clock.now(), m_request.deadline))
         return fail(ErrorKind::Draining);
-    if (isQuarantined())
-        return fail(ErrorKind::Quarantined);
+    for (const auto& part : m_request.metadata.work.sharedParts())
+        m_sharedParts.push_back(hashOfPart(part.id));
+    if (auto quarantined = quarantineError())
+        return tl::unexpected(std::move(*quarantined));
     return {};
 }
 
@@ -180,6 +208,9 @@
         return;
     if (timeLeft() < minAttemptTime)
         return onTimeLimit();
+    // The request may have waited while its quarantine began.
+    if (auto quarantined = quarantineError())
+        return failWith(*quarantined);
     executePlan(plan());
 }
 
@@ -384,8 +415,10 @@
         m_core.requestRecorder.recordHopBytesReceived(bytes);
     if (m_answerMode != AnswerMode::Stream && m_answerMode != AnswerMode::Buffered)
         return;
-    m_answerBytes += bytes;
     const auto now = m_core.clock.now();
+    if (m_answerBytes == 0)
+        m_answerBeganAt = now;
+    m_answerBytes += bytes;
     if (m_firstByteAt == Instant {}) {
         m_firstByteAt = now;
         m_core.requestRecorder.recordPredictionError(m_predictedFirstByte, now - m_sentAt);
@@ -445,6 +478,8 @@
         return onAnswerFailure(OutboundFailure::Truncated, "the stream ends inside an event");
     m_core.serverTracker.onFirstByte(m_requestTicket);
     const bool failed = m_head.status >= firstServerFailure;
+    if (!failed)
+        recordServed();
     endAttempt(failed ? ServerOutcome::Failed : ServerOutcome::Succeeded);
     if (failed && m_serverOfHop != 0)
         m_triedServers.insert(m_serverOfHop);
@@ -472,6 +507,7 @@
         return onAnswerFailure(OutboundFailure::Truncated, "the connection ended before the first event of the stream");
     if (m_eventGate.endsInsideEvent())
         return onAnswerFailure(OutboundFailure::Truncated, "the stream ends inside an event");
+    recordServed();
     endAttempt(ServerOutcome::Succeeded);
     sendStreamHead();
     if (m_request.route->retryable())
@@ -543,7 +579,7 @@
     m_mayHaveRun = true;
     if (m_peerInstance.empty()) {
         const auto server = m_requestTicket.server;
-        m_core.crashTracker.onServerCrash(fingerprint(), server);
+        recordServerLost();
         endAttempt(ServerOutcome::Lost);
         m_core.requestProbe(server);
     } else {
@@ -565,7 +601,7 @@
 {
     // Only the instance that received the request from the caller retries, since it knows all attempts.
     const bool allowed = !m_hopMetadata && m_attempts < m_request.route->maxAttempts && timeLeft() > minAttemptTime;
-    if (!allowed || isQuarantined())
+    if (!allowed || quarantineError())
         return false;
     const auto next = plan();
     // If no server can take the retry, the caller gets the answer that has already arrived.
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -100,7 +100,11 @@
     std::optional<std::string> resumeAfter() const;
     /** Hash of the request's method, host, target and body, by which crashes are recorded. */
     std::uint64_t fingerprint() const;
-    bool isQuarantined() const;
+    /** The reason for which no server may get the request; std::nullopt if there is none. */
+    std::optional<Error> quarantineError() const;
+    /** Tells the quarantine of prompts that a server of this region has served the request. */
+    void recordServed();
+    void recordServerLost();
 
     EntryCore& m_core;
     std::shared_ptr<InboundExchange> m_exchange;
@@ -111,6 +115,9 @@
     /** When the request stops waiting for a slot; std::nullopt before it waits. */
     std::optional<Instant> m_slotWaitEndsAt;
 
+    /** The shared parts of the prompt. */
+    std::vector<PartHash> m_sharedParts;
+
     /** Attempts that may have reached a server. */
     std::uint32_t m_attempts = 0;
     std::set<std::uint64_t> m_triedServers;
@@ -136,8 +143,9 @@
     AnswerHead m_head;
     /** Framing of the attempt's answer, for the log; empty before its head. */
     std::string_view m_framing;
-    /** Bytes of the body of the attempt's answer so far. */
+    /** Bytes of the body of the attempt's answer so far, and when the first ones arrived. */
     std::size_t m_answerBytes = 0;
+    Instant m_answerBeganAt {};
     std::string m_body;
     std::optional<HopFailure> m_hopFailure;
     SseEventFilter m_eventGate;
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -45,6 +45,24 @@
     5: i32 restMs,
 }
 
+// A backend server was lost while a request whose prompt has these parts was in progress there.
+struct PromptLoss {
+    // Assigned by the instance that sent the request.
+    1: i32 id,
+    // Short hash of the server's identity.
+    2: i32 server,
+    // Short hashes of the parts that may be the cause.
+    3: list<i32> parts,
+    4: i32 sentAgoMs,
+    5: i32 lostAgoMs,
+}
+
+// A request whose prompt has this part was served.
+struct PartSuccess {
+    1: i32 part,
+    2: i32 agoMs,
+}
+
 // Properties that do not change while an instance runs; only some heartbeats carry them.
 struct Profile {
     1: string instance,
@@ -78,6 +96,9 @@
     14: list<ServerRequest> serverRequests,
     // Era of the store to which the revisions belong. Not sent by earlier versions.
     15: i64 storeEra,
+    16: list<PromptLoss> promptLosses,
+    // Of parts that the losses name.
+    17: list<PartSuccess> partSuccesses,
 }
 
 // One item of the platform's store, or its removal.
--- /dev/null
+++ b/src/yuccashift/resilience/prompt_quarantine.cpp
@@ -0,0 +1,278 @@
+#include "yuccashift/resilience/prompt_quarantine.hpp"
+
+#include "yuccashift/kernel/hash.hpp"
+#include "yuccashift/kernel/log.hpp"
+#include "yuccashift/kernel/random.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+namespace yuccashift {
+
+namespace {
+
+    /** The quarantined parts are determined at most this often. */
+    constexpr Duration updateInterval = milliseconds(200);
+    /** Times that other instances report are later by the way of their heartbeats. */
+    constexpr Duration clockTolerance = milliseconds(20);
+    /** Losses of one server this close together have one cause. */
+    constexpr Duration sameCauseWindow = seconds(2);
+
+} // namespace
+
+PartHash hashOfPart(std::uint64_t id)
+{
+    const auto hash = static_cast<PartHash>(mix64(id));
+    return hash == 0 ? 1 : hash;
+}
+
+/** What counts against one part. */
+struct PromptQuarantine::Suspect {
+    std::vector<const Loss*> losses;
+    /** Place of the part in its prompts. */
+    std::size_t position = 0;
+
+    std::size_t servers() const
+    {
+        std::set<std::uint32_t> distinct;
+        for (const auto* it : losses)
+            distinct.insert(it->server);
+        return distinct.size();
+    }
+
+    /**
+     * When this many losses had followed one another, each of a request that was sent after the loss before it;
+     * std::nullopt if they have not. Requests that are in progress at the same time may be lost for the same other cause.
+     */
+    std::optional<Instant> lostInSuccession(std::size_t count) const
+    {
+        auto byTime = losses;
+        std::ranges::sort(byTime, {}, &Loss::lostAt);
+        std::size_t n = 0;
+        Instant last {};
+        for (const auto* it : byTime) {
+            if (n > 0 && it->sentAt < last - clockTolerance)
+                continue;
+            last = it->lostAt;
+            if (++n == count)
+                return last;
+        }
+        return {};
+    }
+};
+
+PromptQuarantine::PromptQuarantine(PromptQuarantineLimits limits)
+    : m_limits(limits)
+    , m_salt(makeSystemRandom()->next())
+{
+}
+
+void PromptQuarantine::onServerLost(std::uint32_t server, std::span<const PartHash> parts, Instant sentAt, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    Loss loss;
+    loss.server = server;
+    loss.sentAt = sentAt;
+    loss.lostAt = now;
+    loss.sendsLeft = m_limits.timesSent;
+    std::ranges::copy_if(parts, std::back_inserter(loss.parts), [&](PartHash part) { return !servedSince(part, now - m_limits.recentSuccess); });
+    if (loss.parts.empty())
+        return;
+    loss.id = static_cast<std::uint32_t>(mix64(m_salt ^ ++m_lossCount));
+    addLoss(std::move(loss));
+}
+
+void PromptQuarantine::addLoss(Loss loss)
+{
+    const bool known = std::ranges::any_of(m_losses, [&](const Loss& it) { return it.id == loss.id; });
+    if (known)
+        return;
+    if (m_losses.size() >= m_limits.maxLosses) {
+        // The losses that quarantine a part stay, so that a wave of others does not release it.
+        const auto spare = std::ranges::find_if(m_losses, [&](const Loss& it) { return std::ranges::none_of(it.parts, [&](PartHash part) { return m_quarantined.contains(part); }); });
+        m_losses.erase(spare == m_losses.end() ? m_losses.begin() : spare);
+    }
+    m_losses.push_back(std::move(loss));
+}
+
+void PromptQuarantine::onSuccess(std::span<const PartHash> parts, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto part : parts)
+        addSuccess(part, now, isSuspect(part) ? m_limits.timesSent : 0);
+}
+
+void PromptQuarantine::addSuccess(PartHash part, Instant at, std::uint32_t sendsLeft)
+{
+    if (m_successes.size() >= m_limits.maxSuccesses && !m_successes.contains(part)) {
+        std::erase_if(m_successes, [&](const auto& entry) { return entry.second.at < at - m_limits.recentSuccess; });
+        if (m_successes.size() >= m_limits.maxSuccesses)
+            m_successes.clear();
+    }
+    auto& success = m_successes[part];
+    success.at = std::max(success.at, at);
+    success.sendsLeft = std::max(success.sendsLeft, sendsLeft);
+}
+
+bool PromptQuarantine::isSuspect(PartHash part) const
+{
+    return std::ranges::any_of(m_losses, [&](const Loss& it) { return std::ranges::find(it.parts, part) != it.parts.end() && !servedSince(part, it.lostAt); });
+}
+
+bool PromptQuarantine::servedSince(PartHash part, Instant since) const
+{
+    const auto it = m_successes.find(part);
+    return it != m_successes.end() && it->second.at >= since;
+}
+
+PartHash PromptQuarantine::findQuarantined(std::span<const PartHash> parts, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_losses.empty())
+        return 0;
+    updateQuarantined(now);
+    const auto it = std::ranges::find_if(parts, [&](PartHash part) { return m_quarantined.contains(part); });
+    return it == parts.end() ? 0 : *it;
+}
+
+std::size_t PromptQuarantine::quarantinedCount(Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    updateQuarantined(now);
+    return m_quarantined.size();
+}
+
+void PromptQuarantine::expire(Instant now)
+{
+    const auto oldest = now - m_limits.expiry;
+    std::erase_if(m_losses, [&](const Loss& it) { return it.lostAt < oldest; });
+    std::erase_if(m_successes, [&](const auto& entry) { return entry.second.at < oldest; });
+}
+
+void PromptQuarantine::markExplained(PartHash part, std::set<const Loss*>& explained) const
+{
+    std::multimap<std::uint32_t, Instant> crashes;
+    for (const auto& loss : m_losses) {
+        if (std::ranges::find(loss.parts, part) != loss.parts.end())
+            crashes.emplace(loss.server, loss.lostAt);
+    }
+    for (const auto& loss : m_losses) {
+        const auto [begin, end] = crashes.equal_range(loss.server);
+        if (std::any_of(begin, end, [&](const auto& crash) { return std::chrono::abs(crash.second - loss.lostAt) < sameCauseWindow; }))
+            explained.insert(&loss);
+    }
+}
+
+PromptQuarantine::Suspects PromptQuarantine::collectSuspects(const std::set<const Loss*>& explained) const
+{
+    Suspects suspects;
+    for (const auto& loss : m_losses) {
+        if (explained.contains(&loss))
+            continue;
+        for (std::size_t n = 0; n < loss.parts.size(); ++n) {
+            if (servedSince(loss.parts[n], loss.lostAt))
+                continue;
+            auto& suspect = suspects[loss.parts[n]];
+            suspect.losses.push_back(&loss);
+            suspect.position = std::max(suspect.position, n);
+        }
+    }
+    return suspects;
+}
+
+void PromptQuarantine::updateQuarantined(Instant now)
+{
+    if (now - m_updatedAt < updateInterval)
+        return;
+    m_updatedAt = now;
+    expire(now);
+    std::set<PartHash> found;
+    std::set<const Loss*> explained;
+    for (;;) {
+        const auto suspects = collectSuspects(explained);
+        // A part that was served before is less likely than one that never was. Of two that explain as many losses, the
+        // one in fewer requests is the cause: the other one is also in sound requests that were lost with their server.
+        // Prompts begin alike, so that of parts in the same requests the last one concerns the fewest others.
+        using Rank = std::tuple<bool, std::size_t, std::ptrdiff_t, std::size_t>;
+        std::optional<std::pair<Rank, PartHash>> best;
+        for (const auto& [part, suspect] : suspects) {
+            const auto last = suspect.lostInSuccession(m_limits.lossThreshold);
+            if (!last || now - *last < m_limits.settleTime)
+                continue;
+            const Rank rank { !m_successes.contains(part), suspect.servers(), -std::ssize(suspect.losses), suspect.position };
+            if (!best || rank > best->first)
+                best = { rank, part };
+        }
+        if (!best)
+            break;
+        found.insert(best->second);
+        markExplained(best->second, explained);
+    }
+    for (const auto part : found) {
+        if (!m_quarantined.contains(part))
+            logWarning("part of prompts quarantined: servers crash under requests that hold it", { { "part", part }, { "losses", m_losses.size() } });
+    }
+    for (const auto part : m_quarantined) {
+        if (!found.contains(part))
+            logInfo("part of prompts released from quarantine", { { "part", part } });
+    }
+    m_quarantined = std::move(found);
+}
+
+PromptEvidence PromptQuarantine::takeForHeartbeat(Instant now, std::size_t limit)
+{
+    const std::lock_guard lock(m_mutex);
+    PromptEvidence evidence;
+    std::vector<Loss*> pending;
+    for (auto& it : m_losses) {
+        if (it.sendsLeft > 0)
+            pending.push_back(&it);
+    }
+    std::ranges::stable_sort(pending, std::greater<> {}, [](const Loss* it) { return it->sendsLeft; });
+    for (auto* it : std::span(pending).first(std::min(limit, pending.size()))) {
+        --it->sendsLeft;
+        evidence.losses.push_back({ it->id, it->server, it->parts, now - it->sentAt, now - it->lostAt });
+    }
+    for (auto& [part, success] : m_successes) {
+        if (success.sendsLeft == 0 || evidence.successes.size() == limit)
+            continue;
+        --success.sendsLeft;
+        evidence.successes.push_back({ part, now - success.at });
+    }
+    return evidence;
+}
+
+PromptEvidence PromptQuarantine::newest(Instant now, std::size_t limit) const
+{
+    const std::lock_guard lock(m_mutex);
+    PromptEvidence evidence;
+    for (auto it = m_losses.rbegin(); it != m_losses.rend() && evidence.losses.size() < limit; ++it)
+        evidence.losses.push_back({ it->id, it->server, it->parts, now - it->sentAt, now - it->lostAt });
+    for (const auto& [part, success] : m_successes) {
+        const bool asked = std::ranges::any_of(m_losses, [&part = part](const Loss& it) { return std::ranges::find(it.parts, part) != it.parts.end(); });
+        if (asked && evidence.successes.size() < limit)
+            evidence.successes.push_back({ part, now - success.at });
+    }
+    return evidence;
+}
+
+void PromptQuarantine::merge(const PromptEvidence& evidence, Instant now, bool sendInRegion)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto sendsLeft = sendInRegion ? m_limits.timesSent : 0;
+    for (const auto& it : evidence.losses) {
+        const bool valid = it.lostAgo >= Duration::zero() && it.lostAgo < m_limits.expiry && it.sentAgo >= it.lostAgo;
+        if (valid)
+            addLoss({ it.id, it.server, it.parts, now - it.sentAgo, now - it.lostAgo, sendsLeft });
+    }
+    for (const auto& it : evidence.successes) {
+        const bool newer = !servedSince(it.part, now - it.ago);
+        if (newer && it.ago >= Duration::zero() && it.ago < m_limits.expiry)
+            addSuccess(it.part, now - it.ago, sendsLeft);
+    }
+}
+
+} // namespace yuccashift
--- /dev/null
+++ b/src/yuccashift/resilience/prompt_quarantine.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "yuccashift/kernel/clock.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace yuccashift {
+
+/** Short hash of the id of a part of a prompt. */
+using PartHash = std::uint32_t;
+
+PartHash hashOfPart(std::uint64_t id);
+
+/** A backend server was lost while this request was in progress there. Sent to all instances. */
+struct PromptLoss {
+    /** Assigned by the instance that sent the request. */
+    std::uint32_t id = 0;
+    /** Short hash of the server's identity. */
+    std::uint32_t server = 0;
+    /** Parts of the request's prompt that may be the cause. */
+    std::vector<PartHash> parts;
+    /** Time since the request was sent to the server. */
+    Duration sentAgo {};
+    /** Time since the server was lost. */
+    Duration lostAgo {};
+};
+
+/** A request with this part was served. */
+struct PartSuccess {
+    PartHash part = 0;
+    Duration ago {};
+};
+
+struct PromptEvidence {
+    std::vector<PromptLoss> losses;
+    std::vector<PartSuccess> successes;
+};
+
+struct PromptQuarantineLimits {
+    /** Losses one after another from which a part is quarantined. */
+    std::size_t lossThreshold = 3;
+    /** Time after the last of these losses in which news of a success may still arrive. */
+    Duration settleTime = seconds(1);
+    /** A part that was served here so shortly before a loss is not its cause. */
+    Duration recentSuccess = seconds(2);
+    /** Time for which a loss or a success counts. */
+    Duration expiry = seconds(60);
+    std::size_t maxLosses = 256;
+    std::size_t maxSuccesses = 4096;
+    /** Number of heartbeats in the own region that carry a loss or a success. */
+    std::uint32_t timesSent = 3;
+};
+
+/**
+ * Finds the parts of prompts that crash backend servers, whatever else the
+ * requests hold. A part is quarantined after requests that hold it lost their
+ * servers several times one after another with no request served in between. Of
+ * several such parts the one that explains most losses is quarantined, and the
+ * losses that it explains do not count against the others. Thread safe under a
+ * single lock, which suffices because there are almost never any losses.
+ */
+class PromptQuarantine {
+public:
+    explicit PromptQuarantine(PromptQuarantineLimits = {});
+
+    /** Records the loss of a server under a request with these parts. */
+    void onServerLost(std::uint32_t server, std::span<const PartHash> parts, Instant sentAt, Instant now);
+    /** Records that a request with these parts was served, which proves them sound. */
+    void onSuccess(std::span<const PartHash> parts, Instant now);
+    /** The quarantined part among these; 0 if there is none, so that the request may be sent. */
+    PartHash findQuarantined(std::span<const PartHash> parts, Instant now);
+    std::size_t quarantinedCount(Instant now);
+
+    /** Evidence for a heartbeat within the region, what was sent least often first. Counts it as sent. */
+    PromptEvidence takeForHeartbeat(Instant now, std::size_t limit);
+    /** The most recent evidence, for heartbeats to other regions. */
+    PromptEvidence newest(Instant now, std::size_t limit) const;
+    /**
+     * Adds evidence of another instance.
+     * @param sendInRegion whether to send it on within this region, which may lack it
+     */
+    void merge(const PromptEvidence&, Instant now, bool sendInRegion = false);
+
+private:
+    struct Loss {
+        std::uint32_t id = 0;
+        std::uint32_t server = 0;
+        std::vector<PartHash> parts;
+        Instant sentAt {};
+        Instant lostAt {};
+        /** Heartbeats that may still carry it. */
+        std::uint32_t sendsLeft = 0;
+    };
+    struct Success {
+        Instant at {};
+        std::uint32_t sendsLeft = 0;
+    };
+    struct Suspect;
+    using Suspects = std::map<PartHash, Suspect>;
+
+    void addLoss(Loss);
+    void addSuccess(PartHash, Instant at, std::uint32_t sendsLeft);
+    bool isSuspect(PartHash) const;
+    void expire(Instant now);
+    bool servedSince(PartHash, Instant) const;
+    Suspects collectSuspects(const std::set<const Loss*>& explained) const;
+    /** Adds the losses of the servers that the part crashed. */
+    void markExplained(PartHash, std::set<const Loss*>& explained) const;
+    void updateQuarantined(Instant now);
+
+    const PromptQuarantineLimits m_limits;
+    /** Makes the loss ids of different instances distinct. */
+    const std::uint64_t m_salt;
+    std::uint64_t m_lossCount = 0;
+    mutable std::mutex m_mutex;
+    std::deque<Loss> m_losses;
+    std::unordered_map<PartHash, Success> m_successes;
+    std::set<PartHash> m_quarantined;
+    /** When the quarantined parts were last determined. */
+    Instant m_updatedAt {};
+};
+
+} // namespace yuccashift
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -185,6 +185,42 @@
         }
     }
 
+    // Requests of which no two are alike crashed server after server, since only whole requests were quarantined.
+    TEST_F(EntryInstances, StopSendingRequestsThatShareAPartOfTheirPromptsThatCrashesServers)
+    {
+        for (int n = 3; n <= 8; ++n)
+            startServer("draft-" + std::to_string(n) + "-sofia", "draft", "sofia");
+        for (int n = 1; n <= 8; ++n)
+            m_fleet.control("draft-" + std::to_string(n) + "-sofia", "/control/deadly-part", R"({"text":"dead:"})");
+        EXPECT_TRUE(waitUntil([&] { return m_fleet.metric("sofia-1", "yuccashift_servers_known") == 12 && m_fleet.metric("sofia-2", "yuccashift_servers_known") == 12; }));
+        const auto request = [&](const std::string& instance, const std::string& attempt, const std::string& parts) {
+            const auto headers = callerHeaders(attempt, std::chrono::seconds(5));
+            HttpCall call { m_fleet.callers(instance), "POST", "/once/stream/x", { headers.begin(), headers.end() }, attempt };
+            call.headers["X-Prompt-Prefix"] = parts + "," + std::to_string(std::hash<std::string> {}(attempt) % 1000000) + ":10";
+            call.headers["X-Token-Counts"] = "40,20";
+            return send(call);
+        };
+        EXPECT_TRUE(request("sofia-1", "sound-0", "a:10,b:10").ok());
+
+        const std::vector<std::string> instances { "sofia-1", "sofia-2" };
+        for (std::size_t n = 0; n < 3; ++n) {
+            const auto reply = request("sofia-1", "deadly-" + std::to_string(n), "a:10,b:10,dead:10");
+            EXPECT_FALSE(reply.ok() && reply.complete) << n;
+        }
+        for (const auto* name : { "sofia-1", "sofia-2", "varna-1" })
+            EXPECT_TRUE(waitUntil([&] { return m_fleet.metric(name, "yuccashift_quarantined_parts") == 1; })) << name;
+        for (std::size_t n = 3; n < 9; ++n) {
+            const auto attempt = "deadly-" + std::to_string(n);
+            const auto reply = request(instances[n % 2], attempt, "a:10,c:10,dead:10");
+            EXPECT_EQ(reply.status, 503) << attempt;
+            EXPECT_FALSE(reply.header("retry-after").empty()) << attempt;
+        }
+        for (std::size_t n = 0; n < 6; ++n) {
+            const auto attempt = "sound-" + std::to_string(n + 1);
+            EXPECT_TRUE(request(instances[n % 2], attempt, "a:10,b:10").ok()) << attempt;
+        }
+    }
+
     TEST_F(EntryInstances, DropAnswersThatBelongToNoRequest)
     {
         m_fleet.control("ledger-sofia", "/control/extra-answers", R"({"count":5})");
--- /dev/null
+++ b/tests/resilience/prompt_quarantine_test.cpp
@@ -0,0 +1,125 @@
+#include "yuccashift/kernel/random.hpp"
+#include "yuccashift/resilience/prompt_quarantine.hpp"
+
+#include <gtest/gtest.h>
+#include <memory>
+
+namespace yuccashift {
+namespace {
+
+    constexpr PartHash preamble = 1;
+    constexpr PartHash document = 2;
+    constexpr PartHash deadly = 3;
+    const std::vector<PartHash> deadlyPrompt { preamble, document, deadly };
+    const std::vector<PartHash> soundPrompt { preamble, document };
+
+    struct APromptQuarantine : testing::Test {
+        /** Loses a server under a prompt that was sent to it 100 ms before, and lets half a second pass. */
+        void lose(const std::vector<PartHash>& parts)
+        {
+            quarantine.onServerLost(++server, parts, now - milliseconds(100), now);
+            now += milliseconds(500);
+        }
+
+        PromptQuarantine quarantine;
+        Instant now { seconds(1000) };
+        std::uint32_t server = 0;
+    };
+
+    // Requests of which no two are alike crash server after server.
+    TEST_F(APromptQuarantine, FindsThePartThatCrashesServersWhateverElseTheRequestsHold)
+    {
+        for (PartHash own = 100; own < 103; ++own) {
+            EXPECT_EQ(quarantine.findQuarantined(deadlyPrompt, now), 0u);
+            lose({ own, deadly, own + 50 });
+        }
+        now += seconds(1);
+        EXPECT_EQ(quarantine.findQuarantined(std::vector<PartHash> { 7, deadly }, now), deadly);
+        EXPECT_EQ(quarantine.findQuarantined(std::vector<PartHash> { 7, 100 }, now), 0u);
+    }
+
+    TEST_F(APromptQuarantine, SparesThePartsThatSoundRequestsHoldToo)
+    {
+        quarantine.onSuccess(soundPrompt, now);
+        now += seconds(5);
+        for (int n = 0; n < 6; ++n)
+            lose(deadlyPrompt);
+        now += seconds(1);
+        EXPECT_EQ(quarantine.findQuarantined(deadlyPrompt, now), deadly);
+        EXPECT_EQ(quarantine.findQuarantined(soundPrompt, now), 0u);
+
+        // Sound requests that were lost with the same servers change nothing.
+        for (std::uint32_t lost = 1; lost <= server; ++lost)
+            quarantine.onServerLost(lost, soundPrompt, now - seconds(5), now - seconds(4) + milliseconds(500 * (lost - 1)));
+        now += seconds(1);
+        EXPECT_EQ(quarantine.findQuarantined(soundPrompt, now), 0u);
+    }
+
+    TEST_F(APromptQuarantine, PrefersThePartInFewerRequestsIfNoneWasServed)
+    {
+        for (int n = 0; n < 4; ++n) {
+            quarantine.onServerLost(++server, soundPrompt, now - milliseconds(300), now);
+            quarantine.onServerLost(server, deadlyPrompt, now - milliseconds(100), now);
+            now += milliseconds(500);
+        }
+        now += seconds(1);
+        EXPECT_EQ(quarantine.findQuarantined(deadlyPrompt, now), deadly);
+        EXPECT_EQ(quarantine.findQuarantined(soundPrompt, now), 0u);
+    }
+
+    TEST_F(APromptQuarantine, BlamesNoPromptForManyServersThatAreLostAtOnce)
+    {
+        for (int n = 0; n < 20; ++n)
+            quarantine.onServerLost(++server, deadlyPrompt, now - milliseconds(400), now + milliseconds(n));
+        now += seconds(2);
+        EXPECT_EQ(quarantine.findQuarantined(deadlyPrompt, now), 0u);
+    }
+
+    TEST_F(APromptQuarantine, ReleasesAPartThatIsServedOrHasNotLostAServerForLong)
+    {
+        for (int n = 0; n < 3; ++n)
+            lose(deadlyPrompt);
+        now += seconds(1);
+        EXPECT_NE(quarantine.findQuarantined(deadlyPrompt, now), 0u);
+        PromptEvidence served;
+        served.successes.push_back({ deadly, milliseconds(100) });
+        quarantine.merge(served, now);
+        now += seconds(1);
+        EXPECT_NE(quarantine.findQuarantined(deadlyPrompt, now), deadly);
+
+        PromptQuarantine other;
+        for (int n = 0; n < 3; ++n)
+            other.onServerLost(++server, deadlyPrompt, now + seconds(n), now + seconds(n) + milliseconds(1));
+        EXPECT_NE(other.findQuarantined(deadlyPrompt, now + seconds(5)), 0u);
+        EXPECT_EQ(other.findQuarantined(deadlyPrompt, now + seconds(63)), 0u);
+    }
+
+    TEST_F(APromptQuarantine, IsReachedByTheLossesOfSeveralInstancesTogether)
+    {
+        PromptQuarantine others[3];
+        for (auto& it : others) {
+            it.onServerLost(++server, deadlyPrompt, now - milliseconds(100), now);
+            const auto evidence = it.takeForHeartbeat(now, 8);
+            quarantine.merge(evidence, now + milliseconds(20));
+            quarantine.merge(evidence, now + milliseconds(40));
+            now += milliseconds(500);
+        }
+        EXPECT_EQ(quarantine.newest(now, 8).losses.size(), 3u);
+        now += seconds(1);
+        EXPECT_EQ(quarantine.findQuarantined(deadlyPrompt, now), deadly);
+        EXPECT_EQ(others[0].findQuarantined(deadlyPrompt, now), 0u);
+    }
+
+    TEST_F(APromptQuarantine, TellsEachLossAFewTimesAndForgetsTheOldestFirst)
+    {
+        lose(deadlyPrompt);
+        for (int n = 0; n < 3; ++n)
+            EXPECT_EQ(quarantine.takeForHeartbeat(now, 8).losses.size(), 1u);
+        EXPECT_TRUE(quarantine.takeForHeartbeat(now, 8).losses.empty());
+        for (int n = 0; n < 300; ++n)
+            quarantine.onServerLost(++server, soundPrompt, now, now + milliseconds(n));
+        EXPECT_EQ(quarantine.newest(now, 1000).losses.size(), PromptQuarantineLimits().maxLosses);
+    }
+
+} // namespace
+} // namespace yuccashift
