End answers that come without end before they use up memory or the caller's time

What happened: an event without end, the extension of a chunk without end and interim answers without end were read until the deadline, the first two into memory without a limit (a process has 160 MB or more); a refusal with a body without end kept the request from its next server until the deadline; an answer without length was kept up to 8 MB and then failed without a retry. In the own interface, bytes after the end mark kept the answer open, and the line before a chunk was read without a limit.

Change: limits on what is kept or skipped, each ending the attempt like an answer that broke off, so that it is retried or resumed where that is allowed. A refusal counts as complete after 64 KB of its body.

Evidence: ARequestInProgress.EndsBeforeItsDeadlineWhenItsServerSendsBytesWithoutEnd failed before with 504 for interim answers, chunk extension, refusal and event, and passes in 27 ms. ARelayedStream.EndsAfterItsEndMark... fails with the limit raised to 64 MB.

--- a/src/yuccashift/answers/sse_event_splitter.hpp
+++ b/src/yuccashift/answers/sse_event_splitter.hpp
@@ -7,6 +7,9 @@
 
 namespace yuccashift {
 
+/** Limit on the length of one event in bytes; a longer one is taken for bytes without end. */
+constexpr std::size_t maxEventBytes = 256 * 1024;
+
 /** Splits the bytes of a stream of server-sent events into events, and tells whether the stream may end where it does. */
 class SseEventSplitter {
 public:
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -18,8 +18,11 @@
     constexpr int firstServerFailure = 500;
     /** Unsent bytes of a stream at which reading from the server is paused until the caller catches up. */
     constexpr std::size_t maxUnsentBytes = 256 * 1024;
-    /** Limit on the body of a buffered answer, in bytes. */
+    /** Limits on the body of a buffered answer that names its length and of one that does not, in bytes. */
     constexpr std::size_t maxBufferedAnswerBytes = 8 << 20;
+    constexpr std::size_t maxBufferedBytesWithoutLength = 512 * 1024;
+    /** Bytes of the body of a refusal that are read, to reuse its connection. */
+    constexpr std::size_t maxRefusalBytes = 64 * 1024;
     /** Time reserved for the answer's way back over a hop, subtracted from the forwarded deadline and objective. */
     constexpr Duration regionHopReturnTime = milliseconds(60);
     constexpr Duration ownerHopReturnTime = milliseconds(5);
@@ -356,6 +359,7 @@
 {
     const auto self = shared_from_this();
     m_framing = toString(head.framing);
+    m_refusalBytes = 0;
     m_core.requestRecorder.recordAnswer(head.framing);
     if (!m_peerInstance.empty()) {
         m_hopFailure = decodeHopFailure(head);
@@ -395,16 +399,21 @@
     switch (m_answerMode) {
     case AnswerMode::Buffered:
         m_body.append(data);
-        if (m_body.size() > maxBufferedAnswerBytes)
-            failWith({ ErrorKind::AnswerIncomplete, "an answer larger than its bound", RunState::Ran, {} });
+        if (m_body.size() > (m_head.length ? maxBufferedAnswerBytes : maxBufferedBytesWithoutLength))
+            onAnswerFailure(OutboundFailure::Truncated, "the answer exceeds its limit");
         return;
     case AnswerMode::Stream:
         m_core.serverTracker.onFirstByte(m_requestTicket);
         m_core.serverTracker.onStreamChunk(m_requestTicket);
         return forwardStreamData(data);
-    case AnswerMode::None:
     case AnswerMode::NotRun:
     case AnswerMode::HopFailure:
+        m_refusalBytes += data.size();
+        if (m_refusalBytes <= maxRefusalBytes)
+            return;
+        m_outbound.reset();
+        return onAnswerEnd();
+    case AnswerMode::None:
         return;
     }
 }
@@ -439,6 +448,8 @@
 {
     std::string completeEvents;
     m_eventGate.feed(data, completeEvents);
+    if (m_eventGate.incompleteEvent().size() > maxEventBytes)
+        return onAnswerFailure(OutboundFailure::Truncated, "an event exceeds its limit");
     if (m_request.route->retryable())
         data = completeEvents;
     if (data.empty())
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -146,6 +146,8 @@
     /** Bytes of the body of the attempt's answer so far, and when the first ones arrived. */
     std::size_t m_answerBytes = 0;
     Instant m_answerBeganAt {};
+    /** Bytes of the body of a refusal so far. */
+    std::size_t m_refusalBytes = 0;
     std::string m_body;
     std::optional<HopFailure> m_hopFailure;
     SseEventFilter m_eventGate;
--- a/src/yuccashift/gateway/answer_relay.cpp
+++ b/src/yuccashift/gateway/answer_relay.cpp
@@ -8,9 +8,10 @@
 
 namespace {
 
-    constexpr std::size_t maxEventBytes = 256 * 1024;
     /** Answers other than token streams are buffered up to this size in bytes before they are relayed. */
     constexpr std::size_t maxBufferedBytes = 512 * 1024;
+    /** Limit on the bytes that are read after the end mark of a stream, to reuse its connection. */
+    constexpr std::size_t maxBytesAfterEndMark = 64 * 1024;
 
     tl::unexpected<Error> receiverGone()
     {
@@ -62,7 +63,8 @@
             co_return receiverGone();
     }
     std::string events;
-    for (;;) {
+    std::size_t bytesAfterEndMark = 0;
+    while (bytesAfterEndMark <= maxBytesAfterEndMark) {
         const auto chunk = co_await answer.next();
         // After the end mark, the end of the connection says nothing more; an answer without length or chunks has no other end.
         if (!chunk && m_tracker->done())
@@ -71,6 +73,8 @@
             co_return tl::unexpected(chunk.error());
         if (chunk->empty())
             break;
+        if (m_tracker->done())
+            bytesAfterEndMark += chunk->size();
         events.clear();
         const auto parsed = m_tracker->feed(*chunk, events);
         bool received = true;
--- a/src/yuccashift/http/backend_client.cpp
+++ b/src/yuccashift/http/backend_client.cpp
@@ -40,7 +40,8 @@
         }
 
         beast::tcp_stream stream;
-        beast::flat_buffer buffer;
+        /** Limited, since the parser uses up all bytes but those of a head or of the line before a chunk. */
+        beast::flat_buffer buffer { 2 * headerLimit };
         Instant idleSince;
         bool reused = false;
     };
--- a/src/yuccashift/http/outbound.cpp
+++ b/src/yuccashift/http/outbound.cpp
@@ -34,6 +34,10 @@
     /** Maximum size of an answer's header in bytes. */
     constexpr std::uint32_t maxAnswerHeaderBytes = 64 * 1024;
     constexpr int firstFinalStatus = 200;
+    /** Limit on the bytes of answers that are skipped before the one to the request, such as interim answers. */
+    constexpr std::size_t maxSkippedBytes = 256 * 1024;
+    /** Limit on received bytes that the parser cannot use yet, such as the extension of a chunk. */
+    constexpr std::size_t maxUnparsedBytes = 128 * 1024;
 
     using AnswerParser = http::response_parser<http::string_body>;
 
@@ -128,6 +132,7 @@
             m_answerDone = false;
             m_headSeen = false;
             m_paused = false;
+            m_skippedBytes = 0;
             m_parser.reset();
             if (m_connected)
                 write();
@@ -290,6 +295,12 @@
                 forwardBody();
                 if (m_closed || !m_listener)
                     return;
+                if (m_headSeen && !m_answerMatches)
+                    m_skippedBytes += n;
+                if (m_skippedBytes > maxSkippedBytes)
+                    return fail(OutboundFailure::Lost, "too many bytes that belong to other answers");
+                if (m_input.size() > maxUnparsedBytes)
+                    return fail(m_headSeen ? OutboundFailure::Truncated : OutboundFailure::Lost, "too many bytes that are no part of an answer");
                 if (m_parser->is_done()) {
                     if (!m_answerMatches) {
                         m_parser.reset();
@@ -386,6 +397,7 @@
         std::optional<Duration> m_idleTimeout;
         Instant m_idleSince {};
         std::uint64_t m_serial = 0;
+        std::size_t m_skippedBytes = 0;
         bool m_connected = false;
         bool m_closed = false;
         bool m_waitingForInput = false;
--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -128,6 +128,7 @@
             route.pathPrefix = prefix;
             route.kind = kind;
             route.maxAttempts = 2;
+            route.timeLimit = milliseconds(2000);
             route.resumable = resumable;
             route.services = { { "engines", 1 } };
             m_items.config.routes.push_back(route);
@@ -197,6 +198,47 @@
         }
     }
 
+    struct EndlessAnswer {
+        const char* name;
+        const char* path;
+        std::string begin;
+        /** Sent without end. */
+        std::string rest;
+        int status;
+    };
+
+    // Bytes without end were read until the deadline, and some of them kept in memory.
+    TEST_F(ARequestInProgress, EndsBeforeItsDeadlineWhenItsServerSendsBytesWithoutEnd)
+    {
+        const std::string notRun = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n\r\n";
+        const std::string bytes(1024, 'x');
+        const std::vector<EndlessAnswer> answers {
+            { "head", "/read/x", "HTTP/1.1 200 OK\r\nA: ", bytes, 502 },
+            { "interim answers", "/read/x", "", "HTTP/1.1 100 Continue\r\n\r\n", 502 },
+            { "body", "/read/x", "HTTP/1.1 200 OK\r\n\r\n", bytes, 502 },
+            { "extension of a chunk", "/read/x", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=", bytes, 502 },
+            { "body of a refusal", "/read/x", notRun, bytes, 503 },
+            { "event", "/resumable/x", streamHead + "\r\n", bytes, 502 },
+            { "event that is passed on as it arrives", "/once/x", streamHead + "\r\n", bytes, 200 },
+        };
+        for (auto& route : m_items.config.routes)
+            route.maxAttempts = 1;
+        for (const auto& it : answers) {
+            const ScriptedServer server([&it](ScriptedConnection& connection) {
+                if (!connection.readRequest())
+                    return;
+                connection.write(it.begin);
+                connection.writeWithoutEnd(it.rest);
+            });
+            Instance instance(m_items, { &server });
+            const auto answer = instance.call(it.path);
+            EXPECT_EQ(answer.status, it.status) << it.name;
+            EXPECT_FALSE(answer.complete && answer.status == 200) << it.name;
+            const auto outcomes = instance.core.metrics.renderPrometheus();
+            EXPECT_EQ(outcomes.find("deadline_exceeded"), std::string::npos) << it.name;
+        }
+    }
+
     // Without chunks, only a reset tells the caller that the answer is incomplete.
     TEST_F(ARequestInProgress, OverHttp10IsResetWhenItsStreamBreaksOff)
     {
--- a/tests/gateway/answer_relay_test.cpp
+++ b/tests/gateway/answer_relay_test.cpp
@@ -23,6 +23,7 @@
         }
 
         const AnswerHead& head() const override { return m_head; }
+        std::size_t partsRead() const { return m_next; }
         asio::awaitable<Result<std::string_view>> next() override
         {
             if (m_next == m_parts.size())
@@ -80,6 +81,18 @@
         EXPECT_EQ(kept.body, token + endMark);
     }
 
+    // Bytes without end after the end mark kept the caller waiting for the end of its answer.
+    TEST(ARelayedStream, EndsAfterItsEndMarkThoughItsServerSendsBytesWithoutEnd)
+    {
+        std::vector<std::string> parts(1000, std::string(1024, 'x'));
+        parts.insert(parts.begin(), token + endMark);
+        CutOffStream answer(std::move(parts));
+        KeptAnswer kept;
+        EXPECT_TRUE(relay(answer, kept));
+        EXPECT_EQ(kept.body, token + endMark);
+        EXPECT_LT(answer.partsRead(), 100u);
+    }
+
     TEST(ARelayedStream, IsIncompleteWithoutItsEndMark)
     {
         for (const auto& last : { std::string(), endMark.substr(0, endMark.size() - 1) }) {
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -42,6 +42,14 @@
         boost::asio::write(m_socket, boost::asio::buffer(text), ec);
     }
 
+    /** Writes the text again and again until the peer closes the connection. */
+    void writeWithoutEnd(const std::string& text)
+    {
+        boost::system::error_code ec;
+        while (!ec)
+            boost::asio::write(m_socket, boost::asio::buffer(text), ec);
+    }
+
     /** Reads and discards bytes, without answering, until the peer closes the connection. */
     void swallow()
     {
