Quarantine parts of prompts in the own interface too

The same cause as of the deadly prompt part: yuccashiftd counts crashes by whole requests, so that requests which share a deadly beginning of their prompts crash engine after engine.

PromptQuarantine serves both interfaces. In yuccashiftd the parts are the first blocks of the prompt but the last one, as the prefix cache knows them; heartbeats carry the evidence in optional fields within the quarantine's budget, so that earlier versions ignore it. The codec of the evidence is shared by both wires.

--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -4,6 +4,7 @@
 #include "yuccashift/fleet/datagram.hpp"
 #include "yuccashift/http/detail/scratch.hpp"
 #include "yuccashift/kernel/log.hpp"
+#include "yuccashift/resilience/prompt_evidence_codec.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -72,41 +73,6 @@
         return request;
     }
 
-    PromptEvidence decodePromptEvidence(const fleetwire::Heartbeat& heartbeat)
-    {
-        PromptEvidence evidence;
-        for (const auto& it : heartbeat.promptLosses) {
-            auto& loss = evidence.losses.emplace_back();
-            loss.id = static_cast<std::uint32_t>(it.id);
-            loss.server = static_cast<std::uint32_t>(it.server);
-            for (const auto part : it.parts)
-                loss.parts.push_back(static_cast<PartHash>(part));
-            loss.sentAgo = milliseconds(it.sentAgoMs);
-            loss.lostAgo = milliseconds(it.lostAgoMs);
-        }
-        for (const auto& it : heartbeat.partSuccesses)
-            evidence.successes.push_back({ static_cast<PartHash>(it.part), milliseconds(it.agoMs) });
-        return evidence;
-    }
-
-    void addPromptEvidence(fleetwire::Heartbeat& heartbeat, const PromptEvidence& evidence)
-    {
-        for (const auto& loss : evidence.losses) {
-            auto& it = heartbeat.promptLosses.emplace_back();
-            it.id = static_cast<std::int32_t>(loss.id);
-            it.server = static_cast<std::int32_t>(loss.server);
-            for (const auto part : loss.parts)
-                it.parts.push_back(static_cast<std::int32_t>(part));
-            it.sentAgoMs = static_cast<std::int32_t>(toMilliseconds(loss.sentAgo));
-            it.lostAgoMs = static_cast<std::int32_t>(toMilliseconds(loss.lostAgo));
-        }
-        for (const auto& success : evidence.successes) {
-            auto& it = heartbeat.partSuccesses.emplace_back();
-            it.part = static_cast<std::int32_t>(success.part);
-            it.agoMs = static_cast<std::int32_t>(toMilliseconds(success.ago));
-        }
-    }
-
     constexpr double percent = 100;
 
     OwnerReport decodeReport(const fleetwire::ServerLoad& load, Instant now)
@@ -243,7 +209,7 @@
     if (!peer)
         return;
     m_core.crashTracker.setPeerCrashes(*sender, heartbeat.crashes);
-    m_core.promptQuarantine.merge(decodePromptEvidence(heartbeat), now, peer->region != m_core.settings.region);
+    m_core.promptQuarantine.merge(promptEvidenceOf(heartbeat), now, peer->region != m_core.settings.region);
     if (peer->region != m_core.settings.region)
         return;
     std::map<std::uint64_t, ServerLoadSum> loads;
--- a/src/yuccashift/gateway/attempt.cpp
+++ b/src/yuccashift/gateway/attempt.cpp
@@ -66,6 +66,7 @@
     const BackendKey key { m_context.traits.service, m_backend.name };
     auto span = m_components.startSpan(m_context.trace, "attempt");
     span.attributes = { { "backend", m_backend.name }, { "region", m_backend.region } };
+    m_sentAt = m_components.clock.now();
     const auto trackedRequest = m_components.loadTracker.onStart(key, expectedTokens(), m_components.clock.now());
     m_components.prefixCacheTracker.onSent(key, m_context.traits.prefixBlocks);
     Result<void> result;
@@ -137,6 +138,7 @@
     const std::array<std::string_view, 2> names { key.service, key.backend };
     const auto now = m_components.clock.now();
     m_components.quarantine.onBackendCrash(hash64(names), m_components.inFlightRequests.takeForCrash(key), now);
+    m_components.promptQuarantine.onServerLost(static_cast<std::uint32_t>(hash64(names)), partsOfBlocks(m_context.traits.prefixBlocks), m_sentAt, now);
     m_components.loadTracker.onLost(key, now);
     m_components.prefixCacheTracker.onLost(key);
     logWarning("backend server crashed with requests in flight", { { "service", key.service }, { "backend", key.backend } });
@@ -148,6 +150,7 @@
     if (result) {
         m_components.ejection.onSuccess(m_context.traits.service, m_backend.name, now);
         m_components.quarantine.onSuccess(m_context.fingerprint, now);
+        m_components.promptQuarantine.onSuccess(partsOfBlocks(m_context.traits.prefixBlocks), now);
     } else if (isServerFailure(result.error())) {
         m_components.ejection.onFailure(m_context.traits.service, m_backend.name, now);
     }
--- a/src/yuccashift/gateway/attempt.hpp
+++ b/src/yuccashift/gateway/attempt.hpp
@@ -31,6 +31,7 @@
     const BackendSpec& m_backend;
     AnswerRelay& m_relay;
     bool m_newConnection;
+    Instant m_sentAt {};
 };
 
 /**
--- a/src/yuccashift/gateway/executor.cpp
+++ b/src/yuccashift/gateway/executor.cpp
@@ -14,6 +14,13 @@
 
 namespace {
 
+    bool isQuarantined(GatewayComponents& components, const RequestContext& context)
+    {
+        const auto now = components.clock.now();
+        return components.quarantine.isQuarantined(context.fingerprint, now)
+            || components.promptQuarantine.findQuarantined(partsOfBlocks(context.traits.prefixBlocks), now) != 0;
+    }
+
     /** All attempts of one request in this region. */
     class Execution {
     public:
@@ -113,7 +120,7 @@
             if (error.kind == ErrorKind::Cancelled || error.kind == ErrorKind::DeadlineExceeded)
                 return false;
             const auto now = m_components.clock.now();
-            if (m_components.quarantine.isQuarantined(m_context.fingerprint, now)) {
+            if (isQuarantined(m_components, m_context)) {
                 m_failure = Error { ErrorKind::Quarantined, {}, RunState::OutcomeUnknown, {} };
                 return false;
             }
@@ -177,7 +184,7 @@
     auto span = m_components.startSpan(context.trace, "execute");
     span.attributes = { { "region", m_components.settings.region }, { "service", context.traits.service } };
     Result<void> result;
-    if (m_components.quarantine.isQuarantined(context.fingerprint, m_components.clock.now())) {
+    if (isQuarantined(m_components, context)) {
         result = fail(ErrorKind::Quarantined);
     } else {
         const auto permit = co_await m_components.gate(context.traits.service).admit(context.traits, context.organisation->weight, context.document().queueLimit);
--- a/src/yuccashift/gateway/gateway_components.hpp
+++ b/src/yuccashift/gateway/gateway_components.hpp
@@ -14,6 +14,7 @@
 #include "yuccashift/peer/handshake.hpp"
 #include "yuccashift/resilience/hedge_budget.hpp"
 #include "yuccashift/resilience/outlier_ejection.hpp"
+#include "yuccashift/resilience/prompt_quarantine.hpp"
 #include "yuccashift/resilience/quarantine.hpp"
 #include "yuccashift/resilience/retry_budget.hpp"
 #include "yuccashift/routing/backend_load_tracker.hpp"
@@ -76,6 +77,7 @@
     HedgeBudget hedgeBudget;
     OutlierEjection ejection;
     Quarantine quarantine;
+    PromptQuarantine promptQuarantine;
     InFlightRequestTracker inFlightRequests;
     Metrics metrics;
     SpanBuffer spans;
--- a/src/yuccashift/membership/coordinator.cpp
+++ b/src/yuccashift/membership/coordinator.cpp
@@ -6,6 +6,7 @@
 #include "yuccashift/membership/packed_loads.hpp"
 #include "yuccashift/membership/region_links.hpp"
 #include "yuccashift/ports/listing.hpp"
+#include "yuccashift/resilience/prompt_evidence_codec.hpp"
 #include "yuccashift/resilience/quarantine.hpp"
 
 #include <algorithm>
@@ -31,6 +32,8 @@
         heartbeat.__isset.summaries = !heartbeat.summaries.empty();
         heartbeat.__isset.demands = !heartbeat.demands.empty();
         heartbeat.__isset.quarantine = !heartbeat.quarantine.empty();
+        heartbeat.__isset.promptLosses = !heartbeat.promptLosses.empty();
+        heartbeat.__isset.partSuccesses = !heartbeat.partSuccesses.empty();
         heartbeat.__isset.members = !heartbeat.members.empty();
         heartbeat.__isset.regionDemands = !heartbeat.regionDemands.empty();
     }
@@ -195,6 +198,8 @@
         records.push_back(fromWire(entry));
     if (m_hooks.quarantine != nullptr)
         m_hooks.quarantine->merge(records, now, !sameRegion);
+    if (m_hooks.promptQuarantine != nullptr)
+        m_hooks.promptQuarantine->merge(promptEvidenceOf(heartbeat), now, !sameRegion);
 }
 
 void Coordinator::onListing(const InstanceListing& listing, Instant now)
@@ -310,6 +315,8 @@
     heartbeat.regionDemands = m_relay.takeDemands(budget.regionDemands, now);
     if (m_hooks.quarantine != nullptr)
         heartbeat.quarantine = toWire(m_hooks.quarantine->takeRecordsForHeartbeat(now, budget.quarantine));
+    if (m_hooks.promptQuarantine != nullptr)
+        addPromptEvidence(heartbeat, m_hooks.promptQuarantine->takeForHeartbeat(now, budget.quarantine));
     for (const auto& member : m_table.takeUpdates(budget.members))
         heartbeat.members.push_back(toWire(member));
     return heartbeat;
@@ -332,6 +339,8 @@
     }
     if (m_hooks.quarantine != nullptr)
         heartbeat.quarantine = toWire(m_hooks.quarantine->newestRecords(now, budget.quarantine));
+    if (m_hooks.promptQuarantine != nullptr)
+        addPromptEvidence(heartbeat, m_hooks.promptQuarantine->newest(now, budget.quarantine));
     // Both senders of a region pair have their turn within two intervals. Twice that time is covered, so that one lost
     // frame does not hide a change.
     const auto since = now - m_timing.crossRegionInterval * 4;
--- a/src/yuccashift/membership/coordinator.hpp
+++ b/src/yuccashift/membership/coordinator.hpp
@@ -16,6 +16,7 @@
 
 class DemandExchange;
 class LoadExchange;
+class PromptQuarantine;
 class Quarantine;
 class SummaryExchange;
 enum class SenderSelection;
@@ -26,6 +27,7 @@
     SummaryExchange* summaries = nullptr;
     DemandExchange* demands = nullptr;
     Quarantine* quarantine = nullptr;
+    PromptQuarantine* promptQuarantine = nullptr;
 };
 
 struct CoordinatorTiming {
--- a/src/yuccashift/node/node.cpp
+++ b/src/yuccashift/node/node.cpp
@@ -125,7 +125,7 @@
 
 void Node::State::createComponents()
 {
-    const CoordinatorHooks hooks { &heartbeatExchange, &heartbeatExchange, &heartbeatExchange, &components.quarantine };
+    const CoordinatorHooks hooks { &heartbeatExchange, &heartbeatExchange, &heartbeatExchange, &components.quarantine, &components.promptQuarantine };
     coordinator = std::make_unique<Coordinator>(memberInfo(components, endpoints), components.documents, hooks, makeSystemRandom());
     gateway = std::make_unique<Gateway>(components, *coordinator, hub);
     callerApi = std::make_unique<CallerApi>(components, *coordinator, *gateway);
--- a/src/yuccashift/peer/peer.thrift
+++ b/src/yuccashift/peer/peer.thrift
@@ -90,6 +90,21 @@
   5: i64 death         // identifies the crash, so that a late entry is not counted as another one
 }
 
+// A backend server was lost while a request whose prompt has these parts was in progress there.
+struct PromptLoss {
+  1: i32 id            // assigned by the instance that sent the request
+  2: i32 server        // short hash of the server's service and name
+  3: list<i32> parts   // short hashes of the parts that may be the cause
+  4: i32 sentAgoMs
+  5: i32 lostAgoMs
+}
+
+// A request whose prompt has this part was served.
+struct PartSuccess {
+  1: i32 part
+  2: i32 agoMs
+}
+
 struct Heartbeat {
   1: Member sender
   2: i64 sequence
@@ -102,6 +117,8 @@
   9: optional list<Member> members
   10: bool ready       // the sender has asked its peers for their documents
   11: optional list<RegionDemand> regionDemands
+  12: optional list<PromptLoss> promptLosses
+  13: optional list<PartSuccess> partSuccesses // of parts that the losses name
 }
 
 // Asks for the documents that are newer than these revisions.
--- a/src/yuccashift/resilience/prompt_quarantine.cpp
+++ b/src/yuccashift/resilience/prompt_quarantine.cpp
@@ -21,6 +21,9 @@
     /** Losses of one server this close together have one cause. */
     constexpr Duration sameCauseWindow = seconds(2);
 
+    /** Limit on the blocks of a prompt that are considered; their hashes are chained, so that later ones name the same requests. */
+    constexpr std::size_t maxPartsOfBlocks = 16;
+
 } // namespace
 
 PartHash hashOfPart(std::uint64_t id)
@@ -29,6 +32,14 @@
     return hash == 0 ? 1 : hash;
 }
 
+std::vector<PartHash> partsOfBlocks(std::span<const std::uint64_t> blocks)
+{
+    std::vector<PartHash> parts;
+    for (const auto block : blocks.first(blocks.empty() ? 0 : std::min(blocks.size() - 1, maxPartsOfBlocks)))
+        parts.push_back(hashOfPart(block));
+    return parts;
+}
+
 /** What counts against one part. */
 struct PromptQuarantine::Suspect {
     std::vector<const Loss*> losses;
--- a/src/yuccashift/resilience/prompt_quarantine.hpp
+++ b/src/yuccashift/resilience/prompt_quarantine.hpp
@@ -19,6 +19,9 @@
 
 PartHash hashOfPart(std::uint64_t id);
 
+/** The first blocks of a prompt but its last one, from the chained hashes of its blocks. */
+std::vector<PartHash> partsOfBlocks(std::span<const std::uint64_t> blocks);
+
 /** A backend server was lost while this request was in progress there. Sent to all instances. */
 struct PromptLoss {
     /** Assigned by the instance that sent the request. */
--- a/tests/membership/coordinator_test.cpp
+++ b/tests/membership/coordinator_test.cpp
@@ -87,6 +87,7 @@
         auto& replaced = m_mesh.at("lagos-1");
         const auto earlierStore = std::move(replaced.store);
         const auto earlierQuarantine = std::move(replaced.quarantine);
+        const auto earlierPromptQuarantine = std::move(replaced.promptQuarantine);
         const auto earlier = std::move(replaced.coordinator);
         m_mesh.add("lagos-1", "lagos", 2);
         m_mesh.list();
@@ -128,6 +129,22 @@
             EXPECT_TRUE(node.quarantine->isQuarantined(request, m_mesh.now())) << instance;
     }
 
+    // Requests of which no two are alike crash servers of several regions.
+    TEST_F(Coordinators, SendLossesUnderAPartOfAPromptToAllRegions)
+    {
+        startRegions(6, 6);
+        const std::array<std::uint64_t, 3> blocks { 1, 2, 3 };
+        std::uint32_t server = 0;
+        for (const auto* instance : { "lagos-0", "sofia-3", "lagos-4" }) {
+            const auto now = m_mesh.now();
+            m_mesh.at(instance).promptQuarantine->onServerLost(++server, partsOfBlocks(blocks), now - milliseconds(100), now);
+            m_mesh.run(seconds(2));
+        }
+        m_mesh.run(seconds(18));
+        for (const auto& [instance, node] : m_mesh.nodes())
+            EXPECT_EQ(node.promptQuarantine->findQuarantined(partsOfBlocks(blocks), m_mesh.now()), hashOfPart(2)) << instance;
+    }
+
     TEST_F(Coordinators, OnEachSideOfAPartitionSeeEachOtherAsAlive)
     {
         startRegions(6, 1);
--- a/tests/support/mesh.hpp
+++ b/tests/support/mesh.hpp
@@ -5,6 +5,7 @@
 #include "yuccashift/membership/coordinator.hpp"
 #include "yuccashift/peer/codec.hpp"
 #include "yuccashift/ports/listing.hpp"
+#include "yuccashift/resilience/prompt_quarantine.hpp"
 #include "yuccashift/resilience/quarantine.hpp"
 
 #include <functional>
@@ -49,6 +50,7 @@
         MemberInfo info;
         std::unique_ptr<DocumentStore> store;
         std::unique_ptr<Quarantine> quarantine;
+        std::unique_ptr<PromptQuarantine> promptQuarantine;
         std::unique_ptr<Coordinator> coordinator;
         Traffic traffic;
         Instant nextTick;
@@ -72,6 +74,8 @@
         node.store = std::make_unique<DocumentStore>();
         node.quarantine = std::make_unique<Quarantine>();
         hooks.quarantine = node.quarantine.get();
+        node.promptQuarantine = std::make_unique<PromptQuarantine>();
+        hooks.promptQuarantine = node.promptQuarantine.get();
         node.coordinator = std::make_unique<Coordinator>(node.info, *node.store, hooks, std::make_unique<SeededRandom>(m_random.next()));
         node.nextTick = now() + milliseconds(static_cast<std::int64_t>(m_random.uniformBelow(100)));
     }
