--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -27,6 +27,8 @@
     const std::string secondEvent = "id: 2\ndata: b\n\n";
     const std::string streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
 
+    const std::string wholeStream = streamHead + "\r\n" + firstEvent + secondEvent;
+
     std::string chunk(const std::string& data)
     {
         std::ostringstream out;
@@ -168,11 +170,11 @@
     TEST_F(ARequestInProgress, ForAStreamIsResumedAtAnotherServerWhenItsFirstOneBreaksOff)
     {
         for (const auto& it : brokenStreams) {
-            // Whichever server is chosen first breaks off; the other one has only the rest to send.
+            // Whichever server is chosen first breaks off; the caller gets the rest of the other one's whole stream.
             std::atomic<int> requests = 0;
             const auto script = [&](ScriptedConnection& connection) {
                 if (connection.readRequest())
-                    connection.write(++requests == 1 ? it.sent : streamHead + "\r\n" + firstEvent + secondEvent);
+                    connection.write(++requests == 1 ? it.sent : wholeStream);
             };
             const ScriptedServer first(script);
             const ScriptedServer second(script);
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -196,7 +196,8 @@
         const auto request = [&](const std::string& instance, const std::string& attempt, const std::string& parts) {
             const auto headers = callerHeaders(attempt, std::chrono::seconds(5));
             HttpCall call { m_fleet.callers(instance), "POST", "/once/stream/x", { headers.begin(), headers.end() }, attempt };
-            call.headers["X-Prompt-Prefix"] = parts + "," + std::to_string(std::hash<std::string> {}(attempt) % 1000000) + ":10";
+            auto& prefix = call.headers["X-Prompt-Prefix"];
+            prefix.append(parts).append(",").append(std::to_string(std::hash<std::string> {}(attempt) % 1000000)).append(":10");
             call.headers["X-Token-Counts"] = "40,20";
             return send(call);
         };
--- a/tests/gateway/answer_relay_test.cpp
+++ b/tests/gateway/answer_relay_test.cpp
@@ -66,7 +66,7 @@
         asio::io_context io;
         Result<void> result;
         AnswerRelay it(sink, 0);
-        asio::co_spawn(io, it.run(answer), [&](std::exception_ptr, Result<void> relayed) { result = std::move(relayed); });
+        asio::co_spawn(io, it.run(answer), [&](const std::exception_ptr&, const Result<void>& relayed) { result = relayed; });
         io.run();
         return result;
     }
