--- a/fuzzing/soak/soak.cpp
+++ b/fuzzing/soak/soak.cpp
@@ -174,7 +174,7 @@
         void injectServerFault()
         {
             auto& server = *m_servers[m_random.uniformBelow(m_servers.size())];
-            switch (m_random.uniformBelow(8)) {
+            switch (m_random.uniformBelow(9)) {
             case 0:
                 return server.relay.setMode(RelayMode::Swallow);
             case 1:
@@ -189,6 +189,8 @@
                 return publish(server);
             case 6:
                 return m_fleet.control(server.id, server.service == "ledger" ? "/control/lose-answers" : "/control/cut-streams", R"({"count":2})");
+            case 7:
+                return m_fleet.control(server.id, "/control/break-streams", R"({"count":2})");
             default:
                 return m_fleet.control(server.id, "/control/extra-answers", R"({"count":2})");
             }
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -177,7 +177,8 @@
             for (const auto& it : servers)
                 m_fleet.control(it, "/control/break-streams", R"({"count":0})");
             for (const std::string path : { "/once/stream/x", "/home/stream/x" }) {
-                const auto attempt = framing + "-whole" + path;
+                auto attempt = framing + "-whole";
+                attempt += path;
                 const auto reply = m_fleet.call("sofia-1", attempt, "POST", path, "prompt");
                 EXPECT_TRUE(reply.ok()) << attempt;
                 EXPECT_EQ(reply.body, expectedStream(attempt)) << attempt;
