Log and count the software versions of backend servers and the streams that resume

The logs named servers without the version of their software and did not tell which requests resume a stream, so that the hypotheses on streams that went on at another version could not be told apart. The entry's field is decoded as text of whatever type, since only equality matters. No decision uses it yet.

--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -366,6 +366,7 @@
     metrics.gauge("yuccashift_processor_milliseconds").set(toMillisecondCount(used.ru_utime) + toMillisecondCount(used.ru_stime));
     metrics.gauge("yuccashift_peak_memory_kilobytes").set(used.ru_maxrss);
     metrics.gauge("yuccashift_servers_known").set(static_cast<std::int64_t>(core.fleetState.servers().size()));
+    metrics.gauge("yuccashift_software_versions").set(static_cast<std::int64_t>(core.fleetState.softwareVersions().mostInOneService()));
     if (adapters.flushLog)
         adapters.flushLog();
 }
--- a/src/yuccashift/entry/protocol_codec.hpp
+++ b/src/yuccashift/entry/protocol_codec.hpp
@@ -22,6 +22,8 @@
     WorkSize work;
     /** Id of the event after which the caller resumes a stream. */
     std::optional<std::string> resumeAfter;
+    /** Id of the caller's attempt that brought the first event of that stream. */
+    std::optional<std::string> resumedAttempt;
 };
 
 /** Metadata of one attempt, sent to the backend server. */
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -145,6 +145,8 @@
         return false;
     }
     armTimeLimit();
+    if (!m_hopMetadata && m_request.metadata.resumeAfter)
+        logInfo("caller resumes a stream", { { "request", m_request.metadata.attemptId }, { "resumes", m_request.metadata.resumedAttempt.value_or("") }, { "after_event", *m_request.metadata.resumeAfter } });
     if (!m_hopMetadata) {
         m_core.retryBudget.onRequest(m_request.service);
         m_core.regionDemand.onRequest(*m_request.route);
@@ -298,7 +300,7 @@
     m_framing = {};
     ++m_attempts;
     m_core.requestRecorder.recordServerSend(m_request.metadata.work.promptTokens, candidate.cachedTokens);
-    logInfo("sent to server", { { "request", m_request.metadata.attemptId }, { "server", m_serverId }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "slowness_percent", std::lround(candidate.slowness * 100) }, { "prompt", m_request.metadata.work.promptTokens }, { "prefix", m_request.metadata.work.sharedParts().empty() ? 0 : m_request.metadata.work.sharedParts().back().id }, { "cached_prompt", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
+    logInfo("sent to server", { { "request", m_request.metadata.attemptId }, { "server", m_serverId }, { "software", server.softwareVersion }, { "resume_after", metadata.resumeAfter.value_or("") }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "slowness_percent", std::lround(candidate.slowness * 100) }, { "prompt", m_request.metadata.work.promptTokens }, { "prefix", m_request.metadata.work.sharedParts().empty() ? 0 : m_request.metadata.work.sharedParts().back().id }, { "cached_prompt", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
     m_outbound = m_core.serverConnections.start(std::move(request), *this);
 }
 
--- a/src/yuccashift/fleet/backend_server.hpp
+++ b/src/yuccashift/fleet/backend_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccashift/answers/stream_software.hpp"
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/ids.hpp"
 
@@ -26,6 +27,10 @@
     /** Hash of the identity, see hashOf(). */
     std::uint64_t identityHash = 0;
     ServiceName service;
+    /** Version of the server's software; empty if the platform's entry does not state it. Versions have no order. */
+    std::string softwareVersion;
+    /** Hash of service and version, see softwareIdOf(). */
+    SoftwareId software = 0;
     Endpoint address;
     DatacentreName datacentre;
     /** Maximum number of requests that the server processes concurrently. */
--- a/src/yuccashift/fleet/fleet_state.cpp
+++ b/src/yuccashift/fleet/fleet_state.cpp
@@ -121,6 +121,7 @@
     const auto now = m_clock.now();
     auto& server = entry.server;
     server.identityHash = hashOf(server.identity);
+    server.software = softwareIdOf(server.service, server.softwareVersion);
     const auto it = m_servers.find(key);
     const bool known = it != m_servers.end() && it->second.identity == server.identity && it->second.address == server.address;
     server.coldUntil = now + entry.coldFor;
@@ -130,9 +131,12 @@
         rememberDeparture(server);
     const bool changed = !known || it->second.draining != server.draining;
     if (changed)
-        logInfo("backend server added or changed", { { "id", server.identity.id }, { "born", server.identity.startedAtMs }, { "service", server.service }, { "datacentre", server.datacentre }, { "draining", server.draining ? 1 : 0 }, { "cold_ms", toMilliseconds(server.coldUntil - now) } });
+        logInfo("backend server added or changed", { { "id", server.identity.id }, { "born", server.identity.startedAtMs }, { "service", server.service }, { "software", server.softwareVersion }, { "datacentre", server.datacentre }, { "draining", server.draining ? 1 : 0 }, { "cold_ms", toMilliseconds(server.coldUntil - now) } });
     if (!known && it != m_servers.end())
         removeServer(key);
+    else if (known)
+        m_softwareVersions.onServerRemoved(it->second.service, it->second.software, now);
+    m_softwareVersions.onServerAdded(server.service, server.software, now);
     const bool draining = server.draining;
     auto& stored = m_servers[key] = std::move(server);
     if (!m_observer)
@@ -150,6 +154,7 @@
         return;
     const auto server = std::move(it->second);
     m_servers.erase(it);
+    m_softwareVersions.onServerRemoved(server.service, server.software, m_clock.now());
     rememberDeparture(server);
     logInfo("backend server removed", { { "id", server.identity.id }, { "service", server.service }, { "datacentre", server.datacentre } });
     if (!m_observer)
--- a/src/yuccashift/fleet/fleet_state.hpp
+++ b/src/yuccashift/fleet/fleet_state.hpp
@@ -3,6 +3,7 @@
 #include "yuccashift/fleet/backend_server.hpp"
 #include "yuccashift/fleet/item_replica.hpp"
 #include "yuccashift/fleet/route_config.hpp"
+#include "yuccashift/fleet/software_versions.hpp"
 
 #include <map>
 #include <memory>
@@ -91,6 +92,8 @@
     std::shared_ptr<const RouteIndex> routes() const { return m_routes; }
     std::int64_t configVersion() const { return m_routes ? m_routes->config().version : 0; }
     const std::map<std::string, BackendServer>& servers() const { return m_servers; }
+    /** Which software the published servers run, draining ones included. */
+    const SoftwareVersions& softwareVersions() const { return m_softwareVersions; }
     bool evacuated(const DatacentreName& datacentre) const { return m_evacuated.contains(datacentre); }
     /** Marks a server as cold after it said so in an answer, which is newer than its entry. */
     void setCold(const std::string& id, Instant until);
@@ -113,6 +116,7 @@
     std::shared_ptr<const RouteIndex> m_routes;
     /** Servers by their item's key. */
     std::map<std::string, BackendServer> m_servers;
+    SoftwareVersions m_softwareVersions;
     /** Evacuated data centres by their item's key. */
     std::map<std::string, DatacentreName> m_evacuations;
     std::set<DatacentreName> m_evacuated;
--- /dev/null
+++ b/tests/fleet/software_versions_test.cpp
@@ -0,0 +1,46 @@
+#include "yuccashift/fleet/software_versions.hpp"
+
+#include <gtest/gtest.h>
+
+namespace yuccashift {
+namespace {
+
+    constexpr Duration period = seconds(10);
+
+    struct TheSoftwareOfAService : testing::Test {
+        VirtualClock clock;
+        SoftwareVersions versions;
+
+        std::optional<SoftwareId> only() const { return versions.onlySoftware("draft", period, clock.now()); }
+    };
+
+    TEST_F(TheSoftwareOfAService, IsCertainOnlyAfterThePeriodHasBeenFollowed)
+    {
+        versions.onServerAdded("draft", 1, clock.now());
+        EXPECT_FALSE(only());
+        clock.advance(period);
+        EXPECT_EQ(only(), 1u);
+        EXPECT_EQ(versions.mostInOneService(), 1u);
+    }
+
+    TEST_F(TheSoftwareOfAService, IsUncertainWhileTwoVersionsServeAndForThePeriodAfter)
+    {
+        versions.onServerAdded("draft", 1, clock.now());
+        versions.onServerAdded("draft", 1, clock.now());
+        versions.onServerAdded("ledger", 7, clock.now());
+        clock.advance(period);
+        versions.onServerAdded("draft", 2, clock.now());
+        EXPECT_EQ(versions.mostInOneService(), 2u);
+        EXPECT_FALSE(only());
+        versions.onServerRemoved("draft", 1, clock.now());
+        versions.onServerRemoved("draft", 1, clock.now());
+        EXPECT_EQ(versions.mostInOneService(), 1u);
+        EXPECT_FALSE(only());
+        clock.advance(period);
+        EXPECT_EQ(only(), 2u);
+        EXPECT_EQ(versions.onlySoftware("ledger", period, clock.now()), 7u);
+        EXPECT_FALSE(versions.onlySoftware("chat", period, clock.now()));
+    }
+
+} // namespace
+} // namespace yuccashift
--- a/tests/platform/json_item_decoder_test.cpp
+++ b/tests/platform/json_item_decoder_test.cpp
@@ -20,6 +20,7 @@
         EXPECT_EQ(entry->server.identity, (ServerIdentity { "i-1", 1790000000000 }));
         EXPECT_EQ(entry->server.address, (Endpoint { "10.0.0.9", 8080 }));
         EXPECT_EQ(entry->server.datacentre, "hall");
+        EXPECT_EQ(entry->server.softwareVersion, "v1");
         EXPECT_EQ(entry->server.slots, 64u);
         EXPECT_TRUE(entry->server.engine);
         EXPECT_FALSE(entry->server.draining);
@@ -49,6 +50,17 @@
             EXPECT_TRUE(std::holds_alternative<InvalidItem>(decode("servers/i-1", value))) << value;
     }
 
+    TEST(AServersEntry, HoldsItsSoftwareVersionWhateverItsType)
+    {
+        const std::vector<std::pair<std::string, std::string>> versions { { R"(,"version":"2.0")", "2.0" }, { R"(,"version":2)", "2" }, { R"(,"version":null)", "" }, { "", "" } };
+        for (const auto& [field, text] : versions) {
+            const auto item = decode("servers/i-1", R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":4,"state":"ready")" + field + "}");
+            const auto* entry = std::get_if<ServerEntry>(&item);
+            ASSERT_TRUE(entry) << field;
+            EXPECT_EQ(entry->server.softwareVersion, text) << field;
+        }
+    }
+
     TEST(AServersEntry, HoldsTheTimeToItsDeparture)
     {
         const auto item = decode("servers/i-1", R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":4,"state":"draining","remainingMs":2000})");
