Add failing tests: streams go on at another software version than began them

ARequestInProgress.ForAStreamIsNeverResumedAtAnotherSoftwareThanBeganIt: the second server, v2, continues the stream of v1 within one answer.

--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -47,12 +47,15 @@
     /** One instance, its callers and its scripted backend servers of the service `engines`. */
     class Instance : public InboundHandler {
     public:
-        Instance(const WordItems& items, std::initializer_list<const ScriptedServer*> servers)
+        /** @param versions the servers' software versions in the same order; empty if they state none */
+        Instance(const WordItems& items, std::initializer_list<const ScriptedServer*> servers, const std::vector<std::string>& versions = {})
             : m_items(items)
         {
             std::vector<ItemChange> listing { { "config", "config 1", 2 } };
-            for (const auto* it : servers)
-                listing.push_back({ "s" + std::to_string(listing.size()), "server engines " + toString(it->endpoint()) + " hall ready 1 0 6", 3 });
+            for (const auto* it : servers) {
+                const auto version = versions.empty() ? std::string() : " " + versions.at(listing.size() - 1);
+                listing.push_back({ "s" + std::to_string(listing.size()), "server engines " + toString(it->endpoint()) + " hall ready 1 0 6" + version, 3 });
+            }
             core.fleetState.replaceAll(listing, 3);
             core.requestProbe = [](std::uint64_t) {};
             core.retryBudget.setInstanceCount(1);
@@ -186,6 +189,50 @@
         }
     }
 
+    // A stream that broke off went on at a server of another software version.
+    TEST_F(ARequestInProgress, ForAStreamIsNeverResumedAtAnotherSoftwareThanBeganIt)
+    {
+        const std::string begun = streamHead + "\r\n" + firstEvent + "id: 2\nda";
+        std::atomic<int> requests = 0;
+        const auto script = [&](ScriptedConnection& connection) {
+            if (connection.readRequest())
+                connection.write(++requests == 1 ? begun : wholeStream);
+        };
+        const ScriptedServer first(script);
+        const ScriptedServer second(script);
+        {
+            Instance instance(m_items, { &first, &second }, { "v1", "v2" });
+            const auto answer = instance.call("/resumable/x");
+            EXPECT_FALSE(answer.complete);
+            EXPECT_EQ(answer.body, firstEvent);
+            EXPECT_EQ(requests, 1);
+        }
+        {
+            requests = 0;
+            Instance instance(m_items, { &first, &second }, { "v2", "v2" });
+            const auto answer = instance.call("/resumable/x");
+            EXPECT_TRUE(answer.complete);
+            EXPECT_EQ(answer.body, firstEvent + secondEvent);
+        }
+    }
+
+    // Before its first event a stream may begin at any version.
+    TEST_F(ARequestInProgress, ForAStreamIsSentToAnotherSoftwareWhileItHasNoEvent)
+    {
+        std::atomic<int> requests = 0;
+        const auto script = [&](ScriptedConnection& connection) {
+            if (connection.readRequest())
+                connection.write(++requests == 1 ? streamHead + "\r\nid: 1\nda" : wholeStream);
+        };
+        const ScriptedServer first(script);
+        const ScriptedServer second(script);
+        Instance instance(m_items, { &first, &second }, { "v1", "v2" });
+        const auto answer = instance.call("/resumable/x");
+        EXPECT_TRUE(answer.complete);
+        EXPECT_EQ(answer.body, firstEvent + secondEvent);
+        EXPECT_EQ(requests, 2);
+    }
+
     TEST_F(ARequestInProgress, ForAStreamGetsAWholeAnswerWithoutLengthOrChunks)
     {
         const ScriptedServer server([](ScriptedConnection& connection) {
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -2,9 +2,12 @@
 #include "tests/support/relay.hpp"
 #include "tests/support/wait.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <gtest/gtest.h>
+#include <map>
+#include <set>
 #include <thread>
 
 namespace yuccashift::test {
@@ -15,6 +18,7 @@
         { "/write/", "non_idempotent", "ledger", {}, false, 1 },
         { "/stream/", "streaming", "draft", {}, true, 2 },
         { "/once/stream/", "streaming", "draft", {}, false, 1 },
+        { "/far/stream/", "streaming", "draft", { "varna" }, true, 2 },
         { "/home/", "idempotent", "ledger", { "varna" }, false, 2 },
         { "/home/stream/", "streaming", "draft", { "varna" }, false, 1 },
     };
@@ -44,6 +48,49 @@
             m_fleet.publish({ id, service, "hall-" + region, m_fleet.startWorker(id, region) });
         }
 
+        /** Has the second engine of each region run software v2, which its events name as those of the first one name v1. */
+        void updateSecondEngines()
+        {
+            for (const std::string region : { "sofia", "varna" }) {
+                m_fleet.control("draft-1-" + region, "/control/software", R"({"version":"v1"})");
+                m_fleet.control("draft-2-" + region, "/control/software", R"({"version":"v2"})");
+                m_fleet.publish({ "draft-2-" + region, "draft", "hall-" + region, m_fleet.worker("draft-2-" + region), "ready", 1, 0, "v2" });
+            }
+            for (const auto* name : { "sofia-1", "sofia-2", "varna-1" })
+                EXPECT_TRUE(waitUntil([&] { return m_fleet.metric(name, "yuccashift_software_versions") == 2; })) << name;
+        }
+
+        void cutStreams(const std::vector<std::string>& engines, unsigned count)
+        {
+            for (const auto& name : engines)
+                m_fleet.control(name, "/control/cut-streams", R"({"count":)" + std::to_string(count) + "}");
+        }
+
+        /** Takes up the stream that `first` began and `begun` holds the events of. */
+        HttpReply resume(const std::string& instance, const std::string& attempt, const std::string& first, const std::string& begun, const std::string& path)
+        {
+            const auto headers = callerHeaders(attempt, std::chrono::seconds(5));
+            HttpCall call { m_fleet.callers(instance), "POST", path, { headers.begin(), headers.end() }, "prompt" };
+            call.headers["Resumes"] = first;
+            call.headers["Last-Event-Id"] = std::to_string(softwareOfEvents(begun).size());
+            return send(call);
+        }
+
+        /** The software that each event names. */
+        static std::vector<std::string> softwareOfEvents(const std::string& stream)
+        {
+            std::vector<std::string> software;
+            for (std::size_t at = stream.find('@'); at != std::string::npos; at = stream.find('@', at + 1))
+                software.push_back(stream.substr(at + 1, 2));
+            return software;
+        }
+
+        static std::size_t softwareCount(const std::string& stream)
+        {
+            const auto software = softwareOfEvents(stream);
+            return std::set(software.begin(), software.end()).size();
+        }
+
         static std::string expectedStream(const std::string& attempt)
         {
             std::string text;
@@ -52,6 +99,7 @@
             return text;
         }
 
+        const std::vector<std::string> allEngines { "draft-1-sofia", "draft-2-sofia", "draft-1-varna", "draft-2-varna" };
         EntryFleet m_fleet { "entry" };
     };
 
@@ -146,6 +194,69 @@
         EXPECT_EQ(next.body, expectedStream("s2"));
     }
 
+    // A stream that broke off went on at a server of another software version, within one answer.
+    TEST_F(EntryInstances, ResumeAStreamOnlyAtTheSoftwareThatBeganIt)
+    {
+        constexpr int streams = 4;
+        ASSERT_TRUE(waitUntil([&] { return m_fleet.metric("sofia-1", "yuccashift_retry_slack") >= streams; }));
+        updateSecondEngines();
+        // Each region has one server of each version, so that only another region can go on.
+        for (int n = 0; n < streams; ++n) {
+            cutStreams({ "draft-1-sofia", "draft-2-sofia" }, 1);
+            const auto attempt = "near-" + std::to_string(n);
+            const auto reply = m_fleet.call("sofia-1", attempt, "POST", "/stream/x", "prompt");
+            EXPECT_TRUE(reply.ok() && reply.complete) << attempt;
+            EXPECT_EQ(softwareOfEvents(reply.body).size(), 20u) << attempt;
+            EXPECT_EQ(softwareCount(reply.body), 1u) << attempt;
+        }
+        for (int n = 0; n < streams; ++n) {
+            cutStreams(allEngines, 1);
+            const auto attempt = "far-" + std::to_string(n);
+            const auto reply = m_fleet.call("sofia-1", attempt, "POST", "/far/stream/x", "prompt");
+            EXPECT_EQ(softwareCount(reply.body), 1u) << attempt;
+        }
+    }
+
+    // The instance to which a caller came back knew nothing of the software that had begun the stream.
+    TEST_F(EntryInstances, ResumeTheStreamOfACallerThatComesBackElsewhereAtTheSoftwareThatBeganIt)
+    {
+        updateSecondEngines();
+        int n = 0;
+        for (const std::string path : { "/stream/x", "/far/stream/x" }) {
+            for (const std::string next : { "sofia-1", "sofia-2", "varna-1" }) {
+                for (int repeat = 0; repeat < 3; ++repeat) {
+                    const auto first = "first-" + std::to_string(++n);
+                    cutStreams(allEngines, 2);
+                    const auto begun = m_fleet.call("sofia-1", first, "POST", path, "prompt");
+                    EXPECT_FALSE(begun.complete) << first;
+                    cutStreams(allEngines, 0);
+                    const auto rest = resume(next, "second-" + std::to_string(n), first, begun.body, path);
+                    EXPECT_TRUE(rest.ok()) << first << " at " << next << ": " << rest.status;
+                    EXPECT_EQ(softwareOfEvents(begun.body + rest.body).size(), 20u) << first << " at " << next;
+                    EXPECT_EQ(softwareCount(begun.body + rest.body), 1u) << first << " at " << next;
+                }
+            }
+        }
+    }
+
+    TEST_F(EntryInstances, RefuseToResumeAStreamWhoseSoftwareIsUnknownOrGone)
+    {
+        updateSecondEngines();
+        const auto unknown = resume("sofia-1", "u1", "never-seen", "@v1@v1@v1", "/stream/x");
+        EXPECT_EQ(unknown.status, 503);
+        EXPECT_EQ(m_fleet.runsOf("u1"), 0u);
+        cutStreams(allEngines, 2);
+        const auto begun = m_fleet.call("sofia-1", "u2", "POST", "/stream/x", "prompt");
+        cutStreams(allEngines, 0);
+        const auto engine = softwareOfEvents(begun.body).front() == "v1" ? "draft-1-" : "draft-2-";
+        for (const std::string region : { "sofia", "varna" })
+            m_fleet.withdraw(engine + region);
+        EXPECT_TRUE(waitUntil([&] { return m_fleet.metric("sofia-2", "yuccashift_servers_known") == 4; }));
+        const auto gone = resume("sofia-2", "u3", "u2", begun.body, "/stream/x");
+        EXPECT_EQ(gone.status, 503);
+        EXPECT_EQ(m_fleet.runsOf("u3"), 0u);
+    }
+
     TEST_F(EntryInstances, NeverPresentAnInterruptedStreamAsComplete)
     {
         m_fleet.control("draft-1-sofia", "/control/cut-streams", R"({"count":9})");
--- a/tests/support/fakes/fleet_items.hpp
+++ b/tests/support/fakes/fleet_items.hpp
@@ -8,7 +8,7 @@
 
 /**
  * Decodes items written as space-separated words, for tests without a platform: `server SERVICE ADDRESS DATACENTRE
- * ready|draining BORN COLD_MS SLOTS`, `config VERSION`, `evacuate DATACENTRE`; anything else is unusable.
+ * ready|draining BORN COLD_MS SLOTS [SOFTWARE]`, `config VERSION`, `evacuate DATACENTRE`; anything else is unusable.
  */
 class WordItems : public ItemDecoder {
 public:
@@ -46,7 +46,9 @@
         in >> entry.server.service >> address >> entry.server.datacentre >> state >> entry.server.identity.startedAtMs >> coldMs >> entry.server.slots;
         entry.server.draining = state == "draining";
         entry.coldFor = milliseconds(coldMs);
-        if (!in || !parseEndpoint(address, entry.server.address))
+        const bool complete = !in.fail();
+        in >> entry.server.softwareVersion;
+        if (!complete || !parseEndpoint(address, entry.server.address))
             return InvalidItem { "a word is missing" };
         return entry;
     }
