Continue a stream within one answer only at the software that began it

Cause: an attempt was taken to be interchangeable with the one before it; the version of a server's software was not known at all.

StreamSoftware holds the software of the first event that the caller gets. Candidates of other versions are passed over (other_software in the log), other regions count only if they have a server of that version, and a hop names it. The executing instance names the software of its server in the head of a stream; instances of earlier versions do neither, so that they get no stream to continue, and their streams count as of the service's only version, or as unknown. Where no server of the version can go on, the stream is broken off, which its caller notices.

--- a/fuzzing/fleet_fuzz.cpp
+++ b/fuzzing/fleet_fuzz.cpp
@@ -420,7 +420,7 @@
 
         void sendCold(EntryInstance& entry)
         {
-            const auto plan = entry.dispatcher.planLocal("draft", {}, seconds(1), {}, std::nullopt);
+            const auto plan = entry.dispatcher.planLocal("draft", {}, seconds(1), {}, {}, std::nullopt);
             const bool owner = plan.choice.best.has_value();
             const auto& known = entry.serverTracker.statusOf(plan.servers.front()->identityHash);
             const bool ignoresOwner = is("everyone sends to a cold server") && m_clock.now() - known.lastColdSend > milliseconds(300);
--- a/src/yuccashift/dispatch/server_choice.cpp
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -75,6 +75,8 @@
     {
         if (server.tried)
             return ServerRejectReason::Tried;
+        if (server.otherSoftware)
+            return ServerRejectReason::OtherSoftware;
         if (server.suspect)
             return ServerRejectReason::Suspect;
         if (server.restFor > Duration::zero())
@@ -109,6 +111,8 @@
         return "no";
     case ServerRejectReason::Tried:
         return "tried";
+    case ServerRejectReason::OtherSoftware:
+        return "other_software";
     case ServerRejectReason::Suspect:
         return "suspect";
     case ServerRejectReason::Full:
--- a/src/yuccashift/dispatch/server_choice.hpp
+++ b/src/yuccashift/dispatch/server_choice.hpp
@@ -53,12 +53,18 @@
     bool sampled = true;
     /** Whether this request was already sent to it. */
     bool tried = false;
+    /** Whether it runs another software than the one that began the request's stream. */
+    bool otherSoftware = false;
+
+    /** Whether it takes no request of this kind for now, however much capacity it has. */
+    bool barred() const { return otherSoftware || suspect || limited || restFor > Duration::zero(); }
 };
 
 /** Why a candidate cannot be chosen. */
 enum class ServerRejectReason {
     None,
     Tried,
+    OtherSoftware,
     Suspect,
     Full,
     Resting,
--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -231,7 +231,7 @@
     std::uint64_t highest = 0;
     for (auto& it : candidates) {
         const auto weight = prefixServerWeight(shared.back().id, it.key);
-        if (it.suspect || it.cold || it.limited || it.restFor > Duration::zero() || (home && weight < highest))
+        if (it.barred() || it.cold || (home && weight < highest))
             continue;
         home = &it;
         highest = weight;
@@ -256,7 +256,7 @@
 
 void DispatchPlanner::sampleOne(std::span<ServerCandidate> candidates) const
 {
-    const auto weight = [](const ServerCandidate& it) { return it.tried || it.suspect || it.limited || it.restFor > Duration::zero() || it.fullFor > Duration::zero() ? 0U : it.slots; };
+    const auto weight = [](const ServerCandidate& it) { return it.tried || it.barred() || it.fullFor > Duration::zero() ? 0U : it.slots; };
     std::uint64_t total = 0;
     for (const auto& it : candidates)
         total += weight(it);
@@ -267,7 +267,7 @@
     }
 }
 
-LocalPlan DispatchPlanner::collectCandidates(const ServiceName& service, const WorkSize& work, const std::set<std::uint64_t>& tried) const
+LocalPlan DispatchPlanner::collectCandidates(const ServiceName& service, const WorkSize& work, const std::set<std::uint64_t>& tried, const StreamSoftware& software) const
 {
     LocalPlan plan;
     const auto routes = m_fleetState.routes();
@@ -281,13 +281,14 @@
         plan.servers.push_back(&server);
         plan.candidates.push_back(candidate(server, traits, work, plan.viaOwner));
         plan.candidates.back().tried = tried.contains(server.identityHash);
+        plan.candidates.back().otherSoftware = !software.allows(server.software);
     }
     return plan;
 }
 
-LocalPlan DispatchPlanner::planLocal(const ServiceName& service, const WorkSize& work, Duration objective, const std::set<std::uint64_t>& tried, const std::optional<RegionName>& prefixHome) const
+LocalPlan DispatchPlanner::planLocal(const ServiceName& service, const WorkSize& work, Duration objective, const std::set<std::uint64_t>& tried, const StreamSoftware& software, const std::optional<RegionName>& prefixHome) const
 {
-    auto plan = collectCandidates(service, work, tried);
+    auto plan = collectCandidates(service, work, tried, software);
     if (prefixHome == m_settings.region)
         assumePrefixCachedAtOwner(plan.candidates, work);
     applyStreamSlowness(plan.candidates);
@@ -332,15 +333,33 @@
     plan.prefixPrefillTime = prefillTime(shared - std::min(shared, plan.candidates[*plan.choice.best].cachedTokens));
 }
 
-RemotePlan DispatchPlanner::planRemote(const Route& route, const ServiceName& service, const WorkSize& work, const std::set<InstanceId>& tried, const std::optional<RegionName>& prefixHome) const
+std::set<RegionName> DispatchPlanner::regionsThatContinue(const ServiceName& service, const StreamSoftware& software) const
+{
+    std::set<RegionName> regions;
+    for (const auto& [key, server] : m_fleetState.servers()) {
+        const auto* region = server.service == service && software.allows(server.software) ? servingRegion(server) : nullptr;
+        if (region)
+            regions.insert(*region);
+    }
+    return regions;
+}
+
+bool DispatchPlanner::canContinue(const Route& route, const ServiceName& service, const StreamSoftware& software) const
+{
+    return std::ranges::any_of(regionsThatContinue(service, software), [&](const auto& region) { return route.allowsRegion(region); });
+}
+
+RemotePlan DispatchPlanner::planRemote(const Route& route, const ServiceName& service, const WorkSize& work, const std::set<InstanceId>& tried, const StreamSoftware& software, const std::optional<RegionName>& prefixHome) const
 {
     RemotePlan plan;
     const auto now = m_clock.now();
+    const auto continuing = software.begun() ? regionsThatContinue(service, software) : std::set<RegionName>();
+    const auto mayContinue = [&](const PeerState& peer) { return !software.begun() || (peer.keepsStreamSoftware && continuing.contains(peer.region)); };
     std::map<RegionName, std::vector<const PeerState*>> byRegion;
     for (const auto* peer : m_peerTable.alive()) {
         const bool usable = peer->region != m_settings.region && route.allowsRegion(peer->region) && !peer->draining && now >= peer->backOffUntil && !tried.contains(peer->instance);
         const auto capacity = peer->capacityByService.find(service);
-        if (usable && capacity != peer->capacityByService.end() && capacity->second.freeSlots > 0)
+        if (usable && mayContinue(*peer) && capacity != peer->capacityByService.end() && capacity->second.freeSlots > 0)
             byRegion[peer->region].push_back(peer);
     }
     for (const auto& [region, regionPeers] : byRegion) {
@@ -366,7 +385,7 @@
         ServiceCapacity capacity;
         for (std::size_t level = 0; level < priorityLevels; ++level) {
             typical.priority = level;
-            auto plan = collectCandidates(service, typical, {});
+            auto plan = collectCandidates(service, typical, {}, {});
             if (!plan.viaOwner)
                 sampleCandidates(plan.candidates, typical);
             plan.choice = chooseServer(plan.candidates, typical, Duration::zero(), m_random.next());
--- a/src/yuccashift/entry/dispatch_planner.hpp
+++ b/src/yuccashift/entry/dispatch_planner.hpp
@@ -53,16 +53,18 @@
 
     /** The home region of the request's shared prefix; std::nullopt if the request has no shared prefix or no reachable region serves it. */
     std::optional<RegionName> prefixHome(const Route&, const ServiceName&, const WorkSize&) const;
-    /** Chooses among this region's servers. Those in `tried` have already been sent the request. */
-    LocalPlan planLocal(const ServiceName&, const WorkSize&, Duration objective, const std::set<std::uint64_t>& tried, const std::optional<RegionName>& prefixHome) const;
+    /** Chooses among this region's servers that may continue the stream. Those in `tried` have already been sent the request. */
+    LocalPlan planLocal(const ServiceName&, const WorkSize&, Duration objective, const std::set<std::uint64_t>& tried, const StreamSoftware&, const std::optional<RegionName>& prefixHome) const;
     /** Plans for one given server, which this instance owns: nothing is chosen, but the server may be unable to take the request. */
     LocalPlan planAt(std::uint64_t server, const ServiceName&, const WorkSize&) const;
     /** The instance through which this one sends requests to the server; nullptr if it sends them itself, because it is the owner or cannot reach the owner. */
     const PeerState* remoteOwner(const BackendServer&, const std::set<InstanceId>& excluded) const;
     /** Whether requests to the server go through its owner, and this instance is the owner. */
     bool owns(std::uint64_t server) const;
-    /** Collects the other regions with free capacity. Instances in `tried` have already been sent the request. */
-    RemotePlan planRemote(const Route&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried, const std::optional<RegionName>& prefixHome) const;
+    /** Collects the other regions with free capacity and servers that may continue the stream. Instances in `tried` have already been sent the request. */
+    RemotePlan planRemote(const Route&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried, const StreamSoftware&, const std::optional<RegionName>& prefixHome) const;
+    /** Whether any region that the route allows has a server that may continue the stream. */
+    bool canContinue(const Route&, const ServiceName&, const StreamSoftware&) const;
     /** Free capacity of each service in this region, as heartbeats report it to other regions. */
     std::map<ServiceName, ServiceCapacity> freeCapacity() const;
     /** Whether the server is in this region, not leaving and not in an evacuated data centre. */
@@ -75,7 +77,9 @@
     bool hasReachableInstance(const RegionName&) const;
     ServerCandidate candidate(const BackendServer&, const ServiceConfig&, const WorkSize&, bool viaOwner) const;
     /** Candidates for a request among this region's servers, without a choice. */
-    LocalPlan collectCandidates(const ServiceName&, const WorkSize&, const std::set<std::uint64_t>& tried) const;
+    LocalPlan collectCandidates(const ServiceName&, const WorkSize&, const std::set<std::uint64_t>& tried, const StreamSoftware&) const;
+    /** Regions that have a server of the service that may continue the stream. */
+    std::set<RegionName> regionsThatContinue(const ServiceName&, const StreamSoftware&) const;
     /** The owners of this region's servers among the instances that are active now. */
     const ServerOwnership& ownership() const;
     bool isOwner(const BackendServer&) const;
--- a/src/yuccashift/entry/forwarding.cpp
+++ b/src/yuccashift/entry/forwarding.cpp
@@ -43,7 +43,7 @@
     AnswerHead out;
     out.status = head.status;
     for (const auto& field : head.headers) {
-        if (!isHopByHop(field.name))
+        if (!isHopByHop(field.name) && !isHopHeader(field.name))
             out.headers.push_back(field);
     }
     return out;
--- a/src/yuccashift/entry/forwarding.hpp
+++ b/src/yuccashift/entry/forwarding.hpp
@@ -14,7 +14,7 @@
  */
 std::string forwardedRequest(const RequestMessage&, const ProtocolCodec&, std::string_view extraHeaders);
 
-/** The head of an answer as the caller receives it, without hop-by-hop headers. */
+/** The head of an answer as the caller receives it, without hop-by-hop headers and those of instances for each other. */
 AnswerHead forwardedHead(const AnswerHead&);
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -247,6 +247,7 @@
     heartbeat.storeRevision = m_core.fleetState.replica().completeRevision();
     heartbeat.storeEra = m_core.fleetState.replica().era();
     heartbeat.knownRevision = m_core.fleetState.replica().revision();
+    heartbeat.keepsStreamSoftware = true;
     heartbeat.crashes = m_core.crashTracker.ownCrashes();
     if (!withProfile)
         return heartbeat;
--- a/src/yuccashift/entry/hop.cpp
+++ b/src/yuccashift/entry/hop.cpp
@@ -13,8 +13,10 @@
     constexpr std::string_view deadlineField = "Yuccashift-Deadline";
     constexpr std::string_view objectiveField = "Yuccashift-Objective";
     constexpr std::string_view resumeField = "Yuccashift-Resume-After";
+    constexpr std::string_view streamSoftwareField = "Yuccashift-Stream-Software";
     constexpr std::string_view serverField = "Yuccashift-Server";
     constexpr std::string_view acceptField = "Yuccashift-Accept-Within";
+    constexpr std::string_view serverSoftwareField = "Yuccashift-Server-Software";
     constexpr std::string_view failureField = "Yuccashift-Failure";
     constexpr std::string_view fieldPrefix = "Yuccashift-";
     constexpr std::string_view reachedServerMark = "; reached a server";
@@ -27,6 +29,12 @@
         out.append(name).append(": ").append(value).append("\r\n");
     }
 
+    /** Hashes are written as signed integers, like those in heartbeats. */
+    std::string hashText(std::uint64_t hash)
+    {
+        return std::to_string(static_cast<std::int64_t>(hash));
+    }
+
     std::optional<std::int64_t> integerField(const HeaderFields& headers, std::string_view name)
     {
         const auto text = findHeader(headers, name);
@@ -74,6 +82,8 @@
     appendField(out, objectiveField, std::to_string(metadata.objective.count()));
     if (metadata.resumeAfter)
         appendField(out, resumeField, *metadata.resumeAfter);
+    if (metadata.streamSoftware)
+        appendField(out, streamSoftwareField, hashText(*metadata.streamSoftware));
     if (metadata.server != 0)
         appendField(out, serverField, std::to_string(metadata.server));
     if (metadata.acceptWithin)
@@ -97,6 +107,8 @@
     metadata.objective = milliseconds(*objective);
     if (const auto after = findHeader(headers, resumeField))
         metadata.resumeAfter = std::string(*after);
+    if (const auto software = integerField(headers, streamSoftwareField))
+        metadata.streamSoftware = static_cast<SoftwareId>(*software);
     metadata.server = static_cast<std::uint64_t>(integerField(headers, serverField).value_or(0));
     if (const auto within = integerField(headers, acceptField))
         metadata.acceptWithin = milliseconds(*within);
@@ -104,6 +116,16 @@
     return metadata;
 }
 
+HeaderField encodeServerSoftware(SoftwareId software)
+{
+    return { std::string(serverSoftwareField), hashText(software) };
+}
+
+SoftwareId decodeServerSoftware(const AnswerHead& head)
+{
+    return static_cast<SoftwareId>(integerField(head.headers, serverSoftwareField).value_or(0));
+}
+
 HeaderField encodeHopFailure(const HopFailure& failure)
 {
     auto value = std::string(failure.error.code()) + "; " + std::string(toString(failure.error.effectiveRunState()));
--- a/src/yuccashift/entry/hop.hpp
+++ b/src/yuccashift/entry/hop.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccashift/answers/stream_software.hpp"
 #include "yuccashift/http/message.hpp"
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/error.hpp"
@@ -26,6 +27,8 @@
     std::uint64_t server = 0;
     /** Longest predicted time to first byte with which the receiver accepts the request; only with a server. */
     std::optional<milliseconds> acceptWithin;
+    /** The software that began the stream, if it has events; the receiver uses no server with another one. */
+    std::optional<SoftwareId> streamSoftware {};
 };
 
 /** The executing instance's own failure. */
@@ -62,6 +65,10 @@
 /** Removes the hop's headers and returns their content; std::nullopt if a required one is missing or malformed. */
 std::optional<HopMetadata> extractHopMetadata(HeaderFields&);
 
+/** The header of a stream's head by which the executing instance names the software of its server. */
+HeaderField encodeServerSoftware(SoftwareId);
+/** 0 if the head does not name it; earlier versions do not. */
+SoftwareId decodeServerSoftware(const AnswerHead&);
 /** Header by which the executing instance reports its own failure and whether the request may have run. */
 HeaderField encodeHopFailure(const HopFailure&);
 /** The failure that the executing instance reports; std::nullopt if the answer comes from a backend server. */
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -49,6 +49,12 @@
     /** No attempt is started with less time left than this. */
     constexpr Duration minAttemptTime = milliseconds(30);
 
+    /** No event that a caller has is older when the caller resumes the stream; its tries share one deadline. */
+    Duration longestStreamAge(const Route& route)
+    {
+        return 2 * route.timeLimit;
+    }
+
     /** Ids of the shared parts of the prompt, as callers name them, for the log. */
     std::string sharedPartNames(const WorkSize& work)
     {
@@ -144,6 +150,10 @@
         failWith(resolved.error());
         return false;
     }
+    if (m_hopMetadata && m_hopMetadata->streamSoftware)
+        m_streamSoftware = StreamSoftware::begunBy(*m_hopMetadata->streamSoftware);
+    else if (m_hopMetadata && m_hopMetadata->resumeAfter && m_request.route->kind == RouteKind::Streaming)
+        m_streamSoftware = StreamSoftware::begunBy(presumedSoftware());
     armTimeLimit();
     if (!m_hopMetadata && m_request.metadata.resumeAfter)
         logInfo("caller resumes a stream", { { "request", m_request.metadata.attemptId }, { "resumes", m_request.metadata.resumedAttempt.value_or("") }, { "after_event", *m_request.metadata.resumeAfter } });
@@ -189,9 +199,9 @@
     if (assignedServer() != 0)
         plan.local = m_core.planner.planAt(assignedServer(), m_request.service, m_request.metadata.work);
     else if (m_request.route->allowsRegion(m_core.settings.region))
-        plan.local = m_core.planner.planLocal(m_request.service, m_request.metadata.work, firstByteTimeLeft(), m_triedServers, prefixHome);
+        plan.local = m_core.planner.planLocal(m_request.service, m_request.metadata.work, firstByteTimeLeft(), m_triedServers, m_streamSoftware, prefixHome);
     if (!m_hopMetadata)
-        plan.remote = m_core.planner.planRemote(*m_request.route, m_request.service, m_request.metadata.work, m_triedInstances, prefixHome);
+        plan.remote = m_core.planner.planRemote(*m_request.route, m_request.service, m_request.metadata.work, m_triedInstances, m_streamSoftware, prefixHome);
     PlacementInput input;
     if (plan.local.choice.best)
         input.localTimeToFirstByte = plan.local.choice.predicted;
@@ -292,6 +302,7 @@
     m_triedServers.insert(server.identityHash);
     m_serverId = server.identity.id;
     m_serverPoolKey = request.poolKey;
+    m_attemptSoftware = server.software;
     m_peerInstance.clear();
     m_serverOfHop = 0;
     m_sentAt = m_core.clock.now();
@@ -313,9 +324,17 @@
     metadata.deadline = std::chrono::duration_cast<milliseconds>(std::max(Duration::zero(), timeLeft() - returnTime));
     metadata.objective = std::chrono::duration_cast<milliseconds>(std::max(Duration::zero(), firstByteTimeLeft() - returnTime));
     metadata.resumeAfter = resumeAfter();
+    if (m_streamSoftware.begun())
+        metadata.streamSoftware = m_streamSoftware.software();
     return metadata;
 }
 
+SoftwareId RequestJob::presumedSoftware() const
+{
+    const auto period = longestStreamAge(*m_request.route);
+    return m_core.fleetState.softwareVersions().onlySoftware(m_request.service, period, m_core.clock.now()).value_or(0);
+}
+
 void RequestJob::sendToOwner(const PeerState& owner, const LocalPlan& plan)
 {
     const auto& server = *plan.server();
@@ -323,6 +342,7 @@
     metadata.server = server.identityHash;
     metadata.acceptWithin = std::chrono::duration_cast<milliseconds>(ownerQueueLimit(m_request.route->latencyObjective));
     m_core.serverTracker.constraints().onSend(server.identityHash);
+    m_attemptSoftware = server.software;
     startHop(owner, metadata, plan.choice.predicted);
 }
 
@@ -331,6 +351,7 @@
     m_core.peerTable.onHopStarted(peer.instance);
     m_regionHopInProgress = true;
     m_triedInstances.insert(peer.instance);
+    m_attemptSoftware = 0;
     startHop(peer, hopMetadata(regionHopReturnTime), predicted);
 }
 
@@ -392,6 +413,10 @@
     const bool mayBeStream = isEventStream(head) || !findHeader(head.headers, "Content-Type");
     const bool stream = head.status < 300 && m_request.route->kind == RouteKind::Streaming && mayBeStream;
     m_answerMode = stream ? AnswerMode::Stream : AnswerMode::Buffered;
+    if (stream && m_attemptSoftware == 0) {
+        const auto named = decodeServerSoftware(head);
+        m_attemptSoftware = named != 0 ? named : presumedSoftware();
+    }
 }
 
 void RequestJob::onAnswerBody(std::string_view data)
@@ -443,7 +468,10 @@
 {
     if (m_exchange->headSent())
         return;
-    m_exchange->sendHead(forwardedHead(m_head));
+    auto head = forwardedHead(m_head);
+    if (m_hopMetadata)
+        head.headers.push_back(encodeServerSoftware(m_attemptSoftware));
+    m_exchange->sendHead(std::move(head));
 }
 
 void RequestJob::forwardStreamData(std::string_view data)
@@ -456,6 +484,7 @@
         data = completeEvents;
     if (data.empty())
         return;
+    m_streamSoftware.onEvents(m_attemptSoftware);
     sendStreamHead();
     m_exchange->sendBody(data);
     if (m_done || m_exchange->unsentBytes() < maxUnsentBytes || !m_outbound)
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "yuccashift/answers/sse_event_filter.hpp"
+#include "yuccashift/answers/stream_software.hpp"
 #include "yuccashift/entry/entry_core.hpp"
 #include "yuccashift/entry/hop.hpp"
 #include "yuccashift/entry/request_resolution.hpp"
@@ -102,6 +103,8 @@
     std::uint64_t fingerprint() const;
     /** The reason for which no server may get the request; std::nullopt if there is none. */
     std::optional<Error> quarantineError() const;
+    /** The software of a stream that another instance executes, if its head does not name it. */
+    SoftwareId presumedSoftware() const;
     /** Tells the quarantine of prompts that a server of this region has served the request. */
     void recordServed();
     void recordServerLost();
@@ -151,6 +154,10 @@
     std::string m_body;
     std::optional<HopFailure> m_hopFailure;
     SseEventFilter m_eventGate;
+    /** The software that began the stream. */
+    StreamSoftware m_streamSoftware;
+    /** Software of the current attempt's server; 0 if it is not known. */
+    SoftwareId m_attemptSoftware = 0;
     bool m_done = false;
 };
 
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -99,6 +99,8 @@
     16: list<PromptLoss> promptLosses,
     // Of parts that the losses name.
     17: list<PartSuccess> partSuccesses,
+    // The sender continues a stream only at the software that began it, if a hop names it. Not sent by earlier versions.
+    18: bool keepsStreamSoftware,
 }
 
 // One item of the platform's store, or its removal.
--- a/src/yuccashift/fleet/peer_table.cpp
+++ b/src/yuccashift/fleet/peer_table.cpp
@@ -98,6 +98,7 @@
     peer.storeEra = beat.storeEra;
     peer.storeRevision = beat.storeRevision;
     peer.sendsValues = beat.knownRevision > 0;
+    peer.keepsStreamSoftware = beat.keepsStreamSoftware;
     peer.knownRevision = std::max(beat.storeRevision, beat.knownRevision);
     peer.lastHeartbeatAt = m_clock.now();
     updateCapacity(peer, beat);
--- a/src/yuccashift/fleet/peer_table.hpp
+++ b/src/yuccashift/fleet/peer_table.hpp
@@ -44,6 +44,8 @@
     std::int64_t knownRevision = 0;
     /** Whether it answers requests for single values; earlier versions do not. */
     bool sendsValues = false;
+    /** Whether it continues streams only at the software that a hop names; earlier versions do not. */
+    bool keepsStreamSoftware = false;
     std::map<ServiceName, ServiceCapacity> capacityByService;
     /** When the last heartbeat was accepted. */
     Instant lastHeartbeatAt {};
--- a/tests/entry/server_limit_test.cpp
+++ b/tests/entry/server_limit_test.cpp
@@ -183,7 +183,7 @@
         {
             std::set<std::uint64_t> tried;
             for (std::size_t attempt = 0; attempt < GetParam().servers; ++attempt) {
-                const auto plan = origin.planner.planLocal("draft", {}, seconds(1), tried, std::nullopt);
+                const auto plan = origin.planner.planLocal("draft", {}, seconds(1), tried, {}, std::nullopt);
                 if (!plan.server())
                     break;
                 const auto server = plan.server()->identityHash;
--- a/tests/entry/server_owners_test.cpp
+++ b/tests/entry/server_owners_test.cpp
@@ -164,7 +164,7 @@
             ++m_requests;
             std::set<std::uint64_t> tried;
             for (std::size_t attempt = 0; attempt < serverCount; ++attempt) {
-                const auto plan = origin.planner.planLocal("ledger", {}, objective, tried, std::nullopt);
+                const auto plan = origin.planner.planLocal("ledger", {}, objective, tried, {}, std::nullopt);
                 if (!plan.server())
                     break;
                 const auto* peer = origin.planner.remoteOwner(*plan.server(), {});
@@ -234,10 +234,10 @@
     TEST_F(ManyInstancesBeforeFewSlots, WaitForASlotRatherThanRefuseWhenAllServersAreFull)
     {
         auto& origin = instance(0);
-        EXPECT_FALSE(origin.planner.planLocal("ledger", {}, objective, {}, std::nullopt).slotWait);
+        EXPECT_FALSE(origin.planner.planLocal("ledger", {}, objective, {}, {}, std::nullopt).slotWait);
         for (const auto& [key, server] : origin.fleet.servers())
             origin.tracker.markFull(server.identityHash, milliseconds(120));
-        const auto plan = origin.planner.planLocal("ledger", {}, objective, {}, std::nullopt);
+        const auto plan = origin.planner.planLocal("ledger", {}, objective, {}, {}, std::nullopt);
         EXPECT_FALSE(plan.server());
         ASSERT_TRUE(plan.slotWait);
         EXPECT_EQ(*plan.slotWait, milliseconds(120));
@@ -245,7 +245,7 @@
 
     TEST_F(ManyInstancesBeforeFewSlots, AgreeOnAnotherOwnerWhenOneFallsSilent)
     {
-        const auto plan = instance(0).planner.planLocal("ledger", {}, objective, {}, std::nullopt);
+        const auto plan = instance(0).planner.planLocal("ledger", {}, objective, {}, {}, std::nullopt);
         const auto ownerOf = [&](std::size_t n) {
             const auto* peer = instance(n).planner.remoteOwner(*plan.servers.front(), {});
             return peer ? peer->instance : instance(n).settings.instance;
