Resume a caller's stream at any instance only at the software that began it

A caller whose answer broke off comes back with Last-Event-Id and names in Resumes the attempt that brought its first event, often to another instance because the first one is gone. That instance sent it to any server, of whatever version. Cause: what a stream was begun by was known only to the answer that carried it.

Nothing is asked while a service has had one version only for as long as a stream can live, which a new instance takes from others whose digest of the published versions is its own. If the software is unknown or no server runs it any more, the request is refused at once with software_unavailable, not run. The service of a split route follows the stream. Failures are compared among servers of one software, since the only server that could go on was passed over.

--- a/src/yuccashift/dispatch/server_choice.cpp
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -94,12 +94,16 @@
         return ServerRejectReason::None;
     }
 
+    /** Mean of the servers that may take the request. */
     double meanFailureShare(std::span<const ServerCandidate> candidates)
     {
         double sum = 0;
-        for (const auto& it : candidates)
-            sum += it.failureShare;
-        return candidates.empty() ? 0 : sum / static_cast<double>(candidates.size());
+        std::size_t count = 0;
+        for (const auto& it : candidates) {
+            sum += it.otherSoftware ? 0 : it.failureShare;
+            count += it.otherSoftware ? 0 : 1;
+        }
+        return count == 0 ? 0 : sum / static_cast<double>(count);
     }
 
 } // namespace
--- a/src/yuccashift/entry/entry_core.cpp
+++ b/src/yuccashift/entry/entry_core.cpp
@@ -17,6 +17,7 @@
     , serverTracker(clock)
     , retryBudget(clock, settings.retryBudgetLimits)
     , crashTracker(clock)
+    , streamOrigins(clock, settings, peerTable)
     , serverConnections(io, clock)
     , peerConnections(io, clock)
     , planner(clock, settings, fleetState, serverTracker, peerTable, *random)
--- a/src/yuccashift/entry/entry_core.hpp
+++ b/src/yuccashift/entry/entry_core.hpp
@@ -9,6 +9,7 @@
 #include "yuccashift/entry/protocol_codec.hpp"
 #include "yuccashift/entry/region_demand_estimator.hpp"
 #include "yuccashift/entry/request_recorder.hpp"
+#include "yuccashift/entry/stream_origins.hpp"
 #include "yuccashift/fleet/fleet_state.hpp"
 #include "yuccashift/fleet/peer_table.hpp"
 #include "yuccashift/http/outbound.hpp"
@@ -41,6 +42,7 @@
     FleetRetryBudget retryBudget;
     CrashTracker crashTracker;
     PromptQuarantine promptQuarantine;
+    StreamOrigins streamOrigins;
     RegionDemandEstimator regionDemand;
     /** Connection pool for backend servers. */
     OutboundPool serverConnections;
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -74,6 +74,8 @@
     }
 
     constexpr double percent = 100;
+    /** In milliseconds; no stream lasts that long. */
+    constexpr std::int64_t maxReportedSingleSoftware = 600'000;
 
     OwnerReport decodeReport(const fleetwire::ServerLoad& load, Instant now)
     {
@@ -109,6 +111,12 @@
     , m_incarnation(std::chrono::duration_cast<milliseconds>(core.clock.wallNow().time_since_epoch()).count())
 {
     setSeeds(core.settings.seedAddresses);
+    core.streamOrigins.setSender(this);
+}
+
+Gossip::~Gossip()
+{
+    m_core.streamOrigins.setSender(nullptr);
 }
 
 void Gossip::setSeeds(const std::vector<std::string>& addresses)
@@ -168,6 +176,7 @@
         logWarning("malformed datagram received", { { "from", m_sender.address().to_string() }, { "bytes", bytes.size() } });
         return;
     }
+    m_core.streamOrigins.onDatagram(*datagram);
     if (datagram->__isset.heartbeat)
         onHeartbeat(datagram->heartbeat);
     if (datagram->__isset.news)
@@ -209,6 +218,7 @@
     if (!peer)
         return;
     m_core.crashTracker.setPeerCrashes(*sender, heartbeat.crashes);
+    m_core.fleetState.onSoftwareReport({ static_cast<std::uint64_t>(heartbeat.softwareDigest), milliseconds(heartbeat.singleSoftwareMs) });
     m_core.promptQuarantine.merge(promptEvidenceOf(heartbeat), now, peer->region != m_core.settings.region);
     if (peer->region != m_core.settings.region)
         return;
@@ -248,6 +258,9 @@
     heartbeat.storeEra = m_core.fleetState.replica().era();
     heartbeat.knownRevision = m_core.fleetState.replica().revision();
     heartbeat.keepsStreamSoftware = true;
+    const auto software = m_core.fleetState.softwareVersions().singleSoftware(m_core.clock.now());
+    heartbeat.softwareDigest = static_cast<std::int64_t>(software.digest);
+    heartbeat.singleSoftwareMs = static_cast<std::int32_t>(std::min(maxReportedSingleSoftware, toMilliseconds(software.duration)));
     heartbeat.crashes = m_core.crashTracker.ownCrashes();
     if (!withProfile)
         return heartbeat;
@@ -403,6 +416,15 @@
     sendTo(ownRegionAddresses(), bytes);
 }
 
+void Gossip::sendDatagram(const std::string& ip, const fleetwire::Datagram& datagram)
+{
+    error_code ec;
+    const auto address = asio::ip::make_address_v4(ip, ec);
+    if (ec)
+        return logWarning("datagram not sent to an invalid address", { { "address", ip } });
+    sendTo(std::span(&address, 1), encodeDatagram(datagram));
+}
+
 void Gossip::tick()
 {
     m_core.peerTable.updateActiveInstances(m_core.settings.region);
--- a/src/yuccashift/entry/gossip.hpp
+++ b/src/yuccashift/entry/gossip.hpp
@@ -15,9 +15,12 @@
  * Sends and receives heartbeats. Learns the addresses of other instances from
  * the seed addresses in the settings and from received heartbeats.
  */
-class Gossip {
+class Gossip final : public DatagramSender {
 public:
     explicit Gossip(EntryCore&);
+    ~Gossip() override;
+    Gossip(const Gossip&) = delete;
+    Gossip& operator=(const Gossip&) = delete;
 
     /** Binds the UDP socket and starts the heartbeats. Returns BadSettings if the port cannot be bound. */
     Result<void> start();
@@ -27,6 +30,7 @@
     void forwardChanges(std::int64_t after);
     /** Replaces the seed addresses. Those that are not IPv4 addresses are logged and ignored. */
     void setSeeds(const std::vector<std::string>& addresses);
+    void sendDatagram(const std::string& ip, const fleetwire::Datagram&) override;
 
 private:
     using Udp = boost::asio::ip::udp;
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -75,7 +75,7 @@
             self->onCallerGone();
     });
     if (job->prepare())
-        job->dispatch();
+        job->identifyStream();
 }
 
 RequestJob::RequestJob(EntryCore& core, std::shared_ptr<InboundExchange> exchange, std::optional<HopMetadata> hop)
@@ -155,13 +155,55 @@
     else if (m_hopMetadata && m_hopMetadata->resumeAfter && m_request.route->kind == RouteKind::Streaming)
         m_streamSoftware = StreamSoftware::begunBy(presumedSoftware());
     armTimeLimit();
-    if (!m_hopMetadata && m_request.metadata.resumeAfter)
-        logInfo("caller resumes a stream", { { "request", m_request.metadata.attemptId }, { "resumes", m_request.metadata.resumedAttempt.value_or("") }, { "after_event", *m_request.metadata.resumeAfter } });
+    return true;
+}
+
+void RequestJob::begin()
+{
     if (!m_hopMetadata) {
         m_core.retryBudget.onRequest(m_request.service);
         m_core.regionDemand.onRequest(*m_request.route);
     }
-    return true;
+    dispatch();
+}
+
+void RequestJob::identifyStream()
+{
+    const auto& route = *m_request.route;
+    const auto& metadata = m_request.metadata;
+    if (m_hopMetadata || !metadata.resumeAfter || route.kind != RouteKind::Streaming)
+        return begin();
+    const auto known = metadata.resumedAttempt ? m_core.streamOrigins.findHere(*metadata.resumedAttempt) : 0;
+    const auto only = route.services.size() == 1 ? presumedSoftware() : 0;
+    if (known != 0 || only != 0 || !metadata.resumedAttempt)
+        return onStreamIdentified(known != 0 ? known : only);
+    m_core.streamOrigins.find(*metadata.resumedAttempt, [weak = weak_from_this()](SoftwareId software) {
+        if (const auto self = weak.lock())
+            self->onStreamIdentified(software);
+    });
+}
+
+const ServiceName* RequestJob::serviceWith(SoftwareId software) const
+{
+    const auto& servers = m_core.fleetState.servers();
+    const auto it = std::ranges::find_if(servers, [&](const auto& entry) { return entry.second.software == software && m_request.route->usesService(entry.second.service); });
+    return it == servers.end() ? nullptr : &it->second.service;
+}
+
+void RequestJob::onStreamIdentified(SoftwareId software)
+{
+    const auto self = shared_from_this();
+    if (m_done)
+        return;
+    if (software == 0)
+        software = presumedSoftware();
+    logInfo("caller resumes a stream", { { "request", m_request.metadata.attemptId }, { "resumes", m_request.metadata.resumedAttempt.value_or("") }, { "after_event", *m_request.metadata.resumeAfter }, { "software_known", software != 0 ? 1 : 0 } });
+    m_streamSoftware = StreamSoftware::begunBy(software);
+    const auto* service = serviceWith(software);
+    if (!service)
+        return failWith({ ErrorKind::SoftwareUnavailable, software == 0 ? "the software that began the stream is not known" : "", {}, {} });
+    m_request.service = *service;
+    begin();
 }
 
 Result<void> RequestJob::resolve()
@@ -244,7 +286,10 @@
         break;
     }
     const bool anyCandidate = plan.local.choice.best || !plan.remote.candidates.empty();
-    Error error { anyCandidate ? ErrorKind::Overloaded : ErrorKind::NoBackend, {}, {}, {} };
+    const bool softwareGone = !anyCandidate && m_streamSoftware.begun() && !m_core.planner.canContinue(*m_request.route, m_request.service, m_streamSoftware);
+    Error error { anyCandidate ? ErrorKind::Overloaded : softwareGone ? ErrorKind::SoftwareUnavailable
+                                                                      : ErrorKind::NoBackend,
+        {}, {}, {} };
     error.runState = m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun;
     if (plan.remote.candidates.empty())
         error.retryAfter = plan.local.restFor;
@@ -484,7 +529,8 @@
         data = completeEvents;
     if (data.empty())
         return;
-    m_streamSoftware.onEvents(m_attemptSoftware);
+    if (!m_streamSoftware.begun())
+        onFirstEvents();
     sendStreamHead();
     m_exchange->sendBody(data);
     if (m_done || m_exchange->unsentBytes() < maxUnsentBytes || !m_outbound)
@@ -497,6 +543,17 @@
     });
 }
 
+void RequestJob::onFirstEvents()
+{
+    m_streamSoftware.onEvents(m_attemptSoftware);
+    if (!m_request.route->resumable)
+        return;
+    if (m_hopMetadata)
+        m_core.streamOrigins.record(m_request.metadata.attemptId, m_attemptSoftware);
+    else
+        m_core.streamOrigins.publish(m_request.metadata.attemptId, m_attemptSoftware);
+}
+
 void RequestJob::onAnswerEnd()
 {
     const auto self = shared_from_this();
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -61,6 +61,14 @@
     bool prepare();
     Result<void> resolve();
     void armTimeLimit();
+    /** Finds the software that began the stream, if the caller resumes one, and then dispatches the request. */
+    void identifyStream();
+    /** Continues with the software that began the stream; 0 if it is not known. */
+    void onStreamIdentified(SoftwareId);
+    /** The service of the route whose servers run the software; nullptr if there is none. */
+    const ServiceName* serviceWith(SoftwareId) const;
+    /** Counts the request of a caller and dispatches it. */
+    void begin();
     Plan plan() const;
     void dispatch();
     void executePlan(const Plan&);
@@ -78,6 +86,8 @@
     std::uint64_t assignedServer() const { return m_hopMetadata ? m_hopMetadata->server : 0; }
     void forwardStreamData(std::string_view);
     void sendStreamHead();
+    /** Records the software that began the stream, for callers that resume it at any instance. */
+    void onFirstEvents();
     /** Records the time and size of received answer data. */
     void recordAnswerData(std::size_t bytes);
     void onBufferedAnswer();
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -101,6 +101,10 @@
     17: list<PartSuccess> partSuccesses,
     // The sender continues a stream only at the software that began it, if a hop names it. Not sent by earlier versions.
     18: bool keepsStreamSoftware,
+    // The software versions that the published servers run, as one hash, and for how long each service has had only one
+    // of them, as far as the sender followed; 0 while a service has several.
+    19: i64 softwareDigest,
+    20: i32 singleSoftwareMs,
 }
 
 // One item of the platform's store, or its removal.
@@ -137,6 +141,30 @@
     5: i64 era,
 }
 
+// Streams that were begun by one software.
+struct StreamOrigins {
+    // Hash of service and software version.
+    1: i64 software,
+    // Short hashes of the ids of the callers' attempts that brought the first events.
+    2: list<i32> attempts,
+}
+
+// Tells a holder of streams which software began them.
+struct StreamOriginNews {
+    1: list<StreamOrigins> origins,
+    // Whether the receiver tells the holders of its region.
+    2: bool passOn,
+}
+
+// Asks a holder for the software that began a stream. It answers the asker with news, or not at all.
+struct StreamOriginQuestion {
+    1: i32 attempt,
+    // IPv4 address.
+    2: i32 asker,
+    // Whether the receiver asks the holders of its region if it does not know.
+    3: bool passOn,
+}
+
 // Holds exactly one of the fields.
 struct Datagram {
     1: optional Heartbeat heartbeat,
@@ -144,4 +172,6 @@
     2: optional Snapshot news,
     // The same if values of items follow; earlier versions would take these items for removed and ignore the field.
     3: optional Snapshot newsWithoutValues,
+    4: optional StreamOriginNews streamOriginNews,
+    5: optional StreamOriginQuestion streamOriginQuestion,
 }
--- a/src/yuccashift/fleet/fleet_state.hpp
+++ b/src/yuccashift/fleet/fleet_state.hpp
@@ -94,6 +94,8 @@
     const std::map<std::string, BackendServer>& servers() const { return m_servers; }
     /** Which software the published servers run, draining ones included. */
     const SoftwareVersions& softwareVersions() const { return m_softwareVersions; }
+    /** Takes what another instance has followed of the software versions. */
+    void onSoftwareReport(const SingleSoftware& report) { m_softwareVersions.onReport(report, m_clock.now()); }
     bool evacuated(const DatacentreName& datacentre) const { return m_evacuated.contains(datacentre); }
     /** Marks a server as cold after it said so in an answer, which is newer than its entry. */
     void setCold(const std::string& id, Instant until);
--- a/src/yuccashift/fleet/software_versions.hpp
+++ b/src/yuccashift/fleet/software_versions.hpp
@@ -9,6 +9,14 @@
 
 namespace yuccashift {
 
+/** For how long each service has had only one software version, as one instance has followed it. */
+struct SingleSoftware {
+    /** Combines the software of all servers; instances that know the same versions have the same digest. */
+    std::uint64_t digest = 0;
+    /** Zero while a service has several versions. */
+    Duration duration {};
+};
+
 /** Which software the servers of each service run, and ran lately. */
 class SoftwareVersions {
 public:
@@ -17,9 +25,13 @@
 
     /** Number of versions that the servers of one service run now; the largest of all services. */
     std::size_t mostInOneService() const;
+    /** What heartbeats tell other instances. */
+    SingleSoftware singleSoftware(Instant now) const;
+    /** Takes what another instance has followed, which may be longer than this one has run. */
+    void onReport(const SingleSoftware&, Instant now);
     /**
-     * The software of a service that has had no other one for `period`, as far as this instance can tell: it must have
-     * followed the published servers for that long.
+     * The software of a service that has had no other one for `period`. This instance must have followed the published
+     * servers for that long, or know the same versions as another instance that has.
      */
     std::optional<SoftwareId> onlySoftware(const ServiceName&, Duration period, Instant now) const;
 
@@ -28,8 +40,16 @@
         std::size_t servers = 0;
         Instant lastSeen {};
     };
+    void updateSingle(Instant now);
+
     std::map<ServiceName, std::map<SoftwareId, Presence>> m_services;
+    std::uint64_t m_digest = 0;
     std::optional<Instant> m_followingSince;
+    /** Since when each service has had only one version; std::nullopt while one has several. */
+    std::optional<Instant> m_singleSince;
+    /** The same as the instance that has followed it for longest reported it, for the digest that it named. */
+    std::optional<Instant> m_reportedSingleSince;
+    std::uint64_t m_reportedDigest = 0;
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/kernel/error.cpp
+++ b/src/yuccashift/kernel/error.cpp
@@ -35,6 +35,7 @@
         { DeadlineUnreachable, "deadline_unreachable", 503, NotRun, true, 1, "the request cannot finish before its deadline" },
         { DeadlineExceeded, "deadline_exceeded", 504, OutcomeUnknown, false, 0, "the deadline passed before the answer was complete" },
         { NoBackend, "no_backend", 503, NotRun, true, 2, "no backend server can take the request" },
+        { SoftwareUnavailable, "software_unavailable", 503, NotRun, true, 1, "no backend server runs the software version that began the stream" },
         { Overloaded, "overloaded", 503, NotRun, true, 1, "every allowed region is overloaded" },
         { Draining, "draining", 503, NotRun, true, 0, "the instance is stopping; use another one" },
         { NotReady, "not_ready", 503, NotRun, true, 1, "the instance has not yet learned its documents" },
--- a/src/yuccashift/kernel/error.hpp
+++ b/src/yuccashift/kernel/error.hpp
@@ -35,6 +35,7 @@
     DeadlineUnreachable,
     DeadlineExceeded,
     NoBackend,
+    SoftwareUnavailable,
     Overloaded,
     Draining,
     NotReady,
--- a/tests/dispatch/server_choice_test.cpp
+++ b/tests/dispatch/server_choice_test.cpp
@@ -43,6 +43,17 @@
         }
     };
 
+    // The only server that could continue a stream was passed over as failing, by comparison with those that could not.
+    TEST_F(AServerChoice, ComparesFailuresAmongTheServersOfOneSoftware)
+    {
+        servers[0].failureShare = 0.6;
+        servers[0].outcomeSamples = 9;
+        EXPECT_NE(choose(query()).best, 0u);
+        servers[1].otherSoftware = true;
+        servers[2].otherSoftware = true;
+        EXPECT_EQ(choose(query()).best, 0u);
+    }
+
     TEST_F(AServerChoice, RejectsServersThatCannotTakeTheRequestAndSaysWhy)
     {
         struct Case {
@@ -51,6 +62,7 @@
         };
         const std::vector<Case> cases {
             { ServerRejectReason::Tried, [](ServerCandidate& it) { it.tried = true; } },
+            { ServerRejectReason::OtherSoftware, [](ServerCandidate& it) { it.otherSoftware = true; } },
             { ServerRejectReason::Suspect, [](ServerCandidate& it) { it.suspect = true; } },
             { ServerRejectReason::Full, [](ServerCandidate& it) { it.fullFor = milliseconds(1); } },
             { ServerRejectReason::Cold, [](ServerCandidate& it) { it.cold = true; } },
--- a/tests/fleet/software_versions_test.cpp
+++ b/tests/fleet/software_versions_test.cpp
@@ -42,5 +42,34 @@
         EXPECT_FALSE(versions.onlySoftware("chat", period, clock.now()));
     }
 
+    TEST_F(TheSoftwareOfAService, IsCertainAtOnceIfAnotherInstanceHasFollowedTheSameVersions)
+    {
+        SoftwareVersions other;
+        other.onServerAdded("draft", 1, clock.now());
+        clock.advance(period);
+        versions.onServerAdded("draft", 1, clock.now());
+        EXPECT_FALSE(only());
+        versions.onReport(other.singleSoftware(clock.now()), clock.now());
+        EXPECT_EQ(only(), 1u);
+        // Another version came and went since.
+        versions.onServerAdded("draft", 2, clock.now());
+        EXPECT_FALSE(only());
+        versions.onServerRemoved("draft", 2, clock.now());
+        EXPECT_FALSE(only());
+    }
+
+    TEST_F(TheSoftwareOfAService, IsNotCertainByTheReportOfAnInstanceThatKnowsOtherVersions)
+    {
+        SoftwareVersions other;
+        other.onServerAdded("draft", 2, clock.now());
+        clock.advance(period);
+        versions.onServerAdded("draft", 1, clock.now());
+        versions.onReport(other.singleSoftware(clock.now()), clock.now());
+        EXPECT_FALSE(only());
+        other.onServerAdded("draft", 1, clock.now());
+        versions.onReport(other.singleSoftware(clock.now()), clock.now());
+        EXPECT_FALSE(only());
+    }
+
 } // namespace
 } // namespace yuccashift
