Resume a stream of the own interface only at the software that began it

A document's backends may state software_version; the relay of an answer holds the software of the tokens that the caller has, the executor passes over servers of another one, a forward names it, and the head of an answer between instances names the software of its server. The relay itself refuses an answer of other software before its first byte, so that instances of earlier versions cannot mix versions either.

--- a/src/yuccashift/document/diff.cpp
+++ b/src/yuccashift/document/diff.cpp
@@ -61,6 +61,7 @@
         out.put("role", toString(backend.role));
         out.put("slots", backend.slots);
         out.put("models", backend.models);
+        out.put("software_version", backend.softwareVersion);
     }
 
     void write(FieldWriter out, const RouteSpec& route)
--- a/src/yuccashift/document/document.hpp
+++ b/src/yuccashift/document/document.hpp
@@ -66,6 +66,8 @@
     std::uint32_t slots = 8;
     /** Names of the models that it should load (`name` of ModelSpec); empty means all. */
     std::vector<std::string> models;
+    /** Version of its software. A stream is continued only by servers of the version that began it; versions have no order. */
+    std::string softwareVersion {};
 
     bool operator==(const BackendSpec&) const = default;
 };
--- a/src/yuccashift/document/parser.cpp
+++ b/src/yuccashift/document/parser.cpp
@@ -54,6 +54,7 @@
         reader.choice("role", backend.role, roles);
         reader.integer("slots", backend.slots, Range { 1, 4096 });
         reader.names("models", backend.models);
+        reader.text("software_version", backend.softwareVersion);
         document.backends.push_back(std::move(backend));
     }
 
--- a/src/yuccashift/gateway/answer_relay.cpp
+++ b/src/yuccashift/gateway/answer_relay.cpp
@@ -20,9 +20,10 @@
 
 } // namespace
 
-AnswerRelay::AnswerRelay(AnswerSink& sink, std::uint32_t offset)
+AnswerRelay::AnswerRelay(AnswerSink& sink, std::uint32_t offset, const StreamSoftware& software)
     : m_sink(sink)
     , m_offset(offset)
+    , m_streamSoftware(software)
 {
 }
 
@@ -36,17 +37,19 @@
     return m_tracker ? m_tracker->tokenCount() - m_offset : static_cast<std::uint32_t>(m_bodyBytes / bytesPerToken);
 }
 
-asio::awaitable<Result<void>> AnswerRelay::run(IncomingAnswer& answer)
+asio::awaitable<Result<void>> AnswerRelay::run(IncomingAnswer& answer, SoftwareId software)
 {
     if (m_tracker || isEventStream(answer.head()))
-        return relayEvents(answer);
+        return relayEvents(answer, software);
     if (answer.head().length.value_or(0) <= maxBufferedBytes)
         return relayBuffered(answer);
     return relayUnbuffered(answer);
 }
 
-asio::awaitable<Result<void>> AnswerRelay::relayEvents(IncomingAnswer& answer)
+asio::awaitable<Result<void>> AnswerRelay::relayEvents(IncomingAnswer& answer, SoftwareId software)
 {
+    if (!m_streamSoftware.allows(software))
+        co_return fail(ErrorKind::AnswerIncomplete, "the stream was not resumed at the software that began it");
     if (m_tracker) {
         // A server that cannot resume the stream sends another kind of answer.
         if (!isEventStream(answer.head()))
@@ -58,6 +61,7 @@
     if (!m_sink.headSent()) {
         auto head = answer.head();
         head.length.reset();
+        head.software = software;
         const bool delivered = co_await m_sink.head(std::move(head));
         if (!delivered)
             co_return receiverGone();
@@ -78,8 +82,10 @@
         events.clear();
         const auto parsed = m_tracker->feed(*chunk, events);
         bool received = true;
-        if (!events.empty())
+        if (!events.empty()) {
+            m_streamSoftware.onEvents(software);
             received = co_await m_sink.chunk(events);
+        }
         if (!received)
             co_return receiverGone();
         if (!parsed)
--- a/src/yuccashift/gateway/attempt.cpp
+++ b/src/yuccashift/gateway/attempt.cpp
@@ -101,7 +101,7 @@
         // A refusal because of load does not count as a failure of the server.
         co_return fail(ErrorKind::Overloaded, "backend server " + m_backend.name + " refused the request");
     }
-    co_return co_await m_relay.run(**answer);
+    co_return co_await m_relay.run(**answer, softwareIdOf(m_context.traits.service, m_backend.softwareVersion));
 }
 
 BackendCall Attempt::makeCall(const TraceContext& trace) const
--- a/src/yuccashift/gateway/executor.cpp
+++ b/src/yuccashift/gateway/executor.cpp
@@ -29,7 +29,7 @@
             , m_context(context)
             , m_traits(context.traits)
             , m_sink(sink)
-            , m_relay(sink, context.resumeOffset)
+            , m_relay(sink, context.resumeOffset, context.streamSoftware)
         {
         }
 
@@ -82,7 +82,7 @@
             if (now >= m_traits.deadline)
                 return nullptr;
             auto states = m_components.backendStates(m_context.document(), m_traits);
-            std::erase_if(states, [&](const BackendState& state) { return !mayRunOn(state, now); });
+            std::erase_if(states, [&](const BackendState& state) { return !mayRunOn(state, now) || !mayContinueAt(state.name); });
             const auto decision = m_components.policies.backend->choose(m_traits, states, now, threadRandom());
             if (!decision.chosen)
                 return nullptr;
@@ -98,6 +98,13 @@
             return it == backends.end() ? nullptr : &*it;
         }
 
+        bool mayContinueAt(const BackendName& name) const
+        {
+            const auto& backends = m_context.document().backends;
+            const auto it = m_relay.streamSoftware().begun() ? std::ranges::find(backends, name, &BackendSpec::name) : backends.end();
+            return it == backends.end() || m_relay.streamSoftware().allows(softwareIdOf(m_traits.service, it->softwareVersion));
+        }
+
         bool mayRunOn(const BackendState& state, Instant now)
         {
             const auto fingerprints = m_components.inFlightRequests.fingerprintsOn({ m_traits.service, state.name });
--- a/src/yuccashift/gateway/forwarder.cpp
+++ b/src/yuccashift/gateway/forwarder.cpp
@@ -18,6 +18,12 @@
     /** Maximum number of instances of a region to which one request is sent. */
     constexpr std::uint32_t maxInstancesTried = 2;
 
+    /** The software that an instance's answer names, or that of the document if the instance is of an earlier version and there is only one. */
+    SoftwareId softwareOf(const RequestContext& context, const AnswerHead& head)
+    {
+        return head.software != 0 ? head.software : onlySoftware(context.document());
+    }
+
     /** Sends one request to one instance and relays the answer. */
     asio::awaitable<Result<void>> forwardOnce(GatewayComponents& components, PeerHub& hub, const RequestContext& context, InstanceId instance, ForwardPurpose purpose, bool crossesRegion, AnswerRelay& relay)
     {
@@ -26,11 +32,12 @@
         RequestContext traced = context;
         traced.trace = span.context;
         traced.resumeOffset = relay.deliveredTokens();
+        traced.streamSoftware = relay.streamSoftware();
         auto forward = makeForward(traced, purpose, components.clock.now(), crossesRegion);
         auto answer = co_await hub.forward(instance, std::move(forward), context.traits.deadline);
         Result<void> result;
         if (answer)
-            result = co_await relay.run(**answer);
+            result = co_await relay.run(**answer, softwareOf(context, (*answer)->head()));
         else
             result = tl::unexpected(std::move(answer.error()));
         if (!result)
@@ -92,7 +99,7 @@
 {
     auto instances = reachableIn(region);
     shuffle(instances);
-    AnswerRelay relay(sink, context.resumeOffset);
+    AnswerRelay relay(sink, context.resumeOffset, context.streamSoftware);
     Error error { ErrorKind::PeerLost, "no instance of " + region + " can be reached", RunState::NotRun, {} };
     bool mayHaveRun = false;
     std::uint32_t attempts = 0;
--- a/src/yuccashift/gateway/request_context.cpp
+++ b/src/yuccashift/gateway/request_context.cpp
@@ -164,11 +164,22 @@
     context->backendKey = forward.key.empty() ? forward.backendKey : forward.key;
     context->requestId = forward.requestId;
     context->resumeOffset = static_cast<std::uint32_t>(std::max(forward.resumeOffset, 0));
+    if (forward.__isset.streamSoftware)
+        context->streamSoftware = StreamSoftware::begunBy(static_cast<SoftwareId>(forward.streamSoftware));
+    else if (context->resumeOffset > 0)
+        context->streamSoftware = StreamSoftware::begunBy(onlySoftware(context->document()));
     context->fingerprint = requestFingerprint(forward.organisation, forward.method, forward.target, forward.body);
     context->trace = arrival.trace;
     return context;
 }
 
+SoftwareId onlySoftware(const Document& document)
+{
+    const auto& backends = document.backends;
+    const bool differs = std::ranges::any_of(backends, [&](const BackendSpec& it) { return it.softwareVersion != backends.front().softwareVersion; });
+    return backends.empty() || differs ? 0 : softwareIdOf(document.service, backends.front().softwareVersion);
+}
+
 wire::Forward makeForward(const RequestContext& context, ForwardPurpose purpose, Instant now, bool crossesRegion)
 {
     wire::Forward forward;
@@ -197,6 +208,8 @@
     else
         forward.backendKey = context.backendKey;
     forward.resumeOffset = static_cast<std::int32_t>(context.resumeOffset);
+    if (context.streamSoftware.begun())
+        forward.__set_streamSoftware(static_cast<std::int64_t>(context.streamSoftware.software()));
     return forward;
 }
 
--- a/src/yuccashift/gateway/request_context.hpp
+++ b/src/yuccashift/gateway/request_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccashift/answers/stream_software.hpp"
 #include "yuccashift/config/route_table.hpp"
 #include "yuccashift/http/message.hpp"
 #include "yuccashift/observe/trace.hpp"
@@ -43,6 +44,8 @@
     std::uint64_t fingerprint = 0;
     /** Number of complete tokens that the caller already has. */
     std::uint32_t resumeOffset = 0;
+    /** The software that wrote these tokens. */
+    StreamSoftware streamSoftware;
     /** Whether the caller asked for server-sent events. */
     bool streaming = false;
 
@@ -78,6 +81,9 @@
  */
 Result<RequestContext> admitForward(const RouteTable&, const wire::Forward&, const Arrival&);
 
+/** The software that all servers of the document run; 0 if they run several versions. */
+SoftwareId onlySoftware(const Document&);
+
 /** What the receiving instance has to do with a forwarded request. */
 enum class ForwardPurpose {
     /** Execute it on one of the backend servers of its region. */
--- a/src/yuccashift/http/message.hpp
+++ b/src/yuccashift/http/message.hpp
@@ -42,6 +42,8 @@
     std::optional<std::size_t> length;
     /** Of a received answer; it is not forwarded. */
     AnswerFraming framing = AnswerFraming::Length;
+    /** SoftwareId of the server that writes a stream, between instances; 0 if it is not known. Callers do not get it. */
+    std::uint64_t software = 0;
 };
 
 /** Returns the value of the first field with this name, or std::nullopt. */
--- a/src/yuccashift/peer/detail/peer_answer.hpp
+++ b/src/yuccashift/peer/detail/peer_answer.hpp
@@ -21,6 +21,7 @@
 {
     AnswerHead head;
     head.status = wireHead.status;
+    head.software = static_cast<std::uint64_t>(wireHead.software);
     for (const auto& field : wireHead.headers)
         head.headers.push_back({ field.name, field.value });
     return head;
--- a/src/yuccashift/peer/detail/peer_answer_sink.hpp
+++ b/src/yuccashift/peer/detail/peer_answer_sink.hpp
@@ -20,6 +20,7 @@
         m_started = true;
         wire::AnswerHead wireHead;
         wireHead.status = head.status;
+        wireHead.software = static_cast<std::int64_t>(head.software);
         for (auto& field : head.headers) {
             wire::Header header;
             header.name = std::move(field.name);
--- a/src/yuccashift/peer/peer.thrift
+++ b/src/yuccashift/peer/peer.thrift
@@ -159,11 +159,13 @@
   16: string requestId
   17: i32 resumeOffset // number of whole tokens that the caller has already received
   18: string backendKey // idempotency key to pass on to the backend server; key is empty then
+  19: optional i64 streamSoftware // hash of the software that began the stream, if the caller has events of it
 }
 
 struct AnswerHead {
   1: i32 status
   2: list<Header> headers
+  3: i64 software      // hash of the software of the server that writes the stream; not sent by earlier versions
 }
 
 struct AnswerChunk {
--- a/tests/gateway/answer_relay_test.cpp
+++ b/tests/gateway/answer_relay_test.cpp
@@ -66,7 +66,7 @@
         asio::io_context io;
         Result<void> result;
         AnswerRelay it(sink, 0);
-        asio::co_spawn(io, it.run(answer), [&](const std::exception_ptr&, const Result<void>& relayed) { result = relayed; });
+        asio::co_spawn(io, it.run(answer, 1), [&](const std::exception_ptr&, const Result<void>& relayed) { result = relayed; });
         io.run();
         return result;
     }
@@ -93,6 +93,30 @@
         EXPECT_LT(answer.partsRead(), 100u);
     }
 
+    // A stream that broke off went on at a server of another software version.
+    TEST(ARelayedStream, IsContinuedOnlyByTheSoftwareThatBeganIt)
+    {
+        const std::string second = "data: {\"token_index\":1}\n\n";
+        for (const SoftwareId next : { 1, 2, 0 }) {
+            CutOffStream begin({ token });
+            CutOffStream rest({ second, endMark });
+            KeptAnswer kept;
+            asio::io_context io;
+            AnswerRelay relay(kept, 0);
+            std::vector<bool> results;
+            const auto run = [&](IncomingAnswer& answer, SoftwareId software) {
+                asio::co_spawn(io, relay.run(answer, software), [&](const std::exception_ptr&, const Result<void>& relayed) { results.push_back(relayed.has_value()); });
+                io.restart();
+                io.run();
+            };
+            run(begin, 1);
+            run(rest, next);
+            EXPECT_EQ(results, (std::vector { false, next == 1 })) << next;
+            EXPECT_EQ(kept.body, next == 1 ? token + second + endMark : token) << next;
+            EXPECT_EQ(relay.streamSoftware().software(), 1u);
+        }
+    }
+
     TEST(ARelayedStream, IsIncompleteWithoutItsEndMark)
     {
         for (const auto& last : { std::string(), endMark.substr(0, endMark.size() - 1) }) {
--- a/tests/processes/guarantees_test.cpp
+++ b/tests/processes/guarantees_test.cpp
@@ -54,6 +54,39 @@
         EXPECT_EQ(judgeChat(chat, reply), Outcome::Whole) << reply.body.substr(reply.body.size() - std::min<std::size_t>(reply.body.size(), 500));
     }
 
+    // A stream whose engine crashed went on at an engine of another software version.
+    TEST_F(RealProcesses, NeverResumeAStreamAtAnotherSoftwareThanBeganIt)
+    {
+        auto document = m_regions.assistantDocument(2);
+        int version = 0;
+        for (const std::string name : { "engine-sofia-1", "engine-sofia-2", "engine-varna-1" })
+            document.replace(document.find(name + ","), name.size(), name + ", software_version: v" + std::to_string(++version));
+        fleet().publishDocument("assistant", document);
+        ASSERT_TRUE(fleet().waitForRevision("assistant", 2));
+        const ChatCall chat { "itinerary", "a plan of one version", longAnswerTokens, true };
+        const std::vector<std::string> engines { "engine-sofia-1", "engine-sofia-2", "engine-varna-1" };
+        std::map<std::string, std::uint64_t> runsBefore;
+        for (const auto& it : engines)
+            runsBefore[it] = runsAt(it);
+        std::string killed;
+        const auto reply = send(chatRequest(m_regions.entry("sofia-1"), anywhereCredential, chat), [&](std::string_view body) {
+            for (const auto& it : engines) {
+                if (killed.empty() && !body.empty() && runsAt(it) > runsBefore[it]) {
+                    killed = it;
+                    fleet().killStandin(it);
+                }
+            }
+            return true;
+        });
+        ASSERT_FALSE(killed.empty());
+        EXPECT_NE(judgeChat(chat, reply), Outcome::Whole);
+        for (const auto& it : engines) {
+            if (it == killed)
+                continue;
+            EXPECT_EQ(runsAt(it), runsBefore[it]) << it;
+        }
+    }
+
     TEST_F(RealProcesses, NeverPresentAStreamAsCompleteWhenEveryEngineCrashes)
     {
         const ChatCall chat { "itinerary", "a plan without an end", longAnswerTokens, true };
