--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -105,6 +105,9 @@
     // of them, as far as the sender followed; 0 while a service has several.
     19: i64 softwareDigest,
     20: i32 singleSoftwareMs,
+    // Whether `rooms` holds all that the sender's region can take; a service that is missing there can take nothing. Earlier
+    // versions do not send it, and leave `rooms` empty to their own region.
+    21: bool reportsCapacity,
 }
 
 // One item of the platform's store, or its removal.
--- /dev/null
+++ b/tests/entry/unreachable_servers_test.cpp
@@ -0,0 +1,211 @@
+#include "tests/support/fakes/fleet_items.hpp"
+#include "tests/support/fakes/word_protocol.hpp"
+#include "tests/support/scripted_server.hpp"
+#include "yuccashift/entry/request_job.hpp"
+#include "yuccashift/http/inbound.hpp"
+
+#include <atomic>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <gtest/gtest.h>
+
+namespace yuccashift {
+namespace {
+
+    namespace asio = boost::asio;
+    namespace http = boost::beast::http;
+    using fakes::ScriptedConnection;
+    using fakes::ScriptedServer;
+    using tcp = asio::ip::tcp;
+    using test::WordItems;
+    using test::WordProtocol;
+
+    /** A port at which nothing listens. */
+    Endpoint closedPort()
+    {
+        asio::io_context io;
+        const tcp::acceptor acceptor(io, { asio::ip::address_v4::loopback(), 0 });
+        return { "127.0.0.1", acceptor.local_endpoint().port() };
+    }
+
+    /** One instance with its listeners for callers and for other instances. */
+    class Instance {
+    public:
+        /** @param servers addresses under which the instance finds the servers of the service `ledger` */
+        Instance(asio::io_context& io, const Clock& clock, const WordProtocol& protocol, const WordItems& items, const std::string& name, const std::string& ip, const std::vector<Endpoint>& servers)
+            : core(io, clock, settings(name, ip), protocol, items, std::make_unique<SeededRandom>(7))
+            , m_callers(io, clock, m_callerHandler)
+            , m_peers(io, clock, m_peerHandler)
+        {
+            std::vector<ItemChange> listing { { "config", "config 1", 2 } };
+            for (const auto& it : servers)
+                listing.push_back({ "s" + std::to_string(listing.size()), "server ledger " + toString(it) + " hall ready 1 0 6", 3 });
+            core.fleetState.replaceAll(listing, 3);
+            core.requestProbe = [](std::uint64_t) {};
+            core.retryBudget.setInstanceCount(1);
+            for (int n = 0; n < 50; ++n)
+                core.retryBudget.onRequest("ledger");
+            callers = m_callers.listen({ "127.0.0.1", 0 }).value();
+            peers = m_peers.listen({ ip, 0 }).value();
+        }
+
+        /** Takes a heartbeat of the other instance that reports this many free slots of the region. */
+        void hear(const Instance& other, std::int32_t freeSlots)
+        {
+            fleetwire::Heartbeat beat;
+            fleetwire::Profile profile;
+            profile.instance = other.core.settings.instance;
+            profile.region = other.core.settings.region;
+            profile.ip = other.core.settings.ip;
+            beat.__set_profile(profile);
+            beat.sender = hashOfInstance(profile.instance);
+            beat.incarnation = 1;
+            beat.sequence = ++m_heartbeats;
+            beat.reportsCapacity = true;
+            if (freeSlots > 0) {
+                fleetwire::ServiceRoom room;
+                room.serviceName = "ledger";
+                room.freeSlots = freeSlots;
+                room.waitMs = { 60 };
+                beat.rooms.push_back(room);
+            }
+            core.peerTable.setHeartbeatTimeout(seconds(60));
+            core.peerTable.onHeartbeat(beat);
+            core.settings.peerPort = other.peers.port;
+        }
+
+        EntryCore core;
+        Endpoint callers;
+        Endpoint peers;
+        /** Requests that other instances forwarded to this one. */
+        int forwarded = 0;
+
+    private:
+        struct CallerHandler : InboundHandler {
+            explicit CallerHandler(Instance& it)
+                : owner(it)
+            {
+            }
+            void onRequest(std::shared_ptr<InboundExchange> exchange) override { RequestJob::start(owner.core, std::move(exchange), std::nullopt); }
+            InboundLimits limits() const override { return {}; }
+            bool shouldCloseConnections() const override { return false; }
+            Instance& owner;
+        };
+        struct PeerHandler final : CallerHandler {
+            using CallerHandler::CallerHandler;
+            void onRequest(std::shared_ptr<InboundExchange> exchange) override
+            {
+                ++owner.forwarded;
+                auto metadata = extractHopMetadata(exchange->request().headers);
+                RequestJob::start(owner.core, std::move(exchange), std::move(metadata));
+            }
+        };
+
+        static EntrySettings settings(const std::string& name, const std::string& ip)
+        {
+            EntrySettings it;
+            it.instance = name;
+            it.region = "here";
+            it.regions = { { "hall", "here" } };
+            it.ip = ip;
+            return it;
+        }
+
+        CallerHandler m_callerHandler { *this };
+        PeerHandler m_peerHandler { *this };
+        InboundServer m_callers;
+        InboundServer m_peers;
+        std::int64_t m_heartbeats = 0;
+    };
+
+    /** Two instances of one region. The first one reaches none of the region's servers, the second one all of them. */
+    class AnInstanceThatReachesNoServer : public testing::Test {
+    protected:
+        AnInstanceThatReachesNoServer()
+        {
+            for (const auto& [prefix, kind] : { std::pair { "/read/", RouteKind::Idempotent }, std::pair { "/write/", RouteKind::NonIdempotent }, std::pair { "/stream/", RouteKind::Streaming } }) {
+                Route route;
+                route.name = prefix;
+                route.host = "a";
+                route.pathPrefix = prefix;
+                route.kind = kind;
+                route.maxAttempts = 1;
+                route.timeLimit = milliseconds(2000);
+                route.latencyObjective = milliseconds(1000);
+                route.services = { { "ledger", 1 } };
+                items.config.routes.push_back(route);
+            }
+            items.config.services["ledger"] = {};
+            stranded.emplace(io, clock, protocol, items, "i1", "127.0.0.1", std::vector { closedPort(), closedPort() });
+            connected.emplace(io, clock, protocol, items, "i2", "127.0.0.2", std::vector { server.endpoint(), server.endpoint() });
+        }
+
+        int call(const std::string& path)
+        {
+            tcp::socket socket(io);
+            socket.connect({ asio::ip::make_address(stranded->callers.host), stranded->callers.port });
+            asio::write(socket, asio::buffer("GET " + path + " HTTP/1.1\r\nHost: a\r\nAttempt: x\r\n\r\n"));
+            boost::beast::flat_buffer buf;
+            http::response<http::string_body> answer;
+            http::async_read(socket, buf, answer, [&](const boost::system::error_code&, std::size_t) { io.stop(); });
+            io.restart();
+            io.run();
+            return static_cast<int>(answer.result_int());
+        }
+
+        SystemClock clock;
+        asio::io_context io { 1 };
+        WordProtocol protocol;
+        WordItems items;
+        std::atomic<int> runs = 0;
+        ScriptedServer server { [this](ScriptedConnection& connection) {
+            while (connection.readRequest()) {
+                ++runs;
+                connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            }
+        } };
+        std::optional<Instance> stranded;
+        std::optional<Instance> connected;
+    };
+
+    const std::vector<std::string> paths { "/read/x", "/write/x", "/stream/x" };
+
+    // Callers of such an instance were refused while the servers of its region were idle.
+    TEST_F(AnInstanceThatReachesNoServer, HasItsRequestsServedThroughAnotherInstanceOfItsRegion)
+    {
+        stranded->hear(*connected, 6);
+        for (int n = 0; n < 4; ++n) {
+            for (const auto& path : paths)
+                EXPECT_EQ(call(path), 200) << path;
+        }
+        EXPECT_EQ(runs, 12);
+        EXPECT_EQ(connected->forwarded, 12);
+    }
+
+    TEST_F(AnInstanceThatReachesNoServer, RefusesAtOnceWhatNoOtherInstanceCanTake)
+    {
+        stranded->hear(*connected, 6);
+        stranded->hear(*connected, 0);
+        for (const auto& path : paths)
+            EXPECT_EQ(call(path), 503) << path;
+        EXPECT_EQ(connected->forwarded, 0);
+    }
+
+    // Requests went on being forwarded to an instance that had said that it reaches no server either.
+    TEST_F(AnInstanceThatReachesNoServer, ForwardsNoMoreToOneThatRefusedUntilItReportsCapacityAgain)
+    {
+        stranded->hear(*connected, 6);
+        EXPECT_EQ(call("/write/x"), 200);
+        connected->core.fleetState.replaceAll(std::vector<ItemChange> { { "config", "config 1", 2 } }, 4);
+        EXPECT_EQ(call("/write/x"), 503);
+        EXPECT_EQ(connected->forwarded, 2);
+        EXPECT_EQ(call("/write/x"), 503);
+        EXPECT_EQ(connected->forwarded, 2);
+        stranded->hear(*connected, 6);
+        EXPECT_EQ(call("/write/x"), 503);
+        EXPECT_EQ(connected->forwarded, 3);
+    }
+
+} // namespace
+} // namespace yuccashift
--- a/tests/fleet/peer_table_test.cpp
+++ b/tests/fleet/peer_table_test.cpp
@@ -47,6 +47,30 @@
         EXPECT_EQ(table.find("a")->region, "sofia");
     }
 
+    fleetwire::Heartbeat withCapacity(fleetwire::Heartbeat beat, std::int32_t freeSlots)
+    {
+        beat.reportsCapacity = true;
+        if (freeSlots > 0) {
+            fleetwire::ServiceRoom room;
+            room.serviceName = "draft";
+            room.freeSlots = freeSlots;
+            beat.rooms.push_back(room);
+        }
+        return beat;
+    }
+
+    // Instances that had lost their servers kept getting requests by the capacity that they had reported before.
+    TEST_F(APeerTable, ForgetsTheCapacityOfAPeerThatReportsNone)
+    {
+        table.onHeartbeat(withCapacity(beatOf("a", 1, 1), 6));
+        EXPECT_EQ(table.find("a")->capacityByService.size(), 1u);
+        // A heartbeat that does not report capacity changes nothing.
+        table.onHeartbeat(beatOf("a", 1, 2));
+        EXPECT_EQ(table.find("a")->capacityByService.size(), 1u);
+        table.onHeartbeat(withCapacity(beatOf("a", 1, 3), 0));
+        EXPECT_TRUE(table.find("a")->capacityByService.empty());
+    }
+
     TEST_F(APeerTable, KeepsSilentPeersButDoesNotCountThemAsAlive)
     {
         table.onHeartbeat(beatOf("a", 1, 1));
