Forget the capacity of an instance that reports none

A heartbeat that reports capacity left out what can take nothing, and an empty report was taken for a heartbeat without a report, so that the last capacity stood. Heartbeats say now whether they report capacity; those of earlier versions are read as before.

--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -308,6 +308,7 @@
 
 void Gossip::addCapacity(fleetwire::Heartbeat& heartbeat) const
 {
+    heartbeat.reportsCapacity = true;
     for (const auto& [service, capacity] : m_core.planner.freeCapacity()) {
         fleetwire::ServiceRoom it;
         it.serviceName = service;
--- a/src/yuccashift/fleet/peer_table.cpp
+++ b/src/yuccashift/fleet/peer_table.cpp
@@ -107,8 +107,7 @@
 
 void PeerTable::updateCapacity(PeerState& peer, const fleetwire::Heartbeat& beat)
 {
-    // Instances of the own region send the loads of their servers instead of capacities.
-    if (beat.rooms.empty())
+    if (!beat.reportsCapacity && beat.rooms.empty())
         return;
     peer.unreportedHops = 0;
     peer.capacityByService.clear();
