Serve callers of an instance that reaches no server through others of its region

An instance without a usable server planned for other regions only. Cause: reaching a server was taken for a property of the server, not of the link to it. Instances report their region's capacity to their own region now and then, and at once when they lose or regain all servers; a request for which no server here can be used because connections fail goes to an instance of the region that reports room. One that answers that it has no server gets no more for that service until it reports again. An instance that reaches no server owns none, its reports on servers are ignored, and it probes four of them at a time instead of all.

AnInstanceThatReachesNoServer failed before and passes.

--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -11,6 +11,8 @@
 
     /** Round trip to another region; the deployments' links take a few dozen milliseconds one way. */
     constexpr Duration regionRoundTrip = milliseconds(116);
+    /** Round trip to an instance of the same region. */
+    constexpr Duration ownRegionRoundTrip = milliseconds(4);
     /** Queue wait that each forwarded request adds until the other region's heartbeat includes it. */
     constexpr Duration queueWaitPerHop = milliseconds(15);
     /** Factor on the interval between requests to a cold server: for short periods several instances may consider themselves its owner. */
@@ -104,15 +106,46 @@
     if (m_ownershipUpdatedAt && now - *m_ownershipUpdatedAt < ownershipInterval)
         return m_ownership;
     m_ownershipUpdatedAt = now;
-    std::vector<ServerOwnerCandidate> candidates { { m_settings.instance, m_settings.datacentre, m_settings.capacityForPeers() } };
+    std::vector<ServerOwnerCandidate> candidates;
+    if (!reachesNoServer())
+        candidates.push_back({ m_settings.instance, m_settings.datacentre, m_settings.capacityForPeers() });
     for (const auto* peer : m_peerTable.alive()) {
-        if (peer->region == m_settings.region && !peer->draining)
+        if (peer->region == m_settings.region && !peer->draining && !peer->reachesNoServer)
             candidates.push_back({ peer->instance, peer->datacentre, peer->capacity });
     }
+    if (candidates.empty())
+        candidates.push_back({ m_settings.instance, m_settings.datacentre, m_settings.capacityForPeers() });
     m_ownership.setCandidates(std::move(candidates));
     return m_ownership;
 }
 
+bool DispatchPlanner::reachesNoServer() const
+{
+    const auto now = m_clock.now();
+    if (m_reachabilityUpdatedAt && now - *m_reachabilityUpdatedAt < ownershipInterval)
+        return m_reachesNoServer;
+    m_reachabilityUpdatedAt = now;
+    std::map<ServiceName, bool> viaOwners;
+    m_reachesNoServer = false;
+    for (const auto& [key, server] : m_fleetState.servers()) {
+        if (!isUsableLocally(server))
+            continue;
+        if (m_serverTracker.statusOf(server.identityHash).suspect) {
+            m_reachesNoServer = true;
+            continue;
+        }
+        auto it = viaOwners.find(server.service);
+        if (it == viaOwners.end())
+            it = viaOwners.emplace(server.service, forwardsToOwners(server.service)).first;
+        // Of a server that others own, this instance does not know whether it would reach it.
+        if (!it->second) {
+            m_reachesNoServer = false;
+            break;
+        }
+    }
+    return m_reachesNoServer;
+}
+
 bool DispatchPlanner::isOwner(const BackendServer& server) const
 {
     return ownership().ownerOf(server.identityHash, server.datacentre) == m_settings.instance;
@@ -349,7 +382,7 @@
     return std::ranges::any_of(regionsThatContinue(service, software), [&](const auto& region) { return route.allowsRegion(region); });
 }
 
-RemotePlan DispatchPlanner::planRemote(const Route& route, const ServiceName& service, const WorkSize& work, const std::set<InstanceId>& tried, const StreamSoftware& software, const std::optional<RegionName>& prefixHome) const
+RemotePlan DispatchPlanner::planRemote(const Route& route, const ServiceName& service, const WorkSize& work, const std::set<InstanceId>& tried, const StreamSoftware& software, const LocalPlan& local, const std::optional<RegionName>& prefixHome) const
 {
     RemotePlan plan;
     const auto now = m_clock.now();
@@ -357,7 +390,8 @@
     const auto mayContinue = [&](const PeerState& peer) { return !software.begun() || (peer.keepsStreamSoftware && continuing.contains(peer.region)); };
     std::map<RegionName, std::vector<const PeerState*>> byRegion;
     for (const auto* peer : m_peerTable.alive()) {
-        const bool usable = peer->region != m_settings.region && route.allowsRegion(peer->region) && !peer->draining && now >= peer->backOffUntil && !tried.contains(peer->instance);
+        const bool eligible = peer->region != m_settings.region || local.unreachable();
+        const bool usable = eligible && route.allowsRegion(peer->region) && !peer->draining && now >= peer->backOffUntil && !tried.contains(peer->instance);
         const auto capacity = peer->capacityByService.find(service);
         if (usable && mayContinue(*peer) && capacity != peer->capacityByService.end() && capacity->second.freeSlots > 0)
             byRegion[peer->region].push_back(peer);
@@ -367,7 +401,7 @@
         const auto wait = peer->capacityByService.at(service).wait[std::min(work.priority, priorityLevels - 1)] + peer->unreportedHops * queueWaitPerHop;
         const bool holdsPrefix = prefixHome == region;
         const auto prompt = prefillTime(work.promptTokens - (holdsPrefix ? work.sharedTokens() : 0));
-        plan.candidates.push_back({ wait, prompt, regionRoundTrip, holdsPrefix });
+        plan.candidates.push_back({ wait, prompt, region == m_settings.region ? ownRegionRoundTrip : regionRoundTrip, holdsPrefix });
         plan.peers.push_back(peer);
     }
     return plan;
--- a/src/yuccashift/entry/dispatch_planner.hpp
+++ b/src/yuccashift/entry/dispatch_planner.hpp
@@ -9,6 +9,7 @@
 #include "yuccashift/fleet/peer_table.hpp"
 #include "yuccashift/kernel/random.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <set>
 
@@ -32,6 +33,8 @@
     /** If all servers asked for a rest: the time until the first of them takes requests again. */
     std::optional<Duration> restFor;
 
+    /** Whether connections to some servers fail from here, and no other one can take the request. */
+    bool unreachable() const { return !choice.best && std::ranges::any_of(candidates, &ServerCandidate::suspect); }
     /** The chosen server, or nullptr if none can take the request. */
     const BackendServer* server() const { return choice.best ? servers[*choice.best] : nullptr; }
 };
@@ -61,8 +64,14 @@
     const PeerState* remoteOwner(const BackendServer&, const std::set<InstanceId>& excluded) const;
     /** Whether requests to the server go through its owner, and this instance is the owner. */
     bool owns(std::uint64_t server) const;
-    /** Collects the other regions with free capacity and servers that may continue the stream. Instances in `tried` have already been sent the request. */
-    RemotePlan planRemote(const Route&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried, const StreamSoftware&, const std::optional<RegionName>& prefixHome) const;
+    /**
+     * Collects the other regions with free capacity and servers that may continue the stream. If this instance reaches no
+     * server of its own region that could take the request, other instances of the region count as well, which may reach them.
+     * Instances in `tried` have already been sent the request.
+     */
+    RemotePlan planRemote(const Route&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried, const StreamSoftware&, const LocalPlan&, const std::optional<RegionName>& prefixHome) const;
+    /** Whether connections fail to all servers of this region that this instance uses itself. */
+    bool reachesNoServer() const;
     /** Whether any region that the route allows has a server that may continue the stream. */
     bool canContinue(const Route&, const ServiceName&, const StreamSoftware&) const;
     /** Free capacity of each service in this region, as heartbeats report it to other regions. */
@@ -119,6 +128,8 @@
     RandomSource& m_random;
     mutable ServerOwnership m_ownership;
     mutable std::optional<Instant> m_ownershipUpdatedAt;
+    mutable bool m_reachesNoServer = false;
+    mutable std::optional<Instant> m_reachabilityUpdatedAt;
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -368,6 +368,7 @@
     metrics.gauge("yuccashift_peak_memory_kilobytes").set(used.ru_maxrss);
     metrics.gauge("yuccashift_servers_known").set(static_cast<std::int64_t>(core.fleetState.servers().size()));
     metrics.gauge("yuccashift_software_versions").set(static_cast<std::int64_t>(core.fleetState.softwareVersions().mostInOneService()));
+    metrics.gauge("yuccashift_reaches_no_server").set(core.planner.reachesNoServer() ? 1 : 0);
     metrics.gauge("yuccashift_stream_origins").set(static_cast<std::int64_t>(core.streamOrigins.size()));
     if (adapters.flushLog)
         adapters.flushLog();
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -26,6 +26,8 @@
     constexpr Duration minSilence = milliseconds(1500);
     /** Every this many rounds, a heartbeat goes to other regions, to the given number of instances in each. */
     constexpr std::uint64_t roundsBetweenRegionHeartbeats = 2;
+    /** Every this many rounds, and when it loses or regains its servers, an instance reports its region's capacity to its own region too. */
+    constexpr std::uint64_t roundsBetweenOwnRegionCapacity = 4;
     constexpr std::size_t recipientsPerRegion = 2;
     /** A heartbeat carries the sender's profile in the first rounds and in every n-th round after them. */
     constexpr std::uint64_t initialRoundsWithProfile = 10;
@@ -227,7 +229,7 @@
     for (const auto& load : heartbeat.loads) {
         const auto server = static_cast<std::uint64_t>(static_cast<std::uint32_t>(load.server));
         loads[server] = decodeLoad(load);
-        if (!load.slownessPercent.empty())
+        if (!load.slownessPercent.empty() && !heartbeat.reachesNoServer)
             reports[server] = decodeReport(load, now);
         m_core.serverTracker.setPeerPrefill(*sender, server, { load.readingTokens, static_cast<std::size_t>(std::max(0, load.readingRank)), now });
     }
@@ -257,6 +259,7 @@
     heartbeat.storeRevision = m_core.fleetState.replica().completeRevision();
     heartbeat.storeEra = m_core.fleetState.replica().era();
     heartbeat.knownRevision = m_core.fleetState.replica().revision();
+    heartbeat.reachesNoServer = m_core.planner.reachesNoServer();
     heartbeat.keepsStreamSoftware = true;
     const auto software = m_core.fleetState.softwareVersions().singleSoftware(m_core.clock.now());
     heartbeat.softwareDigest = static_cast<std::int64_t>(software.digest);
@@ -379,6 +382,9 @@
         fleetwire::Datagram datagram;
         datagram.__set_heartbeat(makeHeartbeat(withProfile));
         addLoads(datagram.heartbeat);
+        if (m_round % roundsBetweenOwnRegionCapacity == 0 || m_core.planner.reachesNoServer() != m_reportedReachesNoServer)
+            addCapacity(datagram.heartbeat);
+        m_reportedReachesNoServer = m_core.planner.reachesNoServer();
         addPromptEvidence(datagram.heartbeat, m_core.promptQuarantine.takeForHeartbeat(now, maxPromptEvidence));
         for (const auto& report : m_core.serverTracker.constraints().reports())
             datagram.heartbeat.serverRequests.push_back(encodeServerRequest(report));
--- a/src/yuccashift/entry/gossip.hpp
+++ b/src/yuccashift/entry/gossip.hpp
@@ -67,6 +67,8 @@
     std::int64_t m_incarnation;
     std::int64_t m_sequence = 0;
     std::uint64_t m_round = 0;
+    /** What the last heartbeat to the own region said. */
+    bool m_reportedReachesNoServer = false;
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -243,7 +243,7 @@
     else if (m_request.route->allowsRegion(m_core.settings.region))
         plan.local = m_core.planner.planLocal(m_request.service, m_request.metadata.work, firstByteTimeLeft(), m_triedServers, m_streamSoftware, prefixHome);
     if (!m_hopMetadata)
-        plan.remote = m_core.planner.planRemote(*m_request.route, m_request.service, m_request.metadata.work, m_triedInstances, m_streamSoftware, prefixHome);
+        plan.remote = m_core.planner.planRemote(*m_request.route, m_request.service, m_request.metadata.work, m_triedInstances, m_streamSoftware, plan.local, prefixHome);
     PlacementInput input;
     if (plan.local.choice.best)
         input.localTimeToFirstByte = plan.local.choice.predicted;
@@ -397,7 +397,7 @@
     m_regionHopInProgress = true;
     m_triedInstances.insert(peer.instance);
     m_attemptSoftware = 0;
-    startHop(peer, hopMetadata(regionHopReturnTime), predicted);
+    startHop(peer, hopMetadata(peer.region == m_core.settings.region ? ownerHopReturnTime : regionHopReturnTime), predicted);
 }
 
 void RequestJob::startHop(const PeerState& member, const HopMetadata& metadata, Duration predicted)
@@ -638,6 +638,8 @@
     }
     logInfo("forwarded request failed", { { "request", m_request.metadata.attemptId }, { "peer", m_peerInstance }, { "server", m_serverOfHop }, { "reason", error.code() }, { "run_state", toString(error.effectiveRunState()) }, { "reached_server", failure.reachedServer ? 1 : 0 } });
     // An owner that is about to stop or lacks the configuration says nothing about its server.
+    if (error.kind == ErrorKind::NoBackend && m_serverOfHop == 0)
+        m_core.peerTable.onNoCapacity(m_peerInstance, m_request.service);
     if (error.kind == ErrorKind::Draining || error.kind == ErrorKind::NotReady)
         m_triedInstances.insert(m_peerInstance);
     else if (m_serverOfHop != 0)
--- a/src/yuccashift/entry/server_prober.cpp
+++ b/src/yuccashift/entry/server_prober.cpp
@@ -3,6 +3,9 @@
 #include "yuccashift/kernel/log.hpp"
 #include "yuccashift/kernel/one_shot_timer.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace yuccashift {
 
 namespace {
@@ -12,6 +15,8 @@
     /** A healthy server of the same region answers within milliseconds, one with a full queue takes longer. */
     constexpr Duration probeTimeout = milliseconds(800);
     constexpr Duration probeConnectTimeout = milliseconds(300);
+    /** Probes started at a time while connections to all servers fail. */
+    constexpr std::size_t maxProbesWithoutLinks = 4;
 
 } // namespace
 
@@ -130,14 +135,28 @@
     boost::asio::post(m_core.io, [probe] {});
 }
 
-void ServerProber::tick()
+std::vector<std::uint64_t> ServerProber::dueServers() const
 {
     const auto now = m_core.clock.now();
+    std::vector<std::uint64_t> due;
     for (const auto& [key, server] : m_core.fleetState.servers()) {
         const auto& known = m_core.serverTracker.statusOf(server.identityHash);
         if (known.suspect && now - known.lastProbe >= probeInterval)
-            probe(server.identityHash);
+            due.push_back(server.identityHash);
     }
+    // One answer shows that the links are back, after which all are probed.
+    if (!m_core.planner.reachesNoServer())
+        return due;
+    for (std::size_t i = 0; i < std::min(due.size(), maxProbesWithoutLinks); ++i)
+        std::swap(due[i], due[i + m_core.random->uniformBelow(due.size() - i)]);
+    due.resize(std::min(due.size(), maxProbesWithoutLinks));
+    return due;
+}
+
+void ServerProber::tick()
+{
+    for (const auto server : dueServers())
+        probe(server);
     m_timer.expires_after(probeInterval);
     m_timer.async_wait([this](const boost::system::error_code& ec) {
         if (!ec)
--- a/src/yuccashift/entry/server_prober.hpp
+++ b/src/yuccashift/entry/server_prober.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace yuccashift {
 
@@ -24,6 +25,8 @@
 private:
     class Probe;
     void tick();
+    /** Suspect servers that are to be probed now. */
+    std::vector<std::uint64_t> dueServers() const;
     void onProbeEnded(std::uint64_t server);
 
     EntryCore& m_core;
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -108,6 +108,8 @@
     // Whether `rooms` holds all that the sender's region can take; a service that is missing there can take nothing. Earlier
     // versions do not send it, and leave `rooms` empty to their own region.
     21: bool reportsCapacity,
+    // Connections of the sender to all servers of its region fail, so that it can own none of them.
+    22: bool reachesNoServer,
 }
 
 // One item of the platform's store, or its removal.
--- a/src/yuccashift/fleet/peer_table.cpp
+++ b/src/yuccashift/fleet/peer_table.cpp
@@ -98,6 +98,7 @@
     peer.storeEra = beat.storeEra;
     peer.storeRevision = beat.storeRevision;
     peer.sendsValues = beat.knownRevision > 0;
+    peer.reachesNoServer = beat.reachesNoServer;
     peer.keepsStreamSoftware = beat.keepsStreamSoftware;
     peer.knownRevision = std::max(beat.storeRevision, beat.knownRevision);
     peer.lastHeartbeatAt = m_clock.now();
@@ -169,6 +170,12 @@
         it->second.backOffUntil = m_clock.now() + time;
 }
 
+void PeerTable::onNoCapacity(const InstanceId& instance, const ServiceName& service)
+{
+    if (const auto it = m_peers.find(instance); it != m_peers.end())
+        it->second.capacityByService.erase(service);
+}
+
 void PeerTable::onHopStarted(const InstanceId& instance)
 {
     if (const auto it = m_peers.find(instance); it != m_peers.end())
--- a/src/yuccashift/fleet/peer_table.hpp
+++ b/src/yuccashift/fleet/peer_table.hpp
@@ -47,6 +47,8 @@
     /** Whether it continues streams only at the software that a hop names; earlier versions do not. */
     bool keepsStreamSoftware = false;
     std::map<ServiceName, ServiceCapacity> capacityByService;
+    /** Whether its connections to all servers of its region fail. */
+    bool reachesNoServer = false;
     /** When the last heartbeat was accepted. */
     Instant lastHeartbeatAt {};
     /** No hops are sent to this peer before this time, since the last one could not be delivered. */
@@ -110,6 +112,8 @@
     void updateActiveInstances(const RegionName&);
     /** Excludes a peer from hops for a duration. */
     void backOff(const InstanceId&, Duration);
+    /** Records that the peer had no server for the service; it gets no hops for the service until it reports capacity again. */
+    void onNoCapacity(const InstanceId&, const ServiceName&);
     /** Counts a hop that is sent to the peer. */
     void onHopStarted(const InstanceId&);
     /** Counts the end of a hop to the peer. */
