--- a/tests/entry/server_owners_test.cpp
+++ b/tests/entry/server_owners_test.cpp
@@ -106,6 +106,23 @@
         void stopHeartbeatsOf(const InstanceId& instance) { m_silent.insert(instance); }
         Instance& instance(std::size_t n) { return *m_instances[n]; }
 
+        /** The instance through which instance `n` sends requests to the first server. */
+        InstanceId ownerOf(std::size_t n)
+        {
+            const auto plan = instance(n).planner.planLocal("ledger", {}, objective, {}, {}, std::nullopt);
+            const auto* peer = instance(n).planner.remoteOwner(*plan.servers.front(), {});
+            return peer ? peer->instance : instance(n).settings.instance;
+        }
+        std::set<InstanceId> ownersForAllBut(const InstanceId& excluded)
+        {
+            std::set<InstanceId> owners;
+            for (std::size_t n = 0; n < instanceCount; ++n) {
+                if (instance(n).settings.instance != excluded)
+                    owners.insert(ownerOf(n));
+            }
+            return owners;
+        }
+
         std::size_t m_requests = 0;
         std::size_t m_onTime = 0;
         /** Arrivals that a server rejected. */
@@ -135,6 +152,7 @@
                 heartbeat.sender = hashOfInstance(profile.instance);
                 heartbeat.incarnation = 1;
                 heartbeat.sequence = m_sequence;
+                heartbeat.reachesNoServer = from->planner.reachesNoServer();
                 std::map<std::uint64_t, ServerLoadSum> loads;
                 for (const auto& [server, load] : from->tracker.ownLoads())
                     loads[server] = load;
@@ -245,19 +263,26 @@
 
     TEST_F(ManyInstancesBeforeFewSlots, AgreeOnAnotherOwnerWhenOneFallsSilent)
     {
-        const auto plan = instance(0).planner.planLocal("ledger", {}, objective, {}, {}, std::nullopt);
-        const auto ownerOf = [&](std::size_t n) {
-            const auto* peer = instance(n).planner.remoteOwner(*plan.servers.front(), {});
-            return peer ? peer->instance : instance(n).settings.instance;
-        };
         const auto owner = ownerOf(0);
         stopHeartbeatsOf(owner);
         run(seconds(5), 100);
-        std::set<InstanceId> owners;
+        const auto owners = ownersForAllBut(owner);
+        EXPECT_EQ(owners.size(), 1u);
+        EXPECT_FALSE(owners.contains(owner));
+    }
+
+    // An owner that was partitioned from its servers reported them as failing, and no instance used them any more.
+    TEST_F(ManyInstancesBeforeFewSlots, AgreeOnAnotherOwnerWhenOneReachesNoServer)
+    {
+        const auto owner = ownerOf(0);
         for (std::size_t n = 0; n < instanceCount; ++n) {
             if (instance(n).settings.instance != owner)
-                owners.insert(ownerOf(n));
+                continue;
+            for (const auto& [key, server] : instance(n).fleet.servers())
+                instance(n).tracker.markSuspect(server.identityHash);
         }
+        run(seconds(3), 100);
+        const auto owners = ownersForAllBut(owner);
         EXPECT_EQ(owners.size(), 1u);
         EXPECT_FALSE(owners.contains(owner));
     }
