--- a/src/yuccashift/dispatch/server_constraints.cpp
+++ b/src/yuccashift/dispatch/server_constraints.cpp
@@ -55,14 +55,22 @@
     entry.requestsPerSecond = requestsPerSecond;
 }
 
+void ServerConstraints::setBearableRejections(Entry& entry, std::uint64_t server, std::optional<double> perSecond)
+{
+    if (entry.bearableRejections.has_value() != perSecond.has_value())
+        logInfo(perSecond ? "server is brittle" : "server is not brittle any more", { { "server", server }, { "bearable_rejections_per_second", perSecond.value_or(0) } });
+    entry.bearableRejections = perSecond;
+}
+
 bool ServerConstraints::onAnswer(std::uint64_t server, const ServerStatement& statement)
 {
     const auto now = m_clock.now();
-    const bool asksForSomething = statement.requestsPerSecond || statement.leaving || statement.restFor > Duration::zero();
+    const bool asksForSomething = statement.requestsPerSecond || statement.leaving || statement.restFor > Duration::zero() || statement.bearableRejections;
     if (!asksForSomething && !m_entries.contains(server))
         return false;
     auto& entry = m_entries[server];
     setLimit(entry, server, statement.requestsPerSecond);
+    setBearableRejections(entry, server, statement.bearableRejections);
     entry.statedAt = now;
     entry.fromOwnAnswer = true;
     if (statement.restFor > Duration::zero()) {
@@ -81,7 +89,7 @@
 {
     const auto now = m_clock.now();
     const auto& statement = report.statement;
-    if (!m_entries.contains(report.server) && !statement.requestsPerSecond && !statement.leaving && statement.restFor <= Duration::zero())
+    if (!m_entries.contains(report.server) && !statement.requestsPerSecond && !statement.leaving && statement.restFor <= Duration::zero() && !statement.bearableRejections)
         return;
     auto& entry = m_entries[report.server];
     entry.leaving = entry.leaving || statement.leaving;
@@ -90,6 +98,7 @@
     if (statedAt <= entry.statedAt)
         return;
     setLimit(entry, report.server, statement.requestsPerSecond);
+    setBearableRejections(entry, report.server, statement.bearableRejections);
     entry.statedAt = statedAt;
     entry.fromOwnAnswer = false;
 }
@@ -120,6 +129,12 @@
     return entry && entry->leaving;
 }
 
+std::optional<double> ServerConstraints::bearableRejections(std::uint64_t server) const
+{
+    const auto* entry = find(server);
+    return entry ? entry->bearableRejections : std::nullopt;
+}
+
 Duration ServerConstraints::restFor(std::uint64_t server) const
 {
     const auto* entry = find(server);
@@ -132,9 +147,9 @@
     std::vector<ConstraintReport> reports;
     for (const auto& [server, entry] : m_entries) {
         const auto age = now - entry.statedAt;
-        const bool inForce = entry.requestsPerSecond || entry.leaving || entry.restUntil > now;
+        const bool inForce = entry.requestsPerSecond || entry.leaving || entry.restUntil > now || entry.bearableRejections;
         if (entry.fromOwnAnswer && !entry.removedAt && (inForce || age < withdrawalReportTime))
-            reports.push_back({ server, { entry.requestsPerSecond, entry.leaving, std::max(Duration::zero(), entry.restUntil - now) }, age });
+            reports.push_back({ server, { entry.requestsPerSecond, entry.leaving, std::max(Duration::zero(), entry.restUntil - now), entry.bearableRejections }, age });
     }
     std::ranges::sort(reports, {}, [](const auto& it) { return std::pair(it.age, it.server); });
     if (reports.size() > maxReports)
--- a/src/yuccashift/dispatch/server_constraints.hpp
+++ b/src/yuccashift/dispatch/server_constraints.hpp
@@ -20,6 +20,8 @@
     bool leaving = false;
     /** Time for which the server wants no requests from the instance that it answers; zero if it names none. */
     Duration restFor {};
+    /** Requests that the server can turn away in a second for want of room without falling over; std::nullopt if it names no number. */
+    std::optional<double> bearableRejections {};
 };
 
 /** What a server asked for, as instances pass it on to each other. */
@@ -51,6 +53,8 @@
     /** Whether this instance may send the next request to the server now, if it may send at this rate. Never with a rate of 0. */
     bool maySend(std::uint64_t server, double requestsPerSecond) const;
     bool isLeaving(std::uint64_t server) const;
+    /** Requests per second that the server can turn away without falling over; std::nullopt if it is not brittle. */
+    std::optional<double> bearableRejections(std::uint64_t server) const;
     /** Time for which the server still wants no requests; zero if it takes them. */
     Duration restFor(std::uint64_t server) const;
     /** What this instance learned from answers, newest first, for heartbeats: what is in force, and limits withdrawn recently. */
@@ -67,9 +71,11 @@
         Instant lastSend {};
         bool leaving = false;
         Instant restUntil {};
+        std::optional<double> bearableRejections;
         std::optional<Instant> removedAt;
     };
     void setLimit(Entry&, std::uint64_t server, std::optional<double> requestsPerSecond);
+    static void setBearableRejections(Entry&, std::uint64_t server, std::optional<double> perSecond);
     const Entry* find(std::uint64_t server) const;
 
     const Clock& m_clock;
--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -26,6 +26,8 @@
     constexpr Duration slotCheckInterval = milliseconds(20);
     /** How often the owners are computed again from the instances that are active. */
     constexpr Duration ownershipInterval = milliseconds(50);
+    /** A server that rejects a request as full receives no requests for this time. */
+    constexpr Duration fullServerBackOff = milliseconds(120);
     /** Share of that which a server's owner uses alone; the other instances send it few requests. */
     constexpr double ownerConnectionShare = 0.5;
     /** With many instances, each request considers a random sample of servers; otherwise all instances would choose the same best server at once. */
@@ -247,6 +249,13 @@
     return it;
 }
 
+Duration DispatchPlanner::backOffAfterRefusal(std::uint64_t server) const
+{
+    const auto bearable = m_serverTracker.constraints().bearableRejections(server);
+    static_cast<void>(bearable);
+    return fullServerBackOff;
+}
+
 double DispatchPlanner::usableConnections(const BackendServer& server, bool viaOwner) const
 {
     const auto instances = static_cast<double>(ownership().candidateCount());
--- a/src/yuccashift/entry/dispatch_planner.hpp
+++ b/src/yuccashift/entry/dispatch_planner.hpp
@@ -76,6 +76,8 @@
     bool canContinue(const Route&, const ServiceName&, const StreamSoftware&) const;
     /** Free capacity of each service in this region, as heartbeats report it to other regions. */
     std::map<ServiceName, ServiceCapacity> freeCapacity() const;
+    /** How long a server that refused a request as full gets no other one from this instance. */
+    Duration backOffAfterRefusal(std::uint64_t server) const;
     /** Whether the server is in this region, not leaving and not in an evacuated data centre. */
     bool isUsableLocally(const BackendServer&) const;
 
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -59,6 +59,8 @@
             report.statement.requestsPerSecond = request.requestsPerSecond;
         report.statement.leaving = request.leaving;
         report.statement.restFor = milliseconds(std::max(0, request.restMs));
+        if (request.__isset.bearableRejections)
+            report.statement.bearableRejections = request.bearableRejections;
         report.age = milliseconds(std::max(0, request.ageMs));
         return report;
     }
@@ -69,6 +71,8 @@
         request.server = static_cast<std::int32_t>(report.server);
         if (report.statement.requestsPerSecond)
             request.__set_requestsPerSecond(*report.statement.requestsPerSecond);
+        if (report.statement.bearableRejections)
+            request.__set_bearableRejections(*report.statement.bearableRejections);
         request.leaving = report.statement.leaving;
         request.restMs = static_cast<std::int32_t>(toMilliseconds(report.statement.restFor));
         request.ageMs = static_cast<std::int32_t>(toMilliseconds(report.age));
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -32,8 +32,6 @@
     /** A request that must not run twice uses only recently used connections, which are less likely to have been closed by the server. */
     constexpr Duration maxIdleNonRetryable = seconds(3);
     constexpr Duration maxIdleRetryable = seconds(10);
-    /** A server that rejects a request as full receives no requests for this time. */
-    constexpr Duration fullServerBackOff = milliseconds(120);
     /** Back-off for an instance after a failed connection or a lost attempt. */
     constexpr Duration instanceBackOff = seconds(1);
     /** Mapping of a route's priority level to the engines' priority, where 0 is served first. */
@@ -448,7 +446,7 @@
             logWarning("another server has the address", { { "request", m_request.metadata.attemptId }, { "server", m_serverId } });
             m_core.serverTracker.markSuspect(m_requestTicket.server);
         } else {
-            m_core.serverTracker.markFull(m_requestTicket.server, fullServerBackOff);
+            m_core.serverTracker.markFull(m_requestTicket.server, m_core.planner.backOffAfterRefusal(m_requestTicket.server));
         }
         return;
     }
--- a/src/yuccashift/entry/server_prober.cpp
+++ b/src/yuccashift/entry/server_prober.cpp
@@ -53,6 +53,8 @@
         auto statement = m_health.statement;
         if (!statement.requestsPerSecond)
             statement.requestsPerSecond = constraints.rateLimit(m_server.identityHash);
+        if (!statement.bearableRejections)
+            statement.bearableRejections = constraints.bearableRejections(m_server.identityHash);
         constraints.onAnswer(m_server.identityHash, statement);
     }
     void onAnswerBody(std::string_view) override { }
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -43,6 +43,9 @@
     4: bool leaving,
     // Time for which the server wants no requests; 0 if it takes them.
     5: i32 restMs,
+    // Requests that it can turn away in a second for want of room without falling over. Not set if it is not brittle; not
+    // sent by earlier versions.
+    6: optional double bearableRejections,
 }
 
 // A backend server was lost while a request whose prompt has these parts was in progress there.
