--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -86,6 +86,37 @@
         EXPECT_EQ(server.connections(), 2);
     }
 
+    // The kernel delivered requests that had been given up while their link was broken, once it was back.
+    TEST_F(AnOutboundExchange, LeavesNothingOfItsRequestToBeDeliveredWhenItIsGivenUp)
+    {
+        constexpr int receiveBuffer = 4096;
+        constexpr std::size_t requestBytes = 48 * 1024;
+        asio::io_context serverIo;
+        tcp::acceptor acceptor(serverIo);
+        acceptor.open(tcp::v4());
+        // Most of the request waits in the kernel of the sender until the server reads, as on a link that is silent.
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBuffer));
+        acceptor.bind({ asio::ip::address_v4::loopback(), 0 });
+        acceptor.listen();
+        Collector collector(io);
+        OutboundRequest request;
+        request.endpoint = { "127.0.0.1", acceptor.local_endpoint().port() };
+        request.poolKey = "server";
+        request.bytes = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(requestBytes) + "\r\n\r\n" + std::string(requestBytes, 'x');
+        const auto size = request.bytes.size();
+        auto exchange = pool.start(std::move(request), collector);
+        auto socket = acceptor.accept();
+        while (!exchange->sent())
+            io.run_one();
+        while (io.poll() > 0) { }
+        exchange.reset();
+        boost::system::error_code ec;
+        std::vector<char> buf(2 * size);
+        const auto n = asio::read(socket, asio::buffer(buf), ec);
+        EXPECT_LT(n, size);
+        EXPECT_TRUE(ec);
+    }
+
     TEST_F(AnOutboundExchange, ReportsThatNothingWasSentWhenNoServerListens)
     {
         Endpoint closed;
