Reset connections on close, so that the kernel delivers nothing that was given up

Requests whose caller had left, or whose deadline had passed while the link to their server was silent, reached the server when the link was back, up to 3.5 s later: an orderly close leaves unacknowledged bytes to the kernel. Answers to callers and frames of links between instances are closed in order, since what is in flight there is wanted.

--- a/src/yuccashift/http/backend_client.cpp
+++ b/src/yuccashift/http/backend_client.cpp
@@ -1,7 +1,9 @@
 #include "yuccashift/http/backend_client.hpp"
 
 #include "yuccashift/http/detail/answer_framing.hpp"
+#include "yuccashift/http/detail/reset_on_close.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
+#include "yuccashift/kernel/log.hpp"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -113,6 +115,9 @@
         socket.set_option(tcp::no_delay(true), ec);
         using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
         socket.set_option(UserTimeout(static_cast<int>(unacknowledgedTimeout.count())), ec);
+        // A request that is given up must not be delivered any more.
+        if (const auto resetError = detail::setResetOnClose(socket))
+            logWarning("cannot mark a connection for a reset; a request may be delivered after it was given up", { { "reason", resetError.message() } });
     }
 
     http::request<http::string_body> toRequest(RequestMessage&& message, const Endpoint& endpoint)
--- a/src/yuccashift/http/inbound.cpp
+++ b/src/yuccashift/http/inbound.cpp
@@ -1,5 +1,6 @@
 #include "yuccashift/http/inbound.hpp"
 
+#include "yuccashift/http/detail/reset_on_close.hpp"
 #include "yuccashift/http/detail/scratch.hpp"
 #include "yuccashift/http/error_answer.hpp"
 #include "yuccashift/kernel/detail/listen.hpp"
@@ -159,9 +160,7 @@
         /** Lets any close of the connection reset it until the whole answer is written, also one by the end of the process. */
         void setResetUnlessWritten()
         {
-            error_code ec;
-            m_socket.set_option(asio::socket_base::linger(true, 0), ec);
-            if (ec)
+            if (const auto ec = detail::setResetOnClose(m_socket))
                 logWarning("cannot mark a caller connection for a reset; a broken answer would look complete", { { "reason", ec.message() } });
         }
 
@@ -315,8 +314,7 @@
         {
             if (!m_discardingInput || m_writing || !m_output.empty() || m_closed)
                 return;
-            error_code ec;
-            m_socket.set_option(asio::socket_base::linger(false, 0), ec);
+            auto ec = detail::setResetOnClose(m_socket, false);
             m_socket.shutdown(tcp::socket::shutdown_send, ec);
             m_timer.expires_after(lingerTimeout);
             m_timer.async_wait([self = shared_from_this()](const error_code& waitError) {
--- a/src/yuccashift/http/outbound.cpp
+++ b/src/yuccashift/http/outbound.cpp
@@ -1,6 +1,7 @@
 #include "yuccashift/http/outbound.hpp"
 
 #include "yuccashift/http/detail/answer_framing.hpp"
+#include "yuccashift/http/detail/reset_on_close.hpp"
 #include "yuccashift/http/detail/scratch.hpp"
 #include "yuccashift/kernel/log.hpp"
 
@@ -53,6 +54,9 @@
         (void)::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof keepAliveProbes);
         (void)::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
         socket.non_blocking(true, ec);
+        // A request that is given up must not be delivered any more. An idle connection holds nothing that a reset could drop.
+        if (const auto resetError = detail::setResetOnClose(socket))
+            logWarning("cannot mark a connection for a reset; a request may be delivered after it was given up", { { "reason", resetError.message() } });
     }
 
     /** Returns the timeout of a `Keep-Alive: timeout=N` header, or std::nullopt if it is absent or not a number. */
