Reset a connection whose request is not acknowledged, before the kernel gives it up

The bytes that are not acknowledged are looked at 1.5 s after writing began; if the number does not fall within 0.3 s more, the connection is reset. The kernel's timeout is no longer set, since it would also decide when keep-alive probes give up. Such a failure is told apart from a connection that the other process closed.

--- a/src/yuccashift/http/outbound.cpp
+++ b/src/yuccashift/http/outbound.cpp
@@ -10,8 +10,10 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <optional>
+#include <sys/ioctl.h>
 #include <unordered_map>
 #include <vector>
 
@@ -24,8 +26,13 @@
 
 namespace {
 
-    /** Maximum time in ms for which sent bytes may stay unacknowledged before the connection is closed. Detects a peer that lost power, which answers nothing. */
-    constexpr int userTimeoutMs = 2500;
+    /**
+     * Time after which the bytes of a request that are not acknowledged are looked at, and the time after which the
+     * connection is reset if still the same number is not. TCP_USER_TIMEOUT is not set: the kernel's own timeout sends no
+     * reset, so that bytes that a link holds up may be delivered later, and it also decides when keep-alive probes give up.
+     */
+    constexpr Duration acknowledgementTimeout = milliseconds(1500);
+    constexpr Duration acknowledgementProgressTimeout = milliseconds(300);
     /** TCP keep-alive: idle time and probe interval in seconds, and the number of unanswered probes that closes the connection. */
     constexpr int keepAliveIdleS = 1;
     constexpr int keepAliveIntervalS = 1;
@@ -52,13 +59,21 @@
         (void)::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveIdleS, sizeof keepAliveIdleS);
         (void)::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveIntervalS, sizeof keepAliveIntervalS);
         (void)::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof keepAliveProbes);
-        (void)::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
         socket.non_blocking(true, ec);
         // A request that is given up must not be delivered any more. An idle connection holds nothing that a reset could drop.
         if (const auto resetError = detail::setResetOnClose(socket))
             logWarning("cannot mark a connection for a reset; a request may be delivered after it was given up", { { "reason", resetError.message() } });
     }
 
+    /** Bytes that were sent and are not acknowledged; std::nullopt if the system does not tell. */
+    std::optional<int> unacknowledgedBytes(tcp::socket& socket)
+    {
+        int n = 0;
+        if (::ioctl(socket.native_handle(), SIOCOUTQ, &n) != 0)
+            return {};
+        return n;
+    }
+
     /** Returns the timeout of a `Keep-Alive: timeout=N` header, or std::nullopt if it is absent or not a number. */
     std::optional<Duration> announcedIdleTimeout(const HeaderFields& headers)
     {
@@ -86,6 +101,8 @@
         return "not sent";
     case OutboundFailure::Lost:
         return "lost";
+    case OutboundFailure::Silent:
+        return "silent";
     case OutboundFailure::Truncated:
         break;
     }
@@ -214,6 +231,7 @@
         {
             m_sent = true;
             waitForInput();
+            watchAcknowledgement(acknowledgementTimeout, 0);
             asio::async_write(m_socket, asio::buffer(m_request.bytes), [self = shared_from_this()](const error_code& ec, std::size_t) {
                 if (self->m_closed)
                     return;
@@ -226,6 +244,24 @@
             });
         }
 
+        /** Resets the connection if the peer stops acknowledging the request, before the kernel gives up by itself. */
+        void watchAcknowledgement(Duration delay, int unacknowledgedBefore)
+        {
+            m_timer.expires_after(delay);
+            m_timer.async_wait([weak = weak_from_this(), serial = m_serial, unacknowledgedBefore](const error_code& ec) {
+                const auto self = weak.lock();
+                if (ec || !self || self->m_closed || self->m_answerDone || self->m_headSeen || serial != self->m_serial)
+                    return;
+                const auto unacknowledged = unacknowledgedBytes(self->m_socket);
+                if (!unacknowledged)
+                    return logWarning("the system does not tell how much of a request is acknowledged; only its time limit detects a silent link", {});
+                if (*unacknowledged > 0 && *unacknowledged == unacknowledgedBefore)
+                    return self->fail(OutboundFailure::Silent, "the request was not acknowledged in time");
+                if (*unacknowledged > 0 || !self->m_writeDone)
+                    self->watchAcknowledgement(acknowledgementProgressTimeout, *unacknowledged);
+            });
+        }
+
         void waitForInput()
         {
             if (m_waitingForInput || m_closed || m_paused)
@@ -272,6 +308,8 @@
                 if (!parseError)
                     return onAnswerComplete(false);
             }
+            if (ec == asio::error::timed_out)
+                return fail(OutboundFailure::Silent, ec.message());
             fail(m_headSeen ? OutboundFailure::Truncated : OutboundFailure::Lost, ec.message());
         }
 
--- a/src/yuccashift/http/outbound.hpp
+++ b/src/yuccashift/http/outbound.hpp
@@ -19,6 +19,11 @@
     NotSent,
     /** Writing the request had begun, and no complete answer arrived; the request may have run. */
     Lost,
+    /**
+     * Writing the request had begun, and the other system acknowledges nothing any more: its link or its machine is
+     * silent. The request may have run; the process there has not closed the connection.
+     */
+    Silent,
     /** The exchange failed after the head of the answer and before its end. */
     Truncated,
 };
--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -117,6 +117,43 @@
         EXPECT_TRUE(ec);
     }
 
+    // The kernel gave such a connection up without a reset, so that what the link held up was delivered later.
+    TEST_F(AnOutboundExchange, IsSilentAndResetWhenItsRequestIsNotAcknowledged)
+    {
+        constexpr std::size_t requestBytes = 48 * 1024;
+        asio::io_context serverIo;
+        tcp::acceptor acceptor(serverIo);
+        acceptor.open(tcp::v4());
+        acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+        acceptor.bind({ asio::ip::address_v4::loopback(), 0 });
+        acceptor.listen();
+        Collector collector(io);
+        OutboundRequest request;
+        request.endpoint = { "127.0.0.1", acceptor.local_endpoint().port() };
+        request.poolKey = "server";
+        request.bytes = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(requestBytes) + "\r\n\r\n" + std::string(requestBytes, 'x');
+        const auto size = request.bytes.size();
+        const auto exchange = pool.start(std::move(request), collector);
+        io.run();
+        EXPECT_EQ(collector.failure, OutboundFailure::Silent);
+        auto socket = acceptor.accept();
+        boost::system::error_code ec;
+        std::vector<char> buf(2 * size);
+        EXPECT_LT(asio::read(socket, asio::buffer(buf), ec), size);
+    }
+
+    // A server may take longer to answer than its kernel to acknowledge.
+    TEST_F(AnOutboundExchange, WaitsForAnAnswerOnceItsRequestIsAcknowledged)
+    {
+        ScriptedServer server([](ScriptedConnection& it) {
+            if (!it.readRequest())
+                return;
+            std::this_thread::sleep_for(std::chrono::milliseconds(2200));
+            it.write(bodyOk);
+        });
+        EXPECT_TRUE(call(server).ended);
+    }
+
     TEST_F(AnOutboundExchange, ReportsThatNothingWasSentWhenNoServerListens)
     {
         Endpoint closed;
