Do not take silent links for crashes of servers under requests

A connection on which nothing is acknowledged says nothing about the process at its other end: it counts neither for the quarantine nor for the record of crashes.

--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -678,7 +678,9 @@
     m_mayHaveRun = true;
     if (m_peerInstance.empty()) {
         const auto server = m_requestTicket.server;
-        recordServerLost();
+        // A silent link says nothing of what the request does to the server's process.
+        if (failure != OutboundFailure::Silent)
+            recordServerLost();
         endAttempt(ServerOutcome::Lost);
         m_core.requestProbe(server);
     } else {
--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -123,6 +123,7 @@
         }
 
         WordItems m_items;
+        asio::io_context m_io;
 
     private:
         void addRoute(const std::string& prefix, RouteKind kind, bool resumable)
@@ -247,6 +248,24 @@
         }
     }
 
+    // Requests on silent links were taken for crashes of their servers, and a part of their prompts that all share was quarantined.
+    TEST_F(ARequestInProgress, SaysNothingOfItsPromptWhenItsServerIsSilent)
+    {
+        tcp::acceptor acceptor(m_io);
+        acceptor.open(tcp::v4());
+        acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+        acceptor.bind({ asio::ip::address_v4::loopback(), 0 });
+        acceptor.listen();
+        Instance instance(m_items, {});
+        instance.core.fleetState.replaceAll(std::vector<ItemChange> { { "config", "config 1", 2 }, { "s1", "server engines 127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + " hall ready 1 0 6", 4 } }, 4);
+        for (int n = 0; n < 4; ++n) {
+            EXPECT_EQ(instance.call("/once/x", "1.1", "Parts: 1 " + std::to_string(10 + n) + "\r\nPadding: " + std::string(15000, 'x') + "\r\n").status, 502) << n;
+            instance.core.serverTracker.clearSuspect(instance.core.fleetState.servers().at("s1").identityHash);
+        }
+        EXPECT_EQ(instance.core.promptQuarantine.quarantinedCount(instance.clock.now()), 0u);
+        EXPECT_TRUE(instance.core.crashTracker.empty());
+    }
+
     struct EndlessAnswer {
         const char* name;
         const char* path;
