Keep the capacity of an instance that lacks only a stream's software

An instance that answers a hop with no_backend loses its capacity for the service until its next report. Where the hop continues a stream, it may only lack servers of the stream's software.

--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -636,7 +636,8 @@
     }
     logInfo("forwarded request failed", { { "request", m_request.metadata.attemptId }, { "peer", m_peerInstance }, { "server", m_serverOfHop }, { "reason", error.code() }, { "run_state", toString(error.effectiveRunState()) }, { "reached_server", failure.reachedServer ? 1 : 0 } });
     // An owner that is about to stop or lacks the configuration says nothing about its server.
-    if (error.kind == ErrorKind::NoBackend && m_serverOfHop == 0)
+    // For a stream that has begun, it may only lack servers of the stream's software.
+    if (error.kind == ErrorKind::NoBackend && m_serverOfHop == 0 && !m_streamSoftware.begun())
         m_core.peerTable.onNoCapacity(m_peerInstance, m_request.service);
     if (error.kind == ErrorKind::Draining || error.kind == ErrorKind::NotReady)
         m_triedInstances.insert(m_peerInstance);
