Know who asks on the platform: organisations of a configuration, their keys, rank and homes

Cause: a configuration of the platform may list organisations with keys.

Change: OrganisationSpec is the one concept of both daemons and gains a priority and a limit over all instances (FleetLimitSpec, with the cost of a request). OrganisationIndex finds an organisation by the hash of a credential or by name in constant time. platform/ decodes the organisations; one error makes the whole configuration invalid and the reason names it without a key. resolveRequest finds the organisation by the caller's credential, a hop carries its name and the receiver checks it against its own configuration. The key and a caller's own claim of an organisation stay here wherever the configuration identifies callers; elsewhere they pass as before. AllowedRegions holds the regions that route and organisation both allow and replaces Route::allowsRegion everywhere a decision asked it. The organisation's priority goes before the route's in planner, engines' urgency and hops.

--- a/src/daemons/yuccashift_entry.cpp
+++ b/src/daemons/yuccashift_entry.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <set>
 #include <sstream>
 #include <tclap/CmdLine.h>
 #include <unistd.h>
@@ -40,7 +41,10 @@
     yuccashift::EventLog events(clock, STDOUT_FILENO, settings->instance);
     yuccashift::setLogSink(&events);
     const yuccashift::platform::PlatformCodec codec;
-    const yuccashift::platform::JsonItemDecoder itemDecoder;
+    std::set<yuccashift::RegionName> regions;
+    for (const auto& [datacentre, regionName] : settings->regions)
+        regions.insert(regionName);
+    const yuccashift::platform::JsonItemDecoder itemDecoder(std::move(regions));
     const auto region = settings->region;
     const yuccashift::EntryAdapters adapters { codec, itemDecoder, yuccashift::platform::makeStoreClient, [&] { return readSettings(file); }, [&] { events.flush(); } };
     yuccashift::EntryNode node(std::move(*settings), adapters);
--- a/src/yuccashift/document/document.cpp
+++ b/src/yuccashift/document/document.cpp
@@ -45,6 +45,13 @@
     return mode == SpillMode::Never ? "never" : "when-loaded";
 }
 
+double costOf(const FleetLimitSpec& limit, std::optional<std::uint64_t> tokens)
+{
+    if (!limit.countsTokens)
+        return 1;
+    return tokens ? static_cast<double>(*tokens) : limit.plainTokens;
+}
+
 const ModelSpec* findModel(const Document& document, std::string_view name)
 {
     const auto it = std::ranges::find(document.models, name, &ModelSpec::name);
--- a/src/yuccashift/document/document.hpp
+++ b/src/yuccashift/document/document.hpp
@@ -96,6 +96,25 @@
     bool operator==(const LimitSpec&) const = default;
 };
 
+/** Limit on an organisation's use, summed over all instances of the fleet. */
+struct FleetLimitSpec {
+    /** Whether the limit counts tokens; otherwise it counts requests. */
+    bool countsTokens = false;
+    /** Requests or tokens per second; 0 is unlimited. */
+    double perSecond = 0;
+    /** Requests or tokens that may be used at once beyond the rate. */
+    double burst = 0;
+    /** Cost in tokens of a request that does not state its tokens. */
+    std::uint32_t plainTokens = 0;
+
+    bool unlimited() const { return perSecond == 0; }
+
+    bool operator==(const FleetLimitSpec&) const = default;
+};
+
+/** What a request counts against the limit. @param tokens prompt and maximum output tokens that the request states */
+double costOf(const FleetLimitSpec&, std::optional<std::uint64_t> tokens);
+
 struct OrganisationSpec {
     OrganisationName name;
     /** SHA-256 of each accepted bearer credential, as lower-case hex. */
@@ -105,6 +124,9 @@
     /** Weight of the organisation when organisations compete for capacity, relative to the weights of the others. */
     double weight = 1;
     LimitSpec limits;
+    /** Priority level, 0 is the highest; it replaces that of the route. std::nullopt if the route's holds. */
+    std::optional<std::uint32_t> priority {};
+    FleetLimitSpec fleetLimit {};
 
     bool operator==(const OrganisationSpec&) const = default;
 };
--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -94,7 +94,7 @@
     return region == m_settings.region || std::ranges::any_of(m_peerTable.alive(), [&](const auto* it) { return it->region == region && !it->draining; });
 }
 
-std::optional<RegionName> DispatchPlanner::prefixHome(const Route& route, const ServiceName& service, const WorkSize& work) const
+std::optional<RegionName> DispatchPlanner::prefixHome(const AllowedRegions& allowed, const ServiceName& service, const WorkSize& work) const
 {
     const auto shared = work.sharedParts();
     if (shared.empty())
@@ -102,7 +102,7 @@
     std::map<RegionName, std::size_t> servers;
     for (const auto& [key, server] : m_fleetState.servers()) {
         const auto* region = server.service == service ? servingRegion(server) : nullptr;
-        if (region && route.allowsRegion(*region))
+        if (region && allowed.allows(*region))
             ++servers[*region];
     }
     std::vector<RegionCapacity> regions;
@@ -424,12 +424,12 @@
     return regions;
 }
 
-bool DispatchPlanner::canContinue(const Route& route, const ServiceName& service, const StreamSoftware& software) const
+bool DispatchPlanner::canContinue(const AllowedRegions& allowed, const ServiceName& service, const StreamSoftware& software) const
 {
-    return std::ranges::any_of(regionsThatContinue(service, software), [&](const auto& region) { return route.allowsRegion(region); });
+    return std::ranges::any_of(regionsThatContinue(service, software), [&](const auto& region) { return allowed.allows(region); });
 }
 
-RemotePlan DispatchPlanner::planRemote(const Route& route, const ServiceName& service, const WorkSize& work, const std::set<InstanceId>& tried, const StreamSoftware& software, const LocalPlan& local, const std::optional<RegionName>& prefixHome) const
+RemotePlan DispatchPlanner::planRemote(const AllowedRegions& allowed, const ServiceName& service, const WorkSize& work, const std::set<InstanceId>& tried, const StreamSoftware& software, const LocalPlan& local, const std::optional<RegionName>& prefixHome) const
 {
     RemotePlan plan;
     const auto now = m_clock.now();
@@ -438,7 +438,7 @@
     std::map<RegionName, std::vector<const PeerState*>> byRegion;
     for (const auto* peer : m_peerTable.alive()) {
         const bool eligible = peer->region != m_settings.region || local.unreachable();
-        const bool usable = eligible && route.allowsRegion(peer->region) && !peer->draining && now >= peer->backOffUntil && !tried.contains(peer->instance);
+        const bool usable = eligible && allowed.allows(peer->region) && !peer->draining && now >= peer->backOffUntil && !tried.contains(peer->instance);
         const auto capacity = peer->capacityByService.find(service);
         if (usable && mayContinue(*peer) && capacity != peer->capacityByService.end() && capacity->second.freeSlots > 0)
             byRegion[peer->region].push_back(peer);
--- a/src/yuccashift/entry/dispatch_planner.hpp
+++ b/src/yuccashift/entry/dispatch_planner.hpp
@@ -55,7 +55,7 @@
     DispatchPlanner(const Clock&, const EntrySettings&, const FleetState&, const ServerTracker&, const PeerTable&, RandomSource&);
 
     /** The home region of the request's shared prefix; std::nullopt if the request has no shared prefix or no reachable region serves it. */
-    std::optional<RegionName> prefixHome(const Route&, const ServiceName&, const WorkSize&) const;
+    std::optional<RegionName> prefixHome(const AllowedRegions&, const ServiceName&, const WorkSize&) const;
     /** Chooses among this region's servers that may continue the stream. Those in `tried` have already been sent the request. */
     LocalPlan planLocal(const ServiceName&, const WorkSize&, Duration objective, const std::set<std::uint64_t>& tried, const StreamSoftware&, const std::optional<RegionName>& prefixHome) const;
     /** Plans for one given server, which this instance owns: nothing is chosen, but the server may be unable to take the request. */
@@ -69,11 +69,11 @@
      * server of its own region that could take the request, other instances of the region count as well, which may reach them.
      * Instances in `tried` have already been sent the request.
      */
-    RemotePlan planRemote(const Route&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried, const StreamSoftware&, const LocalPlan&, const std::optional<RegionName>& prefixHome) const;
+    RemotePlan planRemote(const AllowedRegions&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried, const StreamSoftware&, const LocalPlan&, const std::optional<RegionName>& prefixHome) const;
     /** Whether connections fail to all servers of this region that this instance uses itself. */
     bool reachesNoServer() const;
-    /** Whether any region that the route allows has a server that may continue the stream. */
-    bool canContinue(const Route&, const ServiceName&, const StreamSoftware&) const;
+    /** Whether any allowed region has a server that may continue the stream. */
+    bool canContinue(const AllowedRegions&, const ServiceName&, const StreamSoftware&) const;
     /** Free capacity of each service in this region, as heartbeats report it to other regions. */
     std::map<ServiceName, ServiceCapacity> freeCapacity() const;
     /** How long a server that refused a request as full gets no other one from this instance. */
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -278,7 +278,7 @@
         view.others.push_back({ member->region, member->datacentre, member->ip, member->takesCallers && !member->draining });
     const auto routes = core.fleetState.routes();
     const auto fitness = [&](const RegionName& region) {
-        return core.regionDemand.servableShare(region, routes ? std::span<const Route>(routes->config().routes) : std::span<const Route>());
+        return routes ? core.regionDemand.servableShare(region, routes->config()) : 1.0;
     };
     const auto named = chooseAddresses(view, { question->region, question->datacentre }, fitness, core.settings.callerEndpoint.port, *core.random);
     logInfo("directory query answered", { { "host", question->host }, { "caller_region", question->region }, { "named", boost::algorithm::join(named, ",") }, { "heard", view.others.size() }, { "config", core.fleetState.configVersion() } });
--- a/src/yuccashift/entry/forwarding.cpp
+++ b/src/yuccashift/entry/forwarding.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-std::string forwardedRequest(const RequestMessage& request, const ProtocolCodec& protocol, std::string_view extraHeaders)
+std::string forwardedRequest(const RequestMessage& request, const ProtocolCodec& protocol, CallerIdentity identity, std::string_view extraHeaders)
 {
     std::string out;
     out.reserve(typicalHeadBytes + extraHeaders.size() + request.body.size());
@@ -28,6 +28,8 @@
     for (const auto& field : request.headers) {
         if (isHopByHop(field.name) || isHopHeader(field.name) || protocol.isReservedHeader(field.name) || listsAsHopByHop(connection, field.name))
             continue;
+        if (identity == CallerIdentity::Withheld && protocol.isCallerIdentityHeader(field.name))
+            continue;
         out.append(field.name).append(": ").append(field.value).append("\r\n");
     }
     out += extraHeaders;
--- a/src/yuccashift/entry/hop.cpp
+++ b/src/yuccashift/entry/hop.cpp
@@ -16,6 +16,7 @@
     constexpr std::string_view streamSoftwareField = "Yuccashift-Stream-Software";
     constexpr std::string_view serverField = "Yuccashift-Server";
     constexpr std::string_view acceptField = "Yuccashift-Accept-Within";
+    constexpr std::string_view organisationField = "Yuccashift-Organisation";
     constexpr std::string_view serverSoftwareField = "Yuccashift-Server-Software";
     constexpr std::string_view failureField = "Yuccashift-Failure";
     constexpr std::string_view fieldPrefix = "Yuccashift-";
@@ -88,6 +89,8 @@
         appendField(out, serverField, std::to_string(metadata.server));
     if (metadata.acceptWithin)
         appendField(out, acceptField, std::to_string(metadata.acceptWithin->count()));
+    if (metadata.organisation)
+        appendField(out, organisationField, *metadata.organisation);
 }
 
 std::optional<HopMetadata> extractHopMetadata(HeaderFields& headers)
@@ -112,6 +115,8 @@
     metadata.server = static_cast<std::uint64_t>(integerField(headers, serverField).value_or(0));
     if (const auto within = integerField(headers, acceptField))
         metadata.acceptWithin = milliseconds(*within);
+    if (const auto organisation = findHeader(headers, organisationField))
+        metadata.organisation = OrganisationName(*organisation);
     std::erase_if(headers, [](const HeaderField& field) { return isHopHeader(field.name); });
     return metadata;
 }
--- a/src/yuccashift/entry/hop.hpp
+++ b/src/yuccashift/entry/hop.hpp
@@ -29,6 +29,8 @@
     std::optional<milliseconds> acceptWithin;
     /** The software that began the stream, if it has events; the receiver uses no server with another one. */
     std::optional<SoftwareId> streamSoftware {};
+    /** The organisation of the caller; std::nullopt if the request needs none. The caller's credential is not passed on. */
+    std::optional<OrganisationName> organisation {};
 };
 
 /** The executing instance's own failure. */
--- a/src/yuccashift/entry/protocol_codec.hpp
+++ b/src/yuccashift/entry/protocol_codec.hpp
@@ -24,6 +24,10 @@
     std::optional<std::string> resumeAfter;
     /** Id of the caller's attempt that brought the first event of that stream. */
     std::optional<std::string> resumedAttempt;
+    /** The bearer credential that the caller presents; empty if there is none. Never logged, counted or passed on. */
+    std::string credential {};
+    /** Prompt tokens and maximum output tokens that the caller states, added up. */
+    std::optional<std::uint64_t> statedTokens {};
 };
 
 /** Metadata of one attempt, sent to the backend server. */
@@ -33,6 +37,8 @@
     /** Priority at the engine; 0 is served first. */
     std::optional<int> priority;
     std::optional<std::string> resumeAfter;
+    /** Name of the organisation that asks; empty if there is none. */
+    std::string_view organisation {};
 };
 
 /** Metadata of an answer, decoded from its head. */
@@ -70,6 +76,8 @@
     virtual RequestMetadata decodeRequest(const RequestMessage&) const = 0;
     /** Whether only this system may set the header; it is not forwarded from callers. */
     virtual bool isReservedHeader(std::string_view name) const = 0;
+    /** Whether the header says who asks. It is not forwarded if the configuration identifies callers. */
+    virtual bool isCallerIdentityHeader(std::string_view name) const = 0;
     virtual void appendServerMetadata(std::string& out, const ServerRequestMetadata&) const = 0;
     virtual AnswerMetadata decodeAnswer(const AnswerHead&) const = 0;
     virtual HealthStatus decodeHealth(const AnswerHead&) const = 0;
--- a/src/yuccashift/entry/region_demand_estimator.hpp
+++ b/src/yuccashift/entry/region_demand_estimator.hpp
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <map>
-#include <span>
 
 namespace yuccashift {
 
@@ -16,9 +15,9 @@
  */
 class RegionDemandEstimator {
 public:
-    void onRequest(const Route&);
-    /** Share of the region-bound requests that the region may serve; 1 if no route is bound to regions. */
-    double servableShare(const RegionName&, std::span<const Route>) const;
+    void onRequest(const AllowedRegions&);
+    /** Share of the region-bound requests that the region may serve; 1 if no route or organisation is bound to regions. */
+    double servableShare(const RegionName&, const RouteConfig&) const;
 
 private:
     std::uint64_t m_boundRequests = 0;
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -47,6 +47,12 @@
     /** No attempt is started with less time left than this. */
     constexpr Duration minAttemptTime = milliseconds(30);
 
+    int enginePriority(std::uint32_t priority)
+    {
+        constexpr std::uint32_t lowestMapped = (lowestEnginePriority - highestEnginePriority + enginePriorityStep - 1) / enginePriorityStep;
+        return std::min(lowestEnginePriority, highestEnginePriority + enginePriorityStep * static_cast<int>(std::min(priority, lowestMapped)));
+    }
+
     /** No event that a caller has is older when the caller resumes the stream; its tries share one deadline. */
     Duration longestStreamAge(const Route& route)
     {
@@ -160,7 +166,7 @@
 {
     if (!m_hopMetadata) {
         m_core.retryBudget.onRequest(m_request.service);
-        m_core.regionDemand.onRequest(*m_request.route);
+        m_core.regionDemand.onRequest(m_request.allowedRegions());
     }
     dispatch();
 }
@@ -235,13 +241,14 @@
 RequestJob::Plan RequestJob::plan() const
 {
     Plan plan;
-    const auto prefixHome = assignedServer() == 0 ? m_core.planner.prefixHome(*m_request.route, m_request.service, m_request.metadata.work) : std::nullopt;
+    const auto allowed = m_request.allowedRegions();
+    const auto prefixHome = assignedServer() == 0 ? m_core.planner.prefixHome(allowed, m_request.service, m_request.metadata.work) : std::nullopt;
     if (assignedServer() != 0)
         plan.local = m_core.planner.planAt(assignedServer(), m_request.service, m_request.metadata.work);
-    else if (m_request.route->allowsRegion(m_core.settings.region))
+    else if (allowed.allows(m_core.settings.region))
         plan.local = m_core.planner.planLocal(m_request.service, m_request.metadata.work, firstByteTimeLeft(), m_triedServers, m_streamSoftware, prefixHome);
     if (!m_hopMetadata)
-        plan.remote = m_core.planner.planRemote(*m_request.route, m_request.service, m_request.metadata.work, m_triedInstances, m_streamSoftware, plan.local, prefixHome);
+        plan.remote = m_core.planner.planRemote(allowed, m_request.service, m_request.metadata.work, m_triedInstances, m_streamSoftware, plan.local, prefixHome);
     PlacementInput input;
     if (plan.local.choice.best)
         input.localTimeToFirstByte = plan.local.choice.predicted;
@@ -284,7 +291,7 @@
         break;
     }
     const bool anyCandidate = plan.local.choice.best || !plan.remote.candidates.empty();
-    const bool softwareGone = !anyCandidate && m_streamSoftware.begun() && !m_core.planner.canContinue(*m_request.route, m_request.service, m_streamSoftware);
+    const bool softwareGone = !anyCandidate && m_streamSoftware.begun() && !m_core.planner.canContinue(m_request.allowedRegions(), m_request.service, m_streamSoftware);
     Error error { anyCandidate ? ErrorKind::Overloaded : softwareGone ? ErrorKind::SoftwareUnavailable
                                                                       : ErrorKind::NoBackend,
         {}, {}, {} };
@@ -322,15 +329,17 @@
     metadata.serverId = server.identity.id;
     metadata.deadline = std::chrono::duration_cast<milliseconds>(timeLeft());
     if (candidate.engine)
-        metadata.priority = std::min(lowestEnginePriority, highestEnginePriority + enginePriorityStep * static_cast<int>(m_request.route->priority));
+        metadata.priority = enginePriority(m_request.priority());
     metadata.resumeAfter = resumeAfter();
+    if (m_request.organisation)
+        metadata.organisation = m_request.organisation->name;
     std::string headers;
     m_core.protocol.appendServerMetadata(headers, metadata);
 
     OutboundRequest request;
     request.endpoint = server.address;
     request.poolKey = poolKeyOf(server);
-    request.bytes = forwardedRequest(m_exchange->request(), m_core.protocol, headers);
+    request.bytes = forwardedRequest(m_exchange->request(), m_core.protocol, m_request.callerIdentity(), headers);
     request.maxIdleAge = m_request.route->retryable() ? maxIdleRetryable : maxIdleNonRetryable;
     request.connectTimeout = serverConnectTimeout;
     request.matchesRequest = [&protocol = m_core.protocol, id = m_request.metadata.attemptId](const AnswerHead& head) {
@@ -369,6 +378,8 @@
     metadata.resumeAfter = resumeAfter();
     if (m_streamSoftware.begun())
         metadata.streamSoftware = m_streamSoftware.software();
+    if (m_request.organisation)
+        metadata.organisation = m_request.organisation->name;
     return metadata;
 }
 
@@ -405,7 +416,7 @@
     OutboundRequest request;
     request.endpoint = { member.ip, m_core.settings.peerPort };
     request.poolKey = member.instance + "|" + std::to_string(member.incarnation);
-    request.bytes = forwardedRequest(m_exchange->request(), m_core.protocol, headers);
+    request.bytes = forwardedRequest(m_exchange->request(), m_core.protocol, m_request.callerIdentity(), headers);
     request.maxIdleAge = m_request.route->retryable() ? maxIdleRetryable : maxIdleNonRetryable;
     request.connectTimeout = instanceConnectTimeout;
     m_peerInstance = member.instance;
--- a/src/yuccashift/entry/request_resolution.cpp
+++ b/src/yuccashift/entry/request_resolution.cpp
@@ -20,6 +20,25 @@
         resolved.firstByteDueAt = arrivedAt + route.latencyObjective;
     }
 
+    /** Finds the organisation that asks: by the caller's credential, or by the name that the origin sends. */
+    Result<void> identifyOrganisation(ResolvedRequest& resolved, const HopMetadata* hop)
+    {
+        const auto& organisations = resolved.routes->organisations();
+        const bool named = hop && hop->organisation;
+        if (!named && !resolved.route->requiresCredential)
+            return {};
+        if (named)
+            resolved.organisation = organisations.findByName(*hop->organisation);
+        else if (!hop)
+            resolved.organisation = organisations.findByCredential(resolved.metadata.credential);
+        if (!resolved.organisation && hop)
+            return fail(ErrorKind::NotReady, "the two instances know different organisations");
+        if (!resolved.organisation)
+            return fail(ErrorKind::Unauthenticated);
+        resolved.fleetLimitCost = costOf(resolved.organisation->fleetLimit, resolved.metadata.statedTokens);
+        return {};
+    }
+
 } // namespace
 
 Result<ResolvedRequest> resolveRequest(const RequestMessage& request, RequestMetadata metadata, std::shared_ptr<const RouteIndex> routes, const RegionName& region, const HopMetadata* hop, Instant arrivedAt)
@@ -38,10 +57,12 @@
         return fail(hop ? ErrorKind::NotReady : ErrorKind::UnknownRoute);
     }
     const auto& route = *resolved.route;
-    if (hop && (!route.usesService(hop->service) || !route.allowsRegion(region)))
+    if (const auto identified = identifyOrganisation(resolved, hop); !identified)
+        return tl::unexpected(identified.error());
+    if (hop && (!route.usesService(hop->service) || !resolved.allowedRegions().allows(region)))
         return fail(ErrorKind::NotReady, "the two instances hold different configurations");
     resolved.service = hop ? hop->service : route.pickService(hash64(resolved.metadata.attemptId));
-    resolved.metadata.work.priority = std::min<std::size_t>(route.priority, priorityLevels - 1);
+    resolved.metadata.work.priority = std::min<std::size_t>(resolved.priority(), priorityLevels - 1);
     if (hop)
         resolved.metadata.resumeAfter = hop->resumeAfter;
     setTimes(resolved, hop, arrivedAt);
--- a/src/yuccashift/fleet/route_config.cpp
+++ b/src/yuccashift/fleet/route_config.cpp
@@ -13,6 +13,11 @@
         return boost::algorithm::to_lower_copy(std::string(text));
     }
 
+    bool permits(std::span<const RegionName> homes, const RegionName& region)
+    {
+        return homes.empty() || std::ranges::find(homes, region) != homes.end();
+    }
+
     // Strips the port.
     std::string_view hostName(std::string_view host)
     {
@@ -21,9 +26,22 @@
 
 } // namespace
 
-bool Route::allowsRegion(const RegionName& region) const
+AllowedRegions::AllowedRegions(const Route& route, const OrganisationSpec* organisation)
+    : m_ofRoute(route.homeRegions)
+    , m_ofOrganisation(organisation ? std::span<const RegionName>(organisation->residency) : std::span<const RegionName>())
+{
+}
+
+bool AllowedRegions::allows(const RegionName& region) const
+{
+    return permits(m_ofRoute, region) && permits(m_ofOrganisation, region);
+}
+
+std::vector<RegionName> AllowedRegions::names() const
 {
-    return homeRegions.empty() || std::ranges::find(homeRegions, region) != homeRegions.end();
+    std::vector<RegionName> regions;
+    std::ranges::copy_if(m_ofRoute.empty() ? m_ofOrganisation : m_ofRoute, std::back_inserter(regions), [this](const auto& it) { return allows(it); });
+    return regions;
 }
 
 bool Route::usesService(const ServiceName& service) const
@@ -52,6 +70,7 @@
 
 RouteIndex::RouteIndex(RouteConfig config)
     : m_config(std::move(config))
+    , m_organisations(m_config.organisations)
 {
     for (const auto& route : m_config.routes)
         m_byHost[toLower(route.host)].push_back(&route);
--- a/src/yuccashift/fleet/route_config.hpp
+++ b/src/yuccashift/fleet/route_config.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccashift/document/organisation_index.hpp"
 #include "yuccashift/http/inbound.hpp"
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/ids.hpp"
@@ -7,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,18 +45,39 @@
     std::uint32_t maxAttempts = 1;
     /** Whether another server may resume an interrupted stream. */
     bool resumable = false;
+    /** Whether a caller must present an organisation's credential; false if the configuration does not identify callers. */
+    bool requiresCredential = false;
     /** Regions in which the request may be served; if empty, any region. */
     std::vector<RegionName> homeRegions;
     std::vector<WeightedService> services;
 
     /** Whether a request may run more than once. */
     bool retryable() const { return kind == RouteKind::Idempotent || (kind == RouteKind::Streaming && resumable); }
-    bool allowsRegion(const RegionName&) const;
     bool usesService(const ServiceName&) const;
     /** Picks a service by weight; the same draw always gives the same service. */
     const ServiceName& pickService(std::uint64_t draw) const;
 };
 
+/**
+ * The regions in which a request may run: those that its route and its organisation both allow. Refers to the regions
+ * of the two, which must outlive it.
+ */
+class AllowedRegions {
+public:
+    /** @param organisation nullptr if the request has none */
+    AllowedRegions(const Route&, const OrganisationSpec* organisation);
+
+    bool allows(const RegionName&) const;
+    /** Whether some regions are not allowed. */
+    bool bound() const { return !m_ofRoute.empty() || !m_ofOrganisation.empty(); }
+    /** The allowed regions; empty if none is, or if all are. */
+    std::vector<RegionName> names() const;
+
+private:
+    std::span<const RegionName> m_ofRoute;
+    std::span<const RegionName> m_ofOrganisation;
+};
+
 /** What the configuration states about a service. */
 struct ServiceConfig {
     std::string healthPath = "/health";
@@ -75,25 +98,32 @@
     std::int64_t version = 0;
     std::vector<Route> routes;
     std::map<ServiceName, ServiceConfig> services;
+    /** Whether callers are identified by credentials, which are then not sent on. */
+    bool identifiesCallers = false;
+    std::vector<OrganisationSpec> organisations;
     InboundLimits limits;
 
     /** The entry of a service, or the default values if it has none. */
     const ServiceConfig& serviceConfig(const ServiceName&) const;
 };
 
-/** Finds the route for a host and path; the route with the longest matching prefix wins. */
+/** Finds the route for a host and path, of which the one with the longest matching prefix wins, and the organisation of a caller. */
 class RouteIndex {
 public:
     explicit RouteIndex(RouteConfig);
+    RouteIndex(const RouteIndex&) = delete;
+    RouteIndex& operator=(const RouteIndex&) = delete;
 
     const RouteConfig& config() const { return m_config; }
     /** Returns null if no route matches. Ignores case and port of the host, and the query and fragment of the target. */
     const Route* find(std::string_view host, std::string_view target) const;
+    const OrganisationIndex& organisations() const { return m_organisations; }
 
 private:
     RouteConfig m_config;
     /** Routes by host in lower case, longest prefix first. */
     std::map<std::string, std::vector<const Route*>, std::less<>> m_byHost;
+    OrganisationIndex m_organisations;
 };
 
 } // namespace yuccashift
--- a/tests/entry/answers_test.cpp
+++ b/tests/entry/answers_test.cpp
@@ -139,12 +139,12 @@
         DirectoryView view { { "sofia", "hall", "10.0.0.1", true }, { { "sofia", "annex", "10.0.0.2", true }, { "varna", "port", "10.0.0.3", true }, { "plovdiv", "old", "10.0.0.4", true } } };
         SeededRandom random { 3 };
         RegionDemandEstimator demand;
-        std::vector<Route> routes;
+        RouteConfig config;
 
         std::vector<std::string> named()
         {
             return chooseAddresses(
-                view, { "sofia", "hall" }, [this](const RegionName& region) { return demand.servableShare(region, routes); }, 80, random);
+                view, { "sofia", "hall" }, [this](const RegionName& region) { return demand.servableShare(region, config); }, 80, random);
         }
         void addInstances(int count, const DatacentreName& datacentre)
         {
@@ -195,7 +195,7 @@
     {
         Route bound;
         bound.homeRegions = { "sofia", "plovdiv" };
-        routes = { Route {}, bound };
+        config.routes = { Route {}, bound };
         view.self.takesCallers = false;
         view.others[0].takesCallers = false;
         EXPECT_EQ(named(), (std::vector<std::string> { "10.0.0.4:80" }));
@@ -210,10 +210,21 @@
         Route bound;
         bound.homeRegions = { "sofia", "plovdiv" };
         for (int n = 0; n < 50; ++n)
-            demand.onRequest(bound);
+            demand.onRequest({ bound, nullptr });
         Route idle;
         idle.homeRegions = { "varna" };
-        demand.onRequest(idle);
+        demand.onRequest({ idle, nullptr });
+        EXPECT_EQ(named(), (std::vector<std::string> { "10.0.0.4:80" }));
+    }
+
+    // Callers of an organisation that is bound to regions are sent where it may be served, whatever the routes allow.
+    TEST_F(ADirectoryAnswer, CountsTheRegionsOfOrganisationsToo)
+    {
+        view.self.takesCallers = false;
+        view.others[0].takesCallers = false;
+        OrganisationSpec bound;
+        bound.residency = { "plovdiv" };
+        config.organisations = { bound };
         EXPECT_EQ(named(), (std::vector<std::string> { "10.0.0.4:80" }));
     }
 
--- a/tests/entry/request_resolution_test.cpp
+++ b/tests/entry/request_resolution_test.cpp
@@ -1,5 +1,7 @@
 #include "yuccashift/entry/request_resolution.hpp"
 
+#include "yuccashift/kernel/hash.hpp"
+
 #include <gtest/gtest.h>
 
 namespace yuccashift {
@@ -66,6 +68,67 @@
         EXPECT_EQ(resolve().error().effectiveRunState(), RunState::NotRun);
     }
 
+    struct AnIdentifiedRequest : ARequest {
+        AnIdentifiedRequest()
+        {
+            config.identifiesCallers = true;
+            config.routes.front().requiresCredential = true;
+            config.organisations = { { "clinic", { sha256Hex("k1"), sha256Hex("k2") }, {}, 1, {}, 0, { true, 100, 100, 200 } }, { "school", { sha256Hex("k3") }, { "abuja" }, 1, {} } };
+            metadata.credential = "k2";
+        }
+    };
+
+    TEST_F(AnIdentifiedRequest, BelongsToTheOrganisationThatHoldsItsCredential)
+    {
+        auto resolved = resolve();
+        ASSERT_TRUE(resolved);
+        EXPECT_EQ(resolved->organisation->name, "clinic");
+        EXPECT_EQ(resolved->fleetLimitCost, 200);
+        EXPECT_EQ(resolved->callerIdentity(), CallerIdentity::Withheld);
+        metadata.statedTokens = 1540;
+        EXPECT_EQ(resolve()->fleetLimitCost, 1540);
+        for (const auto* unknown : { "", "k4", "K2" }) {
+            metadata.credential = unknown;
+            EXPECT_EQ(resolve().error().kind, ErrorKind::Unauthenticated) << unknown;
+        }
+        config.routes.front().requiresCredential = false;
+        resolved = resolve();
+        ASSERT_TRUE(resolved);
+        EXPECT_EQ(resolved->organisation, nullptr);
+    }
+
+    TEST_F(AnIdentifiedRequest, HasThePriorityOfItsOrganisationBeforeThatOfItsRoute)
+    {
+        EXPECT_EQ(resolve()->priority(), 0u);
+        EXPECT_EQ(resolve()->metadata.work.priority, 0u);
+        config.organisations.front().priority.reset();
+        EXPECT_EQ(resolve()->metadata.work.priority, 1u);
+    }
+
+    TEST_F(AnIdentifiedRequest, RunsOnlyWhereRouteAndOrganisationBothAllow)
+    {
+        metadata.credential = "k3";
+        EXPECT_TRUE(resolve()->allowedRegions().names().empty());
+        config.routes.front().homeRegions.clear();
+        EXPECT_EQ(resolve()->allowedRegions().names(), std::vector<RegionName> { "abuja" });
+    }
+
+    // The origin sends no credential on, and may hold another configuration than this instance.
+    TEST_F(AnIdentifiedRequest, OfAnotherInstanceIsCheckedAgainByTheNameOfItsOrganisation)
+    {
+        metadata.credential.clear();
+        hop = HopMetadata { "lagos-1", 3, "draft", milliseconds(900), milliseconds(400), {}, 0, {} };
+        EXPECT_EQ(resolve().error().kind, ErrorKind::NotReady);
+        hop->organisation = "clinic";
+        EXPECT_EQ(resolve()->organisation->name, "clinic");
+        hop->organisation = "school";
+        EXPECT_EQ(resolve("abuja").error().kind, ErrorKind::NotReady);
+        EXPECT_EQ(resolve("lagos").error().kind, ErrorKind::NotReady);
+        hop->organisation = "unknown";
+        EXPECT_EQ(resolve().error().kind, ErrorKind::NotReady);
+        EXPECT_EQ(resolve().error().effectiveRunState(), RunState::NotRun);
+    }
+
     TEST_F(ARequest, WithoutARouteIsUnknownOnlyOnceAConfigurationIsKnown)
     {
         message.target = "/none/x";
--- a/tests/fleet/route_config_test.cpp
+++ b/tests/fleet/route_config_test.cpp
@@ -56,13 +56,36 @@
         EXPECT_FALSE(split.usesService("none"));
     }
 
-    TEST(ARoute, WithHomeRegionsAllowsNoOtherRegion)
+    TEST(AllowedRegionsOfARequest, AreThoseThatItsRouteAndItsOrganisationBothAllow)
+    {
+        auto bound = route("a.example", "/", "one");
+        EXPECT_TRUE(AllowedRegions(bound, nullptr).allows("varna"));
+        EXPECT_FALSE(AllowedRegions(bound, nullptr).bound());
+        bound.homeRegions = { "sofia", "plovdiv" };
+        EXPECT_TRUE(AllowedRegions(bound, nullptr).allows("sofia"));
+        EXPECT_FALSE(AllowedRegions(bound, nullptr).allows("varna"));
+        OrganisationSpec organisation;
+        EXPECT_EQ(AllowedRegions(bound, &organisation).names(), bound.homeRegions);
+        organisation.residency = { "varna", "plovdiv" };
+        EXPECT_EQ(AllowedRegions(bound, &organisation).names(), std::vector<RegionName> { "plovdiv" });
+        EXPECT_FALSE(AllowedRegions(bound, &organisation).allows("sofia"));
+        EXPECT_FALSE(AllowedRegions(bound, &organisation).allows("varna"));
+        EXPECT_TRUE(AllowedRegions(Route {}, &organisation).allows("varna"));
+        EXPECT_FALSE(AllowedRegions(Route {}, &organisation).allows("sofia"));
+    }
+
+    // Homes that have no region in common must not fall back to all regions.
+    TEST(AllowedRegionsOfARequest, AreNoneIfRouteAndOrganisationShareNone)
     {
         auto bound = route("a.example", "/", "one");
-        EXPECT_TRUE(bound.allowsRegion("varna"));
         bound.homeRegions = { "sofia" };
-        EXPECT_TRUE(bound.allowsRegion("sofia"));
-        EXPECT_FALSE(bound.allowsRegion("varna"));
+        OrganisationSpec organisation;
+        organisation.residency = { "varna" };
+        const AllowedRegions allowed(bound, &organisation);
+        EXPECT_TRUE(allowed.bound());
+        EXPECT_TRUE(allowed.names().empty());
+        EXPECT_FALSE(allowed.allows("sofia"));
+        EXPECT_FALSE(allowed.allows("varna"));
     }
 
     TEST(ARoute, IsRetryableIfItIsIdempotentOrAResumableStream)
--- a/tests/platform/forwarding_test.cpp
+++ b/tests/platform/forwarding_test.cpp
@@ -11,7 +11,7 @@
     {
         const PlatformCodec codec;
         RequestMessage request { "POST", "/draft/x?y=1", { { "Host", "a.example" }, { "Connection", "close, X-Trace" }, { "X-Trace", "1" }, { "X-Other", "2" } }, "body" };
-        const auto bytes = forwardedRequest(request, codec, "X-Extra: 3\r\n");
+        const auto bytes = forwardedRequest(request, codec, CallerIdentity::Forwarded, "X-Extra: 3\r\n");
         EXPECT_TRUE(bytes.starts_with("POST /draft/x?y=1 HTTP/1.1\r\n"));
         EXPECT_TRUE(bytes.ends_with("Content-Length: 4\r\n\r\nbody"));
         EXPECT_NE(bytes.find("X-Other: 2\r\n"), std::string::npos);
@@ -25,12 +25,30 @@
     {
         const PlatformCodec codec;
         const RequestMessage request { "GET", "/x", { { "Host", "a.example" }, { "yuccashift-server", "7" }, { "Yuccashift-Deadline", "99999" } }, {} };
-        const auto bytes = forwardedRequest(request, codec, "Yuccashift-Deadline: 100\r\n");
+        const auto bytes = forwardedRequest(request, codec, CallerIdentity::Forwarded, "Yuccashift-Deadline: 100\r\n");
         EXPECT_EQ(bytes.find("yuccashift-server"), std::string::npos);
         EXPECT_EQ(bytes.find("99999"), std::string::npos);
         EXPECT_NE(bytes.find("Yuccashift-Deadline: 100\r\n"), std::string::npos);
     }
 
+    // A server must not see a key, and takes the organisation only from this system.
+    TEST(AForwardedRequest, NamesItsCallerOnlyIfTheConfigurationDoesNotIdentifyCallers)
+    {
+        const PlatformCodec codec;
+        const RequestMessage request { "GET", "/x", { { "Host", "a.example" }, { "authorization", "Bearer k" }, { "x-tenant", "other" } }, {} };
+        std::string headers;
+        ServerRequestMetadata metadata;
+        metadata.organisation = "clinic";
+        codec.appendServerMetadata(headers, metadata);
+        const auto withheld = forwardedRequest(request, codec, CallerIdentity::Withheld, headers);
+        EXPECT_EQ(withheld.find("Bearer"), std::string::npos);
+        EXPECT_EQ(withheld.find("other"), std::string::npos);
+        EXPECT_NE(withheld.find("X-Tenant: clinic\r\n"), std::string::npos);
+        const auto forwarded = forwardedRequest(request, codec, CallerIdentity::Forwarded, {});
+        EXPECT_NE(forwarded.find("authorization: Bearer k\r\n"), std::string::npos);
+        EXPECT_NE(forwarded.find("x-tenant: other\r\n"), std::string::npos);
+    }
+
     TEST(AForwardedHead, KeepsTheStatusAndDropsHeadersOfTheConnection)
     {
         const auto head = forwardedHead({ 503, { { "Keep-Alive", "timeout=3" }, { "X-Seal", "s" } }, {} });
--- a/tests/platform/json_item_decoder_test.cpp
+++ b/tests/platform/json_item_decoder_test.cpp
@@ -1,5 +1,7 @@
 #include "platform/json_item_decoder.hpp"
 
+#include "yuccashift/kernel/hash.hpp"
+
 #include <gtest/gtest.h>
 
 namespace yuccashift::platform {
@@ -88,8 +90,9 @@
         EXPECT_TRUE(first.retryable());
         EXPECT_EQ(first.latencyObjective, milliseconds(600));
         EXPECT_EQ(first.maxAttempts, 2u);
-        EXPECT_TRUE(first.allowsRegion("lagos"));
-        EXPECT_FALSE(first.allowsRegion("abuja"));
+        EXPECT_EQ(first.homeRegions, std::vector<RegionName> { "lagos" });
+        EXPECT_FALSE(first.requiresCredential);
+        EXPECT_FALSE(config->identifiesCallers);
         EXPECT_EQ(config->routes[1].services.size(), 2u);
         const auto& serviceConfig = config->serviceConfig("draft");
         EXPECT_EQ(serviceConfig.healthPath, "/up");
@@ -114,6 +117,54 @@
             EXPECT_TRUE(std::holds_alternative<InvalidItem>(decode("op/config", value))) << value;
     }
 
+    std::string configWith(const std::string& organisations)
+    {
+        return R"({"version":7,"routes":[{"name":"r1","host":"h","pathPrefix":"/","kind":"idempotent","service":"s"},
+            {"name":"r2","host":"h","pathPrefix":"/open/","kind":"idempotent","service":"s","public":true}],"services":[],"tenants":)"
+            + organisations + "}";
+    }
+
+    TEST(Organisations, AreHeldWithoutTheirKeys)
+    {
+        const auto item = JsonItemDecoder({ "lagos" }).decode("op/config", configWith(R"([{"name":"clinic","apiKeys":["k1","k2"],"priority":1,"unit":"tokens","plainTokens":200,"perS":50.5,"burst":100,"homeRegions":["lagos"]},{"name":"idle"}])"));
+        const auto* config = std::get_if<RouteConfig>(&item);
+        ASSERT_TRUE(config);
+        EXPECT_TRUE(config->identifiesCallers);
+        EXPECT_TRUE(config->routes[0].requiresCredential);
+        EXPECT_FALSE(config->routes[1].requiresCredential);
+        const OrganisationSpec clinic { "clinic", { sha256Hex("k1"), sha256Hex("k2") }, { "lagos" }, 1, {}, 1, { true, 50.5, 100, 200 } };
+        OrganisationSpec idle;
+        idle.name = "idle";
+        EXPECT_EQ(config->organisations, (std::vector { clinic, idle }));
+        // A list without entries is not the same as none: nobody is left who may call.
+        const auto emptied = decode("op/config", configWith("[]"));
+        EXPECT_TRUE(std::get<RouteConfig>(emptied).routes[0].requiresCredential);
+    }
+
+    TEST(Organisations, WithOneErrorMakeTheConfigurationInvalidAndTheErrorNamesIt)
+    {
+        const std::vector<std::pair<std::string, std::string>> cases {
+            { R"([{"name":"a","apiKeys":["secret"]},{"name":"b","apiKeys":["secret"]}])", "'b' has a key of 'a'" },
+            { R"([{"name":"a"},{"name":"a"}])", "'a' occurs twice" },
+            { R"([{"apiKeys":["secret"]}])", "name: missing" },
+            { R"([{"name":"a\r\nX: 1"}])", "name: not the text of a header" },
+            { R"([{"name":"a","unit":"bytes"}])", "unknown unit 'bytes'" },
+            { R"([{"name":"a","perS":-1}])", "perS: not a number of at least 0" },
+            { R"([{"name":"a","burst":"much"}])", "burst" },
+            { R"([{"name":"a","priority":-1}])", "priority" },
+            { R"([{"name":"a","apiKeys":[""]}])", "an empty key" },
+            { R"([{"name":"a","apiKeys":[7]}])", "apiKeys" },
+            { R"([{"name":"a","homeRegions":["atlantis"]}])", "'atlantis' is no region" },
+        };
+        for (const auto& [organisations, reason] : cases) {
+            const auto item = JsonItemDecoder({ "lagos" }).decode("op/config", configWith(organisations));
+            const auto* invalid = std::get_if<InvalidItem>(&item);
+            ASSERT_TRUE(invalid) << organisations;
+            EXPECT_NE(invalid->reason.find(reason), std::string::npos) << invalid->reason;
+            EXPECT_EQ(invalid->reason.find("secret"), std::string::npos) << invalid->reason;
+        }
+    }
+
     TEST(AnEvacuation, NamesItsDataCentre)
     {
         const auto item = decode("op/evacuate/wuse-hall", "{}");
--- a/tests/support/fakes/word_protocol.hpp
+++ b/tests/support/fakes/word_protocol.hpp
@@ -6,7 +6,7 @@
 
 namespace yuccashift::test {
 
-/** Headers of callers and servers for tests without a platform: `Attempt`, `Parts` (ids separated by spaces), `Resume-After`, `Resumes`, `Not-Run`. */
+/** Headers of callers and servers for tests without a platform: `Attempt`, `Parts` (ids separated by spaces), `Resume-After`, `Resumes`, `Credential`, `Organisation`, `Not-Run`. */
 class WordProtocol : public ProtocolCodec {
 public:
     RequestMetadata decodeRequest(const RequestMessage& request) const override
@@ -17,6 +17,7 @@
             metadata.resumeAfter = std::string(*after);
         if (const auto first = findHeader(request.headers, "Resumes"))
             metadata.resumedAttempt = std::string(*first);
+        metadata.credential = findHeader(request.headers, "Credential").value_or("");
         std::istringstream parts { std::string(findHeader(request.headers, "Parts").value_or("")) };
         for (std::uint64_t id = 0; parts >> id;)
             metadata.work.parts.push_back({ id, 100 });
@@ -24,10 +25,13 @@
         return metadata;
     }
     bool isReservedHeader(std::string_view name) const override { return name == "Resume-After"; }
+    bool isCallerIdentityHeader(std::string_view name) const override { return name == "Credential"; }
     void appendServerMetadata(std::string& out, const ServerRequestMetadata& metadata) const override
     {
         if (metadata.resumeAfter)
             out.append("Resume-After: ").append(*metadata.resumeAfter).append("\r\n");
+        if (!metadata.organisation.empty())
+            out.append("Organisation: ").append(metadata.organisation).append("\r\n");
     }
     AnswerMetadata decodeAnswer(const AnswerHead& head) const override
     {
