Continue streams whose caller names no earlier attempt from the first start of the system on

When the whole system starts for the first time, as its settings say, no stream can be older, so that the only version of a service's servers is certain from the start. Instances that restart learn it from the others' heartbeats, as before.

TheSoftwareOfAService.IsCertainAtOnceWhenTheWholeSystemStartsForTheFirstTime fails without the change.

--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -162,6 +162,8 @@
     , store(adapters.makeStore(io, clock, core.settings.storeEndpoint))
 {
     core.fleetState.setObserver(this);
+    if (core.settings.firstStart)
+        core.fleetState.onFirstStart();
 }
 
 InboundLimits EntryNode::State::CallerHandler::limits() const
--- a/src/yuccashift/entry/entry_settings.hpp
+++ b/src/yuccashift/entry/entry_settings.hpp
@@ -18,6 +18,8 @@
     RegionName region;
     DatacentreName datacentre;
     std::string ip;
+    /** Whether the whole system starts for the first time, so that no caller can have had an answer of it before. */
+    bool firstStart = false;
     /** Region of each data centre. */
     std::map<DatacentreName, RegionName> regions;
 
--- a/src/yuccashift/fleet/fleet_state.hpp
+++ b/src/yuccashift/fleet/fleet_state.hpp
@@ -85,6 +85,8 @@
     /** Carries out the deferred removals that are due. */
     void tick();
 
+    /** See SoftwareVersions::onFirstStart(). */
+    void onFirstStart() { m_softwareVersions.onFirstStart(m_clock.now()); }
     /** See ItemReplica::setFirstEra(). */
     void setFirstEra(std::int64_t era) { m_replica.setFirstEra(era); }
     const ItemReplica& replica() const { return m_replica; }
--- a/src/yuccashift/fleet/software_versions.cpp
+++ b/src/yuccashift/fleet/software_versions.cpp
@@ -11,6 +11,12 @@
 
 } // namespace
 
+void SoftwareVersions::onFirstStart(Instant now)
+{
+    // Nothing was served before, so that no version can have gone in that time.
+    m_followingSince = now - memoryOfVersions;
+}
+
 void SoftwareVersions::onServerAdded(const ServiceName& service, SoftwareId software, Instant now)
 {
     if (!m_followingSince)
@@ -35,10 +41,11 @@
 void SoftwareVersions::updateSingle(Instant now)
 {
     if (mostInOneService() > 1) {
+        m_hadSeveral = true;
         m_singleSince.reset();
         m_reportedSingleSince.reset();
     } else if (!m_singleSince) {
-        m_singleSince = now;
+        m_singleSince = m_hadSeveral ? now : m_followingSince.value_or(now);
     }
 }
 
--- a/src/yuccashift/fleet/software_versions.hpp
+++ b/src/yuccashift/fleet/software_versions.hpp
@@ -20,6 +20,8 @@
 /** Which software the servers of each service run, and ran lately. */
 class SoftwareVersions {
 public:
+    /** To be called before any server is added, when the whole system starts for the first time: no stream is older than that. */
+    void onFirstStart(Instant now);
     void onServerAdded(const ServiceName&, SoftwareId, Instant now);
     void onServerRemoved(const ServiceName&, SoftwareId, Instant now);
 
@@ -45,6 +47,8 @@
     std::map<ServiceName, std::map<SoftwareId, Presence>> m_services;
     std::uint64_t m_digest = 0;
     std::optional<Instant> m_followingSince;
+    /** Whether a service has had several versions at once since `m_followingSince`. */
+    bool m_hadSeveral = false;
     /** Since when each service has had only one version; std::nullopt while one has several. */
     std::optional<Instant> m_singleSince;
     /** The same as the instance that has followed it for longest reported it, for the digest that it named. */
--- a/tests/fleet/software_versions_test.cpp
+++ b/tests/fleet/software_versions_test.cpp
@@ -23,6 +23,28 @@
         EXPECT_EQ(versions.mostInOneService(), 1u);
     }
 
+    TEST_F(TheSoftwareOfAService, IsCertainAtOnceWhenTheWholeSystemStartsForTheFirstTime)
+    {
+        versions.onFirstStart(clock.now());
+        versions.onServerAdded("draft", 1, clock.now());
+        EXPECT_EQ(only(), 1u);
+        // An instance that restarts learns it from one that has run since then.
+        SoftwareVersions restarted;
+        restarted.onServerAdded("draft", 1, clock.now());
+        EXPECT_FALSE(restarted.onlySoftware("draft", period, clock.now()));
+        restarted.onReport(versions.singleSoftware(clock.now()), clock.now());
+        EXPECT_EQ(restarted.onlySoftware("draft", period, clock.now()), 1u);
+        // A release makes it uncertain for the whole period after its end.
+        versions.onServerAdded("draft", 2, clock.now());
+        EXPECT_FALSE(only());
+        versions.onServerRemoved("draft", 1, clock.now());
+        clock.advance(period / 2);
+        EXPECT_FALSE(only());
+        EXPECT_EQ(versions.singleSoftware(clock.now()).duration, period / 2);
+        clock.advance(period / 2);
+        EXPECT_EQ(only(), 2u);
+    }
+
     TEST_F(TheSoftwareOfAService, IsUncertainWhileTwoVersionsServeAndForThePeriodAfter)
     {
         versions.onServerAdded("draft", 1, clock.now());
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -144,6 +144,8 @@
         EXPECT_EQ(settings->storeEndpoint, (Endpoint { "10.200.1.7", 8142 }));
         EXPECT_DOUBLE_EQ(settings->retryBudgetLimits.slack, 54);
         EXPECT_EQ(settings->shutdownGrace, seconds(8));
+        EXPECT_FALSE(settings->firstStart);
+        EXPECT_TRUE(parseNodeSettings(std::string(settingsText) + "bootstrap: true\n")->firstStart);
     }
 
     TEST(TheSettingsFile, WithoutARequiredFieldIsRejectedWithTheFieldsName)
