Say in logs and metrics who asked, and hold off a 401 that a newer configuration may lift

Cause: a request's log line did not say who asked; and an instance that lacks the newest configuration refused a key that was added in it with 401, after which callers do not come back.

Change: the organisation stands in the lines of served, ended and refused requests; a credential that is not known is logged by a short hash; yuccashift_organisation_requests_total counts at most 65 organisations by three outcomes. While a heard peer names a newer configuration, or a large value is on its way, an unknown credential gets 503, not 401.

Tests: entry 107, fleet, docs green.

--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -47,6 +47,13 @@
     /** No attempt is started with less time left than this. */
     constexpr Duration minAttemptTime = milliseconds(30);
 
+    /** Identifies a credential in the log without showing it; empty if there is none. */
+    std::string shortHashOf(std::string_view credential)
+    {
+        constexpr std::size_t shownDigits = 8;
+        return credential.empty() ? std::string() : sha256Hex(credential).substr(0, shownDigits);
+    }
+
     int enginePriority(std::uint32_t priority)
     {
         constexpr std::uint32_t lowestMapped = (lowestEnginePriority - highestEnginePriority + enginePriorityStep - 1) / enginePriorityStep;
@@ -216,6 +223,8 @@
     auto metadata = m_core.protocol.decodeRequest(request);
     m_request.metadata.attemptId = metadata.attemptId;
     auto resolved = resolveRequest(request, std::move(metadata), m_core.fleetState.routes(), m_core.settings.region, m_hopMetadata ? &*m_hopMetadata : nullptr, m_exchange->arrivedAt());
+    if (!resolved && resolved.error().kind == ErrorKind::Unauthenticated)
+        return tl::unexpected(credentialError(shortHashOf(m_core.protocol.decodeRequest(request).credential)));
     if (!resolved)
         return tl::unexpected(resolved.error());
     m_request = std::move(*resolved);
@@ -228,6 +237,18 @@
     return {};
 }
 
+Error RequestJob::credentialError(std::string_view credentialId) const
+{
+    const auto version = m_core.fleetState.configVersion();
+    const auto newest = m_core.peerTable.newestConfigVersion();
+    // A credential that was added a moment ago may be in a newer configuration, and callers do not retry after a 401.
+    const bool mayBeNew = newest > version || !m_core.fleetState.replica().awaitedValues().empty();
+    logInfo("credential not known", { { "request", m_request.metadata.attemptId }, { "credential_hash", credentialId }, { "config", version }, { "newest_config_heard", newest }, { "refused_for_good", mayBeNew ? 0 : 1 } });
+    if (mayBeNew)
+        return { ErrorKind::NotReady, "a newer configuration may hold the credential", {}, {} };
+    return { ErrorKind::Unauthenticated, {}, {}, {} };
+}
+
 void RequestJob::armTimeLimit()
 {
     m_timer.expires_at(m_request.deadline);
@@ -298,7 +319,7 @@
     error.runState = m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun;
     if (plan.remote.candidates.empty())
         error.retryAfter = plan.local.restFor;
-    logInfo("refused", { { "request", m_request.metadata.attemptId }, { "reason", error.code() }, { "predicted_ms", toMilliseconds(plan.placement.predicted) }, { "objective_ms", toMilliseconds(firstByteTimeLeft()) }, { "left_ms", toMilliseconds(timeLeft()) }, { "servers", plan.local.servers.size() }, { "usable", plan.local.choice.usable }, { "passed_over", plan.local.choice.rejectSummary() }, { "regions", plan.remote.candidates.size() } });
+    logInfo("refused", { { "request", m_request.metadata.attemptId }, { "organisation", m_request.organisation ? m_request.organisation->name : OrganisationName() }, { "reason", error.code() }, { "predicted_ms", toMilliseconds(plan.placement.predicted) }, { "objective_ms", toMilliseconds(firstByteTimeLeft()) }, { "left_ms", toMilliseconds(timeLeft()) }, { "servers", plan.local.servers.size() }, { "usable", plan.local.choice.usable }, { "passed_over", plan.local.choice.rejectSummary() }, { "regions", plan.remote.candidates.size() } });
     failWith(error);
 }
 
@@ -784,6 +805,9 @@
     RequestSummary end;
     end.requestId = m_request.metadata.attemptId;
     end.route = m_request.route ? std::string_view(m_request.route->name) : std::string_view();
+    if (m_request.organisation)
+        end.organisation = m_request.organisation->name;
+    end.forwarded = m_hopMetadata.has_value();
     end.outcome = outcome;
     end.reason = reason;
     end.duration = m_core.clock.now() - arrived;
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -60,6 +60,8 @@
 
     bool prepare();
     Result<void> resolve();
+    /** The error for a caller whose credential the configuration in force does not hold. */
+    Error credentialError(std::string_view credentialId) const;
     void armTimeLimit();
     /** Finds the software that began the stream, if the caller resumes one, and then dispatches the request. */
     void identifyStream();
--- a/src/yuccashift/entry/request_recorder.cpp
+++ b/src/yuccashift/entry/request_recorder.cpp
@@ -11,6 +11,18 @@
     /** Logged as `first_byte_ms` if no first byte arrived. */
     constexpr std::int64_t noFirstByte = -1;
 
+    /** Organisations with series of their own; the requests of all others are counted together. */
+    constexpr std::size_t maxCountedOrganisations = 64;
+    constexpr std::string_view otherOrganisations = "(others)";
+
+    /** Few values, so that an organisation has few series; the outcome of each request is in the log. */
+    std::string_view organisationOutcome(std::string_view outcome)
+    {
+        if (outcome == "ok")
+            return "served";
+        return outcome == traits(ErrorKind::LimitExceeded).code ? "over_limit" : "not_served";
+    }
+
     Counter& answerCounter(Metrics& metrics, AnswerFraming framing)
     {
         return metrics.counter("yuccashift_answers_total", { { "framing", toString(framing) } });
@@ -39,14 +51,26 @@
 {
 }
 
+std::string_view RequestRecorder::organisationLabel(std::string_view organisation)
+{
+    if (m_countedOrganisations.contains(organisation))
+        return organisation;
+    if (m_countedOrganisations.size() >= maxCountedOrganisations)
+        return otherOrganisations;
+    m_countedOrganisations.emplace(organisation);
+    return organisation;
+}
+
 void RequestRecorder::recordEnd(const RequestSummary& end)
 {
     m_metrics.counter("yuccashift_requests_total", { { "outcome", end.outcome }, { "route", end.route } }).add();
     m_metrics.latency("yuccashift_request_seconds", { { "route", end.route } }).record(end.duration);
+    if (!end.organisation.empty() && !end.forwarded)
+        m_metrics.counter("yuccashift_organisation_requests_total", { { "organisation", organisationLabel(end.organisation) }, { "outcome", organisationOutcome(end.outcome) } }).add();
     if (end.timeToFirstByte)
         m_metrics.latency("yuccashift_first_byte_seconds", { { "route", end.route } }).record(*end.timeToFirstByte);
     const auto firstByteMs = end.timeToFirstByte ? toMilliseconds(*end.timeToFirstByte) : noFirstByte;
-    logInfo(end.outcome == "ok" ? "request served" : "request ended", { { "request", end.requestId }, { "route", end.route }, { "outcome", end.outcome }, { "why", end.reason }, { "took_ms", toMilliseconds(end.duration) }, { "first_byte_ms", firstByteMs }, { "server", end.server }, { "peer", end.peer }, { "framing", end.framing }, { "incomplete_event_bytes", end.incompleteEventBytes }, { "attempts", end.attempts }, { "config", end.configVersion } });
+    logInfo(end.outcome == "ok" ? "request served" : "request ended", { { "request", end.requestId }, { "route", end.route }, { "organisation", end.organisation }, { "outcome", end.outcome }, { "why", end.reason }, { "took_ms", toMilliseconds(end.duration) }, { "first_byte_ms", firstByteMs }, { "server", end.server }, { "peer", end.peer }, { "framing", end.framing }, { "incomplete_event_bytes", end.incompleteEventBytes }, { "attempts", end.attempts }, { "config", end.configVersion } });
 }
 
 void RequestRecorder::recordServerSend(std::uint32_t promptTokens, std::uint32_t cachedTokens)
--- a/src/yuccashift/entry/request_recorder.hpp
+++ b/src/yuccashift/entry/request_recorder.hpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string_view>
 
 namespace yuccashift {
@@ -18,6 +19,10 @@
     std::string_view requestId {};
     /** Empty if no route was found. */
     std::string_view route {};
+    /** The organisation that asked; empty if it is not known or none is needed. */
+    std::string_view organisation {};
+    /** Whether another instance forwarded the request, which counts it for the organisation. */
+    bool forwarded = false;
     /** `ok`, the code of an error, or how an answer that had started ended. */
     std::string_view outcome {};
     /** Details for operators; may be empty. */
@@ -41,7 +46,8 @@
 
 /**
  * Records metrics and log lines of the requests at one instance. There is one
- * set of series per configured route, up to the limit on all metrics.
+ * set of series per configured route, up to the limit on all metrics, and one for
+ * each of the first organisations that ask.
  */
 class RequestRecorder {
 public:
@@ -64,7 +70,12 @@
     void recordStreamGap(Duration);
 
 private:
+    /** The label of an organisation's series: its name, or a common one once enough organisations have series of their own. */
+    std::string_view organisationLabel(std::string_view organisation);
+
     Metrics& m_metrics;
+    /** Organisations with series of their own. */
+    std::set<OrganisationName, std::less<>> m_countedOrganisations;
     Counter& m_serverSends;
     Counter& m_hopSends;
     /** By AnswerFraming. */
--- a/src/yuccashift/entry/request_resolution.cpp
+++ b/src/yuccashift/entry/request_resolution.cpp
@@ -3,6 +3,7 @@
 #include "yuccashift/kernel/hash.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace yuccashift {
 
@@ -30,7 +31,7 @@
         if (named)
             resolved.organisation = organisations.findByName(*hop->organisation);
         else if (!hop)
-            resolved.organisation = organisations.findByCredential(resolved.metadata.credential);
+            resolved.organisation = organisations.findByCredential(std::exchange(resolved.metadata.credential, {}));
         if (!resolved.organisation && hop)
             return fail(ErrorKind::NotReady, "the two instances know different organisations");
         if (!resolved.organisation)
--- a/src/yuccashift/fleet/peer_table.cpp
+++ b/src/yuccashift/fleet/peer_table.cpp
@@ -136,6 +136,14 @@
     return members;
 }
 
+std::int64_t PeerTable::newestConfigVersion() const
+{
+    std::int64_t newest = 0;
+    for (const auto* peer : alive())
+        newest = std::max(newest, peer->configVersion);
+    return newest;
+}
+
 const PeerState* PeerTable::find(const InstanceId& instance) const
 {
     const auto it = m_peers.find(instance);
--- a/src/yuccashift/fleet/peer_table.hpp
+++ b/src/yuccashift/fleet/peer_table.hpp
@@ -82,6 +82,8 @@
     void setHeartbeatTimeout(Duration timeout) { m_heartbeatTimeout = timeout; }
     /** Peers that are not silent. */
     std::vector<const PeerState*> alive() const;
+    /** The newest version of the configuration that a peer which is not silent holds; 0 if there is none. */
+    std::int64_t newestConfigVersion() const;
     const PeerState* find(const InstanceId&) const;
     bool isAlive(const PeerState&) const;
     /**
--- a/tests/entry/request_recorder_test.cpp
+++ b/tests/entry/request_recorder_test.cpp
@@ -63,5 +63,23 @@
         EXPECT_TRUE(kept.lines.front().starts_with("request served")) << kept.lines.front();
     }
 
+    // Ten thousand organisations must not take the series of everything else.
+    TEST_F(ARequestRecorder, CountsTheFirstOrganisationsApartAndAllOthersTogether)
+    {
+        record.recordEnd({ .organisation = "clinic", .outcome = "ok" });
+        EXPECT_NE(kept.lines.front().find("organisation=clinic "), std::string::npos) << kept.lines.front();
+        record.recordEnd({ .organisation = "clinic", .outcome = "limit_exceeded" });
+        record.recordEnd({ .organisation = "clinic", .outcome = "overloaded" });
+        record.recordEnd({ .organisation = "clinic", .forwarded = true, .outcome = "ok" });
+        for (int n = 0; n < 10'000; ++n) {
+            const auto name = "school-" + std::to_string(n);
+            record.recordEnd({ .organisation = name, .outcome = "ok" });
+        }
+        const auto text = metrics();
+        for (const auto* outcome : { "served", "over_limit", "not_served" })
+            EXPECT_NE(text.find("yuccashift_organisation_requests_total{organisation=\"clinic\",outcome=\"" + std::string(outcome) + "\"} 1"), std::string::npos) << outcome;
+        EXPECT_NE(text.find("{organisation=\"(others)\",outcome=\"served\"} 9937"), std::string::npos);
+    }
+
 } // namespace
 } // namespace yuccashift
