Find an organisation by its credential in constant time in yuccashiftd too

Cause: findOrganisationByCredential compared the hash with those of all organisations of a document, a second way beside the platform's index.

Change: an accepted document is stored with its OrganisationIndex, which a resolved route passes on; both daemons use it.

--- a/benchmarks/capacity/state_slopes.cpp
+++ b/benchmarks/capacity/state_slopes.cpp
@@ -156,7 +156,8 @@
             DocumentStore store;
             (void)store.accept(modelDocumentText("yucca-draft", 1, 1, n));
             const auto document = store.find("yucca-draft");
-            return microsecondsOf([&] { (void)findOrganisationByCredential(*document, "a credential that no organisation has"); });
+            const OrganisationIndex organisations(document->organisations);
+            return microsecondsOf([&] { (void)findOrganisationByCredential(organisations, "a credential that no organisation has"); });
         }));
     }
 
--- a/src/yuccashift/config/document_store.cpp
+++ b/src/yuccashift/config/document_store.cpp
@@ -54,6 +54,7 @@
     StoredDocument offered;
     offered.version = { parsed->revision, textHash };
     offered.document = std::make_shared<const Document>(std::move(*parsed));
+    offered.organisations = std::make_shared<const OrganisationIndex>(offered.document->organisations);
     offered.text = std::make_shared<const std::string>(std::move(text));
     return replace(std::move(offered));
 }
--- a/src/yuccashift/config/document_store.hpp
+++ b/src/yuccashift/config/document_store.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccashift/document/document.hpp"
 #include "yuccashift/document/fault.hpp"
+#include "yuccashift/document/organisation_index.hpp"
 #include "yuccashift/kernel/error.hpp"
 
 #include <map>
@@ -50,6 +51,8 @@
 struct StoredDocument {
     DocumentVersion version;
     DocumentPtr document;
+    /** Refers to the organisations of `document`. */
+    std::shared_ptr<const OrganisationIndex> organisations;
     std::shared_ptr<const std::string> text;
 };
 
--- a/src/yuccashift/config/route_table.cpp
+++ b/src/yuccashift/config/route_table.cpp
@@ -1,7 +1,5 @@
 #include "yuccashift/config/route_table.hpp"
 
-#include "yuccashift/kernel/hash.hpp"
-
 #include <algorithm>
 
 namespace yuccashift {
@@ -60,9 +58,9 @@
         if (held.document->deleted)
             continue;
         if (held.document->kind == ServiceKind::Plain)
-            m_prefixes.push_back({ held.document->pathPrefix, held.document });
+            m_prefixes.push_back({ held.document->pathPrefix, &held });
         for (const auto& model : held.document->models)
-            m_models.emplace(model.name, OfferedModel { held.document, &model });
+            m_models.emplace(model.name, OfferedModel { &held, &model });
     }
     // A stable sort, so that if two services have the same prefix, every instance chooses the first by service name.
     std::ranges::stable_sort(m_prefixes, [](const auto& left, const auto& right) { return left.prefix.size() > right.prefix.size(); });
@@ -79,13 +77,14 @@
     const auto it = m_models.find(name.model);
     if (it == m_models.end())
         return fail(ErrorKind::UnknownModel, "no service offers the model '" + std::string(name.model) + "'");
-    const auto& [document, model] = it->second;
+    const auto& [held, model] = it->second;
+    const auto& document = held->document;
     if (!name.adapter.empty() && std::ranges::find(model->adapters, name.adapter) == model->adapters.end())
         return fail(ErrorKind::UnknownModel, "the model has no adapter '" + std::string(name.adapter) + "'");
     const auto* route = findRoute(*document, query.method, query.path);
     if (route == nullptr)
         return fail(ErrorKind::UnknownRoute, "the service '" + document->service + "' has no such route");
-    return ResolvedRoute { document, route, model, std::string(name.adapter) };
+    return ResolvedRoute { document, held->organisations, route, model, std::string(name.adapter) };
 }
 
 Result<ResolvedRoute> RouteTable::resolvePlain(const RouteQuery& query) const
@@ -93,24 +92,22 @@
     const auto it = std::ranges::find_if(m_prefixes, [&](const auto& plain) { return hasPathPrefix(query.path, plain.prefix); });
     if (it == m_prefixes.end())
         return fail(ErrorKind::UnknownService, "no service at this path");
-    const auto* route = findRoute(*it->document, query.method, stripPathPrefix(query.path, it->prefix));
+    const auto& document = it->held->document;
+    const auto* route = findRoute(*document, query.method, stripPathPrefix(query.path, it->prefix));
     // The paths in a document may also include the prefix of the service.
     if (route == nullptr)
-        route = findRoute(*it->document, query.method, query.path);
+        route = findRoute(*document, query.method, query.path);
     if (route == nullptr)
-        return fail(ErrorKind::UnknownRoute, "the service '" + it->document->service + "' has no such route");
-    return ResolvedRoute { it->document, route, nullptr, {} };
+        return fail(ErrorKind::UnknownRoute, "the service '" + document->service + "' has no such route");
+    return ResolvedRoute { document, it->held->organisations, route, nullptr, {} };
 }
 
-Result<const OrganisationSpec*> findOrganisationByCredential(const Document& document, std::string_view credential)
+Result<const OrganisationSpec*> findOrganisationByCredential(const OrganisationIndex& organisations, std::string_view credential)
 {
     if (credential.empty())
         return fail(ErrorKind::Unauthenticated, "no bearer credential");
-    const auto hash = sha256Hex(credential);
-    for (const auto& organisation : document.organisations) {
-        if (std::ranges::find(organisation.credentialHashes, hash) != organisation.credentialHashes.end())
-            return &organisation;
-    }
+    if (const auto* organisation = organisations.findByCredential(credential))
+        return organisation;
     return fail(ErrorKind::Unauthenticated, "the credential is not known to this service");
 }
 
--- a/src/yuccashift/config/route_table.hpp
+++ b/src/yuccashift/config/route_table.hpp
@@ -18,6 +18,7 @@
 /** Service, route and model of a request. The pointers are valid as long as `document` is held. */
 struct ResolvedRoute {
     DocumentPtr document;
+    std::shared_ptr<const OrganisationIndex> organisations;
     const RouteSpec* route = nullptr;
     /** nullptr for plain services. */
     const ModelSpec* model = nullptr;
@@ -51,13 +52,13 @@
     Result<ResolvedRoute> resolvePlain(const RouteQuery&) const;
 
     struct OfferedModel {
-        DocumentPtr document;
+        const StoredDocument* held = nullptr;
         const ModelSpec* model = nullptr;
     };
 
     struct PlainPrefix {
         std::string prefix;
-        DocumentPtr document;
+        const StoredDocument* held = nullptr;
     };
 
     DocumentSetPtr m_documents;
@@ -67,6 +68,6 @@
 };
 
 /** Returns the organisation to which this bearer credential belongs, or Unauthenticated if there is none. */
-Result<const OrganisationSpec*> findOrganisationByCredential(const Document&, std::string_view credential);
+Result<const OrganisationSpec*> findOrganisationByCredential(const OrganisationIndex&, std::string_view credential);
 
 } // namespace yuccashift
--- a/src/yuccashift/gateway/entry_answer.cpp
+++ b/src/yuccashift/gateway/entry_answer.cpp
@@ -29,12 +29,13 @@
         if (credential.starts_with(bearerPrefix))
             credential.remove_prefix(bearerPrefix.size());
         EntryCaller caller;
-        for (const auto& document : components.documents.activeDocuments()) {
-            const auto organisation = findOrganisationByCredential(*document, credential);
-            if (!organisation)
+        const auto documents = components.documents.snapshot();
+        for (const auto& [service, held] : documents->documents) {
+            const auto organisation = findOrganisationByCredential(*held.organisations, credential);
+            if (held.document->deleted || !organisation)
                 continue;
             caller.organisation = (*organisation)->name;
-            const auto& regions = allowedRegions(*document, **organisation);
+            const auto& regions = allowedRegions(*held.document, **organisation);
             caller.regions.insert(regions.begin(), regions.end());
         }
         if (caller.organisation.empty())
--- a/src/yuccashift/gateway/request_context.cpp
+++ b/src/yuccashift/gateway/request_context.cpp
@@ -123,7 +123,7 @@
     auto context = resolve(routes, std::move(message), *chat);
     if (!context)
         return context;
-    const auto organisation = findOrganisationByCredential(context->document(), credentialOf(context->message));
+    const auto organisation = findOrganisationByCredential(*context->resolved.organisations, credentialOf(context->message));
     if (!organisation)
         return tl::unexpected(organisation.error());
     context->organisation = *organisation;
--- a/tests/config/route_table_test.cpp
+++ b/tests/config/route_table_test.cpp
@@ -125,11 +125,12 @@
     TEST_F(RoutedRequests, AreAssignedToAnOrganisationByTheirCredential)
     {
         const auto document = m_store.find("yucca-draft");
-        const auto organisation = findOrganisationByCredential(*document, "payroll-token");
+        const OrganisationIndex organisations(document->organisations);
+        const auto organisation = findOrganisationByCredential(organisations, "payroll-token");
         ASSERT_TRUE(organisation);
         EXPECT_EQ((*organisation)->name, "payroll");
         for (const auto* credential : { "", "other", "payroll-token ", "Payroll-token" }) {
-            const auto refused = findOrganisationByCredential(*document, credential);
+            const auto refused = findOrganisationByCredential(organisations, credential);
             ASSERT_FALSE(refused) << credential;
             EXPECT_EQ(refused.error().kind, ErrorKind::Unauthenticated);
         }
