Hold organisations to limits in tokens over all instances

Each instance keeps a copy of one bucket of the whole fleet, charged with its own requests at once and with those of the others by the rates in their heartbeats, and a bucket of its own share of all demand, which bounds how far it goes ahead of the reports. Silent instances and regions keep what they used; a process that starts has no burst. The request's origin charges it before it is dispatched and gives back what never ran. A refusal is 429 with the time at which the caller has room after those before it.

--- a/src/yuccashift/entry/entry_core.cpp
+++ b/src/yuccashift/entry/entry_core.cpp
@@ -16,6 +16,7 @@
     , peerTable(clock, settings.instance)
     , serverTracker(clock)
     , retryBudget(clock, settings.retryBudgetLimits)
+    , fleetLimits(clock.now())
     , crashTracker(clock)
     , streamOrigins(clock, settings, peerTable)
     , serverConnections(io, clock)
--- a/src/yuccashift/entry/entry_core.hpp
+++ b/src/yuccashift/entry/entry_core.hpp
@@ -14,6 +14,7 @@
 #include "yuccashift/fleet/peer_table.hpp"
 #include "yuccashift/http/outbound.hpp"
 #include "yuccashift/kernel/random.hpp"
+#include "yuccashift/limits/fleet_limits.hpp"
 #include "yuccashift/observe/metrics.hpp"
 #include "yuccashift/resilience/prompt_quarantine.hpp"
 
@@ -40,6 +41,7 @@
     PeerTable peerTable;
     ServerTracker serverTracker;
     FleetRetryBudget retryBudget;
+    FleetLimits fleetLimits;
     CrashTracker crashTracker;
     PromptQuarantine promptQuarantine;
     StreamOrigins streamOrigins;
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -363,6 +363,9 @@
     metrics.gauge("yuccashift_config_version").set(core.fleetState.configVersion());
     metrics.gauge("yuccashift_quarantined_parts").set(static_cast<std::int64_t>(core.promptQuarantine.quarantinedCount(clock.now())));
     metrics.gauge("yuccashift_retry_slack").set(static_cast<std::int64_t>(core.retryBudget.shareOfSlack()));
+    metrics.gauge("yuccashift_limited_organisations").set(static_cast<std::int64_t>(core.fleetLimits.organisations()));
+    metrics.gauge("yuccashift_limit_rates_held").set(static_cast<std::int64_t>(core.fleetLimits.heldRates()));
+    metrics.gauge("yuccashift_limit_parties_silent").set(static_cast<std::int64_t>(core.fleetLimits.silentParties(clock.now())));
     metrics.gauge("yuccashift_instances_heard").set(static_cast<std::int64_t>(core.peerTable.alive().size()));
     rusage used {};
     ::getrusage(RUSAGE_SELF, &used);
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -4,6 +4,7 @@
 #include "yuccashift/fleet/datagram.hpp"
 #include "yuccashift/http/detail/scratch.hpp"
 #include "yuccashift/kernel/log.hpp"
+#include "yuccashift/limits/usage_rate_codec.hpp"
 #include "yuccashift/resilience/prompt_evidence_codec.hpp"
 
 #include <algorithm>
@@ -226,8 +227,13 @@
     m_core.crashTracker.setPeerCrashes(*sender, heartbeat.crashes);
     m_core.fleetState.onSoftwareReport({ static_cast<std::uint64_t>(heartbeat.softwareDigest), milliseconds(heartbeat.singleSoftwareMs) });
     m_core.promptQuarantine.merge(promptEvidenceOf(heartbeat), now, peer->region != m_core.settings.region);
-    if (peer->region != m_core.settings.region)
+    const auto usage = usageRatesOf(heartbeat);
+    if (peer->region != m_core.settings.region) {
+        if (heartbeat.usageSources > 0)
+            m_core.fleetLimits.onRegionReport(peer->region, static_cast<std::size_t>(heartbeat.usageSources), usage, now);
         return;
+    }
+    m_core.fleetLimits.onInstanceReport(*sender, peer->incarnation, usage, now);
     std::map<std::uint64_t, ServerLoadSum> loads;
     std::map<std::uint64_t, OwnerReport> reports;
     for (const auto& load : heartbeat.loads) {
@@ -382,6 +388,7 @@
     std::erase_if(m_lastSeen, [&](const auto& entry) { return now - entry.second > addressLifetime; });
     const bool withProfile = m_round < initialRoundsWithProfile || m_round % roundsBetweenProfiles == 0;
     const auto ownRegion = ownRegionAddresses();
+    const auto usage = m_core.fleetLimits.takeReport(maxReportedUsage, now);
     if (!ownRegion.empty()) {
         fleetwire::Datagram datagram;
         datagram.__set_heartbeat(makeHeartbeat(withProfile));
@@ -390,6 +397,7 @@
             addCapacity(datagram.heartbeat);
         m_reportedReachesNoServer = m_core.planner.reachesNoServer();
         addPromptEvidence(datagram.heartbeat, m_core.promptQuarantine.takeForHeartbeat(now, maxPromptEvidence));
+        addUsageRates(datagram.heartbeat, usage, 0);
         for (const auto& report : m_core.serverTracker.constraints().reports())
             datagram.heartbeat.serverRequests.push_back(encodeServerRequest(report));
         const auto bytes = encodeDatagram(datagram);
@@ -406,6 +414,7 @@
     datagram.__set_heartbeat(makeHeartbeat(true));
     addCapacity(datagram.heartbeat);
     addPromptEvidence(datagram.heartbeat, m_core.promptQuarantine.newest(now, maxPromptEvidence));
+    addUsageRates(datagram.heartbeat, m_core.fleetLimits.regionReport(maxReportedUsage, now), m_core.fleetLimits.regionSources(now));
     const auto bytes = encodeDatagram(datagram);
     m_otherRegionBytes.add(bytes.size() * otherRegions.size());
     sendTo(otherRegions, bytes);
@@ -448,6 +457,8 @@
         m_core.crashTracker.setPeerCrashes(instance, {});
     }
     const auto currentInterval = heartbeatInterval();
+    m_core.fleetLimits.setFleet(currentInterval, m_core.peerTable.knownInstanceCount());
+    m_core.fleetLimits.expire(m_core.clock.now());
     m_core.peerTable.setHeartbeatTimeout(std::max(minSilence, std::chrono::duration_cast<Duration>(currentInterval * silenceIntervals)));
     m_timer.expires_after(currentInterval);
     m_timer.async_wait([this](const error_code& ec) {
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -46,6 +46,7 @@
     constexpr Duration soundAnswerTime = milliseconds(500);
     /** No attempt is started with less time left than this. */
     constexpr Duration minAttemptTime = milliseconds(30);
+    constexpr double permille = 1000;
 
     int enginePriority(std::uint32_t priority)
     {
@@ -165,12 +166,35 @@
 void RequestJob::begin()
 {
     if (!m_hopMetadata) {
+        if (const auto charged = chargeLimit(); !charged)
+            return failWith(charged.error());
         m_core.retryBudget.onRequest(m_request.service);
         m_core.regionDemand.onRequest(m_request.allowedRegions());
     }
     dispatch();
 }
 
+Result<void> RequestJob::chargeLimit()
+{
+    const auto* organisation = m_request.organisation;
+    if (!organisation || organisation->fleetLimit.perSecond <= 0)
+        return {};
+    const auto& limit = organisation->fleetLimit;
+    const auto decision = m_core.fleetLimits.admit(organisationKey(organisation->name), { limit.perSecond, limit.burst }, m_request.fleetLimitCost, m_core.random->uniformReal(), m_core.clock.now());
+    m_core.requestRecorder.recordLimitDecision(organisation->name, m_request.fleetLimitCost, decision);
+    m_chargedLimit = decision.admitted();
+    if (m_chargedLimit)
+        return {};
+    logInfo("organisation over its limit", { { "request", m_request.metadata.attemptId }, { "organisation", organisation->name }, { "bound", toString(decision.bound) }, { "cost", std::lround(m_request.fleetLimitCost) }, { "limit", std::lround(limit.perSecond) }, { "share_permille", std::lround(decision.share * permille) }, { "balance", std::lround(decision.balance) }, { "own_demand", std::lround(decision.ownDemand) }, { "fleet_demand", std::lround(decision.fleetDemand) }, { "oldest_report_ms", toMilliseconds(decision.oldestReport) }, { "retry_after_ms", toMilliseconds(decision.retryAfter) } });
+    return tl::unexpected(Error { ErrorKind::LimitExceeded, {}, {}, decision.retryAfter });
+}
+
+void RequestJob::giveLimitBack()
+{
+    if (std::exchange(m_chargedLimit, false))
+        m_core.fleetLimits.giveBack(organisationKey(m_request.organisation->name), m_request.fleetLimitCost, m_core.clock.now());
+}
+
 void RequestJob::identifyStream()
 {
     const auto& route = *m_request.route;
@@ -751,6 +775,8 @@
     const auto self = shared_from_this();
     if (m_done)
         return;
+    if (!m_mayHaveRun && !(m_outbound && m_outbound->sent()))
+        giveLimitBack();
     m_outbound.reset();
     endAttempt(ServerOutcome::Abandoned);
     finish("caller_gone");
@@ -762,6 +788,8 @@
     if (m_done)
         return;
     const auto error = withEarlierAttempts(lastError, m_mayHaveRun);
+    if (error.effectiveRunState() == RunState::NotRun)
+        giveLimitBack();
     m_outbound.reset();
     endAttempt(ServerOutcome::Abandoned);
     if (m_exchange->headSent()) {
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -69,6 +69,10 @@
     const ServiceName* serviceWith(SoftwareId) const;
     /** Counts the request of a caller and dispatches it. */
     void begin();
+    /** Charges the request of a caller to its organisation's limit; returns LimitExceeded if that is used up. */
+    Result<void> chargeLimit();
+    /** Gives back what was charged, since the request never ran. */
+    void giveLimitBack();
     Plan plan() const;
     void dispatch();
     void executePlan(const Plan&);
@@ -168,6 +172,7 @@
     StreamSoftware m_streamSoftware;
     /** Software of the current attempt's server; 0 if it is not known. */
     SoftwareId m_attemptSoftware = 0;
+    bool m_chargedLimit = false;
     bool m_done = false;
 };
 
--- a/src/yuccashift/entry/request_recorder.cpp
+++ b/src/yuccashift/entry/request_recorder.cpp
@@ -3,6 +3,7 @@
 #include "yuccashift/kernel/log.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace yuccashift {
 
@@ -11,6 +12,10 @@
     /** Logged as `first_byte_ms` if no first byte arrived. */
     constexpr std::int64_t noFirstByte = -1;
 
+    /** Organisations with series of their own; the others share one, so that many do not displace other metrics. */
+    constexpr std::size_t maxOrganisationSeries = 64;
+    constexpr std::string_view otherOrganisations = "other";
+
     Counter& answerCounter(Metrics& metrics, AnswerFraming framing)
     {
         return metrics.counter("yuccashift_answers_total", { { "framing", toString(framing) } });
@@ -78,6 +83,16 @@
     m_retries.add();
 }
 
+void RequestRecorder::recordLimitDecision(const OrganisationName& organisation, double cost, const LimitDecision& decision)
+{
+    const OrganisationName label = m_limitCounters.contains(organisation) || m_limitCounters.size() < maxOrganisationSeries ? organisation : OrganisationName(otherOrganisations);
+    auto& counters = m_limitCounters[label];
+    auto*& counter = counters[static_cast<std::size_t>(decision.bound)];
+    if (!counter)
+        counter = &m_metrics.counter("yuccashift_limit_usage_total", { { "bound", toString(decision.bound) }, { "organisation", label } });
+    counter->add(static_cast<std::uint64_t>(std::llround(std::max(0.0, cost))));
+}
+
 void RequestRecorder::recordPredictionError(Duration predicted, Duration observed)
 {
     if (observed >= predicted)
--- a/src/yuccashift/entry/request_recorder.hpp
+++ b/src/yuccashift/entry/request_recorder.hpp
@@ -4,10 +4,12 @@
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/error.hpp"
 #include "yuccashift/kernel/ids.hpp"
+#include "yuccashift/limits/fleet_limits.hpp"
 #include "yuccashift/observe/metrics.hpp"
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string_view>
 
@@ -41,7 +43,8 @@
 
 /**
  * Records metrics and log lines of the requests at one instance. There is one
- * set of series per configured route, up to the limit on all metrics.
+ * set of series per configured route, up to the limit on all metrics, and one
+ * for each of the first organisations that ask.
  */
 class RequestRecorder {
 public:
@@ -58,13 +61,19 @@
     /** Counts an answer by how it is framed. */
     void recordAnswer(AnswerFraming);
     void recordRetry();
+    /** Counts what a request costs against its organisation's limit, by the bound that decided. */
+    void recordLimitDecision(const OrganisationName&, double cost, const LimitDecision&);
     /** Records the difference between the observed and the predicted time to first byte. */
     void recordPredictionError(Duration predicted, Duration observed);
     /** Records the time between two consecutive parts of a stream. */
     void recordStreamGap(Duration);
 
 private:
+    /** Usage of a limit by LimitBound. */
+    using LimitCounters = std::array<Counter*, 3>;
+
     Metrics& m_metrics;
+    std::map<OrganisationName, LimitCounters, std::less<>> m_limitCounters;
     Counter& m_serverSends;
     Counter& m_hopSends;
     /** By AnswerFraming. */
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -113,6 +113,14 @@
     21: bool reportsCapacity,
     // Connections of the sender to all servers of its region fail, so that it can own none of them.
     22: bool reachesNoServer,
+    // What counts against the limits of organisations, since the report before: short hashes of their names, and for each
+    // the tokens (or requests) per second that callers demanded and that were admitted. To the own region these are the
+    // sender's, to other regions the sums of its region.
+    24: list<i64> usageOrganisations,
+    25: list<i32> usageDemanded,
+    26: list<i32> usageAdmitted,
+    // Instances that the sums cover; 0 if they are the sender's own. Earlier versions send none of the four.
+    27: i32 usageSources,
 }
 
 // One item of the platform's store, or its removal.
