Test the limits of organisations in virtual time; let few large requests go into debt

The tests found that an organisation with a limit of few requests a second was never stopped: the overuse that is forgiven was less than the one at which it stops. Both now depend on the size of its requests.

--- a/src/yuccashift/limits/fleet_limits.cpp
+++ b/src/yuccashift/limits/fleet_limits.cpp
@@ -37,6 +37,9 @@
     constexpr double overload = 1.5;
     /** Overuse, in seconds of the limit, at which nothing is admitted any more. */
     constexpr double stopDebt = 0.5;
+    /** The same in requests; a limit of few requests a second is exceeded by each of them. */
+    constexpr double requestsInDebt = 4;
+    constexpr double maxRequestDebt = 1;
     /** Overuse at which the shares would end; they shrink in proportion, so that all instances slow down together. */
     constexpr double fadingDebt = 2;
     /** Overuse beyond this is forgiven; what is told of a peer's past may be wrong by a report. */
@@ -127,6 +130,12 @@
     return entry.limit.burst * entry.burstPart;
 }
 
+double FleetLimits::stopAt(const Entry& entry)
+{
+    const double perSecond = entry.limit.perSecond;
+    return entry.burstPart * std::max(stopDebt * perSecond, std::min(requestsInDebt * usualCost(entry), maxRequestDebt * perSecond));
+}
+
 double FleetLimits::shareFactor(const Entry& entry)
 {
     return std::clamp(1 + entry.balance / (fadingDebt * entry.limit.perSecond), 0.0, maxShareFactor);
@@ -138,7 +147,7 @@
 {
     const double threshold = overload * entry.limit.perSecond;
     const bool lasting = entry.usualDemand > threshold && entry.balance < wellFilled * burstOf(entry);
-    const bool certain = fleetDemand > threshold && entry.balance < 0;
+    const bool certain = fleetDemand > threshold && entry.balance < -stopAt(entry) / 2;
     return lasting || certain ? std::min(1.0, entry.limit.perSecond * shareFactor(entry) / std::max(fleetDemand, 1.0)) : 1;
 }
 
@@ -183,7 +192,7 @@
     const double factor = shareFactor(entry);
     const double share = shareOf(entry, now);
     entry.shareBalance = std::min(shareDepth(entry, share), entry.shareBalance + share * perSecond * factor * elapsed);
-    entry.balance = std::clamp(entry.balance + (perSecond - entry.othersCharged) * elapsed, -maxDebt * perSecond, std::max(0.0, burstOf(entry)));
+    entry.balance = std::clamp(entry.balance + (perSecond - entry.othersCharged) * elapsed, -std::max(maxDebt * perSecond, requestsInDebt * usualCost(entry)), std::max(0.0, burstOf(entry)));
 }
 
 // A silent instance has most likely stopped, and is charged what it used. A silent region is most likely cut off and goes
@@ -260,7 +269,7 @@
     decision.share = shareOf(entry, now);
     decision.ownDemand = entry.meanDemanded;
     decision.fleetDemand = entry.meanDemanded + entry.othersDemanded;
-    if (entry.balance <= -stopDebt * entry.burstPart * limit.perSecond || draw >= partInOverload(entry, decision.fleetDemand))
+    if (entry.balance <= -stopAt(entry) || draw >= partInOverload(entry, decision.fleetDemand))
         decision.bound = LimitBound::Fleet;
     else if (entry.shareBalance < -aheadOfShare(entry, decision.share))
         decision.bound = LimitBound::Share;
@@ -284,7 +293,7 @@
     const double perSecond = entry.limit.perSecond;
     const double own = std::max(entry.meanDemanded, cost);
     const double rate = perSecond * std::max(share, own / (own + entry.othersDemanded));
-    const double fleetWait = std::max(0.0, -stopDebt * perSecond - entry.balance) / perSecond;
+    const double fleetWait = std::max(0.0, -stopAt(entry) - entry.balance) / perSecond;
     const double shareWait = std::max(0.0, -entry.shareBalance) / rate;
     const auto room = now + std::chrono::duration_cast<Duration>(Seconds(std::max(fleetWait, shareWait)));
     entry.roomAt = std::min(std::max(entry.roomAt, room), now + maxWait) + std::chrono::duration_cast<Duration>(Seconds(std::min(cost / rate, Seconds(maxWait).count())));
--- a/src/yuccashift/limits/fleet_limits.hpp
+++ b/src/yuccashift/limits/fleet_limits.hpp
@@ -198,6 +198,8 @@
     static double shareDepth(const Entry&, double share);
     /** How far an instance may go into debt of its share while the fleet's balance is well filled. */
     static double aheadOfShare(const Entry&, double share);
+    /** Overuse at which nothing is admitted any more. */
+    static double stopAt(const Entry&);
     /** Factor by which the shares shrink after overuse and grow while there is room. */
     static double shareFactor(const Entry&);
     /** Part of the requests that is admitted while more is demanded than the limit. */
--- a/tests/support/limits_fleet.hpp
+++ b/tests/support/limits_fleet.hpp
@@ -21,9 +21,7 @@
     double offered = 0;
     double admitted = 0;
     double served = 0;
-    /** Refused by an instance's share, and by the whole limit. */
-    double beyondShare = 0;
-    double beyondFleet = 0;
+    /** Part that was refused of what could have been served. */
     double lostPart() const { return served <= 0 ? 0 : std::max(0.0, 1 - admitted / served); }
 };
 
@@ -131,13 +129,14 @@
     FleetLimits& limits(std::size_t n) { return *m_instances[n].limits; }
     Instant now() const { return m_now; }
 
+    /** Requests that arrive together. */
+    int clump = 3;
     /** Seeded faults. */
     bool reportsAreLost = false;
     bool limitIsNotAsked = false;
 
 private:
     static constexpr double stepSeconds = std::chrono::duration<double>(step).count();
-    static constexpr double clump = 3;
     struct Instance {
         InstanceId name;
         std::size_t region = 0;
@@ -174,7 +173,8 @@
     double drawCost()
     {
         const double drawn = m_random.uniformReal();
-        return drawn < 0.12 ? 12'000 : drawn < 0.74 ? 2'400 : 200;
+        return drawn < 0.12 ? 12'000 : drawn < 0.74 ? 2'400
+                                                    : 200;
     }
     static constexpr double meanCost = 0.12 * 12'000 + 0.62 * 2'400 + 0.26 * 200;
 
@@ -184,18 +184,15 @@
         for (double expected = it.demand * stepSeconds / (clump * meanCost); expected > 0; expected -= 1) {
             if (m_random.uniformReal() >= expected)
                 continue;
-            for (int n = 0; n < static_cast<int>(clump); ++n) {
+            for (int n = 0; n < clump; ++n) {
                 const double cost = drawCost();
                 outcome.offered += cost;
                 if (m_bucket > 0) {
                     m_bucket -= cost;
                     outcome.served += cost;
                 }
-                const auto decision = it.limits->admit(m_key, m_limit, cost, m_random.uniformReal(), m_now);
-                if (decision.admitted() || limitIsNotAsked)
+                if (it.limits->admit(m_key, m_limit, cost, m_random.uniformReal(), m_now).admitted() || limitIsNotAsked)
                     outcome.admitted += cost;
-                else
-                    (decision.bound == LimitBound::Share ? outcome.beyondShare : outcome.beyondFleet) += cost;
             }
         }
     }
