--- a/src/yuccashift/entry/request_recorder.cpp
+++ b/src/yuccashift/entry/request_recorder.cpp
@@ -3,6 +3,7 @@
 #include "yuccashift/kernel/log.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace yuccashift {
 
@@ -102,6 +103,16 @@
     m_retries.add();
 }
 
+void RequestRecorder::recordLimitDecision(const OrganisationName& organisation, double cost, const LimitDecision& decision)
+{
+    const OrganisationName label(organisationLabel(organisation));
+    auto& counters = m_limitCounters[label];
+    auto*& counter = counters[static_cast<std::size_t>(decision.bound)];
+    if (!counter)
+        counter = &m_metrics.counter("yuccashift_limit_usage_total", { { "bound", toString(decision.bound) }, { "organisation", label } });
+    counter->add(static_cast<std::uint64_t>(std::llround(std::max(0.0, cost))));
+}
+
 void RequestRecorder::recordPredictionError(Duration predicted, Duration observed)
 {
     if (observed >= predicted)
--- a/src/yuccashift/entry/request_recorder.hpp
+++ b/src/yuccashift/entry/request_recorder.hpp
@@ -4,10 +4,12 @@
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/error.hpp"
 #include "yuccashift/kernel/ids.hpp"
+#include "yuccashift/limits/fleet_limits.hpp"
 #include "yuccashift/observe/metrics.hpp"
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string_view>
@@ -64,6 +66,8 @@
     /** Counts an answer by how it is framed. */
     void recordAnswer(AnswerFraming);
     void recordRetry();
+    /** Counts what a request costs against its organisation's limit, by the bound that decided. */
+    void recordLimitDecision(const OrganisationName&, double cost, const LimitDecision&);
     /** Records the difference between the observed and the predicted time to first byte. */
     void recordPredictionError(Duration predicted, Duration observed);
     /** Records the time between two consecutive parts of a stream. */
@@ -72,10 +76,13 @@
 private:
     /** The label of an organisation's series: its name, or a common one once enough organisations have series of their own. */
     std::string_view organisationLabel(std::string_view organisation);
+    /** Usage of a limit by LimitBound. */
+    using LimitCounters = std::array<Counter*, 3>;
 
     Metrics& m_metrics;
     /** Organisations with series of their own. */
     std::set<OrganisationName, std::less<>> m_countedOrganisations;
+    std::map<OrganisationName, LimitCounters, std::less<>> m_limitCounters;
     Counter& m_serverSends;
     Counter& m_hopSends;
     /** By AnswerFraming. */
