Send hops only to instances that name the organisation to servers, where callers are identified

Cause: an instance of an earlier version would send a hop's request to a server without its organisation.

Change: heartbeats say that the sender names organisations (field 23); where the configuration identifies callers, hops go only to such instances. A hop of an earlier version, which still carries the credential, is identified by it.

--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -89,6 +89,12 @@
     return region && *region == m_settings.region && !m_serverTracker.constraints().isLeaving(server.identityHash);
 }
 
+bool DispatchPlanner::namesOrganisations(const PeerState& peer) const
+{
+    const auto routes = m_fleetState.routes();
+    return peer.namesOrganisations || !routes || !routes->config().identifiesCallers;
+}
+
 bool DispatchPlanner::hasReachableInstance(const RegionName& region) const
 {
     return region == m_settings.region || std::ranges::any_of(m_peerTable.alive(), [&](const auto* it) { return it->region == region && !it->draining; });
@@ -191,7 +197,7 @@
     if (owner == m_settings.instance || excluded.contains(owner))
         return nullptr;
     const auto* peer = m_peerTable.find(owner);
-    const bool reachable = peer && m_peerTable.isAlive(*peer) && !peer->draining && m_clock.now() >= peer->backOffUntil;
+    const bool reachable = peer && m_peerTable.isAlive(*peer) && !peer->draining && m_clock.now() >= peer->backOffUntil && namesOrganisations(*peer);
     return reachable ? peer : nullptr;
 }
 
@@ -437,7 +443,7 @@
     const auto mayContinue = [&](const PeerState& peer) { return !software.begun() || (peer.keepsStreamSoftware && continuing.contains(peer.region)); };
     std::map<RegionName, std::vector<const PeerState*>> byRegion;
     for (const auto* peer : m_peerTable.alive()) {
-        const bool eligible = peer->region != m_settings.region || local.unreachable();
+        const bool eligible = (peer->region != m_settings.region || local.unreachable()) && namesOrganisations(*peer);
         const bool usable = eligible && allowed.allows(peer->region) && !peer->draining && now >= peer->backOffUntil && !tried.contains(peer->instance);
         const auto capacity = peer->capacityByService.find(service);
         if (usable && mayContinue(*peer) && capacity != peer->capacityByService.end() && capacity->second.freeSlots > 0)
--- a/src/yuccashift/entry/dispatch_planner.hpp
+++ b/src/yuccashift/entry/dispatch_planner.hpp
@@ -84,6 +84,8 @@
 private:
     /** The server's region, or nullptr if it is unknown or the server is draining or evacuated. */
     const RegionName* servingRegion(const BackendServer&) const;
+    /** Whether the peer may get hops: an earlier version would not name the organisation to a server. */
+    bool namesOrganisations(const PeerState&) const;
     /** Whether the region is this one or has a live instance that is not draining. */
     bool hasReachableInstance(const RegionName&) const;
     ServerCandidate candidate(const BackendServer&, const ServiceConfig&, const WorkSize&, bool viaOwner) const;
--- a/src/yuccashift/entry/request_resolution.cpp
+++ b/src/yuccashift/entry/request_resolution.cpp
@@ -30,7 +30,8 @@
             return {};
         if (named)
             resolved.organisation = organisations.findByName(*hop->organisation);
-        else if (!hop)
+        else
+            // A hop has a credential only if its origin runs an earlier version, which names no organisation.
             resolved.organisation = organisations.findByCredential(std::exchange(resolved.metadata.credential, {}));
         if (!resolved.organisation && hop)
             return fail(ErrorKind::NotReady, "the two instances know different organisations");
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -113,6 +113,8 @@
     21: bool reportsCapacity,
     // Connections of the sender to all servers of its region fail, so that it can own none of them.
     22: bool reachesNoServer,
+    // The sender names the organisation of a hop's caller to backend servers. Not sent by earlier versions.
+    23: bool namesOrganisations,
 }
 
 // One item of the platform's store, or its removal.
--- a/src/yuccashift/fleet/peer_table.cpp
+++ b/src/yuccashift/fleet/peer_table.cpp
@@ -100,6 +100,7 @@
     peer.sendsValues = beat.knownRevision > 0;
     peer.reachesNoServer = beat.reachesNoServer;
     peer.keepsStreamSoftware = beat.keepsStreamSoftware;
+    peer.namesOrganisations = beat.namesOrganisations;
     peer.knownRevision = std::max(beat.storeRevision, beat.knownRevision);
     peer.lastHeartbeatAt = m_clock.now();
     updateCapacity(peer, beat);
--- a/src/yuccashift/fleet/peer_table.hpp
+++ b/src/yuccashift/fleet/peer_table.hpp
@@ -46,6 +46,8 @@
     bool sendsValues = false;
     /** Whether it continues streams only at the software that a hop names; earlier versions do not. */
     bool keepsStreamSoftware = false;
+    /** Whether it names the organisation of a hop's caller to backend servers; earlier versions do not. */
+    bool namesOrganisations = false;
     std::map<ServiceName, ServiceCapacity> capacityByService;
     /** Whether its connections to all servers of its region fail. */
     bool reachesNoServer = false;
