--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -121,6 +121,8 @@
     26: list<i32> usageAdmitted,
     // Instances that the sums cover; 0 if they are the sender's own. Earlier versions send none of the four.
     27: i32 usageSources,
+    // The sender names the organisation of a hop's caller to backend servers. Not sent by earlier versions.
+    23: bool namesOrganisations,
 }
 
 // One item of the platform's store, or its removal.
