Let no foreign entry hide that an instance reaches no server

An entry in the store may come from another writer. One that is whole but names a service of no configuration gets no requests, so that its server never becomes suspect, and the instance took itself for one that reaches a server.

--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -138,10 +138,12 @@
     if (m_reachabilityUpdatedAt && now - *m_reachabilityUpdatedAt < ownershipInterval)
         return m_reachesNoServer;
     m_reachabilityUpdatedAt = now;
+    const auto routes = m_fleetState.routes();
     std::map<ServiceName, bool> viaOwners;
     m_reachesNoServer = false;
     for (const auto& [key, server] : m_fleetState.servers()) {
-        if (!isUsableLocally(server))
+        // Nothing is sent to a server whose service no configuration names, so that it never fails.
+        if (!isUsableLocally(server) || !routes || !routes->config().names(server.service))
             continue;
         if (m_serverTracker.statusOf(server.identityHash).suspect) {
             m_reachesNoServer = true;
--- a/src/yuccashift/fleet/route_config.cpp
+++ b/src/yuccashift/fleet/route_config.cpp
@@ -43,6 +43,11 @@
     return services.front().service;
 }
 
+bool RouteConfig::names(const ServiceName& service) const
+{
+    return services.contains(service) || std::ranges::any_of(routes, [&](const auto& it) { return it.usesService(service); });
+}
+
 const ServiceConfig& RouteConfig::serviceConfig(const ServiceName& service) const
 {
     static const ServiceConfig defaults;
--- a/src/yuccashift/fleet/route_config.hpp
+++ b/src/yuccashift/fleet/route_config.hpp
@@ -77,6 +77,8 @@
     std::map<ServiceName, ServiceConfig> services;
     InboundLimits limits;
 
+    /** Whether the service has an entry or a route sends requests to it. */
+    bool names(const ServiceName&) const;
     /** The entry of a service, or the default values if it has none. */
     const ServiceConfig& serviceConfig(const ServiceName&) const;
 };
