Let a region without links to its servers queue in other regions like their own callers

Kigali's servers are full, so that it reports no free slot and nairobi refuses as if there were no server, while kigali goes on accepting its own callers up to their longest wait: 795 of 1351 first tries against 778 of 792. Heartbeats now report the wait also without a free slot, an instance that reaches none of its servers forwards by that wait, and the way to the other region does not count as queueing for it.

--- a/src/yuccashift/dispatch/placement.cpp
+++ b/src/yuccashift/dispatch/placement.cpp
@@ -77,7 +77,9 @@
         placement.remoteIndex = i;
     }
     placement.predicted = best.value_or(Duration::zero());
-    if (!best || *best > firstByteLimit(input))
+    const bool onlyElsewhere = input.reachesNoServer && placement.action == Placement::Action::Remote;
+    const auto wayThere = onlyElsewhere ? input.remotes[placement.remoteIndex].roundTrip : Duration::zero();
+    if (!best || *best - wayThere > firstByteLimit(input))
         placement.action = Placement::Action::Refuse;
     return placement;
 }
--- a/src/yuccashift/dispatch/placement.hpp
+++ b/src/yuccashift/dispatch/placement.hpp
@@ -32,6 +32,8 @@
     Duration objective {};
     /** Time left until the deadline, when the caller gives up. */
     Duration deadline {};
+    /** Whether the instance reaches no server of its region, so that another region is the only one for its callers. */
+    bool reachesNoServer = false;
 };
 
 /** Where a request is sent, or that it is refused. */
@@ -54,7 +56,9 @@
  * after its round trip, the prefill of uncached tokens and a margin against
  * moving requests for small gains. The home region of a long shared prefix is
  * preferred without that margin. A request that would queue for too long is
- * refused at once; the prefill time of its own prompt does not count as queueing.
+ * refused at once; the prefill time of its own prompt does not count as queueing,
+ * nor does the round trip if no server of this region can be reached: such a request
+ * is accepted as long as one of the other region's own callers would be.
  */
 Placement place(const PlacementInput&);
 
--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -442,7 +442,8 @@
         const bool eligible = peer->region != m_settings.region || local.unreachable();
         const bool usable = eligible && route.allowsRegion(peer->region) && !peer->draining && now >= peer->backOffUntil && !tried.contains(peer->instance);
         const auto capacity = peer->capacityByService.find(service);
-        if (usable && mayContinue(*peer) && capacity != peer->capacityByService.end() && capacity->second.freeSlots > 0)
+        const bool hasCapacity = capacity != peer->capacityByService.end() && (capacity->second.freeSlots > 0 || local.reachesNone());
+        if (usable && mayContinue(*peer) && hasCapacity)
             byRegion[peer->region].push_back(peer);
     }
     for (const auto& [region, regionPeers] : byRegion) {
@@ -466,6 +467,7 @@
     typical.promptTokens = typicalPromptTokens;
     for (const auto& [service, traits] : routes->config().services) {
         ServiceCapacity capacity;
+        bool usable = false;
         for (std::size_t level = 0; level < priorityLevels; ++level) {
             typical.priority = level;
             auto plan = collectCandidates(service, typical, {}, {});
@@ -475,10 +477,11 @@
             if (!plan.choice.best)
                 break;
             capacity.wait[level] = plan.choice.predicted;
+            usable = true;
             if (level == 0)
                 capacity.freeSlots = freeSlots(plan);
         }
-        if (capacity.freeSlots > 0)
+        if (usable)
             capacities[service] = capacity;
     }
     return capacities;
--- a/src/yuccashift/entry/dispatch_planner.hpp
+++ b/src/yuccashift/entry/dispatch_planner.hpp
@@ -35,6 +35,8 @@
 
     /** Whether connections to some servers fail from here, and no other one can take the request. */
     bool unreachable() const { return !choice.best && std::ranges::any_of(candidates, &ServerCandidate::suspect); }
+    /** Whether connections to all servers fail from here. */
+    bool reachesNone() const { return !candidates.empty() && std::ranges::all_of(candidates, &ServerCandidate::suspect); }
     /** The chosen server, or nullptr if none can take the request. */
     const BackendServer* server() const { return choice.best ? servers[*choice.best] : nullptr; }
 };
@@ -67,6 +69,7 @@
     /**
      * Collects the other regions with free capacity and servers that may continue the stream. If this instance reaches no
      * server of its own region that could take the request, other instances of the region count as well, which may reach them.
+     * If it reaches none at all, regions without free capacity count too, so that its callers queue like those there.
      * Instances in `tried` have already been sent the request.
      */
     RemotePlan planRemote(const Route&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried, const StreamSoftware&, const LocalPlan&, const std::optional<RegionName>& prefixHome) const;
@@ -74,7 +77,7 @@
     bool reachesNoServer() const;
     /** Whether any region that the route allows has a server that may continue the stream. */
     bool canContinue(const Route&, const ServiceName&, const StreamSoftware&) const;
-    /** Free capacity of each service in this region, as heartbeats report it to other regions. */
+    /** Capacity of each service in this region that has a usable server, as heartbeats report it to other regions. */
     std::map<ServiceName, ServiceCapacity> freeCapacity() const;
     /** How long a server that refused a request as full gets no other one from this instance. */
     Duration backOffAfterRefusal(std::uint64_t server) const;
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -246,6 +246,7 @@
     if (plan.local.choice.best)
         input.localTimeToFirstByte = plan.local.choice.predicted;
     input.prefixPrefillTime = plan.local.prefixPrefillTime;
+    input.reachesNoServer = plan.local.reachesNone();
     input.remotes = plan.remote.candidates;
     input.idleTimeToFirstByte = predictIdleTimeToFirstByte(m_request.routes->config().serviceConfig(m_request.service).engine, m_request.metadata.work);
     input.objective = firstByteTimeLeft();
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -59,6 +59,19 @@
         EXPECT_EQ(decide().action, Placement::Action::Refuse);
     }
 
+    // All instances of a region without links to its servers: its callers were refused while the full servers of the other
+    // region went on taking that region's own callers.
+    TEST_F(APlacement, OfAnInstanceWithoutServersQueuesInAnotherRegionLikeTheCallersThere)
+    {
+        input.localTimeToFirstByte.reset();
+        remotes[0] = { milliseconds(670), milliseconds(0), milliseconds(116) };
+        EXPECT_EQ(decide().action, Placement::Action::Refuse);
+        input.reachesNoServer = true;
+        EXPECT_EQ(decide().action, Placement::Action::Remote);
+        remotes[0].timeToFirstByte = milliseconds(710);
+        EXPECT_EQ(decide().action, Placement::Action::Refuse);
+    }
+
     TEST_F(APlacement, DoesNotRefuseARequestForTheLengthOfItsOwnPrompt)
     {
         input.idleTimeToFirstByte = milliseconds(950);
--- a/tests/entry/unreachable_servers_test.cpp
+++ b/tests/entry/unreachable_servers_test.cpp
@@ -48,8 +48,13 @@
             peers = m_peers.listen({ ip, 0 }).value();
         }
 
-        /** Takes a heartbeat of the other instance that reports this many free slots of the region. */
-        void hear(const Instance& other, std::int32_t freeSlots)
+        /** Takes a heartbeat of the other instance that reports this many free slots of the region; no capacity at all if none. */
+        void hear(const Instance& other, std::int32_t freeSlots) { hear(other, freeSlots, freeSlots > 0); }
+        /** Takes one that reports a region whose slots are all taken. */
+        void hearTaken(const Instance& other) { hear(other, 0, true); }
+
+    private:
+        void hear(const Instance& other, std::int32_t freeSlots, bool reports)
         {
             fleetwire::Heartbeat beat;
             fleetwire::Profile profile;
@@ -61,7 +66,7 @@
             beat.incarnation = 1;
             beat.sequence = ++m_heartbeats;
             beat.reportsCapacity = true;
-            if (freeSlots > 0) {
+            if (reports) {
                 fleetwire::ServiceRoom room;
                 room.serviceName = "ledger";
                 room.freeSlots = freeSlots;
@@ -73,6 +78,7 @@
             core.settings.peerPort = other.peers.port;
         }
 
+    public:
         EntryCore core;
         Endpoint callers;
         Endpoint peers;
@@ -190,6 +196,43 @@
         EXPECT_EQ(m_connected->forwarded, 0);
     }
 
+    // All instances of a region were cut off from its servers, and one other region could still be reached, whose servers were
+    // full: it took its own callers in turn and refused nearly all of the others.
+    TEST_F(AnInstanceThatReachesNoServer, QueuesItsRequestsAtServersThatAreAllTaken)
+    {
+        m_stranded->hear(*m_connected, 6);
+        EXPECT_EQ(call("/write/x"), 200);
+        m_stranded->hearTaken(*m_connected);
+        for (const auto& path : paths)
+            EXPECT_EQ(call(path), 200) << path;
+        EXPECT_EQ(m_connected->forwarded, 4);
+    }
+
+    TEST_F(AnInstanceThatReachesNoServer, ReportsToOthersHowLongItsServersKeepRequestsWaiting)
+    {
+        const auto idleWait = m_connected->core.planner.freeCapacity().at("ledger").wait[0];
+        const WorkSize work;
+        for (const auto& [key, server] : m_connected->core.fleetState.servers()) {
+            for (std::uint32_t n = 0; n < 2 * server.slots; ++n)
+                m_connected->core.serverTracker.onSend(server.identityHash, { work });
+        }
+        const auto capacity = m_connected->core.planner.freeCapacity();
+        ASSERT_TRUE(capacity.contains("ledger"));
+        EXPECT_EQ(capacity.at("ledger").freeSlots, 0);
+        EXPECT_GT(capacity.at("ledger").wait[0], idleWait);
+    }
+
+    // An entry of a service that no configuration names gets no requests, so that its server never seems to fail; it kept
+    // the instance from noticing that it reaches none of the others.
+    TEST_F(AnInstanceThatReachesNoServer, KnowsSoWhateverOtherWritersPublish)
+    {
+        auto& core = m_stranded->core;
+        core.fleetState.apply(std::vector<ItemChange> { { "foreign", "server unnamed 127.0.0.9:9 hall ready 1 0 6", 4 } }, 4);
+        m_stranded->hear(*m_connected, 6);
+        EXPECT_EQ(call("/write/x"), 200);
+        EXPECT_TRUE(core.planner.reachesNoServer());
+    }
+
     // Requests went on being forwarded to an instance that had said that it reaches no server either.
     TEST_F(AnInstanceThatReachesNoServer, ForwardsNoMoreToOneThatRefusedUntilItReportsCapacityAgain)
     {
