Name other regions to callers of a region whose instances all reach no server

The directory now names instances of other regions while none of the caller's region reaches a server; they answer from servers of their own. Where some instances of the region do, nothing changes.

--- a/src/yuccashift/entry/directory_choice.cpp
+++ b/src/yuccashift/entry/directory_choice.cpp
@@ -25,6 +25,10 @@
     auto candidates = view.others;
     candidates.push_back(view.self);
     std::erase_if(candidates, [](const DirectoryEntry& it) { return !it.takesCallers; });
+    // Such instances can only forward, over links that may fail too; their callers can connect to the other regions themselves.
+    const bool regionIsCutOff = std::ranges::none_of(candidates, [&](const auto& it) { return it.region == caller.region && it.reachesServers; });
+    if (regionIsCutOff && std::ranges::any_of(candidates, &DirectoryEntry::reachesServers))
+        std::erase_if(candidates, [](const DirectoryEntry& it) { return !it.reachesServers; });
     const auto isNear = [&](const DirectoryEntry& it) { return it.region == caller.region && it.datacentre == caller.datacentre; };
     const bool manyNear = std::ranges::count_if(candidates, isNear) >= minInstancesOfDatacentre;
     std::vector<std::string> addresses;
--- a/src/yuccashift/entry/directory_choice.hpp
+++ b/src/yuccashift/entry/directory_choice.hpp
@@ -16,6 +16,8 @@
     DatacentreName datacentre;
     std::string ip;
     bool takesCallers = false;
+    /** Whether it has links to the servers of its region. */
+    bool reachesServers = true;
 };
 
 /** The instances that a directory answer is chosen from. */
@@ -36,8 +38,8 @@
 
 /**
  * Chooses the addresses for a caller: the instances of its data centre that accept callers if there are many,
- * else all of its region or, if there are none, those of the regions with the highest fitness. If there are more
- * than callers use, the choice among them is random. Empty if no instance accepts callers.
+ * else all of its region or, if there are none, those of the regions with the highest fitness. A region of which no
+ * instance reaches a server counts as one without instances as long as others do. If there are more than callers use, the choice among them is random. Empty if no instance accepts callers.
  */
 std::vector<std::string> chooseAddresses(const DirectoryView&, const CallerLocation&, const RegionScore&, std::uint16_t port, RandomSource&);
 
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -273,9 +273,9 @@
     if (!question)
         return sendText(exchange, 404, "text/plain", "unknown question\n");
     DirectoryView view;
-    view.self = { core.settings.region, core.settings.datacentre, core.settings.ip, ready() };
+    view.self = { core.settings.region, core.settings.datacentre, core.settings.ip, ready(), !core.planner.reachesNoServer() };
     for (const auto* member : core.peerTable.alive())
-        view.others.push_back({ member->region, member->datacentre, member->ip, member->takesCallers && !member->draining });
+        view.others.push_back({ member->region, member->datacentre, member->ip, member->takesCallers && !member->draining, !member->reachesNoServer });
     const auto routes = core.fleetState.routes();
     const auto fitness = [&](const RegionName& region) {
         return core.regionDemand.servableShare(region, routes ? std::span<const Route>(routes->config().routes) : std::span<const Route>());
--- a/tests/entry/answers_test.cpp
+++ b/tests/entry/answers_test.cpp
@@ -217,6 +217,19 @@
         EXPECT_EQ(named(), (std::vector<std::string> { "10.0.0.4:80" }));
     }
 
+    // All instances of a region had lost their links to its servers and forwarded to other regions until these links failed too.
+    TEST_F(ADirectoryAnswer, NamesAnotherRegionWhileNoInstanceOfTheCallersOneReachesAServer)
+    {
+        view.self.reachesServers = false;
+        EXPECT_EQ(named().size(), 2u) << "one of them reaches servers for the other";
+        view.others[0].reachesServers = false;
+        EXPECT_EQ(named(), (std::vector<std::string> { "10.0.0.3:80", "10.0.0.4:80" }));
+        view.others[1].reachesServers = false;
+        EXPECT_EQ(named(), (std::vector<std::string> { "10.0.0.4:80" }));
+        view.others[2].reachesServers = false;
+        EXPECT_EQ(named(), (std::vector<std::string> { "10.0.0.2:80", "10.0.0.1:80" }));
+    }
+
     TEST_F(ADirectoryAnswer, IsEmptyIfNoInstanceAcceptsCallers)
     {
         view.self.takesCallers = false;
