Wait at a planned stop until answers are written to slow callers

After the last request had ended, the process stopped at 0.45 of the grace period although bytes of complete answers still waited for callers that read slowly, which got them cut off.

--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -417,7 +417,9 @@
     const auto now = clock.now();
     if (now - core.shutdown->startedAt < grace * minShutdownShareOfGrace)
         return;
-    if (!core.activeRequests.empty() && now < core.shutdown->endsBy)
+    // The end of the process would cut answers off that are complete and not yet written.
+    const bool inProgress = !core.activeRequests.empty() || callers.hasUnsentBytes() || peers.hasUnsentBytes();
+    if (inProgress && now < core.shutdown->endsBy)
         return;
     stop();
 }
--- a/src/yuccashift/http/inbound.cpp
+++ b/src/yuccashift/http/inbound.cpp
@@ -6,6 +6,7 @@
 #include "yuccashift/kernel/detail/listen.hpp"
 #include "yuccashift/kernel/log.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -503,6 +504,11 @@
         session->closeIfIdle();
 }
 
+bool InboundServer::hasUnsentBytes() const
+{
+    return std::ranges::any_of(m_state->sessions, [](const auto* it) { return it->unsent() > 0; });
+}
+
 std::size_t InboundServer::connections() const
 {
     return m_state->sessions.size();
--- a/src/yuccashift/http/inbound.hpp
+++ b/src/yuccashift/http/inbound.hpp
@@ -95,6 +95,8 @@
     /** Stops accepting connections and closes idle ones. */
     void stop();
     std::size_t connections() const;
+    /** Whether bytes of an answer wait for a caller that reads slowly. */
+    bool hasUnsentBytes() const;
 
 private:
     friend class detail::InboundSession;
