Bound numbers of callers' and instances' headers whose sums overflow

A deadline of 2^63 - 1 ms or its negative overflowed when it was added to the clock, which is undefined and put the deadline anywhere; four billion tokens made the load of a server negative, so that it seemed idle.

--- a/src/yuccashift/entry/hop.cpp
+++ b/src/yuccashift/entry/hop.cpp
@@ -1,5 +1,6 @@
 #include "yuccashift/entry/hop.hpp"
 
+#include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 #include <charconv>
 
@@ -21,6 +22,9 @@
     constexpr std::string_view fieldPrefix = "Yuccashift-";
     constexpr std::string_view reachedServerMark = "; reached a server";
 
+    /** A longer time is taken for this one, so that no sum with it overflows. */
+    constexpr std::int64_t maxMilliseconds = std::int64_t { 24 } * 3600 * 1000;
+
     /** A request is sent on after at most this many hops that reached no server. */
     constexpr std::uint32_t maxRefusedHops = 3;
 
@@ -47,6 +51,11 @@
         return value;
     }
 
+    milliseconds boundedMilliseconds(std::int64_t count)
+    {
+        return milliseconds(std::clamp<std::int64_t>(count, 0, maxMilliseconds));
+    }
+
 } // namespace
 
 HopRecovery recoverFromHop(const HopFailure& failure, bool retryable, std::uint32_t refusedHops)
@@ -103,15 +112,15 @@
     metadata.origin = *origin;
     metadata.service = *service;
     metadata.configVersion = *version;
-    metadata.deadline = milliseconds(*deadline);
-    metadata.objective = milliseconds(*objective);
+    metadata.deadline = boundedMilliseconds(*deadline);
+    metadata.objective = boundedMilliseconds(*objective);
     if (const auto after = findHeader(headers, resumeField))
         metadata.resumeAfter = std::string(*after);
     if (const auto software = integerField(headers, streamSoftwareField))
         metadata.streamSoftware = static_cast<SoftwareId>(*software);
     metadata.server = static_cast<std::uint64_t>(integerField(headers, serverField).value_or(0));
     if (const auto within = integerField(headers, acceptField))
-        metadata.acceptWithin = milliseconds(*within);
+        metadata.acceptWithin = boundedMilliseconds(*within);
     std::erase_if(headers, [](const HeaderField& field) { return isHopHeader(field.name); });
     return metadata;
 }
--- a/tests/entry/answers_test.cpp
+++ b/tests/entry/answers_test.cpp
@@ -119,6 +119,21 @@
         EXPECT_FALSE(extractHopMetadata(headers));
     }
 
+    TEST(HopHeaders, NameTimesThatCanBeAddedToTheClocks)
+    {
+        for (const std::string_view count : { "9223372036854775807", "-9223372036854775808" }) {
+            HeaderFields headers { { "Yuccashift-Origin", "a" }, { "Yuccashift-Config", "1" }, { "Yuccashift-Service", "draft" } };
+            for (const auto* name : { "Yuccashift-Deadline", "Yuccashift-Objective", "Yuccashift-Accept-Within" })
+                headers.push_back({ name, std::string(count) });
+            const auto metadata = extractHopMetadata(headers);
+            ASSERT_TRUE(metadata);
+            for (const auto time : { metadata->deadline, metadata->objective, *metadata->acceptWithin }) {
+                EXPECT_GE(time, milliseconds(0));
+                EXPECT_LE(time, std::chrono::hours(24));
+            }
+        }
+    }
+
     TEST(AHopFailure, PreservesTheRunStateAndWhetherAServerWasReached)
     {
         for (const auto state : { RunState::NotRun, RunState::Ran, RunState::OutcomeUnknown }) {
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -33,6 +33,19 @@
         EXPECT_TRUE(metadata.work.parts.empty());
     }
 
+    // The load of a server became negative, and a deadline lay before the request's arrival or beyond its route's time limit.
+    TEST_F(ThePlatformCodec, BoundsNumbersWhoseSumsWouldOverflow)
+    {
+        request.headers = { { "X-Deadline-Ms", "9223372036854775807" }, { "X-Token-Counts", "4294967295,18446744073709551615" }, { "X-Prompt-Prefix", "1:4294967295,2:4294967295" }, { "X-Length-Hint", "4294967295" } };
+        const auto metadata = codec.decodeRequest(request);
+        EXPECT_EQ(metadata.deadline, std::chrono::hours(24));
+        EXPECT_GT(static_cast<std::int32_t>(metadata.work.memoryTokens()), 0);
+        EXPECT_GT(static_cast<std::int32_t>(metadata.work.sharedTokens()), 0);
+        request.headers = { { "X-Deadline-Ms", "-9223372036854775808" } };
+        EXPECT_EQ(codec.decodeRequest(request).deadline, milliseconds(0));
+        EXPECT_EQ(codec.decodeHealth({ 200, { { "X-Cold-Ms", "9223372036854775807" } }, {} }).coldFor, std::chrono::hours(24));
+    }
+
     TEST_F(ThePlatformCodec, ReservesTheHeadersThatOnlyTheGatewayMaySet)
     {
         for (const auto* name : { "X-Hold", "x-pin-ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch", "X-Target-Instance", "X-Deadline-Ms", "X-Request-Urgency", "X-Expected-Version" })
