Take no server from an entry that another writer may have written

Fields without a use here were not looked at (sequence, stage), or might be missing (version, coldRemainingMs) or null (born). An id with a line break went into the header that names the server; a name instead of an address made a server that never answers; a long cold time overflowed.

--- a/fuzzing/platform_fuzz.cpp
+++ b/fuzzing/platform_fuzz.cpp
@@ -2,6 +2,7 @@
 #include "platform/json_item_decoder.hpp"
 
 #include <array>
+#include <boost/asio/ip/address.hpp>
 #include <boost/json.hpp>
 
 namespace yuccashift::fuzzing {
@@ -106,14 +107,15 @@
             const auto text = [&](const char* name) { const auto* it = entry.if_contains(name); return it && it->is_string() ? std::optional(std::string(it->get_string())) : std::nullopt; };
             const auto state = text("state");
             const auto address = text("address");
-            return text("service") && text("zone") && address && parseEndpoint(*address, endpoint) && (state == "ready" || state == "draining")
-                && isInteger(entry, "slots", 1, true) && isInteger(entry, "born", 0, false) && isNumber(entry, "coldRemainingMs");
+            return text("service") && text("zone") && address && parseEndpoint(*address, endpoint) && isAddress(endpoint) && (state == "ready" || state == "draining")
+                && (text("version") || isNumber(entry, "version")) && isInteger(entry, "slots", 1, true) && isInteger(entry, "born", 0, false)
+                && isInteger(entry, "sequence", 0, true) && isNonNegative(entry, "coldRemainingMs");
         }
 
         static bool isInteger(const json::object& entry, const char* name, std::int64_t minimum, bool required)
         {
             const auto* it = entry.if_contains(name);
-            if (!it || it->is_null())
+            if (!it)
                 return !required;
             if (it->is_uint64())
                 return true;
@@ -122,10 +124,22 @@
             return it->is_int64() && it->get_int64() >= minimum;
         }
 
+        static bool isAddress(const Endpoint& endpoint)
+        {
+            boost::system::error_code ec;
+            const auto address = boost::asio::ip::make_address(endpoint.host, ec);
+            return !ec && !address.is_unspecified() && endpoint.port != 0;
+        }
+
         static bool isNumber(const json::object& entry, const char* name)
         {
             const auto* it = entry.if_contains(name);
-            return !it || it->is_null() || (it->is_number() && it->to_number<double>() >= 0);
+            return it && it->is_number();
+        }
+
+        static bool isNonNegative(const json::object& entry, const char* name)
+        {
+            return isNumber(entry, name) && entry.at(name).to_number<double>() >= 0;
         }
 
         std::string m_mutant;
--- a/tests/platform/json_item_decoder_test.cpp
+++ b/tests/platform/json_item_decoder_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/json_item_decoder.hpp"
 
+#include <boost/json.hpp>
 #include <gtest/gtest.h>
 
 namespace yuccashift::platform {
@@ -27,34 +28,78 @@
         EXPECT_EQ(entry->coldFor, microseconds(1500500));
     }
 
+    /** The valid entry with one field replaced by a JSON text, or left out. */
+    std::string withField(std::string_view name, std::string_view value)
+    {
+        auto entry = boost::json::parse(validServer).as_object();
+        entry.erase(name);
+        auto text = boost::json::serialize(entry);
+        if (!value.empty())
+            text.insert(1, "\"" + std::string(name) + "\":" + std::string(value) + ",");
+        return text;
+    }
+
+    bool isInvalid(std::string_view key, std::string_view value)
+    {
+        return std::holds_alternative<InvalidItem>(decode(key, value));
+    }
+
     TEST(AServersEntry, ThatIsMalformedIsInvalid)
     {
-        const std::vector<std::string> values {
-            "",
-            "not json",
-            "[]",
-            "{}",
-            "\xff\xfe",
-            R"({"service":"draft"})",
-            R"({"service":7,"address":"10.0.0.9:8080","zone":"hall","slots":64,"state":"ready"})",
-            R"({"service":"draft","address":"nowhere","zone":"hall","slots":64,"state":"ready"})",
-            R"({"service":"draft","address":"10.0.0.9:8080","zone":null,"slots":64,"state":"ready"})",
-            R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":"64","state":"ready"})",
-            R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":0,"state":"ready"})",
-            R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":-4,"state":"ready"})",
-            R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":64,"state":"resting"})",
-            R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":64,"state":"ready","born":1.5})",
-            R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":64,"state":"ready","coldRemainingMs":"long"})",
+        for (const std::string_view value : { "", "not json", "[]", "{}", "\xff\xfe", R"({"service":"draft"})" })
+            EXPECT_TRUE(isInvalid("servers/i-1", value)) << value;
+    }
+
+    // Another writer's entry was taken for a server if only fields without a use in this version were missing or of another type.
+    TEST(AServersEntry, OfWhichAFieldIsMissingOrOfAnotherTypeIsInvalid)
+    {
+        EXPECT_FALSE(isInvalid("servers/i-1", withField("slots", "64")));
+        for (const std::string_view name : { "service", "address", "zone", "version", "slots", "state", "coldRemainingMs", "sequence" }) {
+            for (const std::string_view value : { "", "null", "true", "[1]", "{}" })
+                EXPECT_TRUE(isInvalid("servers/i-1", withField(name, value))) << name << ": " << value;
+        }
+        const std::vector<std::pair<std::string_view, std::vector<std::string_view>>> badValues {
+            { "service", { "7" } },
+            { "address", { "7", R"("nowhere")", R"("host.example:80")", R"("10.0.0.9:0")", R"("0.0.0.0:80")", R"("10.0.0.9:65536")", R"("10.0.0.9:80\r\nX: y")" } },
+            { "zone", { "7" } },
+            { "slots", { R"("64")", "0", "-4", "1.5", "1e300" } },
+            { "state", { "1", R"("resting")" } },
+            { "coldRemainingMs", { R"("long")", "-1", "1e999" } },
+            { "remainingMs", { "null", R"("long")", "-1" } },
+            { "sequence", { R"("4")", "-1", "0.5" } },
+            { "born", { "null", "1.5", "-1", R"("1790000000000")", "1e300" } },
+            { "stage", { "null", "1" } },
         };
-        for (const auto& value : values)
-            EXPECT_TRUE(std::holds_alternative<InvalidItem>(decode("servers/i-1", value))) << value;
+        for (const auto& [name, values] : badValues) {
+            for (const auto value : values)
+                EXPECT_TRUE(isInvalid("servers/i-1", withField(name, value))) << name << ": " << value;
+        }
+    }
+
+    // The id is sent in a header of each request to the server.
+    TEST(AServersEntry, WhoseKeyHoldsNoIdIsInvalid)
+    {
+        for (const std::string key : { "servers/", "servers/i-1\r\nX-Hold: 1", "servers/i 1", "servers/i-1\n" })
+            EXPECT_TRUE(isInvalid(key, validServer)) << key;
+    }
+
+    // The sum of a longer time with the clock's overflowed.
+    TEST(AServersEntry, HoldsTimesOfADayAtMost)
+    {
+        const auto item = decode("servers/i-1", withField("coldRemainingMs", "1e300"));
+        EXPECT_EQ(std::get<ServerEntry>(item).coldFor, std::chrono::hours(24));
+    }
+
+    TEST(AServersEntry, MayLackTheTimeOfItsStart)
+    {
+        const auto item = decode("servers/i-1", withField("born", ""));
+        EXPECT_EQ(std::get<ServerEntry>(item).server.identity.startedAtMs, 0);
     }
 
-    TEST(AServersEntry, HoldsItsSoftwareVersionWhateverItsType)
+    TEST(AServersEntry, HoldsItsSoftwareVersionAsTextOrNumber)
     {
-        const std::vector<std::pair<std::string, std::string>> versions { { R"(,"version":"2.0")", "2.0" }, { R"(,"version":2)", "2" }, { R"(,"version":null)", "" }, { "", "" } };
-        for (const auto& [field, text] : versions) {
-            const auto item = decode("servers/i-1", R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":4,"state":"ready")" + field + "}");
+        for (const auto& [field, text] : std::vector<std::pair<std::string, std::string>> { { R"("2.0")", "2.0" }, { "2", "2" } }) {
+            const auto item = decode("servers/i-1", withField("version", field));
             const auto* entry = std::get_if<ServerEntry>(&item);
             ASSERT_TRUE(entry) << field;
             EXPECT_EQ(entry->server.softwareVersion, text) << field;
@@ -63,7 +108,7 @@
 
     TEST(AServersEntry, HoldsTheTimeToItsDeparture)
     {
-        const auto item = decode("servers/i-1", R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","slots":4,"state":"draining","remainingMs":2000})");
+        const auto item = decode("servers/i-1", R"({"service":"draft","address":"10.0.0.9:8080","zone":"hall","version":"v1","slots":4,"state":"draining","coldRemainingMs":0,"remainingMs":2000,"sequence":4})");
         const auto* entry = std::get_if<ServerEntry>(&item);
         ASSERT_TRUE(entry);
         EXPECT_TRUE(entry->server.draining);
