Give up an answer of the own interface that goes on past its deadline

Each read got a millisecond even after the deadline, which is enough for a server whose bytes are always there already: comments of a stream without end were read for ever.

--- a/src/yuccashift/http/backend_client.cpp
+++ b/src/yuccashift/http/backend_client.cpp
@@ -177,6 +177,9 @@
         asio::awaitable<Result<std::string_view>> next() override
         {
             while (!m_parser.is_done()) {
+                // The time limit of a read ends no answer whose bytes are always there already.
+                if (m_clock.now() >= m_deadline)
+                    co_return fail(ErrorKind::DeadlineExceeded, "backend server " + toString(m_endpoint) + ": its answer has no end");
                 auto& body = m_parser.get().body();
                 body.data = m_chunk.data();
                 body.size = m_chunk.size();
--- a/tests/contracts/backend_client_test.cpp
+++ b/tests/contracts/backend_client_test.cpp
@@ -202,6 +202,28 @@
         ASSERT_FALSE(get(server));
     }
 
+    // Comments of a stream are no event, and bytes that arrive faster than they are read let no read expire.
+    TEST_F(ABackendConnection, ThatSendsBytesWithoutEndIsGivenUpAtTheDeadline)
+    {
+        const ScriptedServer server([](ScriptedConnection& connection) {
+            if (!connection.readRequest())
+                return;
+            connection.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+            connection.writeWithoutEnd("400\r\n" + std::string(1023, ':') + "\n\r\n");
+        });
+        auto call = callTo(server);
+        call.deadline = clock.now() + milliseconds(200);
+        const auto answer = await(client->send(std::move(call)));
+        ASSERT_TRUE(answer);
+        Result<std::string_view> part = std::string_view();
+        const auto giveUpAt = clock.now() + seconds(5);
+        do {
+            part = await((*answer)->next());
+        } while (part && clock.now() < giveUpAt);
+        ASSERT_FALSE(part) << "the answer went on after its deadline";
+        EXPECT_EQ(part.error().kind, ErrorKind::DeadlineExceeded);
+    }
+
     TEST_F(ABackendConnection, IsNewWhenTheCallRequiresAFreshOne)
     {
         const ScriptedServer server([](ScriptedConnection& connection) {
