Take no unnamed answer on a connection whose answers name their requests

A late second copy of an answer that lacks the id was taken for the answer to the next request on its connection.

--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -334,9 +334,11 @@
     request.bytes = forwardedRequest(m_exchange->request(), m_core.protocol, headers);
     request.maxIdleAge = m_request.route->retryable() ? maxIdleRetryable : maxIdleNonRetryable;
     request.connectTimeout = serverConnectTimeout;
-    request.matchesRequest = [&protocol = m_core.protocol, id = m_request.metadata.attemptId](const AnswerHead& head) {
+    request.ownerOf = [&protocol = m_core.protocol, id = m_request.metadata.attemptId](const AnswerHead& head) {
         const auto echoed = protocol.decodeAnswer(head).attemptId;
-        return !echoed || *echoed == id;
+        if (!echoed)
+            return AnswerOwner::Unnamed;
+        return *echoed == id ? AnswerOwner::ThisRequest : AnswerOwner::AnotherRequest;
     };
     const auto uncachedTokens = m_request.metadata.work.promptTokens - std::min(m_request.metadata.work.promptTokens, candidate.cachedTokens);
     m_requestTicket = m_core.serverTracker.onSend(server.identityHash, { m_request.metadata.work, uncachedTokens, plan.choice.predicted, candidate.slowness, candidate.engine, candidate.memoryTokens, candidate.slots });
--- a/src/yuccashift/http/outbound.cpp
+++ b/src/yuccashift/http/outbound.cpp
@@ -369,7 +369,12 @@
                 head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
             if (const auto limit = announcedIdleTimeout(head.headers))
                 m_idleTimeout = limit;
-            m_answerMatches = head.status >= firstFinalStatus && (!m_request.matchesRequest || m_request.matchesRequest(head));
+            const auto owner = head.status >= firstFinalStatus && m_request.ownerOf ? m_request.ownerOf(head) : AnswerOwner::ThisRequest;
+            // A server that names the requests of its answers does so in all of them; this one may be a late copy of an earlier answer.
+            if (owner == AnswerOwner::Unnamed && m_answersAreNamed)
+                return fail(OutboundFailure::Lost, "the answer names no request, unlike those before it on the connection");
+            m_answersAreNamed = m_answersAreNamed || (m_request.ownerOf && head.status >= firstFinalStatus && owner == AnswerOwner::ThisRequest);
+            m_answerMatches = head.status >= firstFinalStatus && owner != AnswerOwner::AnotherRequest;
             if (m_answerMatches)
                 m_listener->onAnswerHead(head);
             else if (head.status >= firstFinalStatus)
@@ -407,7 +412,7 @@
         void releaseConnection()
         {
             m_parser.reset();
-            m_request.matchesRequest = nullptr;
+            m_request.ownerOf = nullptr;
             if (!m_reusable)
                 return close();
             m_idle = true;
@@ -450,6 +455,8 @@
         bool m_answerDone = false;
         bool m_headSeen = false;
         bool m_answerMatches = true;
+        /** Whether an answer on this connection has named its request. */
+        bool m_answersAreNamed = false;
         bool m_reusable = false;
     };
 
--- a/src/yuccashift/http/outbound.hpp
+++ b/src/yuccashift/http/outbound.hpp
@@ -40,6 +40,14 @@
     virtual void onAnswerFailure(OutboundFailure, std::string_view reason) = 0;
 };
 
+/** Which request an answer belongs to, by its head. */
+enum class AnswerOwner {
+    ThisRequest,
+    AnotherRequest,
+    /** The head does not name a request. */
+    Unnamed,
+};
+
 /** One request to another process. */
 struct OutboundRequest {
     Endpoint endpoint;
@@ -47,8 +55,11 @@
     std::string poolKey;
     /** Request line, headers and body as they are sent. */
     std::string bytes;
-    /** Whether an answer with this head belongs to the request; others are read and discarded. Accepts every answer if empty. */
-    std::function<bool(const AnswerHead&)> matchesRequest;
+    /**
+     * Tells the owner of an answer with this head. Answers to other requests are read and discarded. One that names no
+     * request fails the exchange if an earlier one on the connection named its own. Accepts every answer if empty.
+     */
+    std::function<AnswerOwner(const AnswerHead&)> ownerOf;
     /** Maximum idle time of a reused connection; zero always opens a new one. */
     Duration maxIdleAge = seconds(60);
     Duration connectTimeout = seconds(1);
--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -60,7 +60,12 @@
             request.poolKey = "server";
             request.bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
             request.maxIdleAge = maxIdleAge;
-            request.matchesRequest = [](const AnswerHead& head) { return findHeader(head.headers, "X-Id").value_or("mine") == "mine"; };
+            request.ownerOf = [](const AnswerHead& head) {
+                const auto id = findHeader(head.headers, "X-Id");
+                if (!id)
+                    return AnswerOwner::Unnamed;
+                return *id == "mine" ? AnswerOwner::ThisRequest : AnswerOwner::AnotherRequest;
+            };
             const auto exchange = pool.start(std::move(request), collector);
             io.restart();
             io.run();
@@ -220,6 +225,35 @@
         EXPECT_EQ(pool.counts().strayAnswers, 1u);
     }
 
+    // The second copy came late, without the id, on the connection of the next caller, who got it.
+    TEST_F(AnOutboundExchange, FailsRatherThanTakeAnUnnamedAnswerAfterNamedOnes)
+    {
+        const ScriptedServer server([](ScriptedConnection& it) {
+            it.readRequest();
+            it.write(bodyOk);
+            it.readRequest();
+            it.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            it.write(bodyOk);
+            it.readRequest();
+        });
+        EXPECT_TRUE(call(server).ended);
+        const auto second = call(server);
+        EXPECT_FALSE(second.ended);
+        EXPECT_EQ(second.failure, OutboundFailure::Lost);
+        EXPECT_EQ(server.connections(), 1);
+    }
+
+    TEST_F(AnOutboundExchange, TakesUnnamedAnswersOfAServerThatNamesNone)
+    {
+        const ScriptedServer server([](ScriptedConnection& it) {
+            while (it.readRequest())
+                it.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        });
+        EXPECT_TRUE(call(server).ended);
+        EXPECT_TRUE(call(server).ended);
+        EXPECT_EQ(server.connections(), 1);
+    }
+
     TEST_F(AnOutboundExchange, ClosesAConnectionThatSendsBytesAfterItsAnswer)
     {
         const ScriptedServer server([](ScriptedConnection& it) {
