--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http.hpp>
 #include <gtest/gtest.h>
 #include <sstream>
+#include <thread>
 
 namespace yuccashift {
 namespace {
@@ -307,6 +308,39 @@
         }
     }
 
+    // Bytes that are no event, now and then, must not keep a request alive; events that are far apart must not end one.
+    TEST_F(ARequestInProgress, ForAStreamEndsAtItsTimeLimitAndNotBefore)
+    {
+        for (auto& route : m_items.config.routes)
+            route.timeLimit = milliseconds(700);
+        const ScriptedServer dripping([](ScriptedConnection& connection) {
+            if (!connection.readRequest())
+                return;
+            connection.write(streamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(firstEvent));
+            for (int n = 0; n < 50; ++n) {
+                std::this_thread::sleep_for(milliseconds(40));
+                connection.write(chunk(":"));
+            }
+        });
+        Instance stalled(m_items, { &dripping });
+        const auto brokenOff = stalled.call("/once/x");
+        EXPECT_EQ(brokenOff.status, 200);
+        EXPECT_FALSE(brokenOff.complete);
+        EXPECT_NE(stalled.core.metrics.renderPrometheus().find("broken_off"), std::string::npos);
+
+        const ScriptedServer slow([](ScriptedConnection& connection) {
+            if (!connection.readRequest())
+                return;
+            connection.write(streamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(firstEvent));
+            std::this_thread::sleep_for(milliseconds(500));
+            connection.write(chunk(secondEvent) + "0\r\n\r\n");
+        });
+        Instance sound(m_items, { &slow });
+        const auto whole = sound.call("/once/x");
+        EXPECT_TRUE(whole.complete);
+        EXPECT_EQ(whole.body, firstEvent + secondEvent);
+    }
+
     // Without chunks, only a reset tells the caller that the answer is incomplete.
     TEST_F(ARequestInProgress, OverHttp10IsResetWhenItsStreamBreaksOff)
     {
--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -423,6 +423,35 @@
         EXPECT_NE(exchange("GET / HTTP/1.1\r\nHost:").find(" 408 "), std::string::npos);
     }
 
+    // An instance that stops ends its process only when this says that nothing is left to write.
+    TEST_F(AnInboundServer, TellsWhetherACallerHasNotReadItsWholeAnswer)
+    {
+        constexpr std::size_t bodyBytes = 3 << 20;
+        echo.bounds.maxBodyBytes = bodyBytes;
+        tcp::socket socket(client);
+        socket.open(tcp::v4());
+        socket.set_option(asio::socket_base::receive_buffer_size(4096));
+        socket.connect({ asio::ip::make_address(endpoint.host), endpoint.port });
+        const std::string head = "POST /wait HTTP/1.1\r\nHost: a\r\n\r\n";
+        asio::write(socket, asio::buffer(head));
+        while (!echo.pending)
+            io.run_one();
+        EXPECT_FALSE(server.hasUnsentBytes());
+        echo.pending->sendComplete({}, std::string(bodyBytes, 'x'));
+        while (io.poll() > 0) { }
+        EXPECT_TRUE(server.hasUnsentBytes());
+        std::vector<char> buf(64 * 1024);
+        socket.non_blocking(true);
+        for (std::size_t got = 0; got < bodyBytes;) {
+            io.poll();
+            boost::system::error_code ec;
+            got += socket.read_some(asio::buffer(buf), ec);
+            ASSERT_TRUE(!ec || ec == asio::error::would_block) << ec.message();
+        }
+        while (io.poll() > 0) { }
+        EXPECT_FALSE(server.hasUnsentBytes());
+    }
+
     TEST_F(AnInboundServer, AsksCallersOfAStoppingInstanceToClose)
     {
         echo.stops = true;
