--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -144,10 +144,12 @@
     if (m_reachabilityUpdatedAt && now - *m_reachabilityUpdatedAt < ownershipInterval)
         return m_reachesNoServer;
     m_reachabilityUpdatedAt = now;
+    const auto routes = m_fleetState.routes();
     std::map<ServiceName, bool> viaOwners;
     m_reachesNoServer = false;
     for (const auto& [key, server] : m_fleetState.servers()) {
-        if (!isUsableLocally(server))
+        // Nothing is sent to a server whose service no configuration names, so that it never fails.
+        if (!isUsableLocally(server) || !routes || !routes->config().names(server.service))
             continue;
         if (m_serverTracker.statusOf(server.identityHash).suspect) {
             m_reachesNoServer = true;
@@ -446,7 +448,8 @@
         const bool eligible = (peer->region != m_settings.region || local.unreachable()) && namesOrganisations(*peer);
         const bool usable = eligible && allowed.allows(peer->region) && !peer->draining && now >= peer->backOffUntil && !tried.contains(peer->instance);
         const auto capacity = peer->capacityByService.find(service);
-        if (usable && mayContinue(*peer) && capacity != peer->capacityByService.end() && capacity->second.freeSlots > 0)
+        const bool hasCapacity = capacity != peer->capacityByService.end() && (capacity->second.freeSlots > 0 || local.reachesNone());
+        if (usable && mayContinue(*peer) && hasCapacity)
             byRegion[peer->region].push_back(peer);
     }
     for (const auto& [region, regionPeers] : byRegion) {
@@ -470,6 +473,7 @@
     typical.promptTokens = typicalPromptTokens;
     for (const auto& [service, traits] : routes->config().services) {
         ServiceCapacity capacity;
+        bool usable = false;
         for (std::size_t level = 0; level < priorityLevels; ++level) {
             typical.priority = level;
             auto plan = collectCandidates(service, typical, {}, {});
@@ -479,10 +483,11 @@
             if (!plan.choice.best)
                 break;
             capacity.wait[level] = plan.choice.predicted;
+            usable = true;
             if (level == 0)
                 capacity.freeSlots = freeSlots(plan);
         }
-        if (capacity.freeSlots > 0)
+        if (usable)
             capacities[service] = capacity;
     }
     return capacities;
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -275,9 +275,9 @@
     if (!question)
         return sendText(exchange, 404, "text/plain", "unknown question\n");
     DirectoryView view;
-    view.self = { core.settings.region, core.settings.datacentre, core.settings.ip, ready() };
+    view.self = { core.settings.region, core.settings.datacentre, core.settings.ip, ready(), !core.planner.reachesNoServer() };
     for (const auto* member : core.peerTable.alive())
-        view.others.push_back({ member->region, member->datacentre, member->ip, member->takesCallers && !member->draining });
+        view.others.push_back({ member->region, member->datacentre, member->ip, member->takesCallers && !member->draining, !member->reachesNoServer });
     const auto routes = core.fleetState.routes();
     const auto fitness = [&](const RegionName& region) {
         return routes ? core.regionDemand.servableShare(region, routes->config()) : 1.0;
@@ -422,7 +422,9 @@
     const auto now = clock.now();
     if (now - core.shutdown->startedAt < grace * minShutdownShareOfGrace)
         return;
-    if (!core.activeRequests.empty() && now < core.shutdown->endsBy)
+    // The end of the process would cut answers off that are complete and not yet written.
+    const bool inProgress = !core.activeRequests.empty() || callers.hasUnsentBytes() || peers.hasUnsentBytes();
+    if (inProgress && now < core.shutdown->endsBy)
         return;
     stop();
 }
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -298,6 +298,7 @@
     if (plan.local.choice.best)
         input.localTimeToFirstByte = plan.local.choice.predicted;
     input.prefixPrefillTime = plan.local.prefixPrefillTime;
+    input.reachesNoServer = plan.local.reachesNone();
     input.remotes = plan.remote.candidates;
     input.idleTimeToFirstByte = predictIdleTimeToFirstByte(m_request.routes->config().serviceConfig(m_request.service).engine, m_request.metadata.work);
     input.objective = firstByteTimeLeft();
@@ -387,9 +388,11 @@
     request.bytes = forwardedRequest(m_exchange->request(), m_core.protocol, m_request.callerIdentity(), headers);
     request.maxIdleAge = m_request.route->retryable() ? maxIdleRetryable : maxIdleNonRetryable;
     request.connectTimeout = serverConnectTimeout;
-    request.matchesRequest = [&protocol = m_core.protocol, id = m_request.metadata.attemptId](const AnswerHead& head) {
+    request.ownerOf = [&protocol = m_core.protocol, id = m_request.metadata.attemptId](const AnswerHead& head) {
         const auto echoed = protocol.decodeAnswer(head).attemptId;
-        return !echoed || *echoed == id;
+        if (!echoed)
+            return AnswerOwner::Unnamed;
+        return *echoed == id ? AnswerOwner::ThisRequest : AnswerOwner::AnotherRequest;
     };
     const auto uncachedTokens = m_request.metadata.work.promptTokens - std::min(m_request.metadata.work.promptTokens, candidate.cachedTokens);
     m_requestTicket = m_core.serverTracker.onSend(server.identityHash, { m_request.metadata.work, uncachedTokens, plan.choice.predicted, candidate.slowness, candidate.engine, candidate.memoryTokens, candidate.slots });
--- a/tests/entry/answers_test.cpp
+++ b/tests/entry/answers_test.cpp
@@ -119,6 +119,21 @@
         EXPECT_FALSE(extractHopMetadata(headers));
     }
 
+    TEST(HopHeaders, NameTimesThatCanBeAddedToTheClocks)
+    {
+        for (const std::string_view count : { "9223372036854775807", "-9223372036854775808" }) {
+            HeaderFields headers { { "Yuccashift-Origin", "a" }, { "Yuccashift-Config", "1" }, { "Yuccashift-Service", "draft" } };
+            for (const auto* name : { "Yuccashift-Deadline", "Yuccashift-Objective", "Yuccashift-Accept-Within" })
+                headers.push_back({ name, std::string(count) });
+            const auto metadata = extractHopMetadata(headers);
+            ASSERT_TRUE(metadata);
+            for (const auto time : { metadata->deadline, metadata->objective, *metadata->acceptWithin }) {
+                EXPECT_GE(time, milliseconds(0));
+                EXPECT_LE(time, std::chrono::hours(24));
+            }
+        }
+    }
+
     TEST(AHopFailure, PreservesTheRunStateAndWhetherAServerWasReached)
     {
         for (const auto state : { RunState::NotRun, RunState::Ran, RunState::OutcomeUnknown }) {
@@ -228,6 +243,19 @@
         EXPECT_EQ(named(), (std::vector<std::string> { "10.0.0.4:80" }));
     }
 
+    // All instances of a region had lost their links to its servers and forwarded to other regions until these links failed too.
+    TEST_F(ADirectoryAnswer, NamesAnotherRegionWhileNoInstanceOfTheCallersOneReachesAServer)
+    {
+        view.self.reachesServers = false;
+        EXPECT_EQ(named().size(), 2u) << "one of them reaches servers for the other";
+        view.others[0].reachesServers = false;
+        EXPECT_EQ(named(), (std::vector<std::string> { "10.0.0.3:80", "10.0.0.4:80" }));
+        view.others[1].reachesServers = false;
+        EXPECT_EQ(named(), (std::vector<std::string> { "10.0.0.4:80" }));
+        view.others[2].reachesServers = false;
+        EXPECT_EQ(named(), (std::vector<std::string> { "10.0.0.2:80", "10.0.0.1:80" }));
+    }
+
     TEST_F(ADirectoryAnswer, IsEmptyIfNoInstanceAcceptsCallers)
     {
         view.self.takesCallers = false;
--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -60,7 +60,12 @@
             request.poolKey = "server";
             request.bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
             request.maxIdleAge = maxIdleAge;
-            request.matchesRequest = [](const AnswerHead& head) { return findHeader(head.headers, "X-Id").value_or("mine") == "mine"; };
+            request.ownerOf = [](const AnswerHead& head) {
+                const auto id = findHeader(head.headers, "X-Id");
+                if (!id)
+                    return AnswerOwner::Unnamed;
+                return *id == "mine" ? AnswerOwner::ThisRequest : AnswerOwner::AnotherRequest;
+            };
             const auto exchange = pool.start(std::move(request), collector);
             io.restart();
             io.run();
@@ -220,6 +225,35 @@
         EXPECT_EQ(pool.counts().strayAnswers, 1u);
     }
 
+    // The second copy came late, without the id, on the connection of the next caller, who got it.
+    TEST_F(AnOutboundExchange, FailsRatherThanTakeAnUnnamedAnswerAfterNamedOnes)
+    {
+        const ScriptedServer server([](ScriptedConnection& it) {
+            it.readRequest();
+            it.write(bodyOk);
+            it.readRequest();
+            it.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            it.write(bodyOk);
+            it.readRequest();
+        });
+        EXPECT_TRUE(call(server).ended);
+        const auto second = call(server);
+        EXPECT_FALSE(second.ended);
+        EXPECT_EQ(second.failure, OutboundFailure::Lost);
+        EXPECT_EQ(server.connections(), 1);
+    }
+
+    TEST_F(AnOutboundExchange, TakesUnnamedAnswersOfAServerThatNamesNone)
+    {
+        const ScriptedServer server([](ScriptedConnection& it) {
+            while (it.readRequest())
+                it.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        });
+        EXPECT_TRUE(call(server).ended);
+        EXPECT_TRUE(call(server).ended);
+        EXPECT_EQ(server.connections(), 1);
+    }
+
     TEST_F(AnOutboundExchange, ClosesAConnectionThatSendsBytesAfterItsAnswer)
     {
         const ScriptedServer server([](ScriptedConnection& it) {
@@ -389,6 +423,35 @@
         EXPECT_NE(exchange("GET / HTTP/1.1\r\nHost:").find(" 408 "), std::string::npos);
     }
 
+    // An instance that stops ends its process only when this says that nothing is left to write.
+    TEST_F(AnInboundServer, TellsWhetherACallerHasNotReadItsWholeAnswer)
+    {
+        constexpr std::size_t bodyBytes = 3 << 20;
+        echo.bounds.maxBodyBytes = bodyBytes;
+        tcp::socket socket(client);
+        socket.open(tcp::v4());
+        socket.set_option(asio::socket_base::receive_buffer_size(4096));
+        socket.connect({ asio::ip::make_address(endpoint.host), endpoint.port });
+        const std::string head = "POST /wait HTTP/1.1\r\nHost: a\r\n\r\n";
+        asio::write(socket, asio::buffer(head));
+        while (!echo.pending)
+            io.run_one();
+        EXPECT_FALSE(server.hasUnsentBytes());
+        echo.pending->sendComplete({}, std::string(bodyBytes, 'x'));
+        while (io.poll() > 0) { }
+        EXPECT_TRUE(server.hasUnsentBytes());
+        std::vector<char> buf(64 * 1024);
+        socket.non_blocking(true);
+        for (std::size_t got = 0; got < bodyBytes;) {
+            io.poll();
+            boost::system::error_code ec;
+            got += socket.read_some(asio::buffer(buf), ec);
+            ASSERT_TRUE(!ec || ec == asio::error::would_block) << ec.message();
+        }
+        while (io.poll() > 0) { }
+        EXPECT_FALSE(server.hasUnsentBytes());
+    }
+
     TEST_F(AnInboundServer, AsksCallersOfAStoppingInstanceToClose)
     {
         echo.stops = true;
