--- a/src/yuccashift/entry/entry_core.cpp
+++ b/src/yuccashift/entry/entry_core.cpp
@@ -16,7 +16,7 @@
     , peerTable(clock, settings.instance)
     , serverTracker(clock)
     , retryBudget(clock, settings.retryBudgetLimits)
-    , fleetLimits(clock.now())
+    , fleetLimits(clock.now(), settings.limitTolerance)
     , crashTracker(clock)
     , streamOrigins(clock, settings, peerTable)
     , serverConnections(io, clock)
--- a/src/yuccashift/entry/entry_settings.hpp
+++ b/src/yuccashift/entry/entry_settings.hpp
@@ -3,6 +3,7 @@
 #include "yuccashift/dispatch/fleet_retry_budget.hpp"
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/ids.hpp"
+#include "yuccashift/limits/fleet_limits.hpp"
 
 #include <algorithm>
 #include <map>
@@ -53,6 +54,7 @@
     /** Maximum time for which callers may use a directory answer. */
     Duration maxDirectoryTtl = seconds(5);
     RetryBudgetLimits retryBudgetLimits;
+    LimitTolerance limitTolerance;
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -185,7 +185,7 @@
     m_chargedLimit = decision.admitted();
     if (m_chargedLimit)
         return {};
-    logInfo("organisation over its limit", { { "request", m_request.metadata.attemptId }, { "organisation", organisation->name }, { "bound", toString(decision.bound) }, { "cost", std::lround(m_request.fleetLimitCost) }, { "limit", std::lround(limit.perSecond) }, { "share_permille", std::lround(decision.share * permille) }, { "balance", std::lround(decision.balance) }, { "own_demand", std::lround(decision.ownDemand) }, { "fleet_demand", std::lround(decision.fleetDemand) }, { "oldest_report_ms", toMilliseconds(decision.oldestReport) }, { "retry_after_ms", toMilliseconds(decision.retryAfter) } });
+    logInfo("organisation over its limit", { { "request", m_request.metadata.attemptId }, { "organisation", organisation->name }, { "bound", toString(decision.bound) }, { "cost", std::lround(m_request.fleetLimitCost) }, { "limit", std::lround(limit.perSecond) }, { "share_permille", std::lround(decision.share * permille) }, { "balance", std::lround(decision.balance) }, { "own_demand", std::lround(decision.ownDemand) }, { "fleet_demand", std::lround(decision.fleetDemand) }, { "others_use", std::lround(decision.othersUse) }, { "oldest_report_ms", toMilliseconds(decision.oldestReport) }, { "retry_after_ms", toMilliseconds(decision.retryAfter) } });
     return tl::unexpected(Error { ErrorKind::LimitExceeded, {}, {}, decision.retryAfter });
 }
 
--- a/src/yuccashift/limits/fleet_limits.cpp
+++ b/src/yuccashift/limits/fleet_limits.cpp
@@ -35,6 +35,8 @@
     constexpr double requestsInRoom = 6;
     /** Demand over the limit from which on all admit the same part of it; less may be chance, where requests are few. */
     constexpr double overload = 1.5;
+    /** Part of the tolerance that is granted as burst; the rest is for what the others admit before a report of it comes. */
+    constexpr double grantedTolerance = 0.2;
     /** Overuse, in seconds of the limit, at which nothing is admitted any more. */
     constexpr double stopDebt = 0.5;
     /** The same in requests; a limit of few requests a second is exceeded by each of them. */
@@ -102,8 +104,9 @@
     return "none";
 }
 
-FleetLimits::FleetLimits(Instant startedAt)
+FleetLimits::FleetLimits(Instant startedAt, LimitTolerance tolerance)
     : m_startedAt(startedAt)
+    , m_tolerance(tolerance)
     , m_reportInterval(milliseconds(100))
     , m_lastReportAt(startedAt)
 {
@@ -125,9 +128,10 @@
     return now - party.heardAt > (party.isRegion ? std::max(minRegionSilence, m_reportInterval * regionSilenceIntervals) : std::max(minSilence, m_reportInterval * silenceIntervals));
 }
 
-double FleetLimits::burstOf(const Entry& entry)
+double FleetLimits::burstOf(const Entry& entry) const
 {
-    return entry.limit.burst * entry.burstPart;
+    const double allowed = entry.limit.perSecond * Seconds(m_tolerance.window).count() + entry.limit.burst;
+    return entry.burstPart * (entry.limit.burst + grantedTolerance * (allowed * m_tolerance.overage + m_tolerance.slack));
 }
 
 double FleetLimits::stopAt(const Entry& entry)
@@ -143,7 +147,7 @@
 
 // Where many instances get a request each now and then, their own balances hold none of them back. While more is demanded
 // than the limit, they admit the same part of all requests, whatever their size, rather than all or none by turns.
-double FleetLimits::partInOverload(const Entry& entry, double fleetDemand)
+double FleetLimits::partInOverload(const Entry& entry, double fleetDemand) const
 {
     const double threshold = overload * entry.limit.perSecond;
     const bool lasting = entry.usualDemand > threshold && entry.balance < wellFilled * burstOf(entry);
@@ -156,13 +160,13 @@
     return entry.meanCost > 0 ? entry.meanSquareCost / entry.meanCost : 0;
 }
 
-double FleetLimits::aheadOfShare(const Entry& entry, double share)
+double FleetLimits::aheadOfShare(const Entry& entry, double share) const
 {
     const double fullness = burstOf(entry) <= 0 ? 0 : std::clamp(entry.balance / (wellFilled * burstOf(entry)), 0.0, 1.0);
     return fullness * std::max(share * burstOf(entry), requestsInRoom * usualCost(entry));
 }
 
-double FleetLimits::shareDepth(const Entry& entry, double share)
+double FleetLimits::shareDepth(const Entry& entry, double share) const
 {
     return std::max(share * entry.limit.burst, requestsAhead * usualCost(entry));
 }
@@ -268,6 +272,7 @@
     entry.usedAt = now;
     decision.share = shareOf(entry, now);
     decision.ownDemand = entry.meanDemanded;
+    decision.othersUse = entry.othersCharged;
     decision.fleetDemand = entry.meanDemanded + entry.othersDemanded;
     if (entry.balance <= -stopAt(entry) || draw >= partInOverload(entry, decision.fleetDemand))
         decision.bound = LimitBound::Fleet;
--- a/src/yuccashift/limits/fleet_limits.hpp
+++ b/src/yuccashift/limits/fleet_limits.hpp
@@ -26,6 +26,15 @@
     bool operator==(const FleetLimit&) const = default;
 };
 
+/** By how much all instances together may exceed a limit in any window, since they know of each other late. */
+struct LimitTolerance {
+    Duration window = seconds(8);
+    /** Part of what the limit allows in the window. */
+    double overage = 0;
+    /** Tokens on top of that. */
+    double slack = 0;
+};
+
 /** What an instance, or all instances of a region, were asked for and admitted since the report before. */
 struct UsageRate {
     OrganisationKey organisation = 0;
@@ -55,6 +64,8 @@
     /** Tokens per second that callers demand here, and at all instances. */
     double ownDemand = 0;
     double fleetDemand = 0;
+    /** Tokens per second that the others are charged with. */
+    double othersUse = 0;
     /** Tokens left of the fleet's limit, as far as this instance knows; negative after overuse. */
     double balance = 0;
     /** Age of the oldest report that the decision rests on. */
@@ -75,7 +86,7 @@
  */
 class FleetLimits {
 public:
-    explicit FleetLimits(Instant startedAt);
+    explicit FleetLimits(Instant startedAt, LimitTolerance = {});
 
     /** Sets the time between reports to the own region, and the number of instances known, with this one. */
     void setFleet(Duration reportInterval, std::size_t instances);
@@ -195,18 +206,19 @@
     static double fleetUsual(const Entry&);
     double shareOf(const Entry&, Instant now) const;
     /** Most that an instance with this share may go ahead of its reports. */
-    static double shareDepth(const Entry&, double share);
+    double shareDepth(const Entry&, double share) const;
     /** How far an instance may go into debt of its share while the fleet's balance is well filled. */
-    static double aheadOfShare(const Entry&, double share);
+    double aheadOfShare(const Entry&, double share) const;
     /** Overuse at which nothing is admitted any more. */
     static double stopAt(const Entry&);
     /** Factor by which the shares shrink after overuse and grow while there is room. */
     static double shareFactor(const Entry&);
     /** Part of the requests that is admitted while more is demanded than the limit. */
-    static double partInOverload(const Entry&, double fleetDemand);
+    double partInOverload(const Entry&, double fleetDemand) const;
     /** Cost of the request to which a token usually belongs. */
     static double usualCost(const Entry&);
-    static double burstOf(const Entry&);
+    /** Burst that is granted: that of the limit, and the part of the tolerance that reports which come late leave unused. */
+    double burstOf(const Entry&) const;
     static Duration waitOfRefused(Entry&, double cost, double share, Instant now);
     UsageRate ownRate(OrganisationKey, const Entry&, Instant now) const;
     UsageRate regionRate(OrganisationKey, const Entry&, Instant now) const;
@@ -214,6 +226,7 @@
     static std::vector<Candidate> select(std::vector<Candidate>, std::size_t maxCount, Instant now);
 
     Instant m_startedAt;
+    LimitTolerance m_tolerance;
     Duration m_reportInterval;
     std::size_t m_instances = 1;
     Instant m_lastReportAt;
