Expect a shared prefix at one server of every region that many instances share

The instances of a region agree on a home server only for prefixes whose home is their region; those of the other regions were read on seven servers each, since an instance among forty sees too few requests to know what the others sent where. Change: where more than four instances share a region's servers, its home server counts as holding the prefix in every region (for the choice of the region as before only at home), and a server that holds it is preferred whenever it answers within 0.4 of the objective. Of several holders the one that answers first is taken, not the first in order.

--- a/src/yuccashift/dispatch/server_choice.cpp
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -180,20 +180,26 @@
 
     /**
      * Index of the usable server with the longest cached prefix, among those with more
-     * of it cached than the chosen one that answer within `affinityLimit` and whose extra
-     * wait is in proportion to the prefill that they save; else std::nullopt.
+     * of it cached than the chosen one that answer soon enough; else std::nullopt.
      */
-    std::optional<std::size_t> prefixHolder(std::span<const ServerCandidate> candidates, const ServerChoice& choice, const WorkSize& work, Duration affinityLimit)
+    std::optional<std::size_t> prefixHolder(std::span<const ServerCandidate> candidates, const ServerChoice& choice, const WorkSize& work, PrefixAffinity affinity)
     {
         std::optional<std::size_t> holder;
+        Duration holderPredicted {};
         for (std::size_t i = 0; i < candidates.size(); ++i) {
             const auto cached = candidates[i].cachedTokens;
             const auto chosen = candidates[*choice.best].cachedTokens;
-            if (choice.rejectReasons[i] != ServerRejectReason::None || cached <= chosen || cached <= (holder ? candidates[*holder].cachedTokens : 0))
+            const auto held = holder ? candidates[*holder].cachedTokens : 0;
+            if (choice.rejectReasons[i] != ServerRejectReason::None || cached <= chosen || cached < held)
                 continue;
             const auto predicted = predictTimeToFirstByte(candidates[i], work);
-            if (predicted <= affinityLimit && predicted <= choice.predicted + prefillTime(maxWaitPerSavedPrefill * (cached - chosen)))
+            if (cached == held && predicted >= holderPredicted)
+                continue;
+            const bool worthItsWait = predicted <= affinity.limit && predicted <= choice.predicted + prefillTime(maxWaitPerSavedPrefill * (cached - chosen));
+            if (worthItsWait || predicted <= affinity.unconditional) {
                 holder = i;
+                holderPredicted = predicted;
+            }
         }
         return holder;
     }
@@ -213,7 +219,7 @@
     return text;
 }
 
-ServerChoice chooseServer(std::span<const ServerCandidate> candidates, const WorkSize& work, Duration affinityLimit, std::uint64_t randomBits)
+ServerChoice chooseServer(std::span<const ServerCandidate> candidates, const WorkSize& work, PrefixAffinity affinity, std::uint64_t randomBits)
 {
     ServerChoice choice;
     choice.rejectReasons.reserve(candidates.size());
@@ -250,7 +256,7 @@
             runnerUpCost = cost;
         }
     }
-    const auto holder = choice.best ? prefixHolder(candidates, choice, work, affinityLimit) : std::nullopt;
+    const auto holder = choice.best ? prefixHolder(candidates, choice, work, affinity) : std::nullopt;
     if (holder && holder != choice.best) {
         choice.runnerUp = choice.best;
         choice.runnerUpPredicted = choice.predicted;
--- a/src/yuccashift/dispatch/server_choice.hpp
+++ b/src/yuccashift/dispatch/server_choice.hpp
@@ -24,6 +24,8 @@
     std::uint64_t memoryTokens = 0;
     /** Tokens of this request's prompt that the server is expected to have cached. */
     std::uint32_t cachedTokens = 0;
+    /** The part of these tokens that this instance sent there itself, or all of them if the region is the prefix's home. */
+    std::uint32_t surelyCachedTokens = 0;
     ServerLoadSum load;
     /** Tokens left of a less urgent prompt that the server is prefilling. */
     std::int32_t prefillTokensAhead = 0;
@@ -107,14 +109,21 @@
     std::string rejectSummary() const;
 };
 
+/** Within which time a server that has more of the prefix cached is preferred. */
+struct PrefixAffinity {
+    /** It has to answer within this time, and the extra wait has to be in proportion to the prefill that it saves. */
+    Duration limit {};
+    /** If it answers within this time, it is preferred however long the extra wait is. */
+    Duration unconditional {};
+};
+
 /**
  * Chooses the server with the lowest cost: the predicted time to first byte, plus
  * at engines the prefill of uncached tokens once more, since it delays other
  * requests too. The prediction covers waiting prompts of the same or a more urgent
  * priority, cached prefixes, memory and batch size. A server that has more of the
- * prefix cached is preferred if it answers within `affinityLimit` and the extra wait
- * is in proportion to the prefill that it saves. `randomBits` breaks ties.
+ * prefix cached is preferred within the limits given. `randomBits` breaks ties.
  */
-ServerChoice chooseServer(std::span<const ServerCandidate>, const WorkSize&, Duration affinityLimit, std::uint64_t randomBits);
+ServerChoice chooseServer(std::span<const ServerCandidate>, const WorkSize&, PrefixAffinity, std::uint64_t randomBits);
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -44,6 +44,8 @@
     /** With many instances, each request considers a random sample of servers; otherwise all instances would choose the same best server at once. */
     constexpr std::size_t minSampledServers = 4;
     constexpr std::size_t sampledServersPerShare = 2;
+    /** A caller loses nothing by a wait within this share of the objective; a prefix that is prefilled again costs all others. */
+    constexpr double unconditionalAffinityShare = 0.4;
     /** Prompt size for which heartbeats report the queue wait. */
     constexpr std::uint32_t typicalPromptTokens = 512;
 
@@ -251,6 +253,7 @@
     it.memoryTokens = traits.memoryTokens;
     if (const auto* prefixes = m_serverTracker.prefixCacheOf(server.identityHash))
         it.cachedTokens = prefixes->cachedTokens(work.parts);
+    it.surelyCachedTokens = it.cachedTokens;
     it.load = known.total();
     it.prefillTokensAhead = m_serverTracker.prefillTokensAhead(server.identityHash, work.priority);
     it.slowness = m_serverTracker.expectedSlowness(server.identityHash, traits.engine, work.priority);
@@ -302,7 +305,7 @@
     return usableConnectionShare * (isOwner(server) ? ownerConnectionShare : (1 - ownerConnectionShare) / instances);
 }
 
-void DispatchPlanner::assumePrefixCachedAtOwner(std::span<ServerCandidate> candidates, const WorkSize& work)
+void DispatchPlanner::assumePrefixCachedAtOwner(std::span<ServerCandidate> candidates, const WorkSize& work, bool isHomeRegion)
 {
     const auto shared = work.sharedParts();
     if (shared.empty())
@@ -319,6 +322,13 @@
     if (!home)
         return;
     home->cachedTokens = std::max(home->cachedTokens, work.sharedTokens());
+    if (isHomeRegion)
+        home->surelyCachedTokens = home->cachedTokens;
+}
+
+bool DispatchPlanner::serversAreShared() const
+{
+    return ownership().candidateCount() > maxInstancesKnowingLoads;
 }
 
 void DispatchPlanner::sampleCandidates(std::span<ServerCandidate> candidates, const WorkSize& work) const
@@ -369,15 +379,19 @@
 LocalPlan DispatchPlanner::planLocal(const ServiceName& service, const WorkSize& work, Duration objective, const std::set<std::uint64_t>& tried, const StreamSoftware& software, const std::optional<RegionName>& prefixHome) const
 {
     auto plan = collectCandidates(service, work, tried, software);
-    if (prefixHome == m_settings.region)
-        assumePrefixCachedAtOwner(plan.candidates, work);
+    const bool isHomeRegion = prefixHome == m_settings.region;
+    if (isHomeRegion || serversAreShared())
+        assumePrefixCachedAtOwner(plan.candidates, work, isHomeRegion);
     applyStreamSlowness(plan.candidates);
-    const auto soonEnough = std::chrono::duration_cast<Duration>(objective * prefixAffinityObjectiveShare);
+    PrefixAffinity affinity;
+    affinity.limit = std::chrono::duration_cast<Duration>(objective * prefixAffinityObjectiveShare);
+    if (serversAreShared())
+        affinity.unconditional = std::chrono::duration_cast<Duration>(objective * unconditionalAffinityShare);
     if (plan.viaOwner)
         sampleOne(plan.candidates);
     else
         sampleCandidates(plan.candidates, work);
-    plan.choice = chooseServer(plan.candidates, work, soonEnough, m_random.next());
+    plan.choice = chooseServer(plan.candidates, work, affinity, m_random.next());
     describeChoice(plan, work);
     return plan;
 }
@@ -392,7 +406,7 @@
         plan.servers.push_back(&server);
         plan.candidates.push_back(candidate(server, routes->config().serviceConfig(service), work, true));
     }
-    plan.choice = chooseServer(plan.candidates, work, Duration::zero(), m_random.next());
+    plan.choice = chooseServer(plan.candidates, work, {}, m_random.next());
     describeChoice(plan, work);
     return plan;
 }
@@ -410,7 +424,7 @@
     if (!plan.choice.best || !plan.candidates[*plan.choice.best].engine)
         return;
     const auto shared = work.sharedTokens();
-    plan.prefixPrefillTime = prefillTime(shared - std::min(shared, plan.candidates[*plan.choice.best].cachedTokens));
+    plan.prefixPrefillTime = prefillTime(shared - std::min(shared, plan.candidates[*plan.choice.best].surelyCachedTokens));
 }
 
 std::set<RegionName> DispatchPlanner::regionsThatContinue(const ServiceName& service, const StreamSoftware& software) const
@@ -469,7 +483,7 @@
             auto plan = collectCandidates(service, typical, {}, {});
             if (!plan.viaOwner)
                 sampleCandidates(plan.candidates, typical);
-            plan.choice = chooseServer(plan.candidates, typical, Duration::zero(), m_random.next());
+            plan.choice = chooseServer(plan.candidates, typical, {}, m_random.next());
             if (!plan.choice.best)
                 break;
             capacity.wait[level] = plan.choice.predicted;
--- a/src/yuccashift/entry/dispatch_planner.hpp
+++ b/src/yuccashift/entry/dispatch_planner.hpp
@@ -102,8 +102,12 @@
     /**
      * Counts the shared prefix as cached at its owner. All instances of the region
      * compute the same owner, so they prefill the prefix there once without coordination.
+     * Outside the prefix's home region, that is an assumption which does not keep the
+     * request from being forwarded home.
      */
-    static void assumePrefixCachedAtOwner(std::span<ServerCandidate>, const WorkSize&);
+    static void assumePrefixCachedAtOwner(std::span<ServerCandidate>, const WorkSize&, bool isHomeRegion);
+    /** Whether the region has so many instances that each of them knows only a small part of what the servers were sent. */
+    bool serversAreShared() const;
     /** Limits the request to a random sample of the servers, if many instances share them. */
     void sampleCandidates(std::span<ServerCandidate>, const WorkSize&) const;
     /** Whether this instance owns the cold server and its rate allows another request now. */
--- a/tests/dispatch/server_choice_test.cpp
+++ b/tests/dispatch/server_choice_test.cpp
@@ -39,7 +39,7 @@
 
         ServerChoice choose(const WorkSize& work, Duration affinityLimit = Duration::zero(), std::uint64_t randomBits = 0) const
         {
-            return chooseServer(servers, work, affinityLimit, randomBits);
+            return chooseServer(servers, work, { affinityLimit, {}, {} }, randomBits);
         }
     };
 
