Let the instances of a region tell each other what they observed of its servers

Cause: an instance among forty sends each of 46 servers a request every other second, and took ten seconds and more to learn that one runs at 0.6 of the usual speed. It kept a record of its own for each priority, pulled towards the mean of all servers. The ratio of observed to predicted times to first byte lay between 0.5 and 3.3 from server to server. Change: where more than four instances share a region's servers, heartbeats to the own region carry, for up to 48 servers, what the sender observed since its last one: first bytes and their pace, ended requests and failures. The module ServerObservations adds them up with a half-life of three seconds. Slowness and failing servers are read from it.

--- a/src/yuccashift/dispatch/server_tracker.cpp
+++ b/src/yuccashift/dispatch/server_tracker.cpp
@@ -72,6 +72,7 @@
 ServerTracker::ServerTracker(const Clock& clock)
     : m_clock(clock)
     , m_constraints(clock)
+    , m_observations(clock)
 {
     for (auto& perPriority : m_overallSlowness)
         perPriority.fill(1.0);
@@ -127,6 +128,11 @@
     return (status.slowness[index] * samples + m_overallSlowness[engine ? 1 : 0][index] * priorSampleWeight) / (samples + priorSampleWeight);
 }
 
+double ServerTracker::sharedSlowness(std::uint64_t server, bool engine, std::size_t priority) const
+{
+    return m_overallSlowness[engine ? 1 : 0][std::min(priority, priorityLevels - 1)] * m_observations.pace(server);
+}
+
 void ServerTracker::removePending(Record& record, const RequestTicket& ticket)
 {
     if (const auto it = record.pending.find(ticket.sentAt); it != record.pending.end())
@@ -156,6 +162,7 @@
     slowness = samples == 0 ? ratio : runningMean(slowness, ratio);
     samples = std::min(samples + 1, maxSlownessSamples);
     auto& overall = m_overallSlowness[ticket.engine ? 1 : 0][ticket.priority];
+    m_observations.onFirstByte(ticket.server, ratio / overall);
     overall = runningMean(overall, ratio);
 }
 
@@ -194,6 +201,7 @@
     if (outcome == ServerOutcome::Abandoned || outcome == ServerOutcome::Rejected)
         return;
     ++status.outcomeSamples;
+    m_observations.onOutcome(server, outcome != ServerOutcome::Succeeded);
     status.failureShare = runningMean(status.failureShare, outcome == ServerOutcome::Succeeded ? 0.0 : 1.0);
 }
 
@@ -284,6 +292,7 @@
 void ServerTracker::remove(std::uint64_t server)
 {
     m_constraints.remove(server);
+    m_observations.remove(server);
     const auto it = m_records.find(server);
     if (it == m_records.end())
         return;
--- a/src/yuccashift/dispatch/server_tracker.hpp
+++ b/src/yuccashift/dispatch/server_tracker.hpp
@@ -2,6 +2,7 @@
 
 #include "yuccashift/dispatch/prefix_cache_estimator.hpp"
 #include "yuccashift/dispatch/server_constraints.hpp"
+#include "yuccashift/dispatch/server_observations.hpp"
 #include "yuccashift/dispatch/work.hpp"
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/ids.hpp"
@@ -145,6 +146,9 @@
     /** What the servers asked of the instances that send to them. */
     ServerConstraints& constraints() { return m_constraints; }
     const ServerConstraints& constraints() const { return m_constraints; }
+    /** What the instances of the region observe of its servers together. */
+    ServerObservations& observations() { return m_observations; }
+    const ServerObservations& observations() const { return m_observations; }
     /** Status of a server; default values if it is unknown. */
     const ServerStatus& statusOf(std::uint64_t server) const;
     /** Prefixes that the server is expected to have cached; nullptr if it was sent no prompt with parts. */
@@ -158,6 +162,8 @@
      * dominates while it has few samples: with many servers an instance uses each of them rarely.
      */
     double expectedSlowness(std::uint64_t server, bool engine, std::size_t priority) const;
+    /** The same from what all instances of the region observe together; for regions where many instances share the servers. */
+    double sharedSlowness(std::uint64_t server, bool engine, std::size_t priority) const;
     /** Records the first byte of a stream's body, or of an answer; later calls have no effect. */
     void onFirstByte(RequestTicket&);
     /** Records a chunk of a stream; to be called for the first chunk as well. */
@@ -204,6 +210,7 @@
 
     const Clock& m_clock;
     ServerConstraints m_constraints;
+    ServerObservations m_observations;
     std::unordered_map<std::uint64_t, Record> m_records;
     std::map<InstanceId, std::map<std::uint64_t, ServerLoadSum>> m_peerLoads;
     /** Servers of which each other instance has reported as their owner. */
--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -255,10 +255,17 @@
         it.cachedTokens = prefixes->cachedTokens(work.parts);
     it.surelyCachedTokens = it.cachedTokens;
     it.load = known.total();
+    if (serversAreShared() && !viaOwner) {
+        const auto& observations = m_serverTracker.observations();
+        it.slowness = m_serverTracker.sharedSlowness(server.identityHash, traits.engine, work.priority);
+        it.failureShare = observations.failureShare(server.identityHash);
+        it.outcomeSamples = static_cast<std::uint32_t>(observations.outcomes(server.identityHash));
+    } else {
+        it.slowness = m_serverTracker.expectedSlowness(server.identityHash, traits.engine, work.priority);
+        it.failureShare = known.failureShare;
+        it.outcomeSamples = known.outcomeSamples;
+    }
     it.prefillTokensAhead = m_serverTracker.prefillTokensAhead(server.identityHash, work.priority);
-    it.slowness = m_serverTracker.expectedSlowness(server.identityHash, traits.engine, work.priority);
-    it.failureShare = known.failureShare;
-    it.outcomeSamples = known.outcomeSamples;
     it.suspect = known.suspect;
     if (known.ownerReport && now - known.ownerReport->receivedAt < ownerReportLifetime) {
         const auto& report = *known.ownerReport;
--- a/src/yuccashift/entry/dispatch_planner.hpp
+++ b/src/yuccashift/entry/dispatch_planner.hpp
@@ -72,6 +72,8 @@
     RemotePlan planRemote(const AllowedRegions&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried, const StreamSoftware&, const LocalPlan&, const std::optional<RegionName>& prefixHome) const;
     /** Whether connections fail to all servers of this region that this instance uses itself. */
     bool reachesNoServer() const;
+    /** Whether the region has so many instances that each of them knows only a small part of what the servers were sent. */
+    bool serversAreShared() const;
     /** Whether any allowed region has a server that may continue the stream. */
     bool canContinue(const AllowedRegions&, const ServiceName&, const StreamSoftware&) const;
     /** Free capacity of each service in this region, as heartbeats report it to other regions. */
@@ -106,8 +108,6 @@
      * request from being forwarded home.
      */
     static void assumePrefixCachedAtOwner(std::span<ServerCandidate>, const WorkSize&, bool isHomeRegion);
-    /** Whether the region has so many instances that each of them knows only a small part of what the servers were sent. */
-    bool serversAreShared() const;
     /** Limits the request to a random sample of the servers, if many instances share them. */
     void sampleCandidates(std::span<ServerCandidate>, const WorkSize&) const;
     /** Whether this instance owns the cold server and its rate allows another request now. */
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -80,6 +80,32 @@
     }
 
     constexpr double percent = 100;
+    /** Servers of which one heartbeat tells what the sender observed; the rest follows with the next ones. */
+    constexpr std::size_t maxObservedServers = 48;
+
+    ServerObservation decodeObservation(const fleetwire::ServerObservationReport& report)
+    {
+        ServerObservation observation;
+        observation.server = static_cast<std::uint64_t>(static_cast<std::uint32_t>(report.server));
+        // A pace of 0 says nothing, as if there were no first bytes.
+        observation.firstBytes = report.pacePercent > 0 ? report.firstBytes : 0;
+        observation.meanLogPace = report.pacePercent > 0 ? std::log(report.pacePercent / percent) : 0;
+        observation.outcomes = report.outcomes;
+        observation.failures = report.failures;
+        return observation;
+    }
+
+    fleetwire::ServerObservationReport encodeObservation(const ServerObservation& observation)
+    {
+        fleetwire::ServerObservationReport report;
+        report.server = static_cast<std::int32_t>(observation.server);
+        report.firstBytes = static_cast<std::int32_t>(observation.firstBytes);
+        report.pacePercent = static_cast<std::int32_t>(std::lround(std::exp(observation.meanLogPace) * percent));
+        report.outcomes = static_cast<std::int32_t>(observation.outcomes);
+        report.failures = static_cast<std::int32_t>(observation.failures);
+        return report;
+    }
+
     /** In milliseconds; no stream lasts that long. */
     constexpr std::int64_t maxReportedSingleSoftware = 600'000;
 
@@ -239,6 +265,8 @@
     }
     for (const auto& request : heartbeat.serverRequests)
         m_core.serverTracker.constraints().onReport(decodeServerRequest(request));
+    for (const auto& report : heartbeat.observations)
+        m_core.serverTracker.observations().onReport(decodeObservation(report));
     m_core.serverTracker.setPeerLoads(*sender, std::move(loads));
     m_core.serverTracker.setOwnerReports(*sender, reports);
 }
@@ -313,6 +341,18 @@
     }
 }
 
+void Gossip::addObservations(fleetwire::Heartbeat& heartbeat) const
+{
+    const auto observations = m_core.serverTracker.observations().takeOwn(maxObservedServers);
+    if (!m_core.planner.serversAreShared() || heartbeat.reachesNoServer)
+        return;
+    std::vector<fleetwire::ServerObservationReport> reports;
+    for (const auto& it : observations)
+        reports.push_back(encodeObservation(it));
+    if (!reports.empty())
+        heartbeat.__set_observations(std::move(reports));
+}
+
 void Gossip::addCapacity(fleetwire::Heartbeat& heartbeat) const
 {
     heartbeat.reportsCapacity = true;
@@ -386,6 +426,7 @@
         fleetwire::Datagram datagram;
         datagram.__set_heartbeat(makeHeartbeat(withProfile));
         addLoads(datagram.heartbeat);
+        addObservations(datagram.heartbeat);
         if (m_round % roundsBetweenOwnRegionCapacity == 0 || m_core.planner.reachesNoServer() != m_reportedReachesNoServer)
             addCapacity(datagram.heartbeat);
         m_reportedReachesNoServer = m_core.planner.reachesNoServer();
--- a/src/yuccashift/entry/gossip.hpp
+++ b/src/yuccashift/entry/gossip.hpp
@@ -47,6 +47,8 @@
     void sendTo(std::span<const Address>, const std::string& bytes);
     fleetwire::Heartbeat makeHeartbeat(bool withProfile);
     void addLoads(fleetwire::Heartbeat&) const;
+    /** Adds what this instance observed of servers since its last heartbeat, for the instances that share them. */
+    void addObservations(fleetwire::Heartbeat&) const;
     void addCapacity(fleetwire::Heartbeat&) const;
     Duration heartbeatInterval() const;
 
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -48,6 +48,18 @@
     6: optional double bearableRejections,
 }
 
+// What the sender observed of the requests that it sent to a backend server since its last heartbeat to its region.
+struct ServerObservationReport {
+    // Short hash of the server's identity.
+    1: i32 server,
+    // First bytes that arrived, and their time in percent of the expected one, by the mean of all servers.
+    2: i32 firstBytes,
+    3: i32 pacePercent,
+    // Requests that ended, and those of them that failed or were lost.
+    4: i32 outcomes,
+    5: i32 failures,
+}
+
 // A backend server was lost while a request whose prompt has these parts was in progress there.
 struct PromptLoss {
     // Assigned by the instance that sent the request.
@@ -113,6 +125,8 @@
     21: bool reportsCapacity,
     // Connections of the sender to all servers of its region fail, so that it can own none of them.
     22: bool reachesNoServer,
+    // Only to instances of the own region, if it has many. Not sent by earlier versions.
+    23: optional list<ServerObservationReport> observations,
 }
 
 // One item of the platform's store, or its removal.
