Draw servers by what fills them up evenly, and rank three of them for each shared prefix

Cause: each request looked at a uniform sample of four servers, heedless of speed, and took the best by loads that were half a second to a second old; so did all other instances. When the home server of a prefix was busy, the request went to any other one and was read again there. Three servers are ranked for each prefix by rendezvous hashing, and taken in that order up to a quarter of the objective of extra wait. Heartbeats between regions still tell of the best of four; their waits are averaged over the peers heard.

--- a/src/yuccashift/dispatch/server_choice.cpp
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -204,6 +204,22 @@
         return holder;
     }
 
+    /** Index of the usable server with the best rank for the prefix that answers soon enough; std::nullopt if there is none. */
+    std::optional<std::size_t> rankedServer(std::span<const ServerCandidate> candidates, const ServerChoice& choice, const WorkSize& work, PrefixAffinity affinity)
+    {
+        std::optional<std::size_t> ranked;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            const auto rank = candidates[i].prefixRank;
+            if (rank == 0 || choice.rejectReasons[i] != ServerRejectReason::None || (ranked && rank > candidates[*ranked].prefixRank))
+                continue;
+            const auto predicted = predictTimeToFirstByte(candidates[i], work);
+            const auto extra = predicted - choice.predicted;
+            if (predicted <= affinity.unconditional || extra <= affinity.rankedWait)
+                ranked = i;
+        }
+        return ranked;
+    }
+
 } // namespace
 
 std::string ServerChoice::rejectSummary() const
@@ -256,7 +272,9 @@
             runnerUpCost = cost;
         }
     }
-    const auto holder = choice.best ? prefixHolder(candidates, choice, work, affinity) : std::nullopt;
+    auto holder = choice.best && affinity.rankedWait > Duration::zero() ? rankedServer(candidates, choice, work, affinity) : std::nullopt;
+    if (choice.best && !holder)
+        holder = prefixHolder(candidates, choice, work, affinity);
     if (holder && holder != choice.best) {
         choice.runnerUp = choice.best;
         choice.runnerUpPredicted = choice.predicted;
--- a/src/yuccashift/dispatch/server_choice.hpp
+++ b/src/yuccashift/dispatch/server_choice.hpp
@@ -24,6 +24,8 @@
     std::uint64_t memoryTokens = 0;
     /** Tokens of this request's prompt that the server is expected to have cached. */
     std::uint32_t cachedTokens = 0;
+    /** Rank among the servers that all instances of the region choose for the shared prefix, from 1; 0 if it is none of them. */
+    std::uint32_t prefixRank = 0;
     /** The part of these tokens that this instance sent there itself, or all of them if the region is the prefix's home. */
     std::uint32_t surelyCachedTokens = 0;
     ServerLoadSum load;
@@ -115,6 +117,8 @@
     Duration limit {};
     /** If it answers within this time, it is preferred however long the extra wait is. */
     Duration unconditional {};
+    /** The servers with a rank for the prefix are preferred, in that order, up to this extra wait; zero if ranks do not matter. */
+    Duration rankedWait {};
 };
 
 /**
--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -1,6 +1,8 @@
 #include "yuccashift/entry/dispatch_planner.hpp"
 
 #include "yuccashift/dispatch/prefix_home.hpp"
+#include "yuccashift/dispatch/prefix_servers.hpp"
+#include "yuccashift/dispatch/server_sample.hpp"
 #include "yuccashift/kernel/rendezvous.hpp"
 
 #include <algorithm>
@@ -41,11 +43,16 @@
     constexpr std::size_t maxInstancesSharingFreely = 8;
     /** Share of that which a server's owner uses alone; the other instances send it few requests. */
     constexpr double ownerConnectionShare = 0.5;
-    /** With many instances, each request considers a random sample of servers; otherwise all instances would choose the same best server at once. */
-    constexpr std::size_t minSampledServers = 4;
-    constexpr std::size_t sampledServersPerShare = 2;
+    /** Servers at which instances look for what heartbeats report of a region. */
+    constexpr std::size_t reportedSample = 4;
+    /** Share of the servers' capacity that is taken to be in use. Where less is, servers are drawn more evenly than they need be, which costs little. */
+    constexpr double assumedUtilisation = 0.8;
     /** A caller loses nothing by a wait within this share of the objective; a prefix that is prefilled again costs all others. */
     constexpr double unconditionalAffinityShare = 0.4;
+    /** Extra wait, as a share of the objective, for the servers that hold a prefix: when all are busy, reading again makes all busier. */
+    constexpr double rankedWaitShare = 0.25;
+    /** The same holds for a request whose objective has passed. */
+    constexpr Duration minRankedObjective = milliseconds(400);
     /** Prompt size for which heartbeats report the queue wait. */
     constexpr std::uint32_t typicalPromptTokens = 512;
 
@@ -312,43 +319,15 @@
     return usableConnectionShare * (isOwner(server) ? ownerConnectionShare : (1 - ownerConnectionShare) / instances);
 }
 
-void DispatchPlanner::assumePrefixCachedAtOwner(std::span<ServerCandidate> candidates, const WorkSize& work, bool isHomeRegion)
-{
-    const auto shared = work.sharedParts();
-    if (shared.empty())
-        return;
-    ServerCandidate* home = nullptr;
-    std::uint64_t highest = 0;
-    for (auto& it : candidates) {
-        const auto weight = prefixServerWeight(shared.back().id, it.key);
-        if (it.barred() || it.cold || (home && weight < highest))
-            continue;
-        home = &it;
-        highest = weight;
-    }
-    if (!home)
-        return;
-    home->cachedTokens = std::max(home->cachedTokens, work.sharedTokens());
-    if (isHomeRegion)
-        home->surelyCachedTokens = home->cachedTokens;
-}
-
 bool DispatchPlanner::serversAreShared() const
 {
     return ownership().candidateCount() > maxInstancesKnowingLoads;
 }
 
-void DispatchPlanner::sampleCandidates(std::span<ServerCandidate> candidates, const WorkSize& work) const
+void DispatchPlanner::sampleCandidates(std::span<ServerCandidate> candidates, const WorkSize& work, std::size_t sampleSize) const
 {
-    const auto instances = ownership().candidateCount();
-    if (instances <= maxInstancesKnowingLoads || candidates.empty())
-        return;
-    const auto sampleSize = std::max<std::size_t>(minSampledServers, sampledServersPerShare * candidates.size() / instances);
-    const auto sharedTokens = work.sharedTokens();
-    for (auto& it : candidates) {
-        const bool holdsPrefix = sharedTokens > 0 && it.cachedTokens >= sharedTokens;
-        it.sampled = holdsPrefix || m_random.uniformBelow(candidates.size()) < sampleSize;
-    }
+    if (serversAreShared())
+        sampleServers(candidates, work, sampleSize, { m_knowledgeAge, assumedUtilisation }, m_random);
 }
 
 void DispatchPlanner::sampleOne(std::span<ServerCandidate> candidates) const
@@ -388,16 +367,18 @@
     auto plan = collectCandidates(service, work, tried, software);
     const bool isHomeRegion = prefixHome == m_settings.region;
     if (isHomeRegion || serversAreShared())
-        assumePrefixCachedAtOwner(plan.candidates, work, isHomeRegion);
+        assumePrefixCached(plan.candidates, work, isHomeRegion);
     applyStreamSlowness(plan.candidates);
     PrefixAffinity affinity;
     affinity.limit = std::chrono::duration_cast<Duration>(objective * prefixAffinityObjectiveShare);
-    if (serversAreShared())
+    if (serversAreShared()) {
         affinity.unconditional = std::chrono::duration_cast<Duration>(objective * unconditionalAffinityShare);
+        affinity.rankedWait = std::chrono::duration_cast<Duration>(std::max(objective, minRankedObjective) * rankedWaitShare);
+    }
     if (plan.viaOwner)
         sampleOne(plan.candidates);
     else
-        sampleCandidates(plan.candidates, work);
+        sampleCandidates(plan.candidates, work, 1);
     plan.choice = chooseServer(plan.candidates, work, affinity, m_random.next());
     describeChoice(plan, work);
     return plan;
@@ -466,7 +447,16 @@
     }
     for (const auto& [region, regionPeers] : byRegion) {
         const auto* peer = regionPeers[m_random.uniformBelow(regionPeers.size())];
-        const auto wait = peer->capacityByService.at(service).wait[std::min(work.priority, priorityLevels - 1)] + peer->unreportedHops * queueWaitPerHop;
+        const auto level = std::min(work.priority, priorityLevels - 1);
+        auto wait = peer->capacityByService.at(service).wait[level];
+        if (serversAreShared()) {
+            // Each peer has looked at a few of the servers; all of them together tell more of the region.
+            Duration sum {};
+            for (const auto* it : regionPeers)
+                sum += it->capacityByService.at(service).wait[level];
+            wait = sum / regionPeers.size();
+        }
+        wait += peer->unreportedHops * queueWaitPerHop;
         const bool holdsPrefix = prefixHome == region;
         const auto prompt = prefillTime(work.promptTokens - (holdsPrefix ? work.sharedTokens() : 0));
         plan.candidates.push_back({ wait, prompt, region == m_settings.region ? ownRegionRoundTrip : regionRoundTrip, holdsPrefix });
@@ -489,7 +479,7 @@
             typical.priority = level;
             auto plan = collectCandidates(service, typical, {}, {});
             if (!plan.viaOwner)
-                sampleCandidates(plan.candidates, typical);
+                sampleCandidates(plan.candidates, typical, reportedSample);
             plan.choice = chooseServer(plan.candidates, typical, {}, m_random.next());
             if (!plan.choice.best)
                 break;
--- a/src/yuccashift/entry/dispatch_planner.hpp
+++ b/src/yuccashift/entry/dispatch_planner.hpp
@@ -78,6 +78,8 @@
     bool canContinue(const AllowedRegions&, const ServiceName&, const StreamSoftware&) const;
     /** Free capacity of each service in this region, as heartbeats report it to other regions. */
     std::map<ServiceName, ServiceCapacity> freeCapacity() const;
+    /** Sets the mean age of what this instance knows of the load that others of its region put on servers. */
+    void setKnowledgeAge(Duration age) { m_knowledgeAge = age; }
     /** How long a server that refused a request as full gets no other one from this instance. */
     Duration backOffAfterRefusal(std::uint64_t server) const;
     /** Whether the server is in this region, not leaving and not in an evacuated data centre. */
@@ -101,15 +103,8 @@
      * servers few slots. Where each instance uses several slots, their number evens out what it does not know of the others.
      */
     bool forwardsToOwners(const ServiceName&) const;
-    /**
-     * Counts the shared prefix as cached at its owner. All instances of the region
-     * compute the same owner, so they prefill the prefix there once without coordination.
-     * Outside the prefix's home region, that is an assumption which does not keep the
-     * request from being forwarded home.
-     */
-    static void assumePrefixCachedAtOwner(std::span<ServerCandidate>, const WorkSize&, bool isHomeRegion);
     /** Limits the request to a random sample of the servers, if many instances share them. */
-    void sampleCandidates(std::span<ServerCandidate>, const WorkSize&) const;
+    void sampleCandidates(std::span<ServerCandidate>, const WorkSize&, std::size_t sampleSize) const;
     /** Whether this instance owns the cold server and its rate allows another request now. */
     bool warmUpAllowed(const BackendServer&, const ServerStatus&, const ServiceConfig&) const;
     /** Whether the server's rate limit, if it named one, leaves this instance a request now. */
@@ -134,6 +129,8 @@
     const ServerTracker& m_serverTracker;
     const PeerTable& m_peerTable;
     RandomSource& m_random;
+    /** Mean age of what heartbeats tell of other instances' load; until it is set, that of heartbeats ten times a second. */
+    Duration m_knowledgeAge = milliseconds(50);
     mutable ServerOwnership m_ownership;
     mutable std::optional<Instant> m_ownershipUpdatedAt;
     mutable bool m_reachesNoServer = false;
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -489,6 +489,7 @@
         m_core.crashTracker.setPeerCrashes(instance, {});
     }
     const auto currentInterval = heartbeatInterval();
+    m_core.planner.setKnowledgeAge(currentInterval / 2);
     m_core.peerTable.setHeartbeatTimeout(std::max(minSilence, std::chrono::duration_cast<Duration>(currentInterval * silenceIntervals)));
     m_timer.expires_after(currentInterval);
     m_timer.async_wait([this](const error_code& ec) {
