--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -346,11 +346,10 @@
     const auto observations = m_core.serverTracker.observations().takeOwn(maxObservedServers);
     if (!m_core.planner.serversAreShared() || heartbeat.reachesNoServer)
         return;
-    std::vector<fleetwire::ServerObservationReport> reports;
+    heartbeat.__isset.observations = !observations.empty();
+    heartbeat.observations.reserve(observations.size());
     for (const auto& it : observations)
-        reports.push_back(encodeObservation(it));
-    if (!reports.empty())
-        heartbeat.__set_observations(std::move(reports));
+        heartbeat.observations.push_back(encodeObservation(it));
 }
 
 void Gossip::addCapacity(fleetwire::Heartbeat& heartbeat) const
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -363,7 +363,9 @@
     m_framing = {};
     ++m_attempts;
     m_core.requestRecorder.recordServerSend(m_request.metadata.work.promptTokens, candidate.cachedTokens);
-    logInfo("sent to server", { { "request", m_request.metadata.attemptId }, { "server", m_serverId }, { "software", server.softwareVersion }, { "resume_after", metadata.resumeAfter.value_or("") }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "slowness_percent", std::lround(candidate.slowness * 100) }, { "prompt", m_request.metadata.work.promptTokens }, { "prefix", m_request.metadata.work.sharedParts().empty() ? 0 : m_request.metadata.work.sharedParts().back().id }, { "cached_prompt", candidate.cachedTokens }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
+    if (!m_request.metadata.work.sharedParts().empty())
+        m_core.requestRecorder.recordPrefixServer(candidate.prefixRank);
+    logInfo("sent to server", { { "request", m_request.metadata.attemptId }, { "server", m_serverId }, { "software", server.softwareVersion }, { "resume_after", metadata.resumeAfter.value_or("") }, { "predicted_ms", toMilliseconds(plan.choice.predicted) }, { "slowness_percent", std::lround(candidate.slowness * 100) }, { "prompt", m_request.metadata.work.promptTokens }, { "prefix", m_request.metadata.work.sharedParts().empty() ? 0 : m_request.metadata.work.sharedParts().back().id }, { "cached_prompt", candidate.cachedTokens }, { "prefix_rank", candidate.prefixRank }, { "requests", candidate.load.requests }, { "runner_up", plan.choice.runnerUp ? plan.servers[*plan.choice.runnerUp]->identity.id : std::string() }, { "runner_up_ms", toMilliseconds(plan.choice.runnerUpPredicted) } });
     m_outbound = m_core.serverConnections.start(std::move(request), *this);
 }
 
--- a/src/yuccashift/entry/request_recorder.cpp
+++ b/src/yuccashift/entry/request_recorder.cpp
@@ -31,6 +31,9 @@
     , m_retries(metrics.counter("yuccashift_repeats_total"))
     , m_uncachedTokens(metrics.counter("yuccashift_prompt_tokens_total", { { "cache", "none" } }))
     , m_cachedTokens(metrics.counter("yuccashift_prompt_tokens_total", { { "cache", "expected" } }))
+    , m_firstPrefixServer(metrics.counter("yuccashift_prefix_sends_total", { { "server", "first" } }))
+    , m_nextPrefixServer(metrics.counter("yuccashift_prefix_sends_total", { { "server", "next" } }))
+    , m_otherServer(metrics.counter("yuccashift_prefix_sends_total", { { "server", "other" } }))
     , m_hopBytesSent(metrics.counter("yuccashift_hop_bytes_total", { { "direction", "out" } }))
     , m_hopBytesReceived(metrics.counter("yuccashift_hop_bytes_total", { { "direction", "back" } }))
     , m_laterThanPredicted(metrics.latency("yuccashift_prediction_error_seconds", { { "came", "later" } }))
@@ -57,6 +60,13 @@
     m_uncachedTokens.add(promptTokens - cached);
 }
 
+void RequestRecorder::recordPrefixServer(std::uint32_t rank)
+{
+    (rank == 0 ? m_otherServer : rank == 1 ? m_firstPrefixServer
+                                           : m_nextPrefixServer)
+        .add();
+}
+
 void RequestRecorder::recordHopSend(std::size_t bytes)
 {
     m_hopSends.add();
--- a/src/yuccashift/entry/request_recorder.hpp
+++ b/src/yuccashift/entry/request_recorder.hpp
@@ -51,6 +51,8 @@
     void recordEnd(const RequestSummary&);
     /** Counts an attempt at a backend server of this region, and its prompt tokens by whether they are expected in the cache. */
     void recordServerSend(std::uint32_t promptTokens, std::uint32_t cachedTokens);
+    /** Counts an attempt whose prompt has a shared prefix by the rank of the server for it; 0 if the server is none of the ranked ones. */
+    void recordPrefixServer(std::uint32_t rank);
     /** Counts a request forwarded to another instance, and its bytes. */
     void recordHopSend(std::size_t bytes);
     /** Counts bytes of an answer received from another instance. */
@@ -72,6 +74,10 @@
     Counter& m_retries;
     Counter& m_uncachedTokens;
     Counter& m_cachedTokens;
+    /** Attempts at the first of the servers ranked for the prefix, at one of the next, and at any other. */
+    Counter& m_firstPrefixServer;
+    Counter& m_nextPrefixServer;
+    Counter& m_otherServer;
     Counter& m_hopBytesSent;
     Counter& m_hopBytesReceived;
     LatencyHistogram& m_laterThanPredicted;
