--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -126,7 +126,7 @@
     // Connections of the sender to all servers of its region fail, so that it can own none of them.
     22: bool reachesNoServer,
     // Only to instances of the own region, if it has many. Not sent by earlier versions.
-    23: optional list<ServerObservationReport> observations,
+    40: optional list<ServerObservationReport> observations,
 }
 
 // One item of the platform's store, or its removal.
