--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -1,6 +1,8 @@
 #include "yuccashift/entry/dispatch_planner.hpp"
 
 #include "yuccashift/dispatch/prefix_home.hpp"
+#include "yuccashift/dispatch/prefix_servers.hpp"
+#include "yuccashift/dispatch/server_sample.hpp"
 #include "yuccashift/kernel/rendezvous.hpp"
 
 #include <algorithm>
@@ -41,9 +43,16 @@
     constexpr std::size_t maxInstancesSharingFreely = 8;
     /** Share of that which a server's owner uses alone; the other instances send it few requests. */
     constexpr double ownerConnectionShare = 0.5;
-    /** With many instances, each request considers a random sample of servers; otherwise all instances would choose the same best server at once. */
-    constexpr std::size_t minSampledServers = 4;
-    constexpr std::size_t sampledServersPerShare = 2;
+    /** Servers at which instances look for what heartbeats report of a region. */
+    constexpr std::size_t reportedSample = 4;
+    /** Share of the servers' capacity that is taken to be in use. Where less is, servers are drawn more evenly than they need be, which costs little. */
+    constexpr double assumedUtilisation = 0.8;
+    /** A caller loses nothing by a wait within this share of the objective; a prefix that is prefilled again costs all others. */
+    constexpr double unconditionalAffinityShare = 0.4;
+    /** Extra wait, as a share of the objective, for the servers that hold a prefix: when all are busy, reading again makes all busier. */
+    constexpr double rankedWaitShare = 0.25;
+    /** The same holds for a request whose objective has passed. */
+    constexpr Duration minRankedObjective = milliseconds(400);
     /** Prompt size for which heartbeats report the queue wait. */
     constexpr std::uint32_t typicalPromptTokens = 512;
 
@@ -259,11 +268,19 @@
     it.memoryTokens = traits.memoryTokens;
     if (const auto* prefixes = m_serverTracker.prefixCacheOf(server.identityHash))
         it.cachedTokens = prefixes->cachedTokens(work.parts);
+    it.surelyCachedTokens = it.cachedTokens;
     it.load = known.total();
+    if (serversAreShared() && !viaOwner) {
+        const auto& observations = m_serverTracker.observations();
+        it.slowness = m_serverTracker.sharedSlowness(server.identityHash, traits.engine, work.priority);
+        it.failureShare = observations.failureShare(server.identityHash);
+        it.outcomeSamples = static_cast<std::uint32_t>(observations.outcomes(server.identityHash));
+    } else {
+        it.slowness = m_serverTracker.expectedSlowness(server.identityHash, traits.engine, work.priority);
+        it.failureShare = known.failureShare;
+        it.outcomeSamples = known.outcomeSamples;
+    }
     it.prefillTokensAhead = m_serverTracker.prefillTokensAhead(server.identityHash, work.priority);
-    it.slowness = m_serverTracker.expectedSlowness(server.identityHash, traits.engine, work.priority);
-    it.failureShare = known.failureShare;
-    it.outcomeSamples = known.outcomeSamples;
     it.suspect = known.suspect;
     if (known.ownerReport && now - known.ownerReport->receivedAt < ownerReportLifetime) {
         const auto& report = *known.ownerReport;
@@ -310,36 +327,15 @@
     return usableConnectionShare * (isOwner(server) ? ownerConnectionShare : (1 - ownerConnectionShare) / instances);
 }
 
-void DispatchPlanner::assumePrefixCachedAtOwner(std::span<ServerCandidate> candidates, const WorkSize& work)
+bool DispatchPlanner::serversAreShared() const
 {
-    const auto shared = work.sharedParts();
-    if (shared.empty())
-        return;
-    ServerCandidate* home = nullptr;
-    std::uint64_t highest = 0;
-    for (auto& it : candidates) {
-        const auto weight = prefixServerWeight(shared.back().id, it.key);
-        if (it.barred() || it.cold || (home && weight < highest))
-            continue;
-        home = &it;
-        highest = weight;
-    }
-    if (!home)
-        return;
-    home->cachedTokens = std::max(home->cachedTokens, work.sharedTokens());
+    return ownership().candidateCount() > maxInstancesKnowingLoads;
 }
 
-void DispatchPlanner::sampleCandidates(std::span<ServerCandidate> candidates, const WorkSize& work) const
+void DispatchPlanner::sampleCandidates(std::span<ServerCandidate> candidates, const WorkSize& work, std::size_t sampleSize) const
 {
-    const auto instances = ownership().candidateCount();
-    if (instances <= maxInstancesKnowingLoads || candidates.empty())
-        return;
-    const auto sampleSize = std::max<std::size_t>(minSampledServers, sampledServersPerShare * candidates.size() / instances);
-    const auto sharedTokens = work.sharedTokens();
-    for (auto& it : candidates) {
-        const bool holdsPrefix = sharedTokens > 0 && it.cachedTokens >= sharedTokens;
-        it.sampled = holdsPrefix || m_random.uniformBelow(candidates.size()) < sampleSize;
-    }
+    if (serversAreShared())
+        sampleServers(candidates, work, sampleSize, { m_knowledgeAge, assumedUtilisation }, m_random);
 }
 
 void DispatchPlanner::sampleOne(std::span<ServerCandidate> candidates) const
@@ -377,15 +373,21 @@
 LocalPlan DispatchPlanner::planLocal(const ServiceName& service, const WorkSize& work, Duration objective, const std::set<std::uint64_t>& tried, const StreamSoftware& software, const std::optional<RegionName>& prefixHome) const
 {
     auto plan = collectCandidates(service, work, tried, software);
-    if (prefixHome == m_settings.region)
-        assumePrefixCachedAtOwner(plan.candidates, work);
+    const bool isHomeRegion = prefixHome == m_settings.region;
+    if (isHomeRegion || serversAreShared())
+        assumePrefixCached(plan.candidates, work, isHomeRegion);
     applyStreamSlowness(plan.candidates);
-    const auto soonEnough = std::chrono::duration_cast<Duration>(objective * prefixAffinityObjectiveShare);
+    PrefixAffinity affinity;
+    affinity.limit = std::chrono::duration_cast<Duration>(objective * prefixAffinityObjectiveShare);
+    if (serversAreShared()) {
+        affinity.unconditional = std::chrono::duration_cast<Duration>(objective * unconditionalAffinityShare);
+        affinity.rankedWait = std::chrono::duration_cast<Duration>(std::max(objective, minRankedObjective) * rankedWaitShare);
+    }
     if (plan.viaOwner)
         sampleOne(plan.candidates);
     else
-        sampleCandidates(plan.candidates, work);
-    plan.choice = chooseServer(plan.candidates, work, soonEnough, m_random.next());
+        sampleCandidates(plan.candidates, work, 1);
+    plan.choice = chooseServer(plan.candidates, work, affinity, m_random.next());
     describeChoice(plan, work);
     return plan;
 }
@@ -400,7 +402,7 @@
         plan.servers.push_back(&server);
         plan.candidates.push_back(candidate(server, routes->config().serviceConfig(service), work, true));
     }
-    plan.choice = chooseServer(plan.candidates, work, Duration::zero(), m_random.next());
+    plan.choice = chooseServer(plan.candidates, work, {}, m_random.next());
     describeChoice(plan, work);
     return plan;
 }
@@ -418,7 +420,7 @@
     if (!plan.choice.best || !plan.candidates[*plan.choice.best].engine)
         return;
     const auto shared = work.sharedTokens();
-    plan.prefixPrefillTime = prefillTime(shared - std::min(shared, plan.candidates[*plan.choice.best].cachedTokens));
+    plan.prefixPrefillTime = prefillTime(shared - std::min(shared, plan.candidates[*plan.choice.best].surelyCachedTokens));
 }
 
 std::set<RegionName> DispatchPlanner::regionsThatContinue(const ServiceName& service, const StreamSoftware& software) const
@@ -454,7 +456,16 @@
     }
     for (const auto& [region, regionPeers] : byRegion) {
         const auto* peer = regionPeers[m_random.uniformBelow(regionPeers.size())];
-        const auto wait = peer->capacityByService.at(service).wait[std::min(work.priority, priorityLevels - 1)] + peer->unreportedHops * queueWaitPerHop;
+        const auto level = std::min(work.priority, priorityLevels - 1);
+        auto wait = peer->capacityByService.at(service).wait[level];
+        if (serversAreShared()) {
+            // Each peer has looked at a few of the servers; all of them together tell more of the region.
+            Duration sum {};
+            for (const auto* it : regionPeers)
+                sum += it->capacityByService.at(service).wait[level];
+            wait = sum / regionPeers.size();
+        }
+        wait += peer->unreportedHops * queueWaitPerHop;
         const bool holdsPrefix = prefixHome == region;
         const auto prompt = prefillTime(work.promptTokens - (holdsPrefix ? work.sharedTokens() : 0));
         plan.candidates.push_back({ wait, prompt, region == m_settings.region ? ownRegionRoundTrip : regionRoundTrip, holdsPrefix });
@@ -478,8 +489,8 @@
             typical.priority = level;
             auto plan = collectCandidates(service, typical, {}, {});
             if (!plan.viaOwner)
-                sampleCandidates(plan.candidates, typical);
-            plan.choice = chooseServer(plan.candidates, typical, Duration::zero(), m_random.next());
+                sampleCandidates(plan.candidates, typical, reportedSample);
+            plan.choice = chooseServer(plan.candidates, typical, {}, m_random.next());
             if (!plan.choice.best)
                 break;
             capacity.wait[level] = plan.choice.predicted;
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -81,6 +81,32 @@
     }
 
     constexpr double percent = 100;
+    /** Servers of which one heartbeat tells what the sender observed; the rest follows with the next ones. */
+    constexpr std::size_t maxObservedServers = 48;
+
+    ServerObservation decodeObservation(const fleetwire::ServerObservationReport& report)
+    {
+        ServerObservation observation;
+        observation.server = static_cast<std::uint64_t>(static_cast<std::uint32_t>(report.server));
+        // A pace of 0 says nothing, as if there were no first bytes.
+        observation.firstBytes = report.pacePercent > 0 ? report.firstBytes : 0;
+        observation.meanLogPace = report.pacePercent > 0 ? std::log(report.pacePercent / percent) : 0;
+        observation.outcomes = report.outcomes;
+        observation.failures = report.failures;
+        return observation;
+    }
+
+    fleetwire::ServerObservationReport encodeObservation(const ServerObservation& observation)
+    {
+        fleetwire::ServerObservationReport report;
+        report.server = static_cast<std::int32_t>(observation.server);
+        report.firstBytes = static_cast<std::int32_t>(observation.firstBytes);
+        report.pacePercent = static_cast<std::int32_t>(std::lround(std::exp(observation.meanLogPace) * percent));
+        report.outcomes = static_cast<std::int32_t>(observation.outcomes);
+        report.failures = static_cast<std::int32_t>(observation.failures);
+        return report;
+    }
+
     /** In milliseconds; no stream lasts that long. */
     constexpr std::int64_t maxReportedSingleSoftware = 600'000;
 
@@ -241,6 +267,8 @@
     }
     for (const auto& request : heartbeat.serverRequests)
         m_core.serverTracker.constraints().onReport(decodeServerRequest(request));
+    for (const auto& report : heartbeat.observations)
+        m_core.serverTracker.observations().onReport(decodeObservation(report));
     m_core.serverTracker.setPeerLoads(*sender, std::move(loads));
     m_core.serverTracker.setOwnerReports(*sender, reports);
 }
@@ -328,6 +356,17 @@
     }
 }
 
+void Gossip::addObservations(fleetwire::Heartbeat& heartbeat) const
+{
+    const auto observations = m_core.serverTracker.observations().takeOwn(maxObservedServers);
+    if (!m_core.planner.serversAreShared() || heartbeat.reachesNoServer)
+        return;
+    heartbeat.__isset.observations = !observations.empty();
+    heartbeat.observations.reserve(observations.size());
+    for (const auto& it : observations)
+        heartbeat.observations.push_back(encodeObservation(it));
+}
+
 void Gossip::addCapacity(fleetwire::Heartbeat& heartbeat) const
 {
     heartbeat.reportsCapacity = true;
@@ -402,6 +441,7 @@
         fleetwire::Datagram datagram;
         datagram.__set_heartbeat(makeHeartbeat(withProfile));
         addLoads(datagram.heartbeat);
+        addObservations(datagram.heartbeat);
         if (m_round % roundsBetweenOwnRegionCapacity == 0 || m_core.planner.reachesNoServer() != m_reportedReachesNoServer)
             addCapacity(datagram.heartbeat);
         m_reportedReachesNoServer = m_core.planner.reachesNoServer();
@@ -468,6 +508,7 @@
     const auto currentInterval = heartbeatInterval();
     m_core.fleetLimits.setFleet(currentInterval, m_core.peerTable.knownInstanceCount());
     m_core.fleetLimits.expire(m_core.clock.now());
+    m_core.planner.setKnowledgeAge(currentInterval / 2);
     m_core.peerTable.setHeartbeatTimeout(std::max(minSilence, std::chrono::duration_cast<Duration>(currentInterval * silenceIntervals)));
     m_timer.expires_after(currentInterval);
     m_timer.async_wait([this](const error_code& ec) {
