Accept requests by rank from the region's demand for prompts

Placement looked at the first event only.

Change: instances tell each other the prompts offered to their region, in engines' time, by priority and by whether the caller comes back as told. Only services of engines whose routes differ in priority are limited. The refusal's log line names share, demand, room and the age of the reports; yuccashift_accepted_total counts what was promised and kept.

--- a/src/yuccashift/dispatch/placement.cpp
+++ b/src/yuccashift/dispatch/placement.cpp
@@ -49,7 +49,8 @@
 Placement place(const PlacementInput& input)
 {
     Placement placement;
-    if (input.localTimeToFirstByte && input.prefixPrefillTime > Duration::zero()) {
+    const auto localTimeToFirstByte = input.acceptedHere ? input.localTimeToFirstByte : std::nullopt;
+    if (localTimeToFirstByte && input.prefixPrefillTime > Duration::zero()) {
         if (const auto holder = prefixHolder(input)) {
             placement.action = Placement::Action::Remote;
             placement.remoteIndex = *holder;
@@ -57,14 +58,14 @@
             return placement;
         }
     }
-    if (input.localTimeToFirstByte && *input.localTimeToFirstByte <= input.objective) {
+    if (localTimeToFirstByte && *localTimeToFirstByte <= input.objective) {
         placement.action = Placement::Action::Local;
-        placement.predicted = *input.localTimeToFirstByte;
+        placement.predicted = *localTimeToFirstByte;
         return placement;
     }
     std::optional<Duration> best;
-    if (input.localTimeToFirstByte) {
-        best = *input.localTimeToFirstByte;
+    if (localTimeToFirstByte) {
+        best = *localTimeToFirstByte;
         placement.action = Placement::Action::Local;
     }
     for (std::size_t i = 0; i < input.remotes.size(); ++i) {
--- a/src/yuccashift/dispatch/placement.hpp
+++ b/src/yuccashift/dispatch/placement.hpp
@@ -32,6 +32,8 @@
     Duration objective {};
     /** Time left until the deadline, when the caller gives up. */
     Duration deadline {};
+    /** Whether the engines of this region have room for the request beside those that go before it. */
+    bool acceptedHere = true;
 };
 
 /** Where a request is sent, or that it is refused. */
@@ -55,6 +57,7 @@
  * moving requests for small gains. The home region of a long shared prefix is
  * preferred without that margin. A request that would queue for too long is
  * refused at once; the prefill time of its own prompt does not count as queueing.
+ * A request for which this region has no room only goes to another region.
  */
 Placement place(const PlacementInput&);
 
--- a/src/yuccashift/entry/entry_core.cpp
+++ b/src/yuccashift/entry/entry_core.cpp
@@ -18,9 +18,11 @@
     , retryBudget(clock, settings.retryBudgetLimits)
     , crashTracker(clock)
     , streamOrigins(clock, settings, peerTable)
+    , promptDemand(clock)
     , serverConnections(io, clock)
     , peerConnections(io, clock)
     , planner(clock, settings, fleetState, serverTracker, peerTable, *random)
+    , acceptance(clock, fleetState, serverTracker, planner, promptDemand)
     , requestRecorder(metrics)
 {
 }
--- a/src/yuccashift/entry/entry_core.hpp
+++ b/src/yuccashift/entry/entry_core.hpp
@@ -2,11 +2,13 @@
 
 #include "yuccashift/dispatch/crash_tracker.hpp"
 #include "yuccashift/dispatch/fleet_retry_budget.hpp"
+#include "yuccashift/dispatch/prompt_demand.hpp"
 #include "yuccashift/dispatch/server_tracker.hpp"
 #include "yuccashift/entry/dispatch_planner.hpp"
 #include "yuccashift/entry/entry_settings.hpp"
 #include "yuccashift/entry/graceful_shutdown.hpp"
 #include "yuccashift/entry/protocol_codec.hpp"
+#include "yuccashift/entry/region_acceptance.hpp"
 #include "yuccashift/entry/region_demand_estimator.hpp"
 #include "yuccashift/entry/request_recorder.hpp"
 #include "yuccashift/entry/stream_origins.hpp"
@@ -44,11 +46,13 @@
     PromptQuarantine promptQuarantine;
     StreamOrigins streamOrigins;
     RegionDemandEstimator regionDemand;
+    PromptDemand promptDemand;
     /** Connection pool for backend servers. */
     OutboundPool serverConnections;
     /** Connection pool for other instances. */
     OutboundPool peerConnections;
     DispatchPlanner planner;
+    RegionAcceptance acceptance;
     Metrics metrics;
     RequestRecorder requestRecorder;
 
--- a/src/yuccashift/entry/failure_answer.cpp
+++ b/src/yuccashift/entry/failure_answer.cpp
@@ -42,7 +42,7 @@
         if (error.kind == ErrorKind::Draining)
             return std::max(minRetryDelay, maxRetryDelayDraining * random.uniformReal());
         const Seconds shortest = error.retryAfter ? Seconds(*error.retryAfter) : left * minShareOfTimeLeft;
-        const Seconds longest = std::max(shortest, left * maxShareOfTimeLeft);
+        const Seconds longest = std::max(shortest, error.retryBefore ? Seconds(*error.retryBefore) : left * maxShareOfTimeLeft);
         return std::clamp(shortest + (longest - shortest) * random.uniformReal(), minRetryDelay, std::max(maxRetryDelay, shortest));
     }
 
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -94,6 +94,31 @@
         return report;
     }
 
+    /** Unit of demand in heartbeats, as a part of an engine's time. */
+    constexpr double demandUnitsPerEngine = 1000;
+
+    std::map<ServiceName, PromptLoads> decodeDemand(const fleetwire::Heartbeat& heartbeat)
+    {
+        std::map<ServiceName, PromptLoads> demand;
+        for (const auto& [service, levels] : heartbeat.promptDemand) {
+            auto& loads = demand[service];
+            for (std::size_t level = 0; level < std::min(acceptanceLevels, levels.size()); ++level)
+                loads[level] = std::max(0, levels[level]) / demandUnitsPerEngine;
+        }
+        return demand;
+    }
+
+    void addDemand(fleetwire::Heartbeat& heartbeat, const PromptDemand& demand)
+    {
+        for (const auto& [service, loads] : demand.own()) {
+            auto& levels = heartbeat.promptDemand[service];
+            for (const auto load : loads)
+                levels.push_back(static_cast<std::int32_t>(std::lround(load * demandUnitsPerEngine)));
+            while (!levels.empty() && levels.back() == 0)
+                levels.pop_back();
+        }
+    }
+
     void addReport(fleetwire::ServerLoad& load, const OwnerReport& report)
     {
         for (const auto slowness : report.slowness)
@@ -241,6 +266,7 @@
         m_core.serverTracker.constraints().onReport(decodeServerRequest(request));
     m_core.serverTracker.setPeerLoads(*sender, std::move(loads));
     m_core.serverTracker.setOwnerReports(*sender, reports);
+    m_core.promptDemand.setPeer(*sender, decodeDemand(heartbeat));
 }
 
 Duration Gossip::heartbeatInterval() const
@@ -322,6 +348,9 @@
         for (const auto wait : capacity.wait)
             it.waitMs.push_back(static_cast<std::int32_t>(toMilliseconds(wait)));
         it.freeSlots = capacity.freeSlots;
+        const auto* basis = m_core.acceptance.basisFor(service);
+        for (std::size_t priority = 0; basis && priority < priorityLevels; ++priority)
+            it.acceptPercent.push_back(static_cast<std::int32_t>(std::lround(percent * basis->shares[acceptanceLevel(priority, false)])));
         heartbeat.rooms.push_back(std::move(it));
     }
 }
@@ -386,6 +415,7 @@
         fleetwire::Datagram datagram;
         datagram.__set_heartbeat(makeHeartbeat(withProfile));
         addLoads(datagram.heartbeat);
+        addDemand(datagram.heartbeat, m_core.promptDemand);
         if (m_round % roundsBetweenOwnRegionCapacity == 0 || m_core.planner.reachesNoServer() != m_reportedReachesNoServer)
             addCapacity(datagram.heartbeat);
         m_reportedReachesNoServer = m_core.planner.reachesNoServer();
@@ -445,6 +475,7 @@
         logInfo("instance removed after prolonged silence", { { "peer", instance } });
         m_core.serverTracker.setPeerLoads(instance, {});
         m_core.serverTracker.setOwnerReports(instance, {});
+        m_core.promptDemand.setPeer(instance, {});
         m_core.crashTracker.setPeerCrashes(instance, {});
     }
     const auto currentInterval = heartbeatInterval();
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <numeric>
 #include <sstream>
 #include <utility>
 
@@ -46,6 +47,9 @@
     constexpr Duration soundAnswerTime = milliseconds(500);
     /** No attempt is started with less time left than this. */
     constexpr Duration minAttemptTime = milliseconds(30);
+    /** What a hop between regions takes of the time left, with the time reserved for its way back. */
+    constexpr Duration regionHopTime = milliseconds(130);
+    constexpr double percent = 100;
 
     /** No event that a caller has is older when the caller resumes the stream; its tries share one deadline. */
     Duration longestStreamAge(const Route& route)
@@ -232,7 +236,45 @@
     });
 }
 
-RequestJob::Plan RequestJob::plan() const
+bool RequestJob::acceptHere(const LocalPlan& local)
+{
+    m_acceptedHere = true;
+    const auto& request = m_request;
+    const auto* basis = assignedServer() == 0 ? m_core.acceptance.basisFor(request.service) : nullptr;
+    if (!basis || !request.route->allowsRegion(m_core.settings.region))
+        return true;
+    const auto& work = request.metadata.work;
+    const auto cached = local.choice.best ? local.candidates[*local.choice.best].cachedTokens : 0;
+    const auto onTheWay = m_hopMetadata ? regionHopTime : Duration::zero();
+    const auto level = acceptanceLevel(work.priority, comesBackAsTold(request.route->timeLimit, timeLeft() + onTheWay, request.route->latencyObjective));
+    m_core.promptDemand.record(request.service, level, promptTime(work.promptTokens, cached));
+    m_acceptance = { basis->shares[level], basis->shares[acceptanceLevel(work.priority, true)], std::accumulate(basis->demand.begin(), basis->demand.begin() + static_cast<std::ptrdiff_t>(level) + 1, 0.0), basis->room };
+    // What has begun is not broken off for newcomers.
+    if (!m_streamSoftware.begun())
+        m_acceptedHere = basis->shares[level] >= 1 || m_core.random->uniformReal() < basis->shares[level];
+    return *m_acceptedHere;
+}
+
+void RequestJob::dropRegionsWithoutRoom(RemotePlan& remote)
+{
+    if (remote.candidates.empty())
+        return;
+    if (!m_remoteDraw)
+        m_remoteDraw = m_core.random->uniformReal();
+    RemotePlan kept;
+    for (std::size_t i = 0; i < remote.peers.size(); ++i) {
+        const auto& capacity = remote.peers[i]->capacityByService.at(m_request.service);
+        const auto share = capacity.acceptedShare[std::min(m_request.metadata.work.priority, priorityLevels - 1)];
+        if (m_refusedRegions.contains(remote.peers[i]->region) || *m_remoteDraw >= offeredShare(share))
+            continue;
+        kept.candidates.push_back(remote.candidates[i]);
+        kept.peers.push_back(remote.peers[i]);
+    }
+    m_regionsWithoutRoom = m_regionsWithoutRoom || kept.peers.size() < remote.peers.size();
+    remote = std::move(kept);
+}
+
+RequestJob::Plan RequestJob::plan()
 {
     Plan plan;
     const auto prefixHome = assignedServer() == 0 ? m_core.planner.prefixHome(*m_request.route, m_request.service, m_request.metadata.work) : std::nullopt;
@@ -242,7 +284,9 @@
         plan.local = m_core.planner.planLocal(m_request.service, m_request.metadata.work, firstByteTimeLeft(), m_triedServers, m_streamSoftware, prefixHome);
     if (!m_hopMetadata)
         plan.remote = m_core.planner.planRemote(*m_request.route, m_request.service, m_request.metadata.work, m_triedInstances, m_streamSoftware, plan.local, prefixHome);
+    dropRegionsWithoutRoom(plan.remote);
     PlacementInput input;
+    input.acceptedHere = m_acceptedHere.value_or(true);
     if (plan.local.choice.best)
         input.localTimeToFirstByte = plan.local.choice.predicted;
     input.prefixPrefillTime = plan.local.prefixPrefillTime;
@@ -251,6 +295,11 @@
     input.objective = firstByteTimeLeft();
     input.deadline = timeLeft();
     plan.placement = place(input);
+    // What goes to another region for its own sake is demand there.
+    if (plan.placement.action != Placement::Action::Remote && !m_acceptedHere && !acceptHere(plan.local)) {
+        input.acceptedHere = false;
+        plan.placement = place(input);
+    }
     const bool tooLate = m_hopMetadata && m_hopMetadata->acceptWithin && plan.placement.predicted > *m_hopMetadata->acceptWithin;
     if (tooLate)
         plan.placement.action = Placement::Action::Refuse;
@@ -283,7 +332,7 @@
             return;
         break;
     }
-    const bool anyCandidate = plan.local.choice.best || !plan.remote.candidates.empty();
+    const bool anyCandidate = plan.local.choice.best || !plan.remote.candidates.empty() || m_regionsWithoutRoom;
     const bool softwareGone = !anyCandidate && m_streamSoftware.begun() && !m_core.planner.canContinue(*m_request.route, m_request.service, m_streamSoftware);
     Error error { anyCandidate ? ErrorKind::Overloaded : softwareGone ? ErrorKind::SoftwareUnavailable
                                                                       : ErrorKind::NoBackend,
@@ -291,7 +340,12 @@
     error.runState = m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun;
     if (plan.remote.candidates.empty())
         error.retryAfter = plan.local.restFor;
-    logInfo("refused", { { "request", m_request.metadata.attemptId }, { "reason", error.code() }, { "predicted_ms", toMilliseconds(plan.placement.predicted) }, { "objective_ms", toMilliseconds(firstByteTimeLeft()) }, { "left_ms", toMilliseconds(timeLeft()) }, { "servers", plan.local.servers.size() }, { "usable", plan.local.choice.usable }, { "passed_over", plan.local.choice.rejectSummary() }, { "regions", plan.remote.candidates.size() } });
+    if (m_acceptance && !m_hopMetadata && !error.retryAfter) {
+        const auto back = returnTime(m_acceptance->shareOfReturning, m_request.route->latencyObjective, timeLeft());
+        error.retryAfter = back.earliest;
+        error.retryBefore = back.latest;
+    }
+    logInfo("refused", { { "request", m_request.metadata.attemptId }, { "reason", error.code() }, { "predicted_ms", toMilliseconds(plan.placement.predicted) }, { "objective_ms", toMilliseconds(firstByteTimeLeft()) }, { "left_ms", toMilliseconds(timeLeft()) }, { "servers", plan.local.servers.size() }, { "usable", plan.local.choice.usable }, { "passed_over", plan.local.choice.rejectSummary() }, { "regions", plan.remote.candidates.size() }, { "accepted_here", m_acceptedHere.value_or(true) ? 1 : 0 }, { "accept_percent", m_acceptance ? std::lround(percent * m_acceptance->share) : 0 }, { "demand_engines", m_acceptance ? std::lround(m_acceptance->demand) : 0 }, { "room_engines", m_acceptance ? std::lround(m_acceptance->room) : 0 }, { "told_ms_ago", toMilliseconds(m_core.promptDemand.reportAge()) } });
     failWith(error);
 }
 
@@ -639,6 +693,9 @@
     // For a stream that has begun, it may only lack servers of the stream's software.
     if (error.kind == ErrorKind::NoBackend && m_serverOfHop == 0 && !m_streamSoftware.begun())
         m_core.peerTable.onNoCapacity(m_peerInstance, m_request.service);
+    const auto* peer = m_core.peerTable.find(m_peerInstance);
+    if (error.kind == ErrorKind::Overloaded && m_serverOfHop == 0 && peer)
+        m_refusedRegions.insert(peer->region);
     if (error.kind == ErrorKind::Draining || error.kind == ErrorKind::NotReady)
         m_triedInstances.insert(m_peerInstance);
     else if (m_serverOfHop != 0)
@@ -764,6 +821,18 @@
     finish(error.code(), reasonOf(error));
 }
 
+void RequestJob::recordPromise(const RequestSummary& end)
+{
+    using Promise = RequestRecorder::Promise;
+    const bool taken = m_acceptance && !m_hopMetadata && (m_attempts > 0 || end.outcome == "ok");
+    // A caller that leaves early breaks the promise itself.
+    if (!taken || (end.outcome == "caller_gone" && m_core.clock.now() < m_request.firstByteDueAt))
+        return;
+    const bool inTime = end.timeToFirstByte && *end.timeToFirstByte <= m_request.route->latencyObjective;
+    m_core.requestRecorder.recordPromise(end.outcome != "ok" ? Promise::Missed : inTime ? Promise::Kept
+                                                                                        : Promise::Late);
+}
+
 void RequestJob::finish(std::string_view outcome, std::string_view reason)
 {
     m_done = true;
@@ -785,6 +854,7 @@
     end.attempts = m_attempts;
     end.configVersion = m_request.routes ? m_request.routes->config().version : 0;
     m_core.requestRecorder.recordEnd(end);
+    recordPromise(end);
     // finish() may run inside a callback of the exchange that still uses this job.
     boost::asio::post(m_core.io, [&core = m_core, self = shared_from_this()] {
         self->m_outbound.reset();
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -69,7 +69,11 @@
     const ServiceName* serviceWith(SoftwareId) const;
     /** Counts the request of a caller and dispatches it. */
     void begin();
-    Plan plan() const;
+    Plan plan();
+    /** Decides whether this region takes the request, and counts it as demand; to be called once. */
+    bool acceptHere(const LocalPlan&);
+    /** Removes regions that have refused the request or, by what they report, would do so. */
+    void dropRegionsWithoutRoom(RemotePlan&);
     void dispatch();
     void executePlan(const Plan&);
     /** Plans again after a short time and returns true, if only full servers could take the request and it can still wait. */
@@ -103,6 +107,8 @@
     void onCallerGone();
     void failWith(const Error&);
     void finish(std::string_view outcome, std::string_view reason = {});
+    /** Counts whether a request for which there was room was served as promised. */
+    void recordPromise(const RequestSummary&);
     /** Time left until the deadline, at least zero. */
     Duration timeLeft() const;
     /** Time left until the first byte is due under the latency objective, at least zero. */
@@ -135,6 +141,22 @@
     std::uint32_t m_attempts = 0;
     std::set<std::uint64_t> m_triedServers;
     std::set<InstanceId> m_triedInstances;
+    /** Whether this region takes the request, once that is decided. */
+    std::optional<bool> m_acceptedHere;
+    /** What that was based on, for the log; std::nullopt if the service is not limited. */
+    struct AcceptanceLog {
+        double share = 1;
+        double shareOfReturning = 1;
+        /** Demand of this level and of those before it, and the room for all, in engines. */
+        double demand = 0;
+        double room = 0;
+    };
+    std::optional<AcceptanceLog> m_acceptance;
+    /** Uniform in [0, 1): sends the request to regions that take at least this share of what is offered. */
+    std::optional<double> m_remoteDraw;
+    std::set<RegionName> m_refusedRegions;
+    /** Whether a region was left out for want of room. */
+    bool m_regionsWithoutRoom = false;
     bool m_mayHaveRun = false;
     std::unique_ptr<OutboundExchange> m_outbound;
     RequestTicket m_requestTicket;
--- a/src/yuccashift/entry/request_recorder.cpp
+++ b/src/yuccashift/entry/request_recorder.cpp
@@ -16,6 +16,11 @@
         return metrics.counter("yuccashift_answers_total", { { "framing", toString(framing) } });
     }
 
+    Counter& promiseCounter(Metrics& metrics, std::string_view outcome)
+    {
+        return metrics.counter("yuccashift_accepted_total", { { "outcome", outcome } });
+    }
+
 } // namespace
 
 std::string_view reasonOf(const Error& error)
@@ -29,6 +34,7 @@
     , m_hopSends(metrics.counter("yuccashift_sends_total", { { "to", "instance" } }))
     , m_answers { &answerCounter(metrics, AnswerFraming::Length), &answerCounter(metrics, AnswerFraming::Chunks), &answerCounter(metrics, AnswerFraming::Connection) }
     , m_retries(metrics.counter("yuccashift_repeats_total"))
+    , m_promises { &promiseCounter(metrics, "kept"), &promiseCounter(metrics, "late"), &promiseCounter(metrics, "missed") }
     , m_uncachedTokens(metrics.counter("yuccashift_prompt_tokens_total", { { "cache", "none" } }))
     , m_cachedTokens(metrics.counter("yuccashift_prompt_tokens_total", { { "cache", "expected" } }))
     , m_hopBytesSent(metrics.counter("yuccashift_hop_bytes_total", { { "direction", "out" } }))
@@ -78,6 +84,11 @@
     m_retries.add();
 }
 
+void RequestRecorder::recordPromise(Promise promise)
+{
+    m_promises[static_cast<std::size_t>(promise)]->add();
+}
+
 void RequestRecorder::recordPredictionError(Duration predicted, Duration observed)
 {
     if (observed >= predicted)
--- a/src/yuccashift/entry/request_recorder.hpp
+++ b/src/yuccashift/entry/request_recorder.hpp
@@ -58,6 +58,13 @@
     /** Counts an answer by how it is framed. */
     void recordAnswer(AnswerFraming);
     void recordRetry();
+    /** How a request that the region's engines had room for ended. */
+    enum class Promise {
+        Kept,
+        Late,
+        Missed,
+    };
+    void recordPromise(Promise);
     /** Records the difference between the observed and the predicted time to first byte. */
     void recordPredictionError(Duration predicted, Duration observed);
     /** Records the time between two consecutive parts of a stream. */
@@ -70,6 +77,8 @@
     /** By AnswerFraming. */
     std::array<Counter*, 3> m_answers;
     Counter& m_retries;
+    /** By Promise. */
+    std::array<Counter*, 3> m_promises;
     Counter& m_uncachedTokens;
     Counter& m_cachedTokens;
     Counter& m_hopBytesSent;
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -29,6 +29,9 @@
     2: list<i32> waitMs,
     // Requests that fit before the region's servers are full.
     3: i32 freeSlots,
+    // Share of the offered requests that the region's engines take, by priority level; empty if they take all. Not sent by
+    // earlier versions.
+    4: list<i32> acceptPercent,
 }
 
 // What a backend server of the sender's region asked for in its answers to the sender.
@@ -113,6 +116,9 @@
     21: bool reportsCapacity,
     // Connections of the sender to all servers of its region fail, so that it can own none of them.
     22: bool reachesNoServer,
+    // Only to instances of the own region: prompts that callers lately asked the region's engines to read through the sender,
+    // by service and level of acceptance, in thousandths of an engine's time. Not sent by earlier versions.
+    30: map<string, list<i32>> promptDemand,
 }
 
 // One item of the platform's store, or its removal.
--- a/src/yuccashift/fleet/peer_table.hpp
+++ b/src/yuccashift/fleet/peer_table.hpp
@@ -19,6 +19,8 @@
     std::array<Duration, priorityLevels> wait {};
     /** Requests that fit before the region's servers are full. */
     std::int32_t freeSlots = 0;
+    /** Share of the offered requests that the region's engines take, by priority level. */
+    std::array<double, priorityLevels> acceptedShare { 1, 1, 1, 1 };
 };
 
 /** Another instance as its heartbeats describe it. */
--- a/src/yuccashift/kernel/error.hpp
+++ b/src/yuccashift/kernel/error.hpp
@@ -89,6 +89,8 @@
     std::optional<RunState> runState;
     /** Overrides ErrorTraits::retryAfterSeconds. */
     std::optional<Duration> retryAfter;
+    /** The latest time to name instead, if callers are to come back spread over a time that is known; only with `retryAfter`. */
+    std::optional<Duration> retryBefore {};
 
     RunState effectiveRunState() const;
     std::string_view code() const;
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -59,6 +59,15 @@
         EXPECT_EQ(decide().action, Placement::Action::Refuse);
     }
 
+    // Guards against a less urgent kind that fills engines which more urgent streams need, while another region is idle.
+    TEST_F(APlacement, SendsWhatHasNoRoomHereToARegionThatTakesIt)
+    {
+        input.acceptedHere = false;
+        EXPECT_EQ(decide().action, Placement::Action::Remote);
+        remotes.clear();
+        EXPECT_EQ(decide().action, Placement::Action::Refuse);
+    }
+
     TEST_F(APlacement, DoesNotRefuseARequestForTheLengthOfItsOwnPrompt)
     {
         input.idleTimeToFirstByte = milliseconds(950);
