--- a/src/yuccashift/dispatch/placement.hpp
+++ b/src/yuccashift/dispatch/placement.hpp
@@ -34,6 +34,8 @@
     Duration deadline {};
     /** Whether the instance reaches no server of its region, so that another region is the only one for its callers. */
     bool reachesNoServer = false;
+    /** Whether the engines of this region have room for the request beside those that go before it. */
+    bool acceptedHere = true;
 };
 
 /** Where a request is sent, or that it is refused. */
@@ -59,6 +61,7 @@
  * refused at once; the prefill time of its own prompt does not count as queueing,
  * nor does the round trip if no server of this region can be reached: such a request
  * is accepted as long as one of the other region's own callers would be.
+ * A request for which this region has no room only goes to another region.
  */
 Placement place(const PlacementInput&);
 
--- a/src/yuccashift/entry/request_recorder.cpp
+++ b/src/yuccashift/entry/request_recorder.cpp
@@ -29,6 +29,11 @@
         return metrics.counter("yuccashift_answers_total", { { "framing", toString(framing) } });
     }
 
+    Counter& promiseCounter(Metrics& metrics, std::string_view outcome)
+    {
+        return metrics.counter("yuccashift_accepted_total", { { "outcome", outcome } });
+    }
+
 } // namespace
 
 std::string_view reasonOf(const Error& error)
@@ -42,6 +47,7 @@
     , m_hopSends(metrics.counter("yuccashift_sends_total", { { "to", "instance" } }))
     , m_answers { &answerCounter(metrics, AnswerFraming::Length), &answerCounter(metrics, AnswerFraming::Chunks), &answerCounter(metrics, AnswerFraming::Connection) }
     , m_retries(metrics.counter("yuccashift_repeats_total"))
+    , m_promises { &promiseCounter(metrics, "kept"), &promiseCounter(metrics, "late"), &promiseCounter(metrics, "missed") }
     , m_uncachedTokens(metrics.counter("yuccashift_prompt_tokens_total", { { "cache", "none" } }))
     , m_cachedTokens(metrics.counter("yuccashift_prompt_tokens_total", { { "cache", "expected" } }))
     , m_firstPrefixServer(metrics.counter("yuccashift_prefix_sends_total", { { "server", "first" } }))
@@ -123,6 +129,11 @@
     counter->add(static_cast<std::uint64_t>(std::llround(std::max(0.0, cost))));
 }
 
+void RequestRecorder::recordPromise(Promise promise)
+{
+    m_promises[static_cast<std::size_t>(promise)]->add();
+}
+
 void RequestRecorder::recordPredictionError(Duration predicted, Duration observed)
 {
     if (observed >= predicted)
--- a/src/yuccashift/entry/request_recorder.hpp
+++ b/src/yuccashift/entry/request_recorder.hpp
@@ -70,6 +70,13 @@
     void recordRetry();
     /** Counts what a request costs against its organisation's limit, by the bound that decided. */
     void recordLimitDecision(const OrganisationName&, double cost, const LimitDecision&);
+    /** How a request that the region's engines had room for ended. */
+    enum class Promise {
+        Kept,
+        Late,
+        Missed,
+    };
+    void recordPromise(Promise);
     /** Records the difference between the observed and the predicted time to first byte. */
     void recordPredictionError(Duration predicted, Duration observed);
     /** Records the time between two consecutive parts of a stream. */
@@ -90,6 +97,8 @@
     /** By AnswerFraming. */
     std::array<Counter*, 3> m_answers;
     Counter& m_retries;
+    /** By Promise. */
+    std::array<Counter*, 3> m_promises;
     Counter& m_uncachedTokens;
     Counter& m_cachedTokens;
     /** Attempts at the first of the servers ranked for the prefix, at one of the next, and at any other. */
