--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -227,7 +227,8 @@
     m_core.crashTracker.setPeerCrashes(*sender, heartbeat.crashes);
     m_core.fleetState.onSoftwareReport({ static_cast<std::uint64_t>(heartbeat.softwareDigest), milliseconds(heartbeat.singleSoftwareMs) });
     m_core.promptQuarantine.merge(promptEvidenceOf(heartbeat), now, peer->region != m_core.settings.region);
-    onUsageReport(heartbeat, *peer);
+    const ReportingPeer reporter { peer->instance, peer->incarnation, peer->region, peer->region == m_core.settings.region };
+    takeUsageReport(m_core.fleetLimits, heartbeat, reporter, now);
     if (peer->region != m_core.settings.region)
         return;
     std::map<std::uint64_t, ServerLoadSum> loads;
@@ -245,18 +246,6 @@
     m_core.serverTracker.setOwnerReports(*sender, reports);
 }
 
-void Gossip::onUsageReport(const fleetwire::Heartbeat& heartbeat, const PeerState& peer)
-{
-    const auto usage = usageRatesOf(heartbeat);
-    const bool isOfRegion = heartbeat.usageSources > 0;
-    const bool isOwnRegion = peer.region == m_core.settings.region;
-    // An instance that does not know yet in which region an address lies sends the sums of its region to its own one too.
-    if (isOwnRegion && !isOfRegion)
-        m_core.fleetLimits.onInstanceReport(peer.instance, peer.incarnation, usage, m_core.clock.now());
-    else if (!isOwnRegion && isOfRegion)
-        m_core.fleetLimits.onRegionReport(peer.region, static_cast<std::size_t>(heartbeat.usageSources), usage, m_core.clock.now());
-}
-
 Duration Gossip::heartbeatInterval() const
 {
     const auto ownRegion = static_cast<double>(m_core.peerTable.activeInstancesIn(m_core.settings.region, true).size());
--- a/src/yuccashift/entry/gossip.hpp
+++ b/src/yuccashift/entry/gossip.hpp
@@ -39,8 +39,6 @@
     void receive();
     void onDatagram(std::string_view);
     void onHeartbeat(const fleetwire::Heartbeat&);
-    /** Takes what the sender, or its region, used of the limits of organisations. */
-    void onUsageReport(const fleetwire::Heartbeat&, const PeerState&);
     void onSnapshot(const fleetwire::Snapshot&);
     void learnAddresses(const fleetwire::Heartbeat&, const std::optional<InstanceId>& sender);
     std::vector<Address> ownRegionAddresses() const;
--- a/src/yuccashift/limits/usage_rate_codec.hpp
+++ b/src/yuccashift/limits/usage_rate_codec.hpp
@@ -37,4 +37,26 @@
     heartbeat.usageSources = static_cast<std::int32_t>(sources);
 }
 
+/** The sender of a heartbeat. */
+struct ReportingPeer {
+    InstanceId instance;
+    Incarnation incarnation = 0;
+    RegionName region;
+    bool inOwnRegion = false;
+};
+
+/**
+ * Takes what a heartbeat's sender, or its region, used of the limits. Sums of the own region are left out: an instance
+ * that does not know yet in which region an address lies sends them there too.
+ */
+template <typename Heartbeat>
+void takeUsageReport(FleetLimits& limits, const Heartbeat& heartbeat, const ReportingPeer& peer, Instant now)
+{
+    const auto sources = static_cast<std::size_t>(std::max(0, heartbeat.usageSources));
+    if (peer.inOwnRegion && sources == 0)
+        limits.onInstanceReport(peer.instance, peer.incarnation, usageRatesOf(heartbeat), now);
+    else if (!peer.inOwnRegion && sources > 0)
+        limits.onRegionReport(peer.region, sources, usageRatesOf(heartbeat), now);
+}
+
 } // namespace yuccashift
--- a/tests/limits/fleet_limits_test.cpp
+++ b/tests/limits/fleet_limits_test.cpp
@@ -230,6 +230,22 @@
         EXPECT_EQ(limits.organisations(), 0U);
     }
 
+    // After a restart of all, each instance of a region was charged with the sums of the whole region.
+    TEST_F(AnInstancesLimit, TakesNoSumsOfItsOwnRegionForAnInstancesOwnUse)
+    {
+        fleetwire::Heartbeat sums;
+        addUsageRates(sums, std::array { UsageRate { museum, 900, 900 } }, 23);
+        takeUsageReport(limits, sums, { "a", 1, "here", true }, now);
+        EXPECT_EQ(limits.heldRates(), 0U);
+        takeUsageReport(limits, sums, { "b", 1, "there", false }, now);
+        EXPECT_EQ(limits.heldRates(), 1U);
+        fleetwire::Heartbeat own;
+        addUsageRates(own, std::array { UsageRate { museum, 40, 40 } }, 0);
+        takeUsageReport(limits, own, { "a", 1, "here", true }, now);
+        EXPECT_EQ(limits.heldRates(), 2U);
+        EXPECT_NEAR(admit(1, limit).othersUse, 940, 1);
+    }
+
     // 24 organisations fit into a small part of a heartbeat, for the smallest link among 370 instances.
     TEST(UsageRatesInAHeartbeat, ComeBackAndTakeFewBytes)
     {
