--- a/tests/entry/answers_test.cpp
+++ b/tests/entry/answers_test.cpp
@@ -77,7 +77,7 @@
 
     TEST(HopHeaders, SurviveARoundTripAndAreRemovedFromTheRequest)
     {
-        HopMetadata order { "sofia-1", 12, "draft", milliseconds(900), milliseconds(400), "17", 4000000000U, milliseconds(250), softwareIdOf("draft", "v1") };
+        HopMetadata order { "sofia-1", 12, "draft", milliseconds(900), milliseconds(400), "17", 4000000000U, milliseconds(250), softwareIdOf("draft", "v1"), "clinic" };
         std::string text;
         appendHopMetadata(text, order);
         HeaderFields headers { { "Host", "a.example" } };
@@ -98,6 +98,7 @@
         EXPECT_EQ(extracted->server, 4000000000U);
         EXPECT_EQ(extracted->acceptWithin, milliseconds(250));
         EXPECT_EQ(extracted->streamSoftware, softwareIdOf("draft", "v1"));
+        EXPECT_EQ(extracted->organisation, "clinic");
         EXPECT_EQ(headers.size(), 1u);
     }
 
--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -3,6 +3,7 @@
 #include "tests/support/scripted_server.hpp"
 #include "yuccashift/entry/request_job.hpp"
 #include "yuccashift/http/inbound.hpp"
+#include "yuccashift/kernel/hash.hpp"
 
 #include <atomic>
 #include <boost/asio/connect.hpp>
@@ -320,5 +321,31 @@
         EXPECT_FALSE(answer.complete);
     }
 
+    // Callers never come back after a 401, and a key that was added a moment ago may not be known here yet.
+    TEST_F(ARequestInProgress, WithAnUnknownCredentialIsRefusedForGoodOnlyByTheNewestConfiguration)
+    {
+        m_items.config.identifiesCallers = true;
+        for (auto& route : m_items.config.routes)
+            route.requiresCredential = true;
+        m_items.config.organisations = { { "clinic", { sha256Hex("k1") }, {}, 1, {} } };
+        const ScriptedServer server([](ScriptedConnection& connection) {
+            while (connection.readRequest())
+                connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        });
+        Instance instance(m_items, { &server });
+        EXPECT_EQ(instance.call("/read/x", "1.1", "Credential: k2\r\n").status, 401);
+        EXPECT_EQ(instance.call("/read/x", "1.1", "Credential: k1\r\n").status, 200);
+        fleetwire::Heartbeat beat;
+        fleetwire::Profile profile;
+        profile.instance = "i2";
+        beat.__set_profile(profile);
+        beat.sender = hashOfInstance(profile.instance);
+        beat.sequence = 1;
+        beat.configVersion = 2;
+        instance.core.peerTable.onHeartbeat(beat);
+        EXPECT_EQ(instance.call("/read/x", "1.1", "Credential: k2\r\n").status, 503);
+        EXPECT_EQ(instance.call("/read/x", "1.1", "Credential: k1\r\n").status, 200);
+    }
+
 } // namespace
 } // namespace yuccashift
--- a/tests/entry_processes/organisations_test.cpp
+++ b/tests/entry_processes/organisations_test.cpp
@@ -32,7 +32,7 @@
             http::response<http::string_body> reply;
             if (!ec)
                 http::read(m_socket, m_buf, reply, ec);
-            return ec ? 0 : reply.result_int();
+            return ec ? 0 : static_cast<int>(reply.result_int());
         }
 
     private:
