--- a/src/yuccashift/entry/region_acceptance.cpp
+++ b/src/yuccashift/entry/region_acceptance.cpp
@@ -1,6 +1,8 @@
 #include "yuccashift/entry/region_acceptance.hpp"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace yuccashift {
 
@@ -30,14 +32,27 @@
     const auto routes = m_fleetState.routes();
     if (!routes)
         return;
-    std::map<ServiceName, std::set<std::uint32_t>> priorities;
+    std::map<ServiceName, std::vector<const Route*>> byService;
     for (const auto& route : routes->config().routes) {
         for (const auto& it : route.services)
-            priorities[it.service].insert(route.priority);
+            byService[it.service].push_back(&route);
     }
-    for (const auto& [service, found] : priorities) {
-        if (found.size() > 1 && routes->config().serviceConfig(service).engine)
-            m_limited.insert(service);
+    for (auto& [service, found] : byService) {
+        if (!routes->config().serviceConfig(service).engine)
+            continue;
+        std::ranges::sort(found, {}, &Route::priority);
+        // The longest time of the routes that are more urgent than the present one, and of those that are as urgent.
+        milliseconds before {};
+        milliseconds same {};
+        std::uint32_t priority = 0;
+        for (const auto* route : found) {
+            if (route->priority != priority)
+                before = std::max(before, std::exchange(same, milliseconds {}));
+            priority = route->priority;
+            same = std::max(same, route->timeLimit);
+            if (before > route->timeLimit)
+                m_limited.insert(service);
+        }
     }
 }
 
--- a/src/yuccashift/entry/region_acceptance.hpp
+++ b/src/yuccashift/entry/region_acceptance.hpp
@@ -19,7 +19,8 @@
 
 /**
  * Decides what share of the callers' requests the engines of this region take, from the demand that all instances of the
- * region report. Only services whose routes differ in priority are limited: where all are alike, nobody yields.
+ * region report. Only services are limited of which a more urgent route may take longer than a less urgent one: its long
+ * streams suffer from the prompts of the others. Short urgent answers are served first by the engines themselves.
  */
 class RegionAcceptance {
 public:
