Mend what the reviews of the merged parts found

Streams that have begun, and requests that may have run, are no longer refused for room: neither by the draw at this region nor by dropping other regions; a region counts as refusing only where the service is limited and no server was reached; a caller's return is told by the time at its arrival. A hop or connection that has ended counts no longer as sent, so that a charge is given back and a refusal stays one. A request that states an enormous number of tokens no longer shuts its organisation out of an instance for good, nor does it cost nothing; waits are bounded before they are converted. An ended demand is reported until the others' mean of it has faded. Waits and observations from heartbeats are bounded.

Tests: AnInstancesLimit.AdmitsAgainSomeTimeAfterAnEnormousRequest and .ReportsTheEndOfADemandUntilItsMeanHasFaded; the others have no test of their own.

--- a/src/yuccashift/dispatch/server_observations.cpp
+++ b/src/yuccashift/dispatch/server_observations.cpp
@@ -14,6 +14,8 @@
     /** Bounds of a single report, so that one instance with a wrong clock or a cut link does not speak for all. */
     constexpr double maxReportedSamples = 200;
     constexpr double maxLogPace = 2;
+    /** Servers of which reports are kept. */
+    constexpr std::size_t maxReportedServers = 4096;
 
 } // namespace
 
@@ -65,6 +67,8 @@
 
 void ServerObservations::onReport(const ServerObservation& report)
 {
+    if (m_records.size() >= maxReportedServers && !m_records.contains(report.server))
+        return;
     auto& all = updated(report.server).all;
     const double firstBytes = std::clamp(report.firstBytes, 0.0, maxReportedSamples);
     all.firstBytes += firstBytes;
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -297,18 +297,18 @@
     const auto& work = request.metadata.work;
     const auto cached = local.choice.best ? local.candidates[*local.choice.best].cachedTokens : 0;
     const auto onTheWay = m_hopMetadata ? regionHopTime : Duration::zero();
-    const auto level = acceptanceLevel(work.priority, comesBackAsTold(request.route->timeLimit, timeLeft() + onTheWay, request.route->latencyObjective));
+    const auto level = acceptanceLevel(work.priority, comesBackAsTold(request.route->timeLimit, request.deadline - m_exchange->arrivedAt() + onTheWay, request.route->latencyObjective));
     m_core.promptDemand.record(request.service, level, promptTime(work.promptTokens, cached));
     m_acceptance = { basis->shares[level], basis->shares[acceptanceLevel(work.priority, true)], std::accumulate(basis->demand.begin(), basis->demand.begin() + static_cast<std::ptrdiff_t>(level) + 1, 0.0), basis->room };
-    // What has begun is not broken off for newcomers.
-    if (!m_streamSoftware.begun())
+    // What has begun is not broken off for newcomers, and what may have run cannot be refused.
+    if (!m_streamSoftware.begun() && !m_mayHaveRun)
         m_acceptedHere = basis->shares[level] >= 1 || m_core.random->uniformReal() < basis->shares[level];
     return *m_acceptedHere;
 }
 
 void RequestJob::dropRegionsWithoutRoom(RemotePlan& remote)
 {
-    if (remote.candidates.empty())
+    if (remote.candidates.empty() || m_streamSoftware.begun() || m_mayHaveRun)
         return;
     if (!m_remoteDraw)
         m_remoteDraw = m_core.random->uniformReal();
@@ -338,7 +338,7 @@
         plan.remote = m_core.planner.planRemote(allowed, m_request.service, m_request.metadata.work, m_triedInstances, m_streamSoftware, plan.local, prefixHome);
     dropRegionsWithoutRoom(plan.remote);
     PlacementInput input;
-    input.acceptedHere = m_acceptedHere.value_or(true);
+    input.acceptedHere = m_streamSoftware.begun() || m_mayHaveRun || m_acceptedHere.value_or(true);
     if (plan.local.choice.best)
         input.localTimeToFirstByte = plan.local.choice.predicted;
     input.prefixPrefillTime = plan.local.prefixPrefillTime;
@@ -381,7 +381,7 @@
     case Placement::Action::Remote:
         return sendToRegion(*plan.remote.peers[plan.placement.remoteIndex], plan.placement.predicted);
     case Placement::Action::Refuse:
-        if (waitForSlot(plan.local))
+        if (m_acceptedHere.value_or(true) && waitForSlot(plan.local))
             return;
         break;
     }
@@ -755,15 +755,18 @@
     if (error.kind == ErrorKind::NoBackend && m_serverOfHop == 0 && !m_streamSoftware.begun())
         m_core.peerTable.onNoCapacity(m_peerInstance, m_request.service);
     const auto* peer = m_core.peerTable.find(m_peerInstance);
-    if (error.kind == ErrorKind::Overloaded && m_serverOfHop == 0 && peer)
+    if (error.kind == ErrorKind::Overloaded && m_serverOfHop == 0 && peer && !failure.reachedServer && m_core.acceptance.basisFor(m_request.service))
         m_refusedRegions.insert(peer->region);
     if (error.kind == ErrorKind::Draining || error.kind == ErrorKind::NotReady)
         m_triedInstances.insert(m_peerInstance);
     else if (m_serverOfHop != 0)
         m_triedServers.insert(m_serverOfHop);
     const auto recovery = recoverFromHop(failure, m_request.route->retryable(), m_refusedHops);
-    if (recovery == HopRecovery::SendOn)
+    if (recovery == HopRecovery::SendOn) {
+        // The hop has ended and counts no longer as sent.
+        m_outbound.reset();
         return dispatch();
+    }
     if (recovery != HopRecovery::Retry || !retry(error.code()))
         failWith(error);
 }
@@ -787,6 +790,7 @@
             m_core.serverConnections.closeIdle(m_serverPoolKey);
         }
         endAttempt(ServerOutcome::Lost);
+        m_outbound.reset();
         return dispatch();
     }
     onConnectionLost(failure, reason);
--- a/src/yuccashift/fleet/peer_table.cpp
+++ b/src/yuccashift/fleet/peer_table.cpp
@@ -118,7 +118,7 @@
         capacity.freeSlots = reported.freeSlots;
         // An instance of another version may report fewer priority levels; its last one then stands for the rest.
         for (std::size_t i = 0; i < priorityLevels && !reported.waitMs.empty(); ++i)
-            capacity.wait[i] = milliseconds(reported.waitMs[std::min(i, reported.waitMs.size() - 1)]);
+            capacity.wait[i] = milliseconds(std::max(0, reported.waitMs[std::min(i, reported.waitMs.size() - 1)]));
         for (std::size_t i = 0; i < priorityLevels && !reported.acceptPercent.empty(); ++i)
             capacity.acceptedShare[i] = reported.acceptPercent[std::min(i, reported.acceptPercent.size() - 1)] / 100.0;
     }
--- a/src/yuccashift/limits/fleet_limits.cpp
+++ b/src/yuccashift/limits/fleet_limits.cpp
@@ -195,7 +195,8 @@
     entry.usualDemand = smoothed(entry.usualDemand, entry.meanDemanded + entry.othersDemanded, elapsed / usualTime);
     const double factor = shareFactor(entry);
     const double share = shareOf(entry, now);
-    entry.shareBalance = std::min(shareDepth(entry, share), entry.shareBalance + share * perSecond * factor * elapsed);
+    const double deepestDebt = std::max(maxDebt * share * perSecond, requestsInDebt * usualCost(entry));
+    entry.shareBalance = std::clamp(entry.shareBalance + share * perSecond * factor * elapsed, -deepestDebt, shareDepth(entry, share));
     entry.balance = std::clamp(entry.balance + (perSecond - entry.othersCharged) * elapsed, -std::max(maxDebt * perSecond, requestsInDebt * usualCost(entry)), std::max(0.0, burstOf(entry)));
 }
 
@@ -298,10 +299,11 @@
     const double perSecond = entry.limit.perSecond;
     const double own = std::max(entry.meanDemanded, cost);
     const double rate = perSecond * std::max(share, own / (own + entry.othersDemanded));
+    const double longestWait = Seconds(maxWait).count();
     const double fleetWait = std::max(0.0, -stopAt(entry) - entry.balance) / perSecond;
     const double shareWait = std::max(0.0, -entry.shareBalance) / rate;
-    const auto room = now + std::chrono::duration_cast<Duration>(Seconds(std::max(fleetWait, shareWait)));
-    entry.roomAt = std::min(std::max(entry.roomAt, room), now + maxWait) + std::chrono::duration_cast<Duration>(Seconds(std::min(cost / rate, Seconds(maxWait).count())));
+    const auto room = now + std::chrono::duration_cast<Duration>(Seconds(std::min(std::max(fleetWait, shareWait), longestWait)));
+    entry.roomAt = std::min(std::max(entry.roomAt, room), now + maxWait) + std::chrono::duration_cast<Duration>(Seconds(std::min(cost / rate, longestWait)));
     return std::min<Duration>(entry.roomAt - now, maxWait);
 }
 
@@ -338,11 +340,13 @@
     return sum;
 }
 
-void FleetLimits::addCandidate(std::vector<Candidate>& candidates, const UsageRate& rate, Sent& sent, Duration zerosFor, Instant now)
+void FleetLimits::addCandidate(std::vector<Candidate>& candidates, const UsageRate& rate, double mean, Sent& sent, Duration zerosFor, Instant now)
 {
     // A mean fades and never reaches zero.
     const bool isActive = rate.demanded >= 1 || rate.admitted >= 1;
-    if (!isActive && now - sent.activeAt > zerosFor)
+    // What the others were told last stands until they are told of its end, and their mean fades only with reports.
+    const bool isHeldByOthers = sent.demanded >= 1 || mean >= 1;
+    if (!isActive && !isHeldByOthers && now - sent.activeAt > zerosFor)
         return;
     const double change = std::abs(rate.demanded - sent.demanded) / std::max({ rate.demanded, sent.demanded, 1.0 });
     candidates.push_back({ rate.organisation, rate, &sent, change >= significantChange ? change : 0 });
@@ -371,7 +375,7 @@
 {
     std::vector<Candidate> candidates;
     for (auto& [key, entry] : m_entries)
-        addCandidate(candidates, ownRate(key, entry, now), entry.sent, m_reportInterval * zeroIntervals, now);
+        addCandidate(candidates, ownRate(key, entry, now), entry.meanDemanded, entry.sent, m_reportInterval * zeroIntervals, now);
     std::vector<UsageRate> report;
     for (const auto& it : select(std::move(candidates), maxCount, now)) {
         auto& entry = m_entries[it.key];
@@ -393,7 +397,7 @@
 {
     std::vector<Candidate> candidates;
     for (auto& [key, entry] : m_entries)
-        addCandidate(candidates, regionRate(key, entry, now), entry.sentToRegions, regionZeros, now);
+        addCandidate(candidates, regionRate(key, entry, now), 0, entry.sentToRegions, regionZeros, now);
     std::vector<UsageRate> report;
     for (const auto& it : select(std::move(candidates), maxCount, now))
         report.push_back(it.rate);
--- a/src/yuccashift/limits/fleet_limits.hpp
+++ b/src/yuccashift/limits/fleet_limits.hpp
@@ -222,7 +222,7 @@
     static Duration waitOfRefused(Entry&, double cost, double share, Instant now);
     UsageRate ownRate(OrganisationKey, const Entry&, Instant now) const;
     UsageRate regionRate(OrganisationKey, const Entry&, Instant now) const;
-    static void addCandidate(std::vector<Candidate>&, const UsageRate&, Sent&, Duration zerosFor, Instant now);
+    static void addCandidate(std::vector<Candidate>&, const UsageRate&, double mean, Sent&, Duration zerosFor, Instant now);
     static std::vector<Candidate> select(std::vector<Candidate>, std::size_t maxCount, Instant now);
 
     Instant m_startedAt;
--- a/tests/limits/fleet_limits_test.cpp
+++ b/tests/limits/fleet_limits_test.cpp
@@ -215,6 +215,40 @@
         EXPECT_EQ(reported.size(), count);
     }
 
+    // One request that states more tokens than the limit gives in a day, then usual ones.
+    TEST_F(AnInstancesLimit, AdmitsAgainSomeTimeAfterAnEnormousRequest)
+    {
+        ASSERT_TRUE(admit(500, limit).admitted());
+        admit(8e6, limit);
+        const auto refused = admit(500, limit);
+        EXPECT_FALSE(refused.admitted());
+        EXPECT_LE(refused.retryAfter, seconds(30));
+        bool admitted = false;
+        for (int n = 0; n < 24 * 3600 && !admitted; ++n) {
+            now += seconds(1);
+            limits.takeReport(8, now);
+            admitted = admit(500, limit).admitted();
+        }
+        EXPECT_TRUE(admitted);
+    }
+
+    // Callers that move to another instance: the others must not go on dividing by a demand that has ended.
+    TEST_F(AnInstancesLimit, ReportsTheEndOfADemandUntilItsMeanHasFaded)
+    {
+        limits.takeReport(8, now);
+        admit(500, limit);
+        now += milliseconds(100);
+        ASSERT_EQ(limits.takeReport(8, now).size(), 1U);
+        std::size_t zeros = 0;
+        for (int round = 0; round < 200; ++round) {
+            now += milliseconds(100);
+            for (const auto& it : limits.takeReport(8, now))
+                zeros += it.demanded == 0 ? 1 : 0;
+        }
+        EXPECT_GT(zeros, 20U);
+        EXPECT_LT(zeros, 200U);
+    }
+
     // State of organisations and instances that are gone does not stay.
     TEST_F(AnInstancesLimit, ForgetsWhatIsIdleAndWhoIsSilent)
     {
