Resume a stream without a record only where one version must have begun it

Cause: after a loss of all instances the software of a stream is presumed from the published servers. Three presumptions were wrong: a version that had replaced another one without overlap was reported to restarted instances as the only one of all the time before; on a route that is split between services the service picked for the new attempt was taken for the one that began the stream; and a route that had just moved to another service counted for nothing.

Change: SoftwareVersions counts from when the last other version of a service left, keeps what it has seen itself against reports of others, and is uncertain for the whole period after a streaming route moved. Reports of instances with an older configuration are left out. Without a record, streams of split routes are refused as not run. An entry that is only renewed does not count as gone. The first start of the whole system is logged.

--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -276,7 +276,9 @@
     if (!peer)
         return;
     m_core.crashTracker.setPeerCrashes(*sender, heartbeat.crashes);
-    m_core.fleetState.onSoftwareReport({ static_cast<std::uint64_t>(heartbeat.softwareDigest), milliseconds(heartbeat.singleSoftwareMs) });
+    // An instance without the newest configuration may not know that a route has moved.
+    if (heartbeat.configVersion >= m_core.fleetState.configVersion())
+        m_core.fleetState.onSoftwareReport({ static_cast<std::uint64_t>(heartbeat.softwareDigest), milliseconds(heartbeat.singleSoftwareMs) });
     m_core.promptQuarantine.merge(promptEvidenceOf(heartbeat), now, peer->region != m_core.settings.region);
     const ReportingPeer reporter { peer->instance, peer->incarnation, peer->region, peer->region == m_core.settings.region };
     takeUsageReport(m_core.fleetLimits, heartbeat, reporter, now);
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -169,7 +169,7 @@
     if (m_hopMetadata && m_hopMetadata->streamSoftware)
         m_streamSoftware = StreamSoftware::begunBy(*m_hopMetadata->streamSoftware);
     else if (m_hopMetadata && m_hopMetadata->resumeAfter && m_request.route->kind == RouteKind::Streaming)
-        m_streamSoftware = StreamSoftware::begunBy(presumedSoftware());
+        m_streamSoftware = StreamSoftware::begunBy(softwareWithoutRecord());
     armTimeLimit();
     return true;
 }
@@ -208,12 +208,11 @@
 
 void RequestJob::identifyStream()
 {
-    const auto& route = *m_request.route;
     const auto& metadata = m_request.metadata;
-    if (m_hopMetadata || !metadata.resumeAfter || route.kind != RouteKind::Streaming)
+    if (m_hopMetadata || !metadata.resumeAfter || m_request.route->kind != RouteKind::Streaming)
         return begin();
     const auto known = metadata.resumedAttempt ? m_core.streamOrigins.findHere(*metadata.resumedAttempt) : 0;
-    const auto only = route.services.size() == 1 ? presumedSoftware() : 0;
+    const auto only = softwareWithoutRecord();
     if (known != 0 || only != 0 || !metadata.resumedAttempt)
         return onStreamIdentified(known != 0 ? known : only);
     m_core.streamOrigins.find(*metadata.resumedAttempt, [weak = weak_from_this()](SoftwareId software) {
@@ -235,7 +234,7 @@
     if (m_done)
         return;
     if (software == 0)
-        software = presumedSoftware();
+        software = softwareWithoutRecord();
     logInfo("caller resumes a stream", { { "request", m_request.metadata.attemptId }, { "resumes", m_request.metadata.resumedAttempt.value_or("") }, { "after_event", *m_request.metadata.resumeAfter }, { "software_known", software != 0 ? 1 : 0 } });
     m_streamSoftware = StreamSoftware::begunBy(software);
     const auto* service = serviceWith(software);
@@ -493,6 +492,12 @@
     return m_core.fleetState.softwareVersions().onlySoftware(m_request.service, period, m_core.clock.now()).value_or(0);
 }
 
+SoftwareId RequestJob::softwareWithoutRecord() const
+{
+    // A route with several services may have begun the stream at any of them.
+    return m_request.route->services.size() == 1 ? presumedSoftware() : 0;
+}
+
 void RequestJob::sendToOwner(const PeerState& owner, const LocalPlan& plan)
 {
     const auto& server = *plan.server();
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -127,6 +127,8 @@
     std::optional<Error> quarantineError() const;
     /** The software of a stream that another instance executes, if its head does not name it. */
     SoftwareId presumedSoftware() const;
+    /** The software that must have begun the stream that the caller resumes, if no instance recorded it; 0 if that is not certain. */
+    SoftwareId softwareWithoutRecord() const;
     /** Tells the quarantine of prompts that a server of this region has served the request. */
     void recordServed();
     void recordServerLost();
--- a/src/yuccashift/fleet/fleet_state.cpp
+++ b/src/yuccashift/fleet/fleet_state.cpp
@@ -2,6 +2,8 @@
 
 #include "yuccashift/kernel/log.hpp"
 
+#include <algorithm>
+
 namespace yuccashift {
 
 namespace {
@@ -14,6 +16,23 @@
     // expired entries and not like departures.
     constexpr std::size_t minMassRemoval = 3;
 
+    /** Whether a streaming request that takes a route of `from` has other services under `to`. */
+    bool leadsElsewhere(const RouteIndex& from, const RouteIndex& to)
+    {
+        return std::ranges::any_of(from.config().routes, [&](const Route& route) {
+            if (route.kind != RouteKind::Streaming)
+                return false;
+            const auto* other = to.find(route.host, route.pathPrefix);
+            return other && other->kind == RouteKind::Streaming && !std::ranges::all_of(other->services, [&](const auto& it) { return route.usesService(it.service); });
+        });
+    }
+
+    /** Whether a stream that began under the earlier routes may be resumed at a service that did not serve it. */
+    bool movesStreams(const RouteIndex& before, const RouteIndex& after)
+    {
+        return leadsElsewhere(before, after) || leadsElsewhere(after, before);
+    }
+
     template <typename... Handlers>
     struct Overloaded : Handlers... {
         using Handlers::operator()...;
@@ -32,6 +51,13 @@
 {
 }
 
+void FleetState::onFirstStart()
+{
+    logInfo("first start of the whole system", {});
+    m_firstStart = true;
+    m_softwareVersions.onFirstStart(m_clock.now());
+}
+
 void FleetState::apply(std::span<const ItemChange> changes, std::int64_t through)
 {
     deferIfMassRemoval(changes);
@@ -103,7 +129,10 @@
                        if (config.version <= configVersion())
                            return;
                        logInfo("configuration activated", { { "version", config.version }, { "before", configVersion() }, { "revision", change.revision }, { "routes", config.routes.size() } });
-                       m_routes = std::make_shared<const RouteIndex>(std::move(config));
+                       auto routes = std::make_shared<const RouteIndex>(std::move(config));
+                       if (m_routes ? movesStreams(*m_routes, *routes) : !m_firstStart)
+                           m_softwareVersions.onRoutesMoved(m_clock.now());
+                       m_routes = std::move(routes);
                        if (m_observer)
                            m_observer->onConfig(*m_routes);
                    },
@@ -134,9 +163,10 @@
         logInfo("backend server added or changed", { { "id", server.identity.id }, { "born", server.identity.startedAtMs }, { "service", server.service }, { "software", server.softwareVersion }, { "datacentre", server.datacentre }, { "draining", server.draining ? 1 : 0 }, { "cold_ms", toMilliseconds(server.coldUntil - now) } });
     if (!known && it != m_servers.end())
         removeServer(key);
-    else if (known)
-        m_softwareVersions.onServerRemoved(it->second.service, it->second.software, now);
+    // An entry that is only renewed does not count as gone in between.
     m_softwareVersions.onServerAdded(server.service, server.software, now);
+    if (known)
+        m_softwareVersions.onServerRemoved(it->second.service, it->second.software, now);
     const bool draining = server.draining;
     auto& stored = m_servers[key] = std::move(server);
     if (!m_observer)
--- a/src/yuccashift/fleet/fleet_state.hpp
+++ b/src/yuccashift/fleet/fleet_state.hpp
@@ -86,7 +86,7 @@
     void tick();
 
     /** See SoftwareVersions::onFirstStart(). */
-    void onFirstStart() { m_softwareVersions.onFirstStart(m_clock.now()); }
+    void onFirstStart();
     /** See ItemReplica::setFirstEra(). */
     void setFirstEra(std::int64_t era) { m_replica.setFirstEra(era); }
     const ItemReplica& replica() const { return m_replica; }
@@ -129,6 +129,8 @@
     Instant m_removalsDeferredUntil {};
     /** Whether the items being applied may be older than what was known before. */
     bool m_beginningEra = false;
+    /** Whether the whole system has started for the first time, so that no configuration was in force before. */
+    bool m_firstStart = false;
     /** Identity hashes of the servers that drained or were removed, with the time. */
     std::map<std::uint64_t, Instant> m_departures;
 };
--- a/src/yuccashift/fleet/software_versions.cpp
+++ b/src/yuccashift/fleet/software_versions.cpp
@@ -24,7 +24,6 @@
     auto& presence = m_services[service][software];
     if (presence.servers++ == 0)
         m_digest ^= software;
-    updateSingle(now);
 }
 
 void SoftwareVersions::onServerRemoved(const ServiceName& service, SoftwareId software, Instant now)
@@ -35,23 +34,35 @@
         m_digest ^= software;
     presence.lastSeen = now;
     std::erase_if(versions, [&](const auto& it) { return it.second.servers == 0 && now - it.second.lastSeen >= memoryOfVersions; });
-    updateSingle(now);
 }
 
-void SoftwareVersions::updateSingle(Instant now)
+void SoftwareVersions::onRoutesMoved(Instant now)
 {
-    if (mostInOneService() > 1) {
-        m_hadSeveral = true;
-        m_singleSince.reset();
-        m_reportedSingleSince.reset();
-    } else if (!m_singleSince) {
-        m_singleSince = m_hadSeveral ? now : m_followingSince.value_or(now);
+    m_routesMovedAt = now;
+    m_reportedSingleSince.reset();
+}
+
+std::optional<Instant> SoftwareVersions::singleSince() const
+{
+    if (!m_followingSince || mostInOneService() > 1)
+        return {};
+    auto since = std::max(*m_followingSince, m_routesMovedAt.value_or(Instant::min()));
+    for (const auto& [service, versions] : m_services) {
+        // Without any server, the service may come back with the version that it had.
+        if (std::ranges::none_of(versions, [](const auto& it) { return it.second.servers > 0; }))
+            continue;
+        for (const auto& [software, presence] : versions) {
+            if (presence.servers == 0)
+                since = std::max(since, presence.lastSeen);
+        }
     }
+    return since;
 }
 
 SingleSoftware SoftwareVersions::singleSoftware(Instant now) const
 {
-    return { m_digest, m_singleSince ? now - *m_singleSince : Duration::zero() };
+    const auto since = singleSince();
+    return { m_digest, since ? std::min<Duration>(memoryOfVersions, now - *since) : Duration::zero() };
 }
 
 void SoftwareVersions::onReport(const SingleSoftware& report, Instant now)
@@ -78,14 +89,14 @@
     const auto versions = m_services.find(service);
     if (versions == m_services.end())
         return {};
-    const bool reported = m_singleSince && m_reportedSingleSince && m_reportedDigest == m_digest && now - *m_reportedSingleSince >= period;
-    const bool followed = m_followingSince && now - *m_followingSince >= period;
+    const bool reported = mostInOneService() <= 1 && m_reportedSingleSince && m_reportedDigest == m_digest && now - *m_reportedSingleSince >= period;
+    const bool followed = m_followingSince && now - std::max(*m_followingSince, m_routesMovedAt.value_or(Instant::min())) >= period;
     if (!reported && !followed)
         return {};
     std::optional<SoftwareId> only;
     for (const auto& [software, presence] : versions->second) {
-        const bool present = presence.servers > 0;
-        if (!present && (reported || now - presence.lastSeen >= period))
+        // A version that this instance has seen counts, whatever another one says that has seen less.
+        if (presence.servers == 0 && now - presence.lastSeen >= period)
             continue;
         if (only)
             return {};
--- a/src/yuccashift/fleet/software_versions.hpp
+++ b/src/yuccashift/fleet/software_versions.hpp
@@ -24,6 +24,8 @@
     void onFirstStart(Instant now);
     void onServerAdded(const ServiceName&, SoftwareId, Instant now);
     void onServerRemoved(const ServiceName&, SoftwareId, Instant now);
+    /** To be called when requests of a streaming route begin to go to other services than before, or their earlier services are not known. */
+    void onRoutesMoved(Instant now);
 
     /** Number of versions that the servers of one service run now; the largest of all services. */
     std::size_t mostInOneService() const;
@@ -42,16 +44,14 @@
         std::size_t servers = 0;
         Instant lastSeen {};
     };
-    void updateSingle(Instant now);
+    /** Since when each service that has servers has had only one version and no route has moved; std::nullopt while a service has several. */
+    std::optional<Instant> singleSince() const;
 
     std::map<ServiceName, std::map<SoftwareId, Presence>> m_services;
     std::uint64_t m_digest = 0;
     std::optional<Instant> m_followingSince;
-    /** Whether a service has had several versions at once since `m_followingSince`. */
-    bool m_hadSeveral = false;
-    /** Since when each service has had only one version; std::nullopt while one has several. */
-    std::optional<Instant> m_singleSince;
-    /** The same as the instance that has followed it for longest reported it, for the digest that it named. */
+    std::optional<Instant> m_routesMovedAt;
+    /** singleSince() of the instance that has followed it for longest, for the digest that it named. */
     std::optional<Instant> m_reportedSingleSince;
     std::uint64_t m_reportedDigest = 0;
 };
--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -219,6 +219,30 @@
         }
     }
 
+    // A stream that no instance remembered went on at the service that the route picked, which need not have begun it.
+    TEST_F(ARequestInProgress, ForAStreamIsNotResumedOnASplitRouteWithoutARecordOfItsBeginning)
+    {
+        for (const bool split : { false, true }) {
+            m_items.config.routes.front().services.resize(1);
+            if (split)
+                m_items.config.routes.front().services.push_back({ "other-engines", 1 });
+            std::atomic<int> requests = 0;
+            const ScriptedServer server([&](ScriptedConnection& connection) {
+                if (!connection.readRequest())
+                    return;
+                ++requests;
+                connection.write(streamHead + "\r\n" + secondEvent);
+            });
+            Instance instance(m_items, {});
+            instance.core.fleetState.onFirstStart();
+            const auto entry = "engines " + toString(server.endpoint()) + " hall ready 1 0 6 v1";
+            instance.core.fleetState.replaceAll(std::vector<ItemChange> { { "config", "config 2", 4 }, { "s1", "server " + entry, 5 }, { "s2", "server other-" + entry, 5 } }, 5);
+            const auto answer = instance.call("/resumable/x", "1.1", "Resume-After: 1\r\n");
+            EXPECT_EQ(answer.status, split ? 503 : 200);
+            EXPECT_EQ(requests, split ? 0 : 1);
+        }
+    }
+
     // Before its first event a stream may begin at any version.
     TEST_F(ARequestInProgress, ForAStreamIsSentToAnotherSoftwareWhileItHasNoEvent)
     {
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 #include <map>
 #include <set>
+#include <span>
 #include <thread>
 
 namespace yuccashift::test {
@@ -272,6 +273,65 @@
         }
     }
 
+    // After a loss of all instances nobody remembers by which software a stream began.
+    TEST_F(EntryInstances, NeverJoinTwoSoftwareVersionsAfterAllOfThemWereKilled)
+    {
+        const std::vector<std::string> names { "sofia-1", "sofia-2", "varna-1" };
+        const auto killAndRestart = [&](std::size_t count) {
+            for (const auto& name : std::span(names).first(count))
+                m_fleet.entry(name).signal(SIGKILL);
+            for (const auto& name : std::span(names).first(count))
+                m_fleet.startEntry(name, name.substr(0, name.find('-')));
+            for (const auto& name : names)
+                EXPECT_TRUE(m_fleet.waitReady(name));
+        };
+        std::size_t n = 0;
+        std::size_t resumed = 0;
+        const auto resumeEverywhere = [&](const std::vector<std::pair<std::string, std::string>>& begun, const std::string& moment) {
+            for (const auto& [first, events] : begun) {
+                for (const auto& name : names) {
+                    const auto rest = resume(name, "rest-" + std::to_string(++n), first, events, "/single/stream/x");
+                    EXPECT_TRUE(rest.ok() || rest.status == 503) << moment << ", " << first << " at " << name << ": " << rest.status;
+                    EXPECT_EQ(softwareCount(events + rest.body), 1u) << moment << ", " << first << " at " << name;
+                    resumed += rest.ok() ? 1 : 0;
+                }
+            }
+        };
+        const auto begin = [&](const std::string& moment) {
+            std::vector<std::pair<std::string, std::string>> begun;
+            for (int i = 0; i < 3; ++i) {
+                const auto first = moment + "-" + std::to_string(i);
+                begun.emplace_back(first, beginStream(names[static_cast<std::size_t>(i)], first, "/single/stream/x"));
+            }
+            return begun;
+        };
+
+        updateSecondEngines();
+        auto begun = begin("both");
+        killAndRestart(names.size());
+        resumeEverywhere(begun, "both versions serve, all killed");
+        EXPECT_EQ(resumed, 0u);
+
+        begun = begin("gone");
+        for (const std::string region : { "sofia", "varna" })
+            m_fleet.withdraw("draft-1-" + region);
+        killAndRestart(names.size());
+        resumeEverywhere(begun, "the old version has just left, all killed");
+        EXPECT_EQ(resumed, 0u);
+
+        begun = begin("left");
+        killAndRestart(names.size() - 1);
+        resumeEverywhere(begun, "one version serves, all but one killed");
+
+        begun = begin("new");
+        for (const std::string region : { "sofia", "varna" }) {
+            m_fleet.control("draft-2-" + region, "/control/software", R"({"version":"v3"})");
+            m_fleet.publish({ "draft-2-" + region, "draft", "hall-" + region, m_fleet.worker("draft-2-" + region), "ready", 1, 0, "v3" });
+        }
+        killAndRestart(names.size());
+        resumeEverywhere(begun, "the new version has just come, all killed");
+    }
+
     TEST_F(EntryInstances, RefuseToResumeAStreamWhoseSoftwareIsUnknownOrGone)
     {
         updateSecondEngines();
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -59,6 +59,72 @@
         EXPECT_EQ(removed, std::vector<std::string> { "s" });
     }
 
+    struct StreamsOfAFleetState : AFleetState {
+        StreamsOfAFleetState()
+        {
+            items.config.routes = { route("/stream/", "draft") };
+            publish("config", "config 5");
+            publish("s1", "server draft 10.0.0.1:80 hall ready 1 0 4 v1");
+            publish("s2", "server chat 10.0.0.2:80 hall ready 1 0 4 v7");
+            clock.advance(seconds(10));
+        }
+        static Route route(const std::string& prefix, const std::string& service)
+        {
+            Route it;
+            it.host = "a";
+            it.pathPrefix = prefix;
+            it.kind = RouteKind::Streaming;
+            it.services = { { service, 1 } };
+            return it;
+        }
+        void activate(std::vector<Route> routes)
+        {
+            items.config.routes = std::move(routes);
+            publish("config", "config " + std::to_string(fleetState.configVersion() + 1));
+        }
+        bool knowsSoftwareOf(const std::string& service) const { return fleetState.softwareVersions().onlySoftware(service, seconds(10), clock.now()).has_value(); }
+    };
+
+    // A stream that its caller resumed after a route had moved went on at the other service.
+    TEST_F(StreamsOfAFleetState, AreOfUncertainSoftwareAfterTheirRouteMoved)
+    {
+        EXPECT_TRUE(knowsSoftwareOf("chat"));
+        activate({ route("/stream/", "chat") });
+        EXPECT_FALSE(knowsSoftwareOf("chat"));
+        clock.advance(seconds(10));
+        EXPECT_TRUE(knowsSoftwareOf("chat"));
+        // Part of the requests leaves the route for a longer prefix.
+        activate({ route("/stream/", "chat"), route("/stream/long/", "draft") });
+        EXPECT_FALSE(knowsSoftwareOf("draft"));
+        clock.advance(seconds(10));
+        activate({ route("/stream/", "chat") });
+        EXPECT_FALSE(knowsSoftwareOf("chat"));
+    }
+
+    TEST_F(StreamsOfAFleetState, StayOfKnownSoftwareWhenOtherRoutesComeAndGo)
+    {
+        activate({ route("/stream/", "draft"), route("/new/", "chat"), route("/stream/long/", "draft") });
+        EXPECT_TRUE(knowsSoftwareOf("draft"));
+        activate({ route("/stream/", "draft") });
+        EXPECT_TRUE(knowsSoftwareOf("draft"));
+        // An entry that is renewed says nothing new.
+        publish("s1", "server draft 10.0.0.1:80 hall ready 2 0 4 v1");
+        EXPECT_TRUE(knowsSoftwareOf("draft"));
+    }
+
+    TEST_F(AFleetState, KnowsNothingOfTheRoutesBeforeItsFirstConfiguration)
+    {
+        publish("s1", "server draft 10.0.0.1:80 hall ready 1 0 4 v1");
+        clock.advance(seconds(10));
+        publish("config", "config 5");
+        EXPECT_FALSE(fleetState.softwareVersions().onlySoftware("draft", seconds(10), clock.now()));
+        FleetState first(clock, items);
+        first.onFirstStart();
+        const std::vector<ItemChange> changes { { "s1", "server draft 10.0.0.1:80 hall ready 1 0 4 v1", 1 }, { "config", "config 5", 2 } };
+        first.apply(changes, 2);
+        EXPECT_TRUE(first.softwareVersions().onlySoftware("draft", seconds(10), clock.now()));
+    }
+
     struct AStoreThatComesBackFromACopy : AFleetState {
         AStoreThatComesBackFromACopy()
         {
--- a/tests/fleet/software_versions_test.cpp
+++ b/tests/fleet/software_versions_test.cpp
@@ -93,5 +93,65 @@
         EXPECT_FALSE(only());
     }
 
+    // The version that replaced another one without overlap was reported as the only one of all the time before.
+    TEST_F(TheSoftwareOfAService, IsNotReportedAsSingleForTheTimeInWhichAnotherVersionServed)
+    {
+        versions.onServerAdded("draft", 1, clock.now());
+        clock.advance(period);
+        versions.onServerRemoved("draft", 1, clock.now());
+        clock.advance(seconds(1));
+        versions.onServerAdded("draft", 2, clock.now());
+        EXPECT_EQ(versions.singleSoftware(clock.now()).duration, seconds(1));
+        SoftwareVersions restarted;
+        restarted.onServerAdded("draft", 2, clock.now());
+        restarted.onReport(versions.singleSoftware(clock.now()), clock.now());
+        EXPECT_FALSE(restarted.onlySoftware("draft", period, clock.now()));
+        clock.advance(period - seconds(1));
+        restarted.onReport(versions.singleSoftware(clock.now()), clock.now());
+        EXPECT_EQ(restarted.onlySoftware("draft", period, clock.now()), 2u);
+    }
+
+    TEST_F(TheSoftwareOfAService, StaysSingleWhenAllItsServersLeaveAndComeBackWithIt)
+    {
+        versions.onServerAdded("draft", 1, clock.now());
+        clock.advance(period);
+        versions.onServerRemoved("draft", 1, clock.now());
+        clock.advance(seconds(1));
+        versions.onServerAdded("draft", 1, clock.now());
+        EXPECT_EQ(versions.singleSoftware(clock.now()).duration, period + seconds(1));
+        EXPECT_EQ(only(), 1u);
+    }
+
+    // A report from before another version came and went was taken for certain again afterwards.
+    TEST_F(TheSoftwareOfAService, IsUncertainAfterAVersionThatAnOlderReportDoesNotCover)
+    {
+        SoftwareVersions other;
+        other.onServerAdded("draft", 1, clock.now());
+        clock.advance(period);
+        versions.onServerAdded("draft", 1, clock.now());
+        versions.onReport(other.singleSoftware(clock.now()), clock.now());
+        versions.onServerRemoved("draft", 1, clock.now());
+        versions.onServerAdded("draft", 2, clock.now());
+        versions.onServerRemoved("draft", 2, clock.now());
+        versions.onServerAdded("draft", 1, clock.now());
+        EXPECT_FALSE(only());
+        clock.advance(period);
+        EXPECT_EQ(only(), 1u);
+    }
+
+    TEST_F(TheSoftwareOfAService, IsUncertainForThePeriodAfterARouteMovedToAnotherService)
+    {
+        versions.onServerAdded("draft", 1, clock.now());
+        clock.advance(period);
+        SoftwareVersions other = versions;
+        EXPECT_EQ(only(), 1u);
+        versions.onReport(other.singleSoftware(clock.now()), clock.now());
+        versions.onRoutesMoved(clock.now());
+        EXPECT_FALSE(only());
+        EXPECT_EQ(versions.singleSoftware(clock.now()).duration, Duration::zero());
+        clock.advance(period);
+        EXPECT_EQ(only(), 1u);
+    }
+
 } // namespace
 } // namespace yuccashift
