Reach a region whose instances all drain through them

Cause: no request was forwarded to a draining instance.

Change: draining instances take hops for regions where no other instance can.

--- a/src/yuccashift/entry/dispatch_planner.cpp
+++ b/src/yuccashift/entry/dispatch_planner.cpp
@@ -446,14 +446,17 @@
     const auto continuing = software.begun() ? regionsThatContinue(service, software) : std::set<RegionName>();
     const auto mayContinue = [&](const PeerState& peer) { return !software.begun() || (peer.keepsStreamSoftware && continuing.contains(peer.region)); };
     std::map<RegionName, std::vector<const PeerState*>> byRegion;
+    std::map<RegionName, std::vector<const PeerState*>> drainingByRegion;
     for (const auto* peer : m_peerTable.alive()) {
         const bool eligible = (peer->region != m_settings.region || local.unreachable()) && namesOrganisations(*peer);
-        const bool usable = eligible && allowed.allows(peer->region) && !peer->draining && now >= peer->backOffUntil && !tried.contains(peer->instance);
+        const bool usable = eligible && allowed.allows(peer->region) && now >= peer->backOffUntil && !tried.contains(peer->instance);
         const auto capacity = peer->capacityByService.find(service);
         const bool hasCapacity = capacity != peer->capacityByService.end() && (capacity->second.freeSlots > 0 || local.reachesNone());
         if (usable && mayContinue(*peer) && hasCapacity)
-            byRegion[peer->region].push_back(peer);
+            (peer->draining ? drainingByRegion : byRegion)[peer->region].push_back(peer);
     }
+    // While all instances of a region restart, its servers are reached through those that still drain.
+    byRegion.merge(drainingByRegion);
     for (const auto& [region, regionPeers] : byRegion) {
         const auto* peer = regionPeers[m_random.uniformBelow(regionPeers.size())];
         const auto level = std::min(work.priority, priorityLevels - 1);
--- a/src/yuccashift/entry/dispatch_planner.hpp
+++ b/src/yuccashift/entry/dispatch_planner.hpp
@@ -70,6 +70,7 @@
      * Collects the other regions with free capacity and servers that may continue the stream. If this instance reaches no
      * server of its own region that could take the request, other instances of the region count as well, which may reach them.
      * If it reaches none at all, regions without free capacity count too, so that its callers queue like those there.
+     * Draining instances count only for regions where no other one can take the request.
      * Instances in `tried` have already been sent the request.
      */
     RemotePlan planRemote(const AllowedRegions&, const ServiceName&, const WorkSize&, const std::set<InstanceId>& tried, const StreamSoftware&, const LocalPlan&, const std::optional<RegionName>& prefixHome) const;
