--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -49,10 +49,15 @@
     /** One instance, its callers and its scripted backend servers of the service `engines`. */
     class Instance : public InboundHandler {
     public:
-        /** @param versions the servers' software versions in the same order; empty if they state none */
-        Instance(const WordItems& items, std::initializer_list<const ScriptedServer*> servers, const std::vector<std::string>& versions = {})
+        /**
+         * @param versions the servers' software versions in the same order; empty if they state none
+         * @param firstStart whether the whole system starts for the first time
+         */
+        Instance(const WordItems& items, std::initializer_list<const ScriptedServer*> servers, const std::vector<std::string>& versions = {}, bool firstStart = false)
             : m_items(items)
         {
+            if (firstStart)
+                core.fleetState.onFirstStart();
             std::vector<ItemChange> listing { { "config", "config 1", 2 } };
             for (const auto* it : servers) {
                 const auto version = versions.empty() ? std::string() : " " + versions.at(listing.size() - 1);
@@ -233,8 +238,7 @@
                 ++requests;
                 connection.write(streamHead + "\r\n" + secondEvent);
             });
-            Instance instance(m_items, {});
-            instance.core.fleetState.onFirstStart();
+            Instance instance(m_items, {}, {}, true);
             const auto entry = "engines " + toString(server.endpoint()) + " hall ready 1 0 6 v1";
             instance.core.fleetState.replaceAll(std::vector<ItemChange> { { "config", "config 2", 4 }, { "s1", "server " + entry, 5 }, { "s2", "server other-" + entry, 5 } }, 5);
             const auto answer = instance.call("/resumable/x", "1.1", "Resume-After: 1\r\n");
