--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -2,6 +2,7 @@
 
 #include "yuccashift/entry/failure_answer.hpp"
 #include "yuccashift/entry/forwarding.hpp"
+#include "yuccashift/entry/resumed_stream.hpp"
 #include "yuccashift/kernel/hash.hpp"
 #include "yuccashift/kernel/log.hpp"
 
@@ -65,12 +66,6 @@
         return std::min(lowestEnginePriority, highestEnginePriority + enginePriorityStep * static_cast<int>(std::min(priority, lowestMapped)));
     }
 
-    /** No event that a caller has is older when the caller resumes the stream; its tries share one deadline. */
-    Duration longestStreamAge(const Route& route)
-    {
-        return 2 * route.timeLimit;
-    }
-
     /** Ids of the shared parts of the prompt, as callers name them, for the log. */
     std::string sharedPartNames(const WorkSize& work)
     {
@@ -169,7 +164,7 @@
     if (m_hopMetadata && m_hopMetadata->streamSoftware)
         m_streamSoftware = StreamSoftware::begunBy(*m_hopMetadata->streamSoftware);
     else if (m_hopMetadata && m_hopMetadata->resumeAfter && m_request.route->kind == RouteKind::Streaming)
-        m_streamSoftware = StreamSoftware::begunBy(softwareWithoutRecord());
+        m_streamSoftware = StreamSoftware::begunBy(softwareWithoutRecord(m_core.fleetState, *m_request.route, m_core.clock.now()));
     armTimeLimit();
     return true;
 }
@@ -212,7 +207,7 @@
     if (m_hopMetadata || !metadata.resumeAfter || m_request.route->kind != RouteKind::Streaming)
         return begin();
     const auto known = metadata.resumedAttempt ? m_core.streamOrigins.findHere(*metadata.resumedAttempt) : 0;
-    const auto only = softwareWithoutRecord();
+    const auto only = softwareWithoutRecord(m_core.fleetState, *m_request.route, m_core.clock.now());
     if (known != 0 || only != 0 || !metadata.resumedAttempt)
         return onStreamIdentified(known != 0 ? known : only);
     m_core.streamOrigins.find(*metadata.resumedAttempt, [weak = weak_from_this()](SoftwareId software) {
@@ -221,23 +216,16 @@
     });
 }
 
-const ServiceName* RequestJob::serviceWith(SoftwareId software) const
-{
-    const auto& servers = m_core.fleetState.servers();
-    const auto it = std::ranges::find_if(servers, [&](const auto& entry) { return entry.second.software == software && m_request.route->usesService(entry.second.service); });
-    return it == servers.end() ? nullptr : &it->second.service;
-}
-
 void RequestJob::onStreamIdentified(SoftwareId software)
 {
     const auto self = shared_from_this();
     if (m_done)
         return;
     if (software == 0)
-        software = softwareWithoutRecord();
+        software = softwareWithoutRecord(m_core.fleetState, *m_request.route, m_core.clock.now());
     logInfo("caller resumes a stream", { { "request", m_request.metadata.attemptId }, { "resumes", m_request.metadata.resumedAttempt.value_or("") }, { "after_event", *m_request.metadata.resumeAfter }, { "software_known", software != 0 ? 1 : 0 } });
     m_streamSoftware = StreamSoftware::begunBy(software);
-    const auto* service = serviceWith(software);
+    const auto* service = serviceWith(m_core.fleetState, *m_request.route, software);
     if (!service)
         return failWith({ ErrorKind::SoftwareUnavailable, software == 0 ? "the software that began the stream is not known" : "", {}, {} });
     m_request.service = *service;
@@ -486,18 +474,6 @@
     return metadata;
 }
 
-SoftwareId RequestJob::presumedSoftware() const
-{
-    const auto period = longestStreamAge(*m_request.route);
-    return m_core.fleetState.softwareVersions().onlySoftware(m_request.service, period, m_core.clock.now()).value_or(0);
-}
-
-SoftwareId RequestJob::softwareWithoutRecord() const
-{
-    // A route with several services may have begun the stream at any of them.
-    return m_request.route->services.size() == 1 ? presumedSoftware() : 0;
-}
-
 void RequestJob::sendToOwner(const PeerState& owner, const LocalPlan& plan)
 {
     const auto& server = *plan.server();
@@ -578,7 +554,7 @@
     m_answerMode = stream ? AnswerMode::Stream : AnswerMode::Buffered;
     if (stream && m_attemptSoftware == 0) {
         const auto named = decodeServerSoftware(head);
-        m_attemptSoftware = named != 0 ? named : presumedSoftware();
+        m_attemptSoftware = named != 0 ? named : presumedSoftware(m_core.fleetState, *m_request.route, m_request.service, m_core.clock.now());
     }
 }
 
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -67,8 +67,6 @@
     void identifyStream();
     /** Continues with the software that began the stream; 0 if it is not known. */
     void onStreamIdentified(SoftwareId);
-    /** The service of the route whose servers run the software; nullptr if there is none. */
-    const ServiceName* serviceWith(SoftwareId) const;
     /** Counts the request of a caller and dispatches it. */
     void begin();
     /** Charges the request of a caller to its organisation's limit; returns LimitExceeded if that is used up. */
@@ -125,10 +123,6 @@
     std::uint64_t fingerprint() const;
     /** The reason for which no server may get the request; std::nullopt if there is none. */
     std::optional<Error> quarantineError() const;
-    /** The software of a stream that another instance executes, if its head does not name it. */
-    SoftwareId presumedSoftware() const;
-    /** The software that must have begun the stream that the caller resumes, if no instance recorded it; 0 if that is not certain. */
-    SoftwareId softwareWithoutRecord() const;
     /** Tells the quarantine of prompts that a server of this region has served the request. */
     void recordServed();
     void recordServerLost();
