--- a/tests/entry/draining_regions_test.cpp
+++ b/tests/entry/draining_regions_test.cpp
@@ -15,8 +15,8 @@
             settings.instance = "kigali-1";
             settings.region = "kigali";
             settings.regions = { { "hall-a", "kigali" }, { "hall-b", "johannesburg" } };
-            m_items.config.services["ledger"] = {};
-            m_items.config.routes.emplace_back();
+            items.config.services["ledger"] = {};
+            items.config.routes.emplace_back();
             fleet.replaceAll(std::vector<ItemChange> { { "config", "config 1", 2 }, { "s1", "server ledger 10.0.0.1:80 hall-b ready 1 0 6", 3 } }, 3);
             peers.setHeartbeatTimeout(seconds(60));
         }
@@ -57,8 +57,8 @@
 
         VirtualClock clock;
         EntrySettings settings;
-        test::WordItems m_items;
-        FleetState fleet { clock, m_items };
+        test::WordItems items;
+        FleetState fleet { clock, items };
         PeerTable peers { clock, "kigali-1" };
         ServerTracker tracker { clock };
         SeededRandom random { 7 };
--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -227,6 +227,8 @@
     // A stream that no instance remembered went on at the service that the route picked, which need not have begun it.
     TEST_F(ARequestInProgress, ForAStreamIsNotResumedOnASplitRouteWithoutARecordOfItsBeginning)
     {
+        std::string rest = streamHead;
+        rest.append("\r\n").append(secondEvent);
         for (const bool split : { false, true }) {
             m_items.config.routes.front().services.resize(1);
             if (split)
@@ -236,7 +238,7 @@
                 if (!connection.readRequest())
                     return;
                 ++requests;
-                connection.write(streamHead + "\r\n" + secondEvent);
+                connection.write(rest);
             });
             Instance instance(m_items, {}, {}, true);
             const auto entry = "engines " + toString(server.endpoint()) + " hall ready 1 0 6 v1";
