--- a/src/yuccashift/dispatch/server_choice.cpp
+++ b/src/yuccashift/dispatch/server_choice.cpp
@@ -204,10 +204,7 @@
         return holder;
     }
 
-    /**
-     * Index of the usable server with the best rank for the prefix whose wait is soon enough over and in proportion to
-     * the prefill that it saves; std::nullopt if there is none.
-     */
+    /** Index of the usable server with the best rank for the prefix that answers soon enough; std::nullopt if there is none. */
     std::optional<std::size_t> rankedServer(std::span<const ServerCandidate> candidates, const ServerChoice& choice, const WorkSize& work, PrefixAffinity affinity)
     {
         std::optional<std::size_t> ranked;
@@ -217,8 +214,7 @@
                 continue;
             const auto predicted = predictTimeToFirstByte(candidates[i], work);
             const auto extra = predicted - choice.predicted;
-            const bool worthItsWait = extra <= prefillTime(maxWaitPerSavedPrefill * work.sharedTokens());
-            if (worthItsWait && (predicted <= affinity.unconditional || extra <= affinity.rankedWait))
+            if (predicted <= affinity.unconditional || extra <= affinity.rankedWait)
                 ranked = i;
         }
         return ranked;
