Count connections that the kernel ends before a request is acknowledged

The log told a connection that the kernel ended from one that the instance reset by the text of a system error only, and nothing told whether the request had been acknowledged, which decides whether a silent link may deliver it later. The reason of the attempt says so now, and yuccashift_ended_unacknowledged counts the cases; it should stay 0.

--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -354,6 +354,7 @@
     metrics.gauge("yuccashift_caller_connections").set(static_cast<std::int64_t>(callers.connections()));
     metrics.gauge("yuccashift_server_connects").set(static_cast<std::int64_t>(counts.connects));
     metrics.gauge("yuccashift_server_connect_failures").set(static_cast<std::int64_t>(counts.connectFailures));
+    metrics.gauge("yuccashift_ended_unacknowledged").set(static_cast<std::int64_t>(counts.endedUnacknowledged + core.peerConnections.counts().endedUnacknowledged));
     metrics.gauge("yuccashift_stray_answers").set(static_cast<std::int64_t>(counts.strayAnswers));
     metrics.gauge("yuccashift_store_calls").set(static_cast<std::int64_t>(store->callCount()));
     metrics.gauge("yuccashift_store_reachable").set(storeReachable ? 1 : 0);
--- a/src/yuccashift/http/outbound.cpp
+++ b/src/yuccashift/http/outbound.cpp
@@ -150,6 +150,7 @@
             m_request = std::move(request);
             m_sent = false;
             m_writeDone = false;
+            m_acknowledged = false;
             m_answerDone = false;
             m_headSeen = false;
             m_paused = false;
@@ -258,7 +259,8 @@
                 if (*unacknowledged > 0 && *unacknowledged == unacknowledgedBefore)
                     return self->fail(OutboundFailure::Silent, "the request was not acknowledged in time");
                 if (*unacknowledged > 0 || !self->m_writeDone)
-                    self->watchAcknowledgement(acknowledgementProgressTimeout, *unacknowledged);
+                    return self->watchAcknowledgement(acknowledgementProgressTimeout, *unacknowledged);
+                self->m_acknowledged = true;
             });
         }
 
@@ -308,8 +310,10 @@
                 if (!parseError)
                     return onAnswerComplete(false);
             }
-            if (ec == asio::error::timed_out)
-                return fail(OutboundFailure::Silent, ec.message());
+            if (ec == asio::error::timed_out) {
+                m_state->counts.endedUnacknowledged += m_acknowledged ? 0 : 1;
+                return fail(OutboundFailure::Silent, m_acknowledged ? "keep-alive probes were not answered" : "the kernel closed the connection before the request was acknowledged");
+            }
             fail(m_headSeen ? OutboundFailure::Truncated : OutboundFailure::Lost, ec.message());
         }
 
@@ -452,6 +456,8 @@
         bool m_idle = false;
         bool m_sent = false;
         bool m_writeDone = false;
+        /** Whether the whole request is known to be acknowledged; looked at only from time to time. */
+        bool m_acknowledged = false;
         bool m_answerDone = false;
         bool m_headSeen = false;
         bool m_answerMatches = true;
--- a/src/yuccashift/http/outbound.hpp
+++ b/src/yuccashift/http/outbound.hpp
@@ -97,6 +97,8 @@
     std::uint64_t reuses = 0;
     /** Final answers that did not belong to the request in progress. */
     std::uint64_t strayAnswers = 0;
+    /** Connections that the kernel closed while bytes of a request might be unacknowledged; these may be delivered later. */
+    std::uint64_t endedUnacknowledged = 0;
 };
 
 /** HTTP/1.1 client with a connection pool on one event loop. The most recently used idle connection is reused first. */
