Probe connections by keep-alive only while an acknowledged request waits

Cause: keep-alive was on from the connect on. An instance whose links to servers fall silent sends a request on a connection that was idle, and the kernel ends that connection 3 s after the server was last heard, before the instance's own watch (1.8 s after the send) resets it. The kernel sends no reset, so the link delivers the request once it is back, to a server that runs it for nobody.

Change: keep-alive is on only from the acknowledgement of a request (looked at 150 ms after the send) to the end of its answer, when nothing is left that could be delivered. What an idle connection's silence costs, 1.8 s for the first request, is paid once: the other idle connections to a silent server are closed.

AnOutboundExchange.IsNotEndedByTheKernelWhileItsRequestIsNotAcknowledged failed before.

--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -783,7 +783,9 @@
     if (m_peerInstance.empty()) {
         const auto server = m_requestTicket.server;
         // A silent link says nothing of what the request does to the server's process.
-        if (failure != OutboundFailure::Silent)
+        if (failure == OutboundFailure::Silent)
+            m_core.serverConnections.closeIdle(m_serverPoolKey);
+        else
             recordServerLost();
         endAttempt(ServerOutcome::Lost);
         m_core.requestProbe(server);
--- a/src/yuccashift/http/outbound.cpp
+++ b/src/yuccashift/http/outbound.cpp
@@ -1,6 +1,8 @@
 #include "yuccashift/http/outbound.hpp"
 
+#include "yuccashift/http/detail/acknowledgement.hpp"
 #include "yuccashift/http/detail/answer_framing.hpp"
+#include "yuccashift/http/detail/keep_alive.hpp"
 #include "yuccashift/http/detail/reset_on_close.hpp"
 #include "yuccashift/http/detail/scratch.hpp"
 #include "yuccashift/kernel/log.hpp"
@@ -10,11 +12,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
-#include <linux/sockios.h>
-#include <netinet/tcp.h>
 #include <optional>
-#include <sys/ioctl.h>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace yuccashift {
@@ -26,17 +26,8 @@
 
 namespace {
 
-    /**
-     * Time after which the bytes of a request that are not acknowledged are looked at, and the time after which the
-     * connection is reset if still the same number is not. TCP_USER_TIMEOUT is not set: the kernel's own timeout sends no
-     * reset, so that bytes that a link holds up may be delivered later, and it also decides when keep-alive probes give up.
-     */
-    constexpr Duration acknowledgementTimeout = milliseconds(1500);
-    constexpr Duration acknowledgementProgressTimeout = milliseconds(300);
-    /** TCP keep-alive: idle time and probe interval in seconds, and the number of unanswered probes that closes the connection. */
-    constexpr int keepAliveIdleS = 1;
-    constexpr int keepAliveIntervalS = 1;
-    constexpr int keepAliveProbes = 2;
+    /** Time after which a request is usually acknowledged, so that a silent link is probed for from then on. */
+    constexpr Duration firstAcknowledgementCheck = milliseconds(150);
     /** Fraction of the peer's announced idle timeout after which a connection is not reused. */
     constexpr double usableIdleTimeoutFraction = 0.6;
     /** Maximum size of an answer's header in bytes. */
@@ -52,28 +43,14 @@
     void setOptions(tcp::socket& socket)
     {
         error_code ec;
-        const int fd = socket.native_handle();
         socket.set_option(tcp::no_delay(true), ec);
-        socket.set_option(asio::socket_base::keep_alive(true), ec);
-        // Best effort: without these options the request's own timeout detects an unresponsive peer.
-        (void)::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveIdleS, sizeof keepAliveIdleS);
-        (void)::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveIntervalS, sizeof keepAliveIntervalS);
-        (void)::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof keepAliveProbes);
+        detail::setKeepAliveTimes(socket);
         socket.non_blocking(true, ec);
         // A request that is given up must not be delivered any more. An idle connection holds nothing that a reset could drop.
         if (const auto resetError = detail::setResetOnClose(socket))
             logWarning("cannot mark a connection for a reset; a request may be delivered after it was given up", { { "reason", resetError.message() } });
     }
 
-    /** Bytes that were sent and are not acknowledged; std::nullopt if the system does not tell. */
-    std::optional<int> unacknowledgedBytes(tcp::socket& socket)
-    {
-        int n = 0;
-        if (::ioctl(socket.native_handle(), SIOCOUTQ, &n) != 0)
-            return {};
-        return n;
-    }
-
     /** Returns the timeout of a `Keep-Alive: timeout=N` header, or std::nullopt if it is absent or not a number. */
     std::optional<Duration> announcedIdleTimeout(const HeaderFields& headers)
     {
@@ -232,7 +209,7 @@
         {
             m_sent = true;
             waitForInput();
-            watchAcknowledgement(acknowledgementTimeout, 0);
+            watchAcknowledgement(firstAcknowledgementCheck, {});
             asio::async_write(m_socket, asio::buffer(m_request.bytes), [self = shared_from_this()](const error_code& ec, std::size_t) {
                 if (self->m_closed)
                     return;
@@ -245,25 +222,45 @@
             });
         }
 
-        /** Resets the connection if the peer stops acknowledging the request, before the kernel gives up by itself. */
-        void watchAcknowledgement(Duration delay, int unacknowledgedBefore)
+        /** Resets the connection if the peer stops acknowledging the request. Once all is acknowledged, keep-alive detects a silent link. */
+        void watchAcknowledgement(Duration delay, std::optional<int> unacknowledgedBefore)
         {
             m_timer.expires_after(delay);
             m_timer.async_wait([weak = weak_from_this(), serial = m_serial, unacknowledgedBefore](const error_code& ec) {
                 const auto self = weak.lock();
-                if (ec || !self || self->m_closed || self->m_answerDone || self->m_headSeen || serial != self->m_serial)
+                if (ec || !self || self->m_closed || self->m_answerDone || serial != self->m_serial)
                     return;
                 const auto unacknowledged = unacknowledgedBytes(self->m_socket);
                 if (!unacknowledged)
                     return logWarning("the system does not tell how much of a request is acknowledged; only its time limit detects a silent link", {});
-                if (*unacknowledged > 0 && *unacknowledged == unacknowledgedBefore)
+                if (*unacknowledged == 0 && self->m_writeDone) {
+                    self->m_acknowledged = true;
+                    return self->probeSilence(true);
+                }
+                if (!unacknowledgedBefore)
+                    return self->watchAcknowledgement(acknowledgementTimeout - firstAcknowledgementCheck, 0);
+                // A server may answer before it reads the rest of the request.
+                const bool answered = self->m_headSeen && self->m_answerMatches;
+                if (*unacknowledged > 0 && *unacknowledged == unacknowledgedBefore && !answered)
                     return self->fail(OutboundFailure::Silent, "the request was not acknowledged in time");
-                if (*unacknowledged > 0 || !self->m_writeDone)
-                    return self->watchAcknowledgement(acknowledgementProgressTimeout, *unacknowledged);
-                self->m_acknowledged = true;
+                self->watchAcknowledgement(acknowledgementProgressTimeout, *unacknowledged);
             });
         }
 
+        /**
+         * The kernel sends no reset when it gives a connection up, and a link that was silent may later deliver what was sent
+         * in the meantime. So probes are on only while an acknowledged request waits for its answer: an idle connection may
+         * get a request after the first probe. TCP_USER_TIMEOUT is never set, for the same reason.
+         */
+        void probeSilence(bool on)
+        {
+            if (std::exchange(m_probesSilence, on) == on)
+                return;
+            const auto ec = setKeepAlive(m_socket, on);
+            if (ec && !on)
+                logWarning("cannot switch keep-alive off; a request may be delivered after it was given up", { { "reason", ec.message() } });
+        }
+
         void waitForInput()
         {
             if (m_waitingForInput || m_closed || m_paused)
@@ -421,6 +418,7 @@
                 return close();
             m_idle = true;
             m_idleSince = m_state->clock.now();
+            probeSilence(false);
             m_state->idle[m_poolKey].push_back(shared_from_this());
             waitForInput();
         }
@@ -454,6 +452,8 @@
         bool m_waitingForInput = false;
         bool m_paused = false;
         bool m_idle = false;
+        /** Whether the kernel closes the connection when keep-alive probes are not answered. */
+        bool m_probesSilence = false;
         bool m_sent = false;
         bool m_writeDone = false;
         /** Whether the whole request is known to be acknowledged; looked at only from time to time. */
--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/kept_log.hpp"
 #include "tests/support/scripted_server.hpp"
+#include "tests/support/socket_option.hpp"
 #include "yuccashift/http/inbound.hpp"
 #include "yuccashift/http/outbound.hpp"
 
@@ -10,7 +11,9 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <future>
 #include <gtest/gtest.h>
+#include <netinet/tcp.h>
 #include <sys/resource.h>
 #include <thread>
 #include <unistd.h>
@@ -147,6 +150,58 @@
         EXPECT_LT(asio::read(socket, asio::buffer(buf), ec), size);
     }
 
+    // The kernel's keep-alive closed a connection on a silent link without a reset, and the link delivered the request later.
+    TEST_F(AnOutboundExchange, IsNotEndedByTheKernelWhileItsRequestIsNotAcknowledged)
+    {
+        constexpr std::size_t requestBytes = 48 * 1024;
+        std::promise<void> silence;
+        ScriptedServer server([&](ScriptedConnection& it) {
+            if (!it.readRequest())
+                return;
+            it.write(bodyOk);
+            // Reads nothing more, so that most of the next request is not acknowledged.
+            silence.get_future().wait();
+        });
+        EXPECT_TRUE(call(server).ended);
+        EXPECT_EQ(test::socketOptionOfConnectionTo(server.endpoint(), SOL_SOCKET, SO_KEEPALIVE), 0) << "while idle, since the next request may follow the first probe";
+        Collector collector(io);
+        OutboundRequest request;
+        request.endpoint = server.endpoint();
+        request.poolKey = "server";
+        request.bytes = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(requestBytes) + "\r\n\r\n" + std::string(requestBytes, 'x');
+        auto exchange = pool.start(std::move(request), collector);
+        EXPECT_TRUE(exchange->sent());
+        EXPECT_EQ(server.connections(), 1);
+        EXPECT_EQ(test::socketOptionOfConnectionTo(server.endpoint(), SOL_SOCKET, SO_KEEPALIVE), 0) << "while the request is not acknowledged";
+        EXPECT_EQ(test::socketOptionOfConnectionTo(server.endpoint(), IPPROTO_TCP, TCP_USER_TIMEOUT), 0);
+        exchange.reset();
+        silence.set_value();
+    }
+
+    // A link may fall silent after it has delivered the request.
+    TEST_F(AnOutboundExchange, IsProbedWhileItsAcknowledgedRequestWaitsForAnAnswer)
+    {
+        std::promise<void> answer;
+        ScriptedServer server([&](ScriptedConnection& it) {
+            if (!it.readRequest())
+                return;
+            answer.get_future().wait();
+            it.write(bodyOk);
+        });
+        Collector collector(io);
+        OutboundRequest request;
+        request.endpoint = server.endpoint();
+        request.poolKey = "server";
+        request.bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        const auto exchange = pool.start(std::move(request), collector);
+        while (test::socketOptionOfConnectionTo(server.endpoint(), SOL_SOCKET, SO_KEEPALIVE) != 1)
+            io.run_one();
+        answer.set_value();
+        io.run();
+        EXPECT_TRUE(collector.ended);
+        EXPECT_EQ(test::socketOptionOfConnectionTo(server.endpoint(), SOL_SOCKET, SO_KEEPALIVE), 0) << "once it is idle";
+    }
+
     // A server may take longer to answer than its kernel to acknowledge.
     TEST_F(AnOutboundExchange, WaitsForAnAnswerOnceItsRequestIsAcknowledged)
     {
