Ask whether the caller has left before each send of a request

Cause: an instance with much to do reads a request, and sends it on, before it reads the close that waits behind it; and a close behind more than 64 KB of pipelined input was never read. The class: a decision on a state that the kernel knows to be over. Change: RequestJob asks the kernel at the one place through which every send goes (first and second attempts, hops, after a wait, resumed streams), and a connection whose input is not read is checked for its close every 100 ms. yuccashift_left_before_send_total counts what is not sent.

IsNotSentWhenItsCallerLeftBeforeItWasRead and IsNotSentAgainWhenItsCallerHasLeft fail without the question, ReportsACallerThatDisconnectsBehindInputThatIsNotRead does not end without the check; a wait for a slot was sound before.

--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -360,6 +360,11 @@
 
 void RequestJob::executePlan(const Plan& plan)
 {
+    // The close may wait unread behind what this instance is busy with.
+    if (m_exchange->checkDisconnected()) {
+        m_core.requestRecorder.recordLeftBeforeSend();
+        return;
+    }
     switch (plan.placement.action) {
     case Placement::Action::Local:
         if (const auto* owner = assignedServer() == 0 ? m_core.planner.remoteOwner(*plan.local.server(), m_triedInstances) : nullptr)
--- a/src/yuccashift/entry/request_recorder.cpp
+++ b/src/yuccashift/entry/request_recorder.cpp
@@ -47,6 +47,7 @@
     , m_hopSends(metrics.counter("yuccashift_sends_total", { { "to", "instance" } }))
     , m_answers { &answerCounter(metrics, AnswerFraming::Length), &answerCounter(metrics, AnswerFraming::Chunks), &answerCounter(metrics, AnswerFraming::Connection) }
     , m_retries(metrics.counter("yuccashift_repeats_total"))
+    , m_leftBeforeSend(metrics.counter("yuccashift_left_before_send_total"))
     , m_promises { &promiseCounter(metrics, "kept"), &promiseCounter(metrics, "late"), &promiseCounter(metrics, "missed") }
     , m_uncachedTokens(metrics.counter("yuccashift_prompt_tokens_total", { { "cache", "none" } }))
     , m_cachedTokens(metrics.counter("yuccashift_prompt_tokens_total", { { "cache", "expected" } }))
@@ -119,6 +120,11 @@
     m_retries.add();
 }
 
+void RequestRecorder::recordLeftBeforeSend()
+{
+    m_leftBeforeSend.add();
+}
+
 void RequestRecorder::recordLimitDecision(const OrganisationName& organisation, double cost, const LimitDecision& decision)
 {
     const OrganisationName label(organisationLabel(organisation));
--- a/src/yuccashift/entry/request_recorder.hpp
+++ b/src/yuccashift/entry/request_recorder.hpp
@@ -68,6 +68,8 @@
     /** Counts an answer by how it is framed. */
     void recordAnswer(AnswerFraming);
     void recordRetry();
+    /** Counts a request that was not sent, or not sent again, since its caller or the instance that forwarded it had closed the connection. */
+    void recordLeftBeforeSend();
     /** Counts what a request costs against its organisation's limit, by the bound that decided. */
     void recordLimitDecision(const OrganisationName&, double cost, const LimitDecision&);
     /** How a request that the region's engines had room for ended. */
@@ -97,6 +99,7 @@
     /** By AnswerFraming. */
     std::array<Counter*, 3> m_answers;
     Counter& m_retries;
+    Counter& m_leftBeforeSend;
     /** By Promise. */
     std::array<Counter*, 3> m_promises;
     Counter& m_uncachedTokens;
--- a/src/yuccashift/http/inbound.cpp
+++ b/src/yuccashift/http/inbound.cpp
@@ -1,5 +1,6 @@
 #include "yuccashift/http/inbound.hpp"
 
+#include "yuccashift/http/detail/connection_end.hpp"
 #include "yuccashift/http/detail/reset_on_close.hpp"
 #include "yuccashift/http/detail/scratch.hpp"
 #include "yuccashift/http/error_answer.hpp"
@@ -27,6 +28,8 @@
 
     /** Buffered bytes behind a request in progress at which reading pauses, so that the caller has to wait. */
     constexpr std::size_t readAheadBytes = 64 * 1024;
+    /** Interval in which a connection whose input is not read is checked for its close. */
+    constexpr milliseconds closeCheckInterval { 100 };
     /** Time for which input is discarded after the last answer, since closing with unread input would reset the connection. */
     constexpr milliseconds lingerTimeout { 1000 };
     /** Maximum time from the end of the header to the end of the body; callers' deadlines are shorter. */
@@ -202,6 +205,8 @@
             notifyDisconnect();
         }
 
+        bool callerHasClosed() { return detail::connectionEnd(m_socket.native_handle()) != detail::ConnectionEnd::None; }
+
     private:
         void waitForInput()
         {
@@ -232,15 +237,35 @@
                 armTimer(m_server->handler.limits().headerTimeout, true);
             m_input.append(buf.data(), n);
             parseInput();
+        }
+
+        /** Reads on, or looks only for the caller's close if enough is read ahead of a request in progress. */
+        void readAhead()
+        {
             if (m_exchange && m_input.size() >= readAheadBytes)
-                return;
-            waitForInput();
+                watchForClose();
+            else
+                waitForInput();
+        }
+
+        void watchForClose()
+        {
+            m_timer.expires_after(closeCheckInterval);
+            m_timer.async_wait([weak = weak_from_this()](const error_code& ec) {
+                const auto self = weak.lock();
+                if (ec || !self || self->m_closed || !self->m_exchange || self->m_waitingForInput)
+                    return;
+                if (self->callerHasClosed())
+                    self->close();
+                else
+                    self->watchForClose();
+            });
         }
 
         void parseInput()
         {
             if (m_closed || m_discardingInput || m_exchange || m_input.empty())
-                return waitForInput();
+                return readAhead();
             if (!m_parser) {
                 const auto limits = m_server->handler.limits();
                 m_parser.emplace();
@@ -261,8 +286,8 @@
             if (m_parser->is_header_done() && !m_headerSeen)
                 onHeader();
             if (m_parser->is_done())
-                return dispatchRequest();
-            waitForInput();
+                dispatchRequest();
+            readAhead();
         }
 
         void onHeader()
@@ -437,6 +462,13 @@
     m_session->close();
 }
 
+bool InboundExchange::checkDisconnected()
+{
+    if (!m_disconnected && !m_ended && m_session->callerHasClosed())
+        m_session->close();
+    return m_disconnected;
+}
+
 std::size_t InboundExchange::unsentBytes() const
 {
     return m_session->unsent();
--- a/src/yuccashift/http/inbound.hpp
+++ b/src/yuccashift/http/inbound.hpp
@@ -49,6 +49,8 @@
     bool headSent() const { return m_headSent; }
     /** Whether the caller has closed its connection. */
     bool callerDisconnected() const { return m_disconnected; }
+    /** Asks the kernel whether the caller has closed its connection; runs the callback of onDisconnect() if so. */
+    bool checkDisconnected();
     /** Bytes of the answer that have not yet been written to the socket. */
     std::size_t unsentBytes() const;
 
--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <functional>
+#include <future>
 #include <gtest/gtest.h>
 #include <sstream>
 #include <thread>
@@ -95,6 +97,26 @@
             return answer;
         }
 
+        /** Sends a request and returns the caller's connection. */
+        tcp::socket send(const std::string& path)
+        {
+            tcp::socket socket(io);
+            socket.connect({ asio::ip::make_address(m_endpoint.host), m_endpoint.port });
+            asio::write(socket, asio::buffer("GET " + path + " HTTP/1.1\r\nHost: a\r\nAttempt: x\r\n\r\n"));
+            return socket;
+        }
+
+        /** Runs the event loop until the condition holds. */
+        void runUntil(const std::function<bool()>& condition)
+        {
+            io.restart();
+            while (!condition())
+                io.run_one();
+        }
+
+        bool hasEnded(const std::string& outcome) const { return core.metrics.renderPrometheus().find("outcome=\"" + outcome + "\"") != std::string::npos; }
+        std::uint64_t sends() { return core.metrics.counter("yuccashift_sends_total", { { "to", "server" } }).value(); }
+
         SystemClock clock;
         asio::io_context io { 1 };
         WordProtocol protocol;
@@ -148,6 +170,88 @@
         }
     };
 
+    /** How a caller ends its connection. */
+    enum class Leaving {
+        Close,
+        Reset,
+    };
+
+    void leave(tcp::socket& socket, Leaving how)
+    {
+        if (how == Leaving::Reset)
+            socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+    }
+
+    constexpr std::string_view emptyAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+    // A busy instance read a request after its caller had left, and sent it to a server before it noticed.
+    TEST_F(ARequestInProgress, IsNotSentWhenItsCallerLeftBeforeItWasRead)
+    {
+        for (const auto how : { Leaving::Close, Leaving::Reset }) {
+            const ScriptedServer server([](ScriptedConnection& connection) {
+                while (connection.readRequest())
+                    connection.write(emptyAnswer);
+            });
+            Instance instance(m_items, { &server });
+            EXPECT_EQ(instance.call("/read/x").status, 200);
+            auto caller = instance.send("/read/x");
+            leave(caller, how);
+            instance.runUntil([&] { return instance.hasEnded("caller_gone"); });
+            EXPECT_EQ(instance.sends(), 1u);
+        }
+    }
+
+    // The server broke off just before the caller left, and another server got the request.
+    TEST_F(ARequestInProgress, IsNotSentAgainWhenItsCallerHasLeft)
+    {
+        for (const auto how : { Leaving::Close, Leaving::Reset }) {
+            std::promise<void> breakOff;
+            const auto breakingOff = breakOff.get_future().share();
+            std::promise<void> broken;
+            std::atomic<int> requests = 0;
+            const auto script = [&](ScriptedConnection& connection) {
+                if (!connection.readRequest())
+                    return;
+                if (++requests > 1)
+                    return connection.write(emptyAnswer);
+                breakingOff.wait();
+                connection.write("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n");
+                broken.set_value();
+            };
+            const ScriptedServer first(script);
+            const ScriptedServer second(script);
+            Instance instance(m_items, { &first, &second });
+            auto caller = instance.send("/read/x");
+            instance.runUntil([&] { return requests == 1; });
+            breakOff.set_value();
+            broken.get_future().wait();
+            leave(caller, how);
+            instance.runUntil([&] { return instance.hasEnded("caller_gone") || instance.hasEnded("server_failure"); });
+            EXPECT_EQ(instance.sends(), 1u);
+            EXPECT_EQ(requests, 1);
+        }
+    }
+
+    // A request that waits while all servers are full has nothing that would tell its caller's close otherwise.
+    TEST_F(ARequestInProgress, IsNotSentAfterAWaitWhenItsCallerHasLeft)
+    {
+        for (const auto how : { Leaving::Close, Leaving::Reset }) {
+            const ScriptedServer server([](ScriptedConnection& connection) {
+                if (connection.readRequest())
+                    connection.write(emptyAnswer);
+            });
+            Instance instance(m_items, { &server });
+            instance.core.serverTracker.markFull(instance.core.fleetState.servers().at("s1").identityHash, milliseconds(50));
+            auto waiting = instance.send("/read/x");
+            instance.runUntil([&] { return instance.core.activeRequests.size() == 1; });
+            leave(waiting, how);
+            instance.runUntil([&] { return instance.core.activeRequests.empty(); });
+            EXPECT_TRUE(instance.hasEnded("caller_gone"));
+            EXPECT_EQ(instance.sends(), 0u);
+        }
+    }
+
     struct BrokenStream {
         const char* name;
         /** Sent by the server before it closes its connection in order. */
--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -530,6 +530,53 @@
         echo.pending.reset();
     }
 
+    // A caller that pipelined more than is read ahead, and left, was worked for until the deadline of its request.
+    TEST_F(AnInboundServer, ReportsACallerThatDisconnectsBehindInputThatIsNotRead)
+    {
+        const auto pipelined = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n" + std::string(100, 'x');
+        for (const bool reset : { false, true }) {
+            echo.disconnected = false;
+            {
+                tcp::socket socket(client);
+                socket.connect({ asio::ip::make_address(endpoint.host), endpoint.port });
+                std::string text = "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n";
+                while (text.size() < 150 * 1024)
+                    text += pipelined;
+                asio::write(socket, asio::buffer(text));
+                while (!echo.pending)
+                    io.run_one();
+                while (io.poll() > 0) { }
+                if (reset)
+                    socket.set_option(asio::socket_base::linger(true, 0));
+            }
+            while (!echo.disconnected)
+                io.run_one();
+            EXPECT_TRUE(echo.pending->callerDisconnected());
+            echo.pending.reset();
+        }
+    }
+
+    // An instance with much to do sent a request on before it looked whether its caller had left.
+    TEST_F(AnInboundServer, TellsOnRequestThatACallerHasClosedBeforeTheCloseIsRead)
+    {
+        for (const bool reset : { false, true }) {
+            tcp::socket socket(client);
+            socket.connect({ asio::ip::make_address(endpoint.host), endpoint.port });
+            asio::write(socket, asio::buffer(std::string("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")));
+            while (!echo.pending)
+                io.run_one();
+            EXPECT_FALSE(echo.pending->checkDisconnected());
+            EXPECT_FALSE(echo.disconnected);
+            if (reset)
+                socket.set_option(asio::socket_base::linger(true, 0));
+            socket.close();
+            EXPECT_TRUE(echo.pending->checkDisconnected());
+            EXPECT_TRUE(echo.disconnected);
+            echo.pending.reset();
+            echo.disconnected = false;
+        }
+    }
+
     TEST_F(AnInboundServer, SendsNoLastChunkForAnAbortedAnswer)
     {
         tcp::socket socket(client);
