Leave no connection open whose refusal names no request

Report of other operators: a server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran. It can happen here if the refusal does not name its request: the copy before the answer to the next request passed for its refusal. Copies that name their request were skipped, and copies between requests closed the connection already. Change: a connection is closed after a refusal without a name.

--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -543,6 +543,9 @@
         m_answerMode = AnswerMode::NotRun;
         if (!m_peerInstance.empty())
             return;
+        // A later copy of a refusal that names no request would pass for the refusal of the next request.
+        if (!facts.attemptId)
+            m_outbound->closeAfterAnswer();
         if (facts.wrongServer) {
             logWarning("another server has the address", { { "request", m_request.metadata.attemptId }, { "server", m_serverId } });
             m_core.serverTracker.markSuspect(m_requestTicket.server);
--- a/src/yuccashift/http/outbound.cpp
+++ b/src/yuccashift/http/outbound.cpp
@@ -175,6 +175,7 @@
                 waitForInput();
         }
 
+        void closeAfterAnswer(std::uint64_t serial) { m_closesAfterAnswer = m_closesAfterAnswer || serial == m_serial; }
         bool sent() const { return m_sent; }
 
     private:
@@ -398,7 +399,7 @@
         {
             m_answerDone = true;
             // Bytes after a complete answer belong to no request, so the connection cannot be reused.
-            m_reusable = keepAlive && m_input.empty();
+            m_reusable = keepAlive && m_input.empty() && !m_closesAfterAnswer;
             m_input.clear();
             auto* listener = std::exchange(m_listener, nullptr);
             // If the answer arrived before the request was fully written, the server still expects the rest of the body on this connection.
@@ -463,6 +464,7 @@
         bool m_answerMatches = true;
         /** Whether an answer on this connection has named its request. */
         bool m_answersAreNamed = false;
+        bool m_closesAfterAnswer = false;
         bool m_reusable = false;
     };
 
@@ -489,6 +491,11 @@
     m_connection->setPaused(m_serial, false);
 }
 
+void OutboundExchange::closeAfterAnswer()
+{
+    m_connection->closeAfterAnswer(m_serial);
+}
+
 bool OutboundExchange::sent() const
 {
     return m_connection->sent();
--- a/src/yuccashift/http/outbound.hpp
+++ b/src/yuccashift/http/outbound.hpp
@@ -81,6 +81,8 @@
     /** Stops reading until resume(), so that TCP flow control slows the sender down to the receiver's pace. */
     void pause();
     void resume();
+    /** Closes the connection once the answer is complete, instead of leaving it to later requests. */
+    void closeAfterAnswer();
     /** Whether any byte of the request may have been sent. */
     bool sent() const;
 
--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -77,11 +77,11 @@
         InboundLimits limits() const override { return {}; }
         bool shouldCloseConnections() const override { return false; }
 
-        CallerAnswer call(const std::string& path, const std::string& version = "1.1", const std::string& extraHeaders = {})
+        CallerAnswer call(const std::string& path, const std::string& version = "1.1", const std::string& extraHeaders = {}, const std::string& attempt = "x")
         {
             tcp::socket socket(io);
             socket.connect({ asio::ip::make_address(m_endpoint.host), m_endpoint.port });
-            asio::write(socket, asio::buffer("GET " + path + " HTTP/" + version + "\r\nHost: a\r\nAttempt: x\r\n" + extraHeaders + "\r\n"));
+            asio::write(socket, asio::buffer("GET " + path + " HTTP/" + version + "\r\nHost: a\r\nAttempt: " + attempt + "\r\n" + extraHeaders + "\r\n"));
             CallerAnswer answer;
             boost::beast::flat_buffer buf;
             http::response_parser<http::string_body> parser;
@@ -402,6 +402,54 @@
         EXPECT_TRUE(instance.core.crashTracker.empty());
     }
 
+    struct RepeatedRefusal {
+        const char* name;
+        /** Copies of the refusal that follow it at once, precede the next answer on its connection, and follow that answer. */
+        std::string atOnce;
+        std::string before;
+        std::string after;
+    };
+
+    // A refusal that a server wrote once more on a kept connection was taken for that of the next request, which the server ran.
+    TEST_F(ARequestInProgress, IsNotRefusedByTheRepeatedRefusalOfAnEarlierRequest)
+    {
+        for (auto& route : m_items.config.routes)
+            route.maxAttempts = 1;
+        const std::string unnamed = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        const std::string named = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nAttempt: first\r\nContent-Length: 0\r\n\r\n";
+        for (const auto& refusal : { unnamed, named }) {
+            const std::vector<RepeatedRefusal> cases {
+                { "before the next request", refusal, "", "" },
+                { "before the answer to the next request", "", refusal, "" },
+                { "after the answer to the next request", "", "", refusal },
+            };
+            for (const auto& it : cases) {
+                std::atomic<bool> refused = false;
+                std::atomic<int> ran = 0;
+                const ScriptedServer server([&](ScriptedConnection& connection) {
+                    bool refusedHere = false;
+                    while (connection.readRequest()) {
+                        if (!refused.exchange(true)) {
+                            refusedHere = true;
+                            connection.write(refusal + it.atOnce);
+                            continue;
+                        }
+                        ++ran;
+                        const auto answer = streamHead + "Attempt: next\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(firstEvent) + "0\r\n\r\n";
+                        connection.write(refusedHere ? it.before + answer + it.after : answer);
+                    }
+                });
+                Instance instance(m_items, { &server });
+                EXPECT_EQ(instance.call("/once/x", "1.1", {}, "first").status, 503) << it.name;
+                for (int n = 1; n <= 2; ++n) {
+                    const auto answer = instance.call("/once/x", "1.1", {}, "next");
+                    EXPECT_NE(answer.status, 503) << it.name << ", " << refusal;
+                    EXPECT_EQ(ran, n) << it.name << ", " << refusal;
+                }
+            }
+        }
+    }
+
     struct EndlessAnswer {
         const char* name;
         const char* path;
--- a/tests/support/fakes/word_protocol.hpp
+++ b/tests/support/fakes/word_protocol.hpp
@@ -37,6 +37,8 @@
     {
         AnswerMetadata metadata;
         metadata.notRun = findHeader(head.headers, "Not-Run").has_value();
+        if (const auto id = findHeader(head.headers, "Attempt"))
+            metadata.attemptId = std::string(*id);
         return metadata;
     }
     HealthStatus decodeHealth(const AnswerHead& head) const override { return { head.status == 200, {}, {}, {} }; }
