Continue a stream of yuccashiftd only with a success

Report of other operators: a stream broke off, the next server answered with an error, and callers found the error's text in their stream. yuccashift-entry cuts the stream: ForAStreamThatBrokeOffGetsNothingOfAnErrorOfTheNextServer, with and without a head, in both framings, passed on the code before. yuccashiftd looked only at the content type, so that an error whose body has the form of events was passed on as the rest of the stream. Change: it asks for a success too. ARelayedStream.IsNotContinuedByAnErrorInTheFormOfAStream failed before.

--- a/src/yuccashift/gateway/answer_relay.cpp
+++ b/src/yuccashift/gateway/answer_relay.cpp
@@ -12,6 +12,8 @@
     constexpr std::size_t maxBufferedBytes = 512 * 1024;
     /** Limit on the bytes that are read after the end mark of a stream, to reuse its connection. */
     constexpr std::size_t maxBytesAfterEndMark = 64 * 1024;
+    constexpr int firstSuccess = 200;
+    constexpr int lastSuccess = 299;
 
     tl::unexpected<Error> receiverGone()
     {
@@ -51,8 +53,9 @@
     if (!m_streamSoftware.allows(software))
         co_return fail(ErrorKind::AnswerIncomplete, "the stream was not resumed at the software that began it");
     if (m_tracker) {
-        // A server that cannot resume the stream sends another kind of answer.
-        if (!isEventStream(answer.head()))
+        // A server that cannot resume the stream sends another kind of answer, or an error, whose body may have the form of a stream.
+        const bool resumed = answer.head().status >= firstSuccess && answer.head().status <= lastSuccess && isEventStream(answer.head());
+        if (!resumed)
             co_return fail(ErrorKind::AnswerIncomplete, "the stream was not resumed");
         m_tracker->resume();
     } else {
--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -301,6 +301,62 @@
         }
     }
 
+    std::string withLength(const std::string& head, const std::string& body)
+    {
+        return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    std::string inChunks(const std::string& head, const std::string& body)
+    {
+        return head + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n";
+    }
+
+    /** A body without length or chunks. */
+    std::string toItsEnd(std::string head, const std::string& body)
+    {
+        return head.append("\r\n").append(body);
+    }
+
+    // A stream broke off, the next server answered with an error, and the caller found the error's text in its stream.
+    TEST_F(ARequestInProgress, ForAStreamThatBrokeOffGetsNothingOfAnErrorOfTheNextServer)
+    {
+        const std::string text = "error: no such session\n\n";
+        const std::string event = "data: no such session\n\n";
+        const std::vector<std::string> heads {
+            "HTTP/1.1 500 Internal Server Error\r\n",
+            "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/event-stream\r\n",
+            "HTTP/1.1 404 Not Found\r\nContent-Type: text/plain\r\n",
+            "HTTP/1.1 302 Found\r\nContent-Type: text/event-stream\r\n",
+            "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n",
+        };
+        std::vector<std::string> errors { text, event, "HTTP/1.1 500 Internal Server Error\r\n", "" };
+        for (const auto& head : heads) {
+            for (const auto& body : { text, event }) {
+                errors.push_back(withLength(head, body));
+                errors.push_back(inChunks(head, body));
+                errors.push_back(toItsEnd(head, body));
+            }
+        }
+        for (const auto& begun : { inChunks(streamHead, firstEvent + "id: 2\nda"), toItsEnd(streamHead, firstEvent + "id: 2\nda") }) {
+            for (const auto& error : errors) {
+                std::atomic<int> requests = 0;
+                const auto script = [&](ScriptedConnection& connection) {
+                    if (connection.readRequest())
+                        connection.write(++requests == 1 ? begun : error);
+                };
+                const ScriptedServer first(script);
+                const ScriptedServer second(script);
+                Instance instance(m_items, { &first, &second });
+                const auto answer = instance.call("/resumable/x");
+                EXPECT_EQ(answer.status, 200) << error;
+                EXPECT_EQ(answer.body, firstEvent) << error;
+                EXPECT_FALSE(answer.complete) << error;
+                EXPECT_EQ(requests, 2) << error;
+            }
+        }
+    }
+
     // A stream that broke off went on at a server of another software version.
     TEST_F(ARequestInProgress, ForAStreamIsNeverResumedAtAnotherSoftwareThanBeganIt)
     {
--- a/tests/gateway/answer_relay_test.cpp
+++ b/tests/gateway/answer_relay_test.cpp
@@ -16,9 +16,10 @@
     /** A stream of events that arrives in these parts and is then cut off. */
     class CutOffStream final : public IncomingAnswer {
     public:
-        explicit CutOffStream(std::vector<std::string> parts)
+        explicit CutOffStream(std::vector<std::string> parts, int status = 200)
             : m_parts(std::move(parts))
         {
+            m_head.status = status;
             m_head.headers.push_back({ "Content-Type", "text/event-stream" });
         }
 
@@ -120,6 +121,29 @@
         }
     }
 
+    // The next server answered with an error whose body was a stream of events, and the caller got it as the rest of its own.
+    TEST(ARelayedStream, IsNotContinuedByAnErrorInTheFormOfAStream)
+    {
+        for (const int status : { 404, 500, 503, 302 }) {
+            CutOffStream begin({ token });
+            CutOffStream error({ "data: {\"token_index\":1}\n\n", endMark }, status);
+            KeptAnswer kept;
+            asio::io_context io;
+            AnswerRelay relay(kept, 0);
+            std::vector<bool> results;
+            const auto run = [&](IncomingAnswer& answer) {
+                asio::co_spawn(io, relay.run(answer, 1), [&](const std::exception_ptr&, const Result<void>& relayed) { results.push_back(relayed.has_value()); });
+                io.restart();
+                io.run();
+            };
+            run(begin);
+            run(error);
+            EXPECT_EQ(results, (std::vector { false, false })) << status;
+            EXPECT_EQ(kept.body, token) << status;
+            EXPECT_FALSE(kept.ended) << status;
+        }
+    }
+
     TEST(ARelayedStream, IsIncompleteWithoutItsEndMark)
     {
         for (const auto& last : { std::string(), endMark.substr(0, endMark.size() - 1) }) {
