Bound the times and sizes of a configuration

Report of other operators: one odd entry ended the machines that read it. A time in the configuration of more than 292 years overflowed sums with the clock, and a limit on headers of 4 GiB or more became 0 in 32 bits, so that every request was refused.

--- a/tests/platform/json_item_decoder_test.cpp
+++ b/tests/platform/json_item_decoder_test.cpp
@@ -148,6 +148,45 @@
         EXPECT_EQ(config->limits.idleTimeout, milliseconds(4000));
     }
 
+    // Sums of the clock with such times overflowed, and a limit on headers that does not fit into 32 bits refused all requests.
+    TEST(AConfiguration, HoldsTimesAndSizesThatAreTooLargeAsTheLargestUsable)
+    {
+        for (const std::string_view number : { "9223372036854775807", "4294967296000" }) {
+            std::string text = R"({"version":7,"routes":[{"name":"r1","host":"h","pathPrefix":"/","kind":"idempotent","timeoutMs":N,"targetLatencyMs":N,"service":"s"}],
+                "services":[{"name":"s","coldS":N}],"limits":{"headerBytes":N,"bodyBytes":N,"headerTimeoutMs":N,"idleTimeoutMs":N}})";
+            for (auto at = text.find('N'); at != std::string::npos; at = text.find('N'))
+                text.replace(at, 1, number);
+            const auto item = decode("op/config", text);
+            const auto* config = std::get_if<RouteConfig>(&item);
+            ASSERT_TRUE(config) << number;
+            constexpr auto day = std::chrono::hours(24);
+            EXPECT_EQ(config->routes[0].timeLimit, day) << number;
+            EXPECT_EQ(config->routes[0].latencyObjective, day) << number;
+            EXPECT_EQ(config->serviceConfig("s").coldTime, day) << number;
+            EXPECT_EQ(config->limits.headerTimeout, day) << number;
+            EXPECT_EQ(config->limits.idleTimeout, day) << number;
+            EXPECT_EQ(config->limits.maxHeaderBytes, std::size_t { 1 } << 30) << number;
+            EXPECT_EQ(config->limits.maxBodyBytes, std::size_t { 1 } << 30) << number;
+        }
+    }
+
+    // Another writer's entry among those of the servers ended the instances that read it.
+    TEST(AnItem, ThatIsNestedVeryDeeplyIsInvalid)
+    {
+        for (const std::size_t depth : { 40, 1000, 200000 }) {
+            const auto nested = std::string(depth, '[') + std::string(depth, ']');
+            const auto unclosed = std::string(depth, '[');
+            auto objects = std::string();
+            for (std::size_t n = 0; n < depth; ++n)
+                objects += R"({"a":)";
+            for (const auto& it : { nested, unclosed, objects }) {
+                EXPECT_TRUE(isInvalid("servers/i-1", it)) << depth;
+                EXPECT_TRUE(isInvalid("servers/i-1", withField("slots", "64").insert(1, R"("more":)" + it + ","))) << depth;
+                EXPECT_TRUE(isInvalid("op/config", it)) << depth;
+            }
+        }
+    }
+
     TEST(AConfiguration, WithOneErrorIsInvalidAsAWhole)
     {
         const std::vector<std::string> values {
