Leave unusable entries out of the lists that yuccashiftd reads

It happened in yuccashiftd: one instance, backend server, document, model or cache event with a field missing, a number too large, a port out of range or a nesting over the parser's depth made the whole body MalformedRequest. Change: such an entry is left out with a warning; if the body as a whole does not parse, each entry is parsed by itself. AListOfThePlatform.IsReadWithoutItsUnusableEntries failed before.

--- a/src/yuccashift/ports/json_bodies.cpp
+++ b/src/yuccashift/ports/json_bodies.cpp
@@ -1,5 +1,7 @@
 #include "yuccashift/ports/json_bodies.hpp"
 
+#include "yuccashift/kernel/log.hpp"
+
 #include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
@@ -12,12 +14,121 @@
 
     constexpr int hexBase = 16;
 
+    void logUnusableEntry(std::string_view list, std::string_view reason)
+    {
+        logWarning("an entry is not usable and left out", { { "list", list }, { "reason", reason } });
+    }
+
+    /** Copies a body without those entries of its lists that are no JSON by themselves or nested too deeply. */
+    class UsableEntries {
+    public:
+        UsableEntries(std::string_view body, const char* what)
+            : m_body(body)
+            , m_what(what)
+        {
+        }
+
+        std::string copy()
+        {
+            for (std::size_t n = 0; n < m_body.size(); ++n)
+                read(n);
+            return std::move(m_out);
+        }
+
+    private:
+        /** Depth of the entries: those of a list that is a field of the body. */
+        static constexpr std::size_t entryDepth = 2;
+
+        void read(std::size_t n)
+        {
+            const char it = m_body[n];
+            const bool between = m_inList && m_depth == entryDepth && !m_inText;
+            if (between && (it == ',' || it == ']')) {
+                endEntry(n);
+                m_inList = it == ',';
+                m_depth -= m_inList ? 0 : 1;
+                if (!m_inList)
+                    m_out += it;
+                return;
+            }
+            if (!m_inList)
+                m_out += it;
+            if (m_inText)
+                return readText(it);
+            if (it == '"')
+                m_inText = true;
+            else if (it == '[' || it == '{')
+                begin(it, n);
+            else if (it == ']' || it == '}')
+                m_depth -= std::min<std::size_t>(m_depth, 1);
+        }
+
+        void readText(char it)
+        {
+            m_inText = m_escaped || it != '"';
+            m_escaped = !m_escaped && it == '\\';
+        }
+
+        void begin(char it, std::size_t n)
+        {
+            if (++m_depth != entryDepth || it != '[')
+                return;
+            m_inList = true;
+            m_isFirst = true;
+            m_entryBegin = n + 1;
+        }
+
+        void endEntry(std::size_t end)
+        {
+            const auto entry = m_body.substr(m_entryBegin, end - m_entryBegin);
+            m_entryBegin = end + 1;
+            if (entry.find_first_not_of(" \t\r\n") == std::string_view::npos)
+                return;
+            json::error_code ec;
+            json::parse(entry, ec);
+            if (ec)
+                return logUnusableEntry(m_what, ec.message());
+            m_out.append(m_isFirst ? "" : ",").append(entry);
+            m_isFirst = false;
+        }
+
+        std::string_view m_body;
+        const char* m_what;
+        std::string m_out;
+        std::size_t m_depth = 0;
+        std::size_t m_entryBegin = 0;
+        bool m_inList = false;
+        bool m_isFirst = true;
+        bool m_inText = false;
+        bool m_escaped = false;
+    };
+
+    json::value parseUsable(std::string_view body, const char* what)
+    {
+        json::error_code ec;
+        auto value = json::parse(body, ec);
+        return ec ? json::parse(UsableEntries(body, what).copy()) : value;
+    }
+
+    /** Decodes each entry of a list. One that is not usable does not hide the others. */
+    template <typename Decode>
+    void forEachEntry(const json::value& list, std::string_view what, Decode decode)
+    {
+        for (const auto& it : list.as_array()) {
+            try {
+                decode(it.as_object());
+            } catch (const std::exception& e) {
+                logUnusableEntry(what, e.what());
+            }
+        }
+    }
+
     /** Parses the body. Any exception of Boost.JSON or of the parser becomes MalformedRequest. */
     template <typename Parser>
     auto parseBody(std::string_view body, const char* what, Parser&& parser) -> Result<decltype(parser(std::declval<const json::object&>()))>
     {
         try {
-            const auto value = json::parse(body);
+            const auto value = parseUsable(body, what);
             return parser(value.as_object());
         } catch (const std::exception& e) {
             return fail(ErrorKind::MalformedRequest, std::string(what) + ": " + e.what());
@@ -87,10 +198,8 @@
         report.highestFencingToken = numberOrZero<std::uint64_t>(object, "fence");
         report.leaving = object.contains("leaving") && object.at("leaving").as_bool();
         report.role = toRole(optionalString(object, "role"));
-        if (object.contains("models")) {
-            for (const auto& model : object.at("models").as_array())
-                report.models.push_back(toModel(model.as_object()));
-        }
+        if (object.contains("models"))
+            forEachEntry(object.at("models"), "models", [&](const json::object& it) { report.models.push_back(toModel(it)); });
         return report;
     }
 
@@ -112,10 +221,7 @@
 {
     return parseBody(body, "configuration listing", [](const json::object& object) {
         ConfigListing listing { numberOrZero<std::uint64_t>(object, "index"), {} };
-        for (const auto& item : object.at("documents").as_array()) {
-            const auto& document = item.as_object();
-            listing.documents.push_back({ requiredString(document, "service"), numberOrZero<Revision>(document, "revision") });
-        }
+        forEachEntry(object.at("documents"), "documents", [&](const json::object& document) { listing.documents.push_back({ requiredString(document, "service"), numberOrZero<Revision>(document, "revision") }); });
         return listing;
     });
 }
@@ -124,14 +230,12 @@
 {
     return parseBody(body, "instance list", [](const json::object& object) {
         InstanceListing listing;
-        for (const auto& item : object.at("instances").as_array())
-            listing.instances.push_back(toInstance(item.as_object()));
+        forEachEntry(object.at("instances"), "instances", [&](const json::object& it) { listing.instances.push_back(toInstance(it)); });
         if (!object.contains("backends"))
             return listing;
-        for (const auto& item : object.at("backends").as_array()) {
-            const auto& backend = item.as_object();
-            listing.backends.push_back({ requiredString(backend, "service"), requiredString(backend, "name"), optionalString(backend, "state") == "leaving" });
-        }
+        forEachEntry(object.at("backends"), "backends", [&](const json::object& it) {
+            listing.backends.push_back({ requiredString(it, "service"), requiredString(it, "name"), optionalString(it, "state") == "leaving" });
+        });
         return listing;
     });
 }
@@ -145,8 +249,7 @@
 {
     return parseBody(body, "cache events", [](const json::object& object) {
         std::vector<CacheEvent> events;
-        for (const auto& item : object.at("events").as_array())
-            events.push_back(toEvent(item.as_object()));
+        forEachEntry(object.at("events"), "cache events", [&](const json::object& it) { events.push_back(toEvent(it)); });
         return events;
     });
 }
--- a/src/yuccashift/ports/json_bodies.hpp
+++ b/src/yuccashift/ports/json_bodies.hpp
@@ -8,7 +8,10 @@
 
 namespace yuccashift::detail {
 
-/** Parsers of the platform's JSON bodies. MalformedRequest if a body is invalid; unknown fields are ignored. */
+/**
+ * Parsers of the platform's JSON bodies. MalformedRequest if a body is invalid; unknown fields are ignored, and so are
+ * entries of lists that are not usable.
+ */
 Result<ConfigListing> parseConfigListing(std::string_view);
 Result<InstanceListing> parseListing(std::string_view);
 Result<LoadReport> parseLoadReport(std::string_view);
