Reset a connection of yuccashiftd whose request is not acknowledged

Change: the client looks at the unacknowledged bytes itself and resets the connection after the same 3 s. ABackendConnection.IsResetByTheClientAndNotEndedByTheKernelWhenItsRequestIsNotAcknowledged failed before.

--- a/src/yuccashift/http/backend_client.cpp
+++ b/src/yuccashift/http/backend_client.cpp
@@ -1,5 +1,6 @@
 #include "yuccashift/http/backend_client.hpp"
 
+#include "yuccashift/http/detail/acknowledgement.hpp"
 #include "yuccashift/http/detail/answer_framing.hpp"
 #include "yuccashift/http/detail/reset_on_close.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
@@ -7,12 +8,12 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
 #include <map>
 #include <mutex>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace yuccashift {
@@ -30,18 +31,58 @@
     /** Maximum idle time of a pooled connection, since a NAT or firewall on the path may have dropped its state. */
     constexpr seconds idleLifetime { 4 };
     constexpr seconds connectTimeout { 2 };
-    /** Maximum time for which sent bytes may stay unacknowledged before the connection is closed. */
-    constexpr milliseconds unacknowledgedTimeout { 3000 };
+    /** Time after which the unacknowledged bytes of a request are looked at; it is reset if the same number still is a short time later. */
+    constexpr milliseconds acknowledgementTimeout { 2700 };
     constexpr std::uint32_t headerLimit = 64 * 1024;
 
+    /** Resets a connection whose request is not acknowledged. The kernel's own timeout would send no reset, and a link that was silent could deliver the request later. */
+    class AcknowledgementWatch : public std::enable_shared_from_this<AcknowledgementWatch> {
+    public:
+        explicit AcknowledgementWatch(beast::tcp_stream& stream)
+            : m_stream(stream)
+            , m_timer(stream.get_executor())
+        {
+        }
+
+        void start() { checkAfter(acknowledgementTimeout, 0); }
+        void stop() { m_timer.cancel(); }
+
+    private:
+        void checkAfter(Duration delay, int unacknowledgedBefore)
+        {
+            m_timer.expires_after(delay);
+            m_timer.async_wait([weak = weak_from_this(), unacknowledgedBefore](const beast::error_code& ec) {
+                const auto self = weak.lock();
+                if (!ec && self)
+                    self->check(unacknowledgedBefore);
+            });
+        }
+
+        void check(int before)
+        {
+            const auto unacknowledged = detail::unacknowledgedBytes(m_stream.socket());
+            if (!unacknowledged || *unacknowledged == 0)
+                return;
+            if (*unacknowledged != before)
+                return checkAfter(detail::acknowledgementProgressTimeout, *unacknowledged);
+            logWarning("resetting a connection whose request is not acknowledged", { { "unacknowledged_bytes", *unacknowledged } });
+            m_stream.close();
+        }
+
+        beast::tcp_stream& m_stream;
+        asio::steady_timer m_timer;
+    };
+
     /** One connection to a backend server. */
     struct Connection {
         explicit Connection(const asio::any_io_executor& executor)
             : stream(executor)
+            , watch(std::make_shared<AcknowledgementWatch>(stream))
         {
         }
 
         beast::tcp_stream stream;
+        std::shared_ptr<AcknowledgementWatch> watch;
         /** Limited, since the parser uses up all bytes but those of a head or of the line before a chunk. */
         beast::flat_buffer buffer { 2 * headerLimit };
         Instant idleSince;
@@ -113,8 +154,6 @@
     {
         beast::error_code ec;
         socket.set_option(tcp::no_delay(true), ec);
-        using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-        socket.set_option(UserTimeout(static_cast<int>(unacknowledgedTimeout.count())), ec);
         // A request that is given up must not be delivered any more.
         if (const auto resetError = detail::setResetOnClose(socket))
             logWarning("cannot mark a connection for a reset; a request may be delivered after it was given up", { { "reason", resetError.message() } });
@@ -221,6 +260,7 @@
             if (!m_connection || !m_parser.get().keep_alive() || m_connection->buffer.size() > 0)
                 return;
             m_connection->stream.expires_never();
+            m_connection->watch->stop();
             // Evaluated first: the evaluation order of arguments is unspecified, and one of them moves the connection.
             auto& owner = loop();
             m_pool.release(owner, m_endpoint, std::move(m_connection));
@@ -303,6 +343,7 @@
             auto& loop = asio::query(stream.get_executor(), asio::execution::context);
             const auto request = toRequest(std::move(call.request), call.endpoint);
             stream.expires_after(std::max<Duration>(std::min<Duration>(call.progressTimeout, call.deadline - m_clock.now()), milliseconds(1)));
+            connection->watch->start();
             const auto [ec, n] = co_await http::async_write(stream, request, awaitTuple);
             if (ec) {
                 m_pool.closeEndpoint(loop, call.endpoint);
--- a/tests/contracts/backend_client_test.cpp
+++ b/tests/contracts/backend_client_test.cpp
@@ -1,8 +1,11 @@
 #include "tests/support/scripted_server.hpp"
+#include "tests/support/socket_option.hpp"
 #include "yuccashift/http/backend_client.hpp"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/read.hpp>
 #include <gtest/gtest.h>
+#include <netinet/tcp.h>
 
 // Ways in which a backend server can break a connection, and the outcome that the client must report.
 
@@ -130,6 +133,38 @@
         EXPECT_EQ(get(server)->body, "connection 2");
     }
 
+    // The kernel's own timeout closed a connection on a silent link without a reset, and the link delivered the request later.
+    TEST_F(ABackendConnection, IsResetByTheClientAndNotEndedByTheKernelWhenItsRequestIsNotAcknowledged)
+    {
+        constexpr std::size_t requestBytes = 48 * 1024;
+        asio::io_context serverIo;
+        asio::ip::tcp::acceptor acceptor(serverIo);
+        acceptor.open(asio::ip::tcp::v4());
+        acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+        acceptor.bind({ asio::ip::address_v4::loopback(), 0 });
+        acceptor.listen();
+        BackendCall call;
+        call.endpoint = { "127.0.0.1", acceptor.local_endpoint().port() };
+        call.request = { "POST", "/", {}, std::string(requestBytes, 'x') };
+        call.deadline = clock.now() + seconds(20);
+        call.progressTimeout = seconds(20);
+        call.headTimeout = seconds(20);
+        std::optional<Result<CompleteAnswer>> answer;
+        const auto endpoint = call.endpoint;
+        asio::co_spawn(io, sendAndCollect(*client, std::move(call), maxAnswerBytes), [&answer](const std::exception_ptr&, Result<CompleteAnswer> it) { answer = std::move(it); });
+        while (test::socketOptionOfConnectionTo(endpoint, SOL_SOCKET, SO_SNDBUF) < 0)
+            io.run_one();
+        while (io.poll() > 0) { }
+        EXPECT_EQ(test::socketOptionOfConnectionTo(endpoint, IPPROTO_TCP, TCP_USER_TIMEOUT), 0);
+        while (!answer && io.run_one() > 0) { }
+        ASSERT_TRUE(answer && !*answer);
+        EXPECT_EQ(answer->error().kind, ErrorKind::BackendLost);
+        auto socket = acceptor.accept();
+        boost::system::error_code ec;
+        std::vector<char> buf(2 * requestBytes);
+        EXPECT_LT(asio::read(socket, asio::buffer(buf), ec), requestBytes);
+    }
+
     TEST_F(ABackendConnection, MayStaySilentBetweenAnEarlyHeadAndTheFirstByteOfTheBody)
     {
         constexpr milliseconds queueTime { 100 };
