Cancel requests of yuccashiftd whose callers have left

Cause: while a request was handled nobody read its connection, so that a caller's close showed only when a part of the answer could not be written: queued requests were sent, first attempts, hedges, second attempts and hops went on to the end or the deadline. A cancelled hop went on at the executing instance until it wrote. Change: the connection is watched while its request is handled, and the handling is cancelled, through queue, attempts, hedges and hops; a request waiting in the queue gives its place back, and a cancel frame or a lost link cancels the execution. A signal reaches only the operation in progress, so it is repeated, and no attempt begins once it has come. Keyed requests run on: their answer is recorded. A caller that only stops sending still gets its answer; an interim answer (102) tells it from one that has closed.

Found with it: the queue admitted each waiting request at once, since the capacity for a priority was asked without any allowed region; mended here, since a request that never waits cannot leave the queue.

--- a/src/yuccashift/gateway/admission_gate.cpp
+++ b/src/yuccashift/gateway/admission_gate.cpp
@@ -1,6 +1,7 @@
 #include "yuccashift/gateway/admission_gate.hpp"
 
 #include "yuccashift/admission/capacity_gate.hpp"
+#include "yuccashift/kernel/cancellation.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
 #include "yuccashift/routing/region_load_tracker.hpp"
 
@@ -67,6 +68,7 @@
 asio::awaitable<Result<std::unique_ptr<AdmissionGate::Permit>>> AdmissionGate::admit(const RequestTraits& traits, double weight, std::size_t queueLimit)
 {
     const auto waiter = std::make_shared<Waiter>(co_await asio::this_coro::executor);
+    std::uint64_t id = 0;
     {
         const std::lock_guard lock(m_mutex);
         const auto now = m_clock.now();
@@ -74,7 +76,7 @@
             ++m_inProgress;
             co_return std::make_unique<Permit>(*this, now);
         }
-        ++m_lastId;
+        id = ++m_lastId;
         const auto request = makeWaitingRequest(traits, weight);
         m_queue.setLimit(queueLimit);
         const auto pushed = m_queue.push(request, admissionInterval(traits, m_backendStates(traits), now), now);
@@ -86,13 +88,31 @@
         admitWaiting();
     }
     const auto [ec, refusal] = co_await waiter->channel.async_receive(detail::awaitTuple);
-    if (ec)
-        co_return fail(ErrorKind::Overloaded);
+    const bool cancelled = co_await isCancelled();
+    if (ec || cancelled) {
+        withdraw(id, *waiter, !ec && !refusal);
+        co_return fail(cancelled ? ErrorKind::Cancelled : ErrorKind::Overloaded);
+    }
     if (refusal)
         co_return fail(*refusal);
     co_return std::make_unique<Permit>(*this, m_clock.now());
 }
 
+// The request may have been admitted in the meantime, and the message of that not been received.
+void AdmissionGate::withdraw(std::uint64_t id, Waiter& waiter, bool admitted)
+{
+    const std::lock_guard lock(m_mutex);
+    m_queue.cancel(id);
+    if (m_waiters.erase(id) > 0)
+        return;
+    if (!admitted)
+        waiter.channel.try_receive([&admitted](const boost::system::error_code&, const std::optional<ErrorKind>& refusal) { admitted = !refusal; });
+    if (!admitted)
+        return;
+    --m_inProgress;
+    admitWaiting();
+}
+
 void AdmissionGate::poll()
 {
     const std::lock_guard lock(m_mutex);
@@ -110,8 +130,11 @@
 /** Number of requests of this priority that may be admitted now. */
 std::size_t AdmissionGate::freeCapacityFor(Priority priority) const
 {
-    const auto traits = traitsOf(priority);
+    auto traits = traitsOf(priority);
     const auto states = m_backendStates(traits);
+    // The servers of this region; whether a request may run in it has been decided before it waits.
+    for (const auto& state : states)
+        traits.allowedRegions.push_back(state.region);
     const auto now = m_clock.now();
     if (!hasFreeCapacity(traits, states, now))
         return 0;
--- a/src/yuccashift/gateway/admission_gate.hpp
+++ b/src/yuccashift/gateway/admission_gate.hpp
@@ -40,7 +40,8 @@
     /**
      * Waits until the request is admitted. Fails with QueueFull if the queue is
      * full or a later request displaced this one, with DeadlineUnreachable if
-     * the deadline cannot be met, and with Overloaded if the wait is aborted.
+     * the deadline cannot be met, with Cancelled if the coroutine is cancelled, and
+     * with Overloaded if the wait is aborted otherwise.
      *
      * @param weight weight of the organisation in the queue's fair sharing
      * @param queueLimit number of requests that may wait
@@ -66,6 +67,8 @@
     void admitWaiting();
     void release(Duration serviceTime);
     void notifyWaiter(std::uint64_t id, std::optional<ErrorKind>);
+    /** Ends the wait of a cancelled request; `admitted` if it has received its admission. */
+    void withdraw(std::uint64_t id, Waiter&, bool admitted);
 
     const Clock& m_clock;
     const ServiceName m_service;
--- a/src/yuccashift/gateway/attempt.cpp
+++ b/src/yuccashift/gateway/attempt.cpp
@@ -1,6 +1,7 @@
 #include "yuccashift/gateway/attempt.hpp"
 
 #include "yuccashift/gateway/gateway_components.hpp"
+#include "yuccashift/kernel/cancellation.hpp"
 #include "yuccashift/kernel/hash.hpp"
 #include "yuccashift/kernel/log.hpp"
 
@@ -73,9 +74,9 @@
     {
         const InFlightRequestTracker::Entry entry(m_components.inFlightRequests, key, m_context.fingerprint);
         result = co_await exchange(span.context);
-        const auto cancellation = co_await asio::this_coro::cancellation_state;
-        if (cancellation.cancelled() != asio::cancellation_type::none)
-            result = fail(ErrorKind::Cancelled, "another sending was quicker");
+        const bool cancelled = co_await isCancelled();
+        if (cancelled)
+            result = fail(ErrorKind::Cancelled, "the answer is not needed any more");
         // The request is still tracked as in flight here, so that a crash of its server counts for it.
         if (!result)
             co_await handleConnectionLoss(result.error());
@@ -90,6 +91,9 @@
 
 asio::awaitable<Result<void>> Attempt::exchange(const TraceContext& trace)
 {
+    const bool cancelled = co_await isCancelled();
+    if (cancelled)
+        co_return fail(ErrorKind::Cancelled);
     auto call = makeCall(trace);
     auto answer = co_await m_components.backends->send(std::move(call));
     if (!answer)
--- a/src/yuccashift/gateway/forwarder.cpp
+++ b/src/yuccashift/gateway/forwarder.cpp
@@ -4,6 +4,7 @@
 #include "yuccashift/answers/resume_plan.hpp"
 #include "yuccashift/gateway/answer_relay.hpp"
 #include "yuccashift/gateway/gateway_components.hpp"
+#include "yuccashift/kernel/cancellation.hpp"
 #include "yuccashift/membership/coordinator.hpp"
 #include "yuccashift/peer/peer_hub.hpp"
 
@@ -27,6 +28,9 @@
     /** Sends one request to one instance and relays the answer. */
     asio::awaitable<Result<void>> forwardOnce(GatewayComponents& components, PeerHub& hub, const RequestContext& context, InstanceId instance, ForwardPurpose purpose, bool crossesRegion, AnswerRelay& relay)
     {
+        const bool cancelled = co_await isCancelled();
+        if (cancelled)
+            co_return fail(ErrorKind::Cancelled);
         auto span = components.startSpan(context.trace, "forward");
         span.attributes = { { "to", instance } };
         RequestContext traced = context;
--- a/src/yuccashift/gateway/gateway.cpp
+++ b/src/yuccashift/gateway/gateway.cpp
@@ -282,6 +282,8 @@
         co_return co_await replay(*decision.answer, sink);
     if (decision.verdict == KeyVerdict::Refuse)
         co_return tl::unexpected(decision.error.value_or(Error { ErrorKind::Internal, {}, {}, {} }));
+    // The answer is recorded for later requests with the key, also when nobody waits for it any more.
+    co_await asio::this_coro::reset_cancellation_state(asio::disable_cancellation());
     KeyedRunGuard run(m_components.keys, decision.ticket);
     AnswerRecorder recorder(sink, maxStoredAnswerBytes, [&run](StoredAnswer answer) { run.finish(std::move(answer)); });
     Result<void> result;
--- a/src/yuccashift/gateway/hedged_attempt.cpp
+++ b/src/yuccashift/gateway/hedged_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "yuccashift/gateway/attempt.hpp"
 #include "yuccashift/gateway/gateway_components.hpp"
+#include "yuccashift/kernel/cancellation.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
 
 #include <array>
@@ -138,6 +139,11 @@
     });
     for (;;) {
         co_await race->events.async_receive(detail::awaitTuple);
+        const bool cancelled = co_await isCancelled();
+        if (cancelled) {
+            cancelOthers(*race);
+            co_return fail(ErrorKind::Cancelled);
+        }
         if (auto* winner = findWinner(*race)) {
             cancelOthers(*race);
             const bool delivered = co_await winner->sink.sendTo(sink);
--- a/src/yuccashift/http/backend_client.cpp
+++ b/src/yuccashift/http/backend_client.cpp
@@ -3,6 +3,7 @@
 #include "yuccashift/http/detail/acknowledgement.hpp"
 #include "yuccashift/http/detail/answer_framing.hpp"
 #include "yuccashift/http/detail/reset_on_close.hpp"
+#include "yuccashift/kernel/cancellation.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
 #include "yuccashift/kernel/log.hpp"
 
@@ -303,6 +304,9 @@
                     co_return tl::unexpected(std::move(connected.error()));
                 connection = std::move(*connected);
             }
+            const bool cancelled = co_await isCancelled();
+            if (cancelled)
+                co_return fail(ErrorKind::Cancelled);
             co_return co_await exchange(std::move(connection), std::move(call));
         }
 
--- a/src/yuccashift/http/server.cpp
+++ b/src/yuccashift/http/server.cpp
@@ -1,12 +1,15 @@
 #include "yuccashift/http/server.hpp"
 
+#include "yuccashift/http/detail/connection_end.hpp"
 #include "yuccashift/http/error_answer.hpp"
+#include "yuccashift/kernel/cancellation.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
 #include "yuccashift/kernel/detail/listen.hpp"
 #include "yuccashift/kernel/worker_pool.hpp"
 
 #include <array>
 #include <atomic>
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -31,6 +34,8 @@
     constexpr std::chrono::seconds idleTimeout { 60 };
     /** Maximum time for which the input after a refusal is read and discarded. */
     constexpr std::chrono::milliseconds lingerTimeout { 500 };
+    /** Interval in which a connection with unread input is checked for its close while a request is handled. */
+    constexpr std::chrono::milliseconds closeCheckInterval { 100 };
 
     /** One caller's connection. Used only on its event loop, except for closeWhenIdle(), which any thread may call. */
     class Session : public std::enable_shared_from_this<Session> {
@@ -282,6 +287,82 @@
         co_return std::nullopt;
     }
 
+    /**
+     * Cancels the handling of a request when its caller closes the connection. A caller that sends no more may still wait
+     * for its answer: the connection of one that does not is reset when it gets an interim answer.
+     */
+    class CloseWatch : public std::enable_shared_from_this<CloseWatch> {
+    public:
+        CloseWatch(Session& session, unsigned version, const AnswerSink& sink)
+            : m_session(session.shared_from_this())
+            , m_version(version)
+            , m_sink(sink)
+            , m_timer(session.stream().get_executor())
+            , m_canceller(session.stream().get_executor())
+        {
+        }
+
+        asio::cancellation_slot slot() { return m_canceller.slot(); }
+        bool callerHasClosed() const { return m_canceller.cancelled(); }
+
+        void start()
+        {
+            m_session->stream().socket().async_wait(tcp::socket::wait_read, [weak = weak_from_this()](const beast::error_code& ec) {
+                const auto self = weak.lock();
+                if (!ec && self)
+                    self->check();
+            });
+        }
+
+        /** To be called when the request has been handled, while nothing else uses the socket. */
+        void stop()
+        {
+            beast::error_code ec;
+            m_timer.cancel();
+            m_session->stream().socket().cancel(ec);
+        }
+
+    private:
+        void check()
+        {
+            const auto end = detail::connectionEnd(m_session->stream().socket().native_handle());
+            if (end == detail::ConnectionEnd::Reset)
+                return m_canceller.cancel();
+            if (end == detail::ConnectionEnd::SendingClosed)
+                sendInterimAnswer();
+            // Other input is the next request, which is read after the answer to this one.
+            m_timer.expires_after(closeCheckInterval);
+            m_timer.async_wait([weak = weak_from_this()](const beast::error_code& ec) {
+                const auto self = weak.lock();
+                if (!ec && self)
+                    self->check();
+            });
+        }
+
+        // The answer itself does the same from its head on.
+        void sendInterimAnswer()
+        {
+            constexpr std::string_view processing = "HTTP/1.1 102 Processing\r\n\r\n";
+            if (m_sink.headSent() || m_version < http11)
+                return;
+            beast::error_code ec;
+            m_session->stream().socket().send(asio::buffer(processing), MSG_DONTWAIT, ec);
+        }
+
+        std::shared_ptr<Session> m_session;
+        unsigned m_version;
+        const AnswerSink& m_sink;
+        asio::steady_timer m_timer;
+        Canceller m_canceller;
+    };
+
+    asio::awaitable<void> handleRequest(RequestHandler& handler, RequestMessage message, AnswerSink& sink)
+    {
+        // A cancelled operation reports an error instead of throwing, so that what has begun is also counted as ended.
+        co_await asio::this_coro::throw_if_cancelled(false);
+        co_await handler.handle(std::move(message), sink);
+    }
+
     asio::awaitable<void> serveSession(Session& session, RequestHandler& handler)
     {
         for (;;) {
@@ -289,12 +370,16 @@
             if (!request)
                 co_return;
             const bool keepAlive = request->keep_alive();
-            HttpAnswerSink sink(session, request->version(), keepAlive);
+            const auto version = request->version();
+            HttpAnswerSink sink(session, version, keepAlive);
             // From here on the handler enforces the deadlines.
             session.stream().expires_never();
             auto message = toMessage(std::move(*request));
-            co_await handler.handle(std::move(message), sink);
-            if (!sink.reusable())
+            const auto watch = std::make_shared<CloseWatch>(session, version, sink);
+            watch->start();
+            co_await asio::co_spawn(session.stream().get_executor(), handleRequest(handler, std::move(message), sink), asio::bind_cancellation_slot(watch->slot(), asio::use_awaitable));
+            watch->stop();
+            if (watch->callerHasClosed() || !sink.reusable())
                 co_return;
         }
     }
--- a/src/yuccashift/http/server.hpp
+++ b/src/yuccashift/http/server.hpp
@@ -17,6 +17,7 @@
 class RequestHandler {
 public:
     virtual ~RequestHandler();
+    /** Is cancelled when the caller has closed its connection and no answer can reach it; operations then report an error and do not throw. */
     virtual boost::asio::awaitable<void> handle(RequestMessage, AnswerSink&) = 0;
 };
 
--- a/src/yuccashift/peer/detail/link_state.hpp
+++ b/src/yuccashift/peer/detail/link_state.hpp
@@ -2,6 +2,7 @@
 
 #include "peer_types.h"
 #include "yuccashift/answers/stream_deduplicator.hpp"
+#include "yuccashift/kernel/cancellation.hpp"
 #include "yuccashift/peer/peer_link.hpp"
 
 #include <atomic>
@@ -9,7 +10,6 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <mutex>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace yuccashift {
 
@@ -49,6 +49,8 @@
     void shutDown();
     std::int64_t openStream(const std::shared_ptr<detail::FrameChannel>&);
     void closeStream(std::int64_t stream, bool cancel);
+    /** Ends the execution of a request that its origin has given up. */
+    void cancelExecution(std::int64_t stream);
     bool isCancelled(std::int64_t stream);
 
     boost::beast::tcp_stream stream;
@@ -64,7 +66,7 @@
     std::mutex mutex;
     std::int64_t lastStream = 0;
     std::unordered_map<std::int64_t, std::shared_ptr<detail::FrameChannel>> pendingAnswers;
-    std::unordered_set<std::int64_t> executingStreams;
+    std::unordered_map<std::int64_t, std::shared_ptr<Canceller>> executingStreams;
     StreamDeduplicator streamDeduplicator;
 };
 
--- a/src/yuccashift/peer/detail/peer_answer.hpp
+++ b/src/yuccashift/peer/detail/peer_answer.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccashift/kernel/cancellation.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
 #include "yuccashift/peer/detail/link_state.hpp"
 
@@ -94,6 +95,9 @@
         auto [ec, frame] = co_await m_channel->async_receive(awaitTuple);
         if (!ec)
             co_return std::move(frame);
+        const bool cancelled = co_await isCancelled();
+        if (cancelled)
+            co_return fail(ErrorKind::Cancelled);
         if (ec == boost::asio::experimental::error::channel_cancelled)
             co_return fail(ErrorKind::DeadlineExceeded, "the executing instance did not answer in time");
         co_return fail(ErrorKind::PeerLost, "the link to the executing instance was lost");
--- a/src/yuccashift/peer/peer_link.cpp
+++ b/src/yuccashift/peer/peer_link.cpp
@@ -7,6 +7,7 @@
 #include "yuccashift/peer/detail/peer_answer_sink.hpp"
 
 #include <array>
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -121,10 +122,18 @@
         return;
     outgoing.close();
     stream.close();
-    const std::lock_guard lock(mutex);
-    for (auto& [id, channel] : pendingAnswers)
-        channel->close();
-    pendingAnswers.clear();
+    std::vector<std::int64_t> executing;
+    {
+        const std::lock_guard lock(mutex);
+        for (auto& [id, channel] : pendingAnswers)
+            channel->close();
+        pendingAnswers.clear();
+        for (const auto& [id, canceller] : executingStreams)
+            executing.push_back(id);
+    }
+    // Nobody can receive the answers any more.
+    for (const auto id : executing)
+        cancelExecution(id);
 }
 
 std::int64_t PeerLink::State::openStream(const std::shared_ptr<FrameChannel>& channel)
@@ -189,29 +198,47 @@
         return;
     }
     if (frame.__isset.cancel) {
-        const std::lock_guard lock(mutex);
-        executingStreams.erase(frame.stream);
+        cancelExecution(frame.stream);
         return;
     }
     if (!frame.__isset.forward) {
         handler.onControl(peerIdentity, frame);
         return;
     }
+    const auto canceller = std::make_shared<Canceller>(stream.get_executor());
     {
         const std::lock_guard lock(mutex);
         // Checking executingStreams is not enough: a late duplicate of a refused request must not run either.
         if (!streamDeduplicator.accept(frame.stream))
             return;
-        executingStreams.insert(frame.stream);
+        executingStreams.emplace(frame.stream, canceller);
     }
+    // The signal must outlive the coroutine.
+    const auto ended = [canceller](const std::exception_ptr&) {};
     asio::co_spawn(
         stream.get_executor(),
         [self = shared_from_this(), id = frame.stream, forward = std::move(frame.forward)]() mutable { return self->execute(id, std::move(forward)); },
-        asio::detached);
+        asio::bind_cancellation_slot(canceller->slot(), ended));
+}
+
+void PeerLink::State::cancelExecution(std::int64_t id)
+{
+    std::shared_ptr<Canceller> canceller;
+    {
+        const std::lock_guard lock(mutex);
+        const auto it = executingStreams.find(id);
+        if (it == executingStreams.end())
+            return;
+        canceller = std::move(it->second);
+        executingStreams.erase(it);
+    }
+    canceller->cancel();
 }
 
 asio::awaitable<void> PeerLink::State::execute(std::int64_t id, wire::Forward forward)
 {
+    // A cancelled operation reports an error instead of throwing, so that what has begun is also counted as ended.
+    co_await asio::this_coro::throw_if_cancelled(false);
     PeerAnswerSink sink(shared_from_this(), id);
     co_await handler.onForward(peerIdentity, std::move(forward), sink);
     co_await sink.finish();
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -1,11 +1,17 @@
 #include "yuccashift/http/server.hpp"
 
+#include "yuccashift/kernel/cancellation.hpp"
+#include "yuccashift/kernel/detail/await.hpp"
 #include "yuccashift/kernel/worker_pool.hpp"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <future>
 #include <gtest/gtest.h>
 
 // Invalid, oversized, late and interrupted requests to the HTTP server, and the answers to them.
@@ -26,6 +32,41 @@
         }
     };
 
+    /** Answers `/wait` only when its operation is cancelled, or when it is told to; everything else at once. */
+    class Waiting final : public RequestHandler {
+    public:
+        asio::awaitable<void> handle(RequestMessage message, AnswerSink& sink) override
+        {
+            AnswerHead head;
+            if (message.target != "/wait") {
+                co_await sendComplete(sink, std::move(head), message.target);
+                co_return;
+            }
+            asio::steady_timer timer(co_await asio::this_coro::executor, std::chrono::hours(1));
+            m_timer = &timer;
+            m_began.set_value();
+            co_await timer.async_wait(detail::awaitTuple);
+            m_timer = nullptr;
+            const bool cancelled = co_await isCancelled();
+            m_cancelled.set_value(cancelled);
+            co_await sendComplete(sink, std::move(head), "waited");
+        }
+
+        void awaitBegin() { m_began.get_future().wait(); }
+        bool awaitEnd() { return m_cancelled.get_future().get(); }
+        /** Ends the wait; called on the worker's event loop. */
+        void answer()
+        {
+            if (m_timer)
+                m_timer->cancel();
+        }
+
+    private:
+        asio::steady_timer* m_timer = nullptr;
+        std::promise<void> m_began;
+        std::promise<bool> m_cancelled;
+    };
+
     struct AListener : testing::Test {
         AListener()
         {
@@ -40,11 +81,12 @@
             workers.join();
         }
 
-        void start()
+        void start() { start(echo); }
+        void start(RequestHandler& handler)
         {
             server = std::make_unique<HttpServer>(workers, bounds);
             endpoint = server->listen({ "127.0.0.1", 0 }).value();
-            server->serve(echo);
+            server->serve(handler);
             workers.start();
         }
 
@@ -73,6 +115,7 @@
         }
 
         Echo echo;
+        Waiting waiting;
         ServerLimits bounds;
         WorkerPool workers { 1 };
         std::unique_ptr<HttpServer> server;
@@ -127,6 +170,64 @@
         EXPECT_TRUE(answer.ends_with("\r\n\r\nwhole")) << answer;
     }
 
+    struct LeavingCaller {
+        const char* name;
+        bool reset;
+        /** Sent behind the request. */
+        std::string pipelined;
+    };
+
+    class AListenerWhoseCallerLeaves : public AListener, public testing::WithParamInterface<LeavingCaller> {
+    };
+
+    // A request was worked on, or waited in a queue, until its deadline when its caller had closed the connection.
+    TEST_P(AListenerWhoseCallerLeaves, CancelsItsRequest)
+    {
+        start(waiting);
+        {
+            auto socket = connect();
+            asio::write(socket, asio::buffer("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n" + GetParam().pipelined));
+            waiting.awaitBegin();
+            if (GetParam().reset)
+                socket.set_option(asio::socket_base::linger(true, 0));
+        }
+        EXPECT_TRUE(waiting.awaitEnd());
+    }
+
+    const std::string nextRequest = "GET /next HTTP/1.1\r\nHost: a\r\n\r\n";
+
+    INSTANTIATE_TEST_SUITE_P(EachWay, AListenerWhoseCallerLeaves, testing::Values(LeavingCaller { "ByClose", false, "" }, LeavingCaller { "ByReset", true, "" }, LeavingCaller { "ByCloseBehindTheNextRequest", false, nextRequest }, LeavingCaller { "ByResetBehindTheNextRequest", true, nextRequest }),
+        [](const auto& it) { return std::string(it.param.name); });
+
+    TEST_F(AListener, AnswersACallerThatWaitsWithItsSendingSideClosed)
+    {
+        start(waiting);
+        auto socket = connect();
+        asio::write(socket, asio::buffer(std::string("GET /wait HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")));
+        waiting.awaitBegin();
+        socket.shutdown(tcp::socket::shutdown_send);
+        std::string interim;
+        asio::read_until(socket, asio::dynamic_buffer(interim), "102 Processing\r\n\r\n");
+        asio::post(workers.primaryLoop(), [this] { waiting.answer(); });
+        EXPECT_FALSE(waiting.awaitEnd());
+        const auto answer = readAll(socket);
+        EXPECT_NE(answer.find("HTTP/1.1 200"), std::string::npos) << answer;
+        EXPECT_TRUE(answer.ends_with("waited")) << answer;
+    }
+
+    TEST_F(AListener, AnswersTheNextRequestOfACallerThatStays)
+    {
+        start(waiting);
+        auto socket = connect();
+        asio::write(socket, asio::buffer("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n" + nextRequest));
+        waiting.awaitBegin();
+        asio::post(workers.primaryLoop(), [this] { waiting.answer(); });
+        EXPECT_FALSE(waiting.awaitEnd());
+        std::string answers;
+        asio::read_until(socket, asio::dynamic_buffer(answers), "/next");
+        EXPECT_NE(answers.find("waited"), std::string::npos) << answers;
+    }
+
     TEST_F(AListener, SendsNoSuccessToACallerThatDisconnectsInsideItsRequest)
     {
         start();
