--- a/src/yuccashift/gateway/gateway.cpp
+++ b/src/yuccashift/gateway/gateway.cpp
@@ -37,6 +37,7 @@
         asio::awaitable<bool> chunk(std::string_view data) override { return m_sink.chunk(data); }
         asio::awaitable<bool> end() override { return m_sink.end(); }
         asio::awaitable<void> fail(const Error& error, const HeaderFields& extra) override { return m_sink.fail(error, extra); }
+        void setDeadline(Instant deadline) override { m_sink.setDeadline(deadline); }
         bool headSent() const override { return m_sink.headSent(); }
 
     private:
@@ -198,6 +199,7 @@
         co_return tl::unexpected(unknownOutcomeIfKeyed(context.error(), keyed));
     const auto now = m_components.clock.now();
     const auto& traits = context->traits;
+    sink.setDeadline(traits.deadline);
     // A draining instance still answers keyed requests, since it may have run them.
     const bool answersKeys = keyed && !traits.idempotent && m_components.lifecycle.draining();
     if (const auto ready = checkReady(); !ready && !answersKeys)
--- a/src/yuccashift/http/answer_sink.hpp
+++ b/src/yuccashift/http/answer_sink.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "yuccashift/http/message.hpp"
+#include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/error.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -22,6 +23,8 @@
     virtual boost::asio::awaitable<bool> end() = 0;
     /** Sends an error instead of the answer, or of the rest of it. `extra` holds additional headers for the error answer. */
     virtual boost::asio::awaitable<void> fail(const Error&, const HeaderFields& extra) = 0;
+    /** Limits the time for which a receiver that does not read can hold up chunk(). */
+    virtual void setDeadline(Instant) { }
     /** Whether head() has been called. */
     virtual bool headSent() const = 0;
 };
--- a/src/yuccashift/http/server.cpp
+++ b/src/yuccashift/http/server.cpp
@@ -34,6 +34,8 @@
     constexpr std::chrono::seconds idleTimeout { 60 };
     /** Maximum time for which the input after a refusal is read and discarded. */
     constexpr std::chrono::milliseconds lingerTimeout { 500 };
+    /** A part of an answer may take this long also after the deadline, so that the error of a late request reaches its caller. */
+    constexpr milliseconds minSendTime { 1000 };
     /** Interval in which a connection with unread input is checked for its close while a request is handled. */
     constexpr std::chrono::milliseconds closeCheckInterval { 100 };
 
@@ -100,11 +102,14 @@
             co_return recordResult(ec);
         }
 
+        void setDeadline(Instant deadline) override { m_deadline = deadline; }
+
         asio::awaitable<bool> chunk(std::string_view data) override
         {
             if (m_failed)
                 co_return false;
-            m_session.stream().expires_after(m_session.bounds().sendTimeout);
+            const auto untilDeadline = m_deadline ? *m_deadline - Instant::clock::now() : Duration(m_session.bounds().sendTimeout);
+            m_session.stream().expires_after(std::clamp<Duration>(untilDeadline, minSendTime, std::max<Duration>(minSendTime, m_session.bounds().sendTimeout)));
             const asio::const_buffer buf(data.data(), data.size());
             if (m_chunked) {
                 const auto [ec, n] = co_await asio::async_write(m_session.stream(), http::make_chunk(buf), awaitTuple);
@@ -165,6 +170,7 @@
         Session& m_session;
         unsigned m_version;
         bool m_keepAlive;
+        std::optional<Instant> m_deadline;
         bool m_started = false;
         bool m_chunked = false;
         bool m_isEventStream = false;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -67,6 +67,26 @@
         std::promise<bool> m_cancelled;
     };
 
+    /** Writes an answer without end, with a deadline, until its caller cannot be reached. */
+    class Endless final : public RequestHandler {
+    public:
+        asio::awaitable<void> handle(RequestMessage, AnswerSink& sink) override
+        {
+            const std::string part(64 * 1024, 'x');
+            sink.setDeadline(SystemClock().now() + milliseconds(100));
+            AnswerHead head;
+            bool reached = co_await sink.head(std::move(head));
+            while (reached)
+                reached = co_await sink.chunk(part);
+            m_ended.set_value();
+        }
+
+        void awaitEnd() { m_ended.get_future().wait(); }
+
+    private:
+        std::promise<void> m_ended;
+    };
+
     struct AListener : testing::Test {
         AListener()
         {
@@ -116,6 +136,7 @@
 
         Echo echo;
         Waiting waiting;
+        Endless endless;
         ServerLimits bounds;
         WorkerPool workers { 1 };
         std::unique_ptr<HttpServer> server;
@@ -199,6 +220,16 @@
     INSTANTIATE_TEST_SUITE_P(EachWay, AListenerWhoseCallerLeaves, testing::Values(LeavingCaller { "ByClose", false, "" }, LeavingCaller { "ByReset", true, "" }, LeavingCaller { "ByCloseBehindTheNextRequest", false, nextRequest }, LeavingCaller { "ByResetBehindTheNextRequest", true, nextRequest }),
         [](const auto& it) { return std::string(it.param.name); });
 
+    // A caller that never read its answer kept its request in progress far beyond the deadline.
+    TEST_F(AListener, GivesUpACallerThatDoesNotReadOnceTheDeadlineHasPassed)
+    {
+        bounds.sendTimeout = std::chrono::hours(1);
+        start(endless);
+        auto socket = connect();
+        asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+        endless.awaitEnd();
+    }
+
     TEST_F(AListener, AnswersACallerThatWaitsWithItsSendingSideClosed)
     {
         start(waiting);
