Test that real instances follow a store with odd entries

Nine entries among those of the servers (nesting of 100,000, numbers too large, ports out of range), one after another, and a start with all of them: instances run on and follow each configuration.

--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -3,6 +3,7 @@
 #include "tests/support/wait.hpp"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <gtest/gtest.h>
@@ -163,6 +164,41 @@
         EXPECT_EQ(m_fleet.metric("sofia-1", "yuccashift_config_version"), 8);
     }
 
+    // Instances ended, or followed the list no more, when another writer's odd entry stood among those of the servers.
+    TEST_F(EntryInstances, FollowTheStoreThoughOddEntriesStandAmongThoseOfTheServers)
+    {
+        const auto odd = [](const std::string& field, const std::string& value) {
+            const std::map<std::string, std::string> sound { { "service", R"("ledger")" }, { "address", R"("127.0.0.1:9")" }, { "zone", R"("hall-sofia")" }, { "version", R"("v1")" }, { "slots", "4" }, { "state", R"("ready")" }, { "coldRemainingMs", "0" }, { "sequence", "1" } };
+            std::string text;
+            for (const auto& [name, it] : sound)
+                text += (text.empty() ? "{\"" : ",\"") + name + "\":" + (name == field ? value : it);
+            return text + "}";
+        };
+        const std::string nested = std::string(100000, '[') + std::string(100000, ']');
+        const std::vector<std::string> values { nested, odd("slots", nested), odd("slots", "1e999999999"), odd("slots", "99999999999999999999999"), odd("sequence", "1e400"), odd("coldRemainingMs", "1e999"), odd("address", R"("127.0.0.1:65536")"), odd("address", R"("127.0.0.1:-1")"), odd("address", R"("127.0.0.1:99999999999999999999")") };
+        const std::array names { "sofia-1", "sofia-2", "varna-1" };
+        const auto follow = [&](std::int64_t version) {
+            m_fleet.publishConfig(version, routes);
+            for (const auto* name : names) {
+                EXPECT_TRUE(waitUntil([&] { return m_fleet.metric(name, "yuccashift_config_version") == static_cast<double>(version); })) << name;
+                EXPECT_EQ(m_fleet.metric(name, "yuccashift_servers_known"), 6) << name;
+            }
+        };
+        std::int64_t version = 10;
+        for (std::size_t n = 0; n < values.size(); ++n) {
+            m_fleet.publishText("servers/odd-" + std::to_string(n), values[n]);
+            follow(++version);
+        }
+        for (const auto* name : names)
+            EXPECT_TRUE(m_fleet.runs(name)) << name;
+        // A start reads the whole list.
+        m_fleet.entry("sofia-1").signal(SIGKILL);
+        m_fleet.startEntry("sofia-1", "sofia");
+        EXPECT_TRUE(m_fleet.waitReady("sofia-1"));
+        follow(++version);
+        EXPECT_TRUE(m_fleet.call("sofia-1", "odd", "GET", "/read/x").ok());
+    }
+
     TEST_F(EntryInstances, RunANonIdempotentRequestOnceWhenItsAnswerIsLost)
     {
         for (const auto* path : { "/control/lose-answers", "/control/cut-answers" }) {
