Notice an instance that falls silent during its hop

The close of a hop cannot arrive over a cut link, so that the receiver worked on until the deadline. Connections of callers are not probed. AnInboundServer.ProbesACallerOnlyWhileItsRequestIsInProgress.

--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -101,6 +101,7 @@
         void onRequest(std::shared_ptr<InboundExchange> exchange) override;
         InboundLimits limits() const override;
         bool shouldCloseConnections() const override { return false; }
+        bool probesSilentCallers() const override { return true; }
         State& owner;
     };
 
--- a/src/yuccashift/http/inbound.cpp
+++ b/src/yuccashift/http/inbound.cpp
@@ -1,6 +1,7 @@
 #include "yuccashift/http/inbound.hpp"
 
 #include "yuccashift/http/detail/connection_end.hpp"
+#include "yuccashift/http/detail/keep_alive.hpp"
 #include "yuccashift/http/detail/reset_on_close.hpp"
 #include "yuccashift/http/detail/scratch.hpp"
 #include "yuccashift/http/error_answer.hpp"
@@ -16,6 +17,7 @@
 #include <charconv>
 #include <optional>
 #include <unordered_set>
+#include <utility>
 
 namespace yuccashift {
 
@@ -182,6 +184,7 @@
         {
             auto exchange = std::move(m_exchange);
             m_exchange.reset();
+            probeSilence(false);
             if (close) {
                 m_discardingInput = true;
                 flush();
@@ -303,6 +306,7 @@
         void dispatchRequest()
         {
             m_timer.cancel();
+            probeSilence(m_server->handler.probesSilentCallers());
             m_closeAfterAnswer = !m_parser->keep_alive();
             m_http10 = m_parser->get().version() < 11;
             auto message = toMessage(m_parser->release());
@@ -311,6 +315,17 @@
             m_server->handler.onRequest(m_exchange);
         }
 
+        /** While a request is in progress, a caller that does not answer keep-alive probes counts as gone. */
+        void probeSilence(bool on)
+        {
+            if (std::exchange(m_probesSilence, on) == on)
+                return;
+            if (on)
+                detail::setKeepAliveTimes(m_socket);
+            // Best effort: the request's time limit ends it in any case.
+            (void)detail::setKeepAlive(m_socket, on);
+        }
+
         void refuse(ErrorKind kind)
         {
             const Error error { kind, {}, {}, {} };
@@ -390,6 +405,8 @@
         bool m_waitingForInput = false;
         bool m_writing = false;
         bool m_closed = false;
+        /** Whether the kernel closes the connection when keep-alive probes are not answered. */
+        bool m_probesSilence = false;
         /** The last answer has been queued; input is discarded until the connection closes. */
         bool m_discardingInput = false;
         bool m_closeAfterAnswer = false;
--- a/src/yuccashift/http/inbound.hpp
+++ b/src/yuccashift/http/inbound.hpp
@@ -82,6 +82,8 @@
     virtual InboundLimits limits() const = 0;
     /** Whether each connection is closed after its current answer. */
     virtual bool shouldCloseConnections() const = 0;
+    /** Whether a caller that is silent during a request is taken to have disconnected. */
+    virtual bool probesSilentCallers() const { return false; }
 };
 
 /** HTTP/1.1 server that runs on the given event loop and starts no thread. */
--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -355,8 +355,10 @@
         }
         InboundLimits limits() const override { return bounds; }
         bool shouldCloseConnections() const override { return stops; }
+        bool probesSilentCallers() const override { return probes; }
 
         InboundLimits bounds;
+        bool probes = false;
         int requests = 0;
         bool disconnected = false;
         bool stops = false;
@@ -577,6 +579,25 @@
         }
     }
 
+    // An instance worked on for another one that a cut link had hidden, since no close could arrive.
+    TEST_F(AnInboundServer, ProbesACallerOnlyWhileItsRequestIsInProgress)
+    {
+        for (const bool probes : { true, false }) {
+            echo.probes = probes;
+            tcp::socket socket(client);
+            socket.connect({ asio::ip::make_address(endpoint.host), endpoint.port });
+            const Endpoint caller { "127.0.0.1", socket.local_endpoint().port() };
+            const auto isProbed = [&] { return test::socketOptionOfConnectionTo(caller, SOL_SOCKET, SO_KEEPALIVE); };
+            asio::write(socket, asio::buffer(std::string("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")));
+            while (!echo.pending)
+                io.run_one();
+            EXPECT_EQ(isProbed(), probes ? 1 : 0);
+            echo.pending->sendComplete({}, "done");
+            EXPECT_EQ(isProbed(), 0);
+            echo.pending.reset();
+        }
+    }
+
     TEST_F(AnInboundServer, SendsNoLastChunkForAnAbortedAnswer)
     {
         tcp::socket socket(client);
