--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -44,7 +44,7 @@
     constexpr milliseconds deadline { 8000 };
     constexpr milliseconds pause { 50 };
     constexpr std::size_t shownBytes = 500;
-    Client client(machine.ip, port, "a.example");
+    Client client(machine.ip, port, "a.example", record);
     for (std::size_t n = 0; !counts.stopped; ++n) {
         const auto attempt = machine.name + "-" + std::to_string(number) + "-" + std::to_string(n);
         const auto target = n % requestsPerProbe == 0 ? std::string("/yuccashift-peer/snapshot?after=0") : "/records/" + std::to_string(n);
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -76,7 +76,7 @@
         constexpr milliseconds deadline { 8000 };
         constexpr milliseconds shortestPause { 20 };
         constexpr std::size_t spread = 61;
-        Client client(machine.ip, port, "a.example");
+        Client client(machine.ip, port, "a.example", m_record);
         for (std::size_t n = 0; !m_stopped; ++n) {
             const bool counted = m_counting;
             const auto attempt = name + "-" + std::to_string(n);
--- a/review/stage/scene.cpp
+++ b/review/stage/scene.cpp
@@ -103,10 +103,11 @@
     }
 }
 
-Client::Client(std::string ip, std::uint16_t port, std::string host)
+Client::Client(std::string ip, std::uint16_t port, std::string host, Record& record)
     : m_ip(std::move(ip))
     , m_port(port)
     , m_host(std::move(host))
+    , m_record(record)
 {
 }
 
@@ -125,6 +126,7 @@
         text.append(name).append(": ").append(value).append("\r\n");
     if (method != "GET")
         text += "Content-Length: 0\r\n";
+    m_record.write({ "sent", attempt, "to", m_ip, method, target });
     if (m_connection->send(text + "\r\n"))
         outcome.answer = m_connection->readAnswer(until);
     const bool complete = outcome.answer && outcome.answer->whole;
--- a/review/stage/scene.hpp
+++ b/review/stage/scene.hpp
@@ -91,7 +91,7 @@
 /** A client with one kept connection to one machine at a time. */
 class Client {
 public:
-    Client(std::string ip, std::uint16_t port, std::string host);
+    Client(std::string ip, std::uint16_t port, std::string host, Record& record);
 
     /** Sends a request and waits for its answer; opens a connection if there is none. */
     Outcome send(const std::string& method, const std::string& target, const std::string& attempt, std::chrono::milliseconds deadline, const Headers& headers = {});
@@ -100,6 +100,7 @@
     std::string m_ip;
     std::uint16_t m_port;
     std::string m_host;
+    Record& m_record;
     std::unique_ptr<Connection> m_connection;
 };
 
