Forward a caller's request whatever its path, and take only a server's answer for one

Cause: the listener for instances decided by the path alone, and a hop forwards the caller's path unchanged. The origin took everything without the mark of a failure for a server's answer.

Headers that only instances set were stripped already: the test sends them.

Change: only a request without the metadata of a hop is an instance's own; callers cannot set that metadata, and both versions of instances ask for items without it. Heartbeats tell who does both; requests for such paths are not forwarded to an earlier version. The head of a server's answer no longer names a stream's software.

--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -4,6 +4,7 @@
 #include "yuccashift/entry/directory_choice.hpp"
 #include "yuccashift/entry/entry_core.hpp"
 #include "yuccashift/entry/gossip.hpp"
+#include "yuccashift/entry/peer_handler.hpp"
 #include "yuccashift/entry/request_job.hpp"
 #include "yuccashift/entry/server_prober.hpp"
 #include "yuccashift/entry/snapshot_exchange.hpp"
@@ -92,18 +93,6 @@
         bool shouldCloseConnections() const override { return owner.core.draining(); }
         State& owner;
     };
-    /** Handles requests from other instances. */
-    struct PeerHandler final : InboundHandler {
-        explicit PeerHandler(State& state)
-            : owner(state)
-        {
-        }
-        void onRequest(std::shared_ptr<InboundExchange> exchange) override;
-        InboundLimits limits() const override;
-        bool shouldCloseConnections() const override { return false; }
-        bool probesSilentCallers() const override { return true; }
-        State& owner;
-    };
 
     void onChanges(const std::vector<ItemChange>&, const StorePosition& through) override;
     void onListing(const std::vector<ItemChange>&, const StorePosition& through) override;
@@ -136,7 +125,7 @@
     SnapshotExchange snapshots;
     std::unique_ptr<StoreReader> store;
     CallerHandler callerHandler { *this };
-    PeerHandler peerHandler { *this };
+    PeerHandler peerHandler { core, snapshots };
     FunctionHandler directoryHandler { [this](InboundExchange& exchange) { answerDirectory(exchange); } };
     FunctionHandler readinessHandler { [this](InboundExchange& exchange) { answerReadiness(exchange); } };
     FunctionHandler operatorHandler { [this](InboundExchange& exchange) { answerMetrics(exchange); } };
@@ -175,26 +164,6 @@
     return limits;
 }
 
-InboundLimits EntryNode::State::PeerHandler::limits() const
-{
-    // A request that the origin has accepted is not rejected here for its size.
-    InboundLimits limits;
-    limits.maxHeaderBytes = 256 * 1024;
-    limits.maxBodyBytes = 64 << 20;
-    limits.idleTimeout = seconds(30);
-    return limits;
-}
-
-void EntryNode::State::PeerHandler::onRequest(std::shared_ptr<InboundExchange> exchange)
-{
-    if (owner.snapshots.answer(*exchange))
-        return;
-    auto metadata = extractHopMetadata(exchange->request().headers);
-    if (!metadata)
-        return sendText(*exchange, 400, "text/plain", "not a request of an instance\n");
-    RequestJob::start(owner.core, std::move(exchange), std::move(metadata));
-}
-
 void EntryNode::State::onChanges(const std::vector<ItemChange>& changes, const StorePosition& through)
 {
     core.fleetState.setFirstEra(through.era);
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -325,6 +325,7 @@
     heartbeat.reachesNoServer = m_core.planner.reachesNoServer();
     heartbeat.keepsStreamSoftware = true;
     heartbeat.namesOrganisations = true;
+    heartbeat.marksServerAnswers = true;
     const auto software = m_core.fleetState.softwareVersions().singleSoftware(m_core.clock.now());
     heartbeat.softwareDigest = static_cast<std::int64_t>(software.digest);
     heartbeat.singleSoftwareMs = static_cast<std::int32_t>(std::min(maxReportedSingleSoftware, toMilliseconds(software.duration)));
--- a/src/yuccashift/entry/hop.cpp
+++ b/src/yuccashift/entry/hop.cpp
@@ -20,6 +20,9 @@
     constexpr std::string_view organisationField = "Yuccashift-Organisation";
     constexpr std::string_view serverSoftwareField = "Yuccashift-Server-Software";
     constexpr std::string_view failureField = "Yuccashift-Failure";
+    /** Marks an answer of a backend server, as opposed to one that an instance gives itself. */
+    constexpr std::string_view answerField = "Yuccashift-Answer";
+    constexpr std::string_view serverAnswer = "server";
     constexpr std::string_view fieldPrefix = "Yuccashift-";
     constexpr std::string_view reachedServerMark = "; reached a server";
 
@@ -78,6 +81,21 @@
     return error;
 }
 
+bool isForwarded(const HeaderFields& headers)
+{
+    return findHeader(headers, originField).has_value();
+}
+
+HeaderField serverAnswerMark()
+{
+    return { std::string(answerField), std::string(serverAnswer) };
+}
+
+bool isMarkedAsServerAnswer(const AnswerHead& head)
+{
+    return findHeader(head.headers, answerField) == serverAnswer;
+}
+
 bool isHopHeader(std::string_view name)
 {
     return boost::algorithm::istarts_with(name, fieldPrefix);
--- a/src/yuccashift/entry/hop.hpp
+++ b/src/yuccashift/entry/hop.hpp
@@ -62,6 +62,12 @@
 /** Whether only instances set this header, for each other. */
 bool isHopHeader(std::string_view name);
 
+/** Whether an instance forwarded the request for a caller, by the metadata that only instances set. */
+bool isForwarded(const HeaderFields&);
+/** Header by which the executing instance marks an answer as its backend server's. */
+HeaderField serverAnswerMark();
+bool isMarkedAsServerAnswer(const AnswerHead&);
+
 /** Appends the metadata as header lines. */
 void appendHopMetadata(std::string& out, const HopMetadata&);
 /** Removes the hop's headers and returns their content; std::nullopt if a required one is missing or malformed. */
@@ -73,7 +79,7 @@
 SoftwareId decodeServerSoftware(const AnswerHead&);
 /** Header by which the executing instance reports its own failure and whether the request may have run. */
 HeaderField encodeHopFailure(const HopFailure&);
-/** The failure that the executing instance reports; std::nullopt if the answer comes from a backend server. */
+/** The failure that the executing instance reports; std::nullopt if it reports none. */
 std::optional<HopFailure> decodeHopFailure(const AnswerHead&);
 
 } // namespace yuccashift
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -3,6 +3,7 @@
 #include "yuccashift/entry/failure_answer.hpp"
 #include "yuccashift/entry/forwarding.hpp"
 #include "yuccashift/entry/resumed_stream.hpp"
+#include "yuccashift/entry/snapshot_exchange.hpp"
 #include "yuccashift/kernel/hash.hpp"
 #include "yuccashift/kernel/log.hpp"
 
@@ -165,10 +166,21 @@
         m_streamSoftware = StreamSoftware::begunBy(*m_hopMetadata->streamSoftware);
     else if (m_hopMetadata && m_hopMetadata->resumeAfter && m_request.route->kind == RouteKind::Streaming)
         m_streamSoftware = StreamSoftware::begunBy(softwareWithoutRecord(m_core.fleetState, *m_request.route, m_core.clock.now()));
+    excludeInstancesByPath();
     armTimeLimit();
     return true;
 }
 
+void RequestJob::excludeInstancesByPath()
+{
+    if (m_hopMetadata || !SnapshotExchange::isItemsPath(m_exchange->request().target))
+        return;
+    for (const auto* peer : m_core.peerTable.alive()) {
+        if (!peer->marksServerAnswers)
+            m_triedInstances.insert(peer->instance);
+    }
+}
+
 void RequestJob::begin()
 {
     if (!m_hopMetadata) {
@@ -511,6 +523,7 @@
     request.connectTimeout = instanceConnectTimeout;
     m_peerInstance = member.instance;
     m_serverOfHop = metadata.server;
+    m_hopMarksAnswers = member.marksServerAnswers;
     m_serverId.clear();
     m_sentAt = m_core.clock.now();
     m_predictedFirstByte = predicted;
@@ -534,6 +547,8 @@
             m_answerMode = AnswerMode::HopFailure;
             return;
         }
+        if (isOfUnknownSource(head))
+            return onAnswerFailure(OutboundFailure::Lost, "the instance does not say that a server gave the answer");
     }
     const auto facts = m_core.protocol.decodeAnswer(head);
     const auto answering = m_peerInstance.empty() ? m_requestTicket.server : m_serverOfHop;
@@ -561,7 +576,8 @@
     const bool stream = head.status < 300 && m_request.route->kind == RouteKind::Streaming && mayBeStream;
     m_answerMode = stream ? AnswerMode::Stream : AnswerMode::Buffered;
     if (stream && m_attemptSoftware == 0) {
-        const auto named = decodeServerSoftware(head);
+        // A backend server does not speak for an instance.
+        const auto named = m_peerInstance.empty() ? SoftwareId { 0 } : decodeServerSoftware(head);
         m_attemptSoftware = named != 0 ? named : presumedSoftware(m_core.fleetState, *m_request.route, m_request.service, m_core.clock.now());
     }
 }
@@ -611,11 +627,24 @@
     m_lastDataAt = now;
 }
 
+bool RequestJob::isOfUnknownSource(const AnswerHead& head) const
+{
+    return m_hopMarksAnswers && !isMarkedAsServerAnswer(head);
+}
+
+AnswerHead RequestJob::answerHead() const
+{
+    auto head = forwardedHead(m_head);
+    if (m_hopMetadata)
+        head.headers.push_back(serverAnswerMark());
+    return head;
+}
+
 void RequestJob::sendStreamHead()
 {
     if (m_exchange->headSent())
         return;
-    auto head = forwardedHead(m_head);
+    auto head = answerHead();
     if (m_hopMetadata)
         head.headers.push_back(encodeServerSoftware(m_attemptSoftware));
     m_exchange->sendHead(head);
@@ -695,7 +724,7 @@
     const auto status = m_head.status;
     if (!m_request.route->retryable() && (status == 503 || status == 429 || status == 408 || status == 421))
         return failWith({ ErrorKind::BackendLost, "the server's refusal does not say whether it ran", RunState::OutcomeUnknown, {} });
-    m_exchange->sendComplete(forwardedHead(m_head), m_body);
+    m_exchange->sendComplete(answerHead(), m_body);
     if (failed)
         return finish("server_failure", "the server answered with status " + std::to_string(status));
     finish("ok");
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -90,6 +90,12 @@
     /** Metadata of a hop whose answer needs `returnTime` for its way back. */
     HopMetadata hopMetadata(Duration returnTime) const;
     void startHop(const PeerState&, const HopMetadata&, Duration predicted);
+    /** Excludes instances that would take this request for one of another instance. */
+    void excludeInstancesByPath();
+    /** Whether the instance that answers leaves open if a server or it itself gave the answer. */
+    bool isOfUnknownSource(const AnswerHead&) const;
+    /** The head as the sender of the request receives it. */
+    AnswerHead answerHead() const;
     /** The server that the origin chose, if this instance executes the request as its owner; else 0. */
     std::uint64_t assignedServer() const { return m_hopMetadata ? m_hopMetadata->server : 0; }
     void forwardStreamData(std::string_view);
@@ -165,6 +171,8 @@
     std::string m_serverId;
     std::string m_serverPoolKey;
     InstanceId m_peerInstance;
+    /** Whether the receiver of the hop in progress marks the answers of servers. */
+    bool m_hopMarksAnswers = false;
     /** The server that the hop in progress names; 0 if there is none or the receiver chooses. */
     std::uint64_t m_serverOfHop = 0;
     bool m_regionHopInProgress = false;
--- a/src/yuccashift/entry/snapshot_exchange.cpp
+++ b/src/yuccashift/entry/snapshot_exchange.cpp
@@ -420,10 +420,14 @@
     return after && key ? m_compressedValues.encode(replica, *key, *after) : std::nullopt;
 }
 
+bool SnapshotExchange::isItemsPath(std::string_view target)
+{
+    return target.starts_with(snapshotPath) || target.starts_with(valuePath);
+}
+
 bool SnapshotExchange::answer(InboundExchange& exchange)
 {
-    const auto& target = exchange.request().target;
-    if (!target.starts_with(snapshotPath) && !target.starts_with(valuePath))
+    if (!isItemsPath(exchange.request().target))
         return false;
     const auto now = m_core.clock.now();
     AnswerHead head;
--- a/src/yuccashift/entry/snapshot_exchange.hpp
+++ b/src/yuccashift/entry/snapshot_exchange.hpp
@@ -60,8 +60,10 @@
     void tick();
     /** How long a peer has had changes or values that this instance lacks; zero if none has. */
     Duration behindFor() const;
-    /** Answers the request and returns true if it asks for a snapshot or a value. */
+    /** Answers the request of another instance and returns true if it asks for a snapshot or a value. */
     bool answer(InboundExchange&);
+    /** Whether this path asks for a snapshot or a value if an instance sends it. */
+    static bool isItemsPath(std::string_view target);
 
 private:
     class Fetch;
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -138,6 +138,9 @@
     27: i32 usageSources,
     // The sender names the organisation of a hop's caller to backend servers. Not sent by earlier versions.
     23: bool namesOrganisations,
+    // The sender marks the answers of backend servers to forwarded requests, and answers a forwarded request never itself
+    // because of its path. Not sent by earlier versions.
+    41: bool marksServerAnswers,
     // Only to instances of the own region, if it has many. Not sent by earlier versions.
     40: optional list<ServerObservationReport> observations,
     // Only to instances of the own region: prompts that callers lately asked the region's engines to read through the sender,
--- a/src/yuccashift/fleet/peer_table.cpp
+++ b/src/yuccashift/fleet/peer_table.cpp
@@ -101,6 +101,7 @@
     peer.reachesNoServer = beat.reachesNoServer;
     peer.keepsStreamSoftware = beat.keepsStreamSoftware;
     peer.namesOrganisations = beat.namesOrganisations;
+    peer.marksServerAnswers = beat.marksServerAnswers;
     peer.knownRevision = std::max(beat.storeRevision, beat.knownRevision);
     peer.lastHeartbeatAt = m_clock.now();
     updateCapacity(peer, beat);
--- a/src/yuccashift/fleet/peer_table.hpp
+++ b/src/yuccashift/fleet/peer_table.hpp
@@ -50,6 +50,8 @@
     bool keepsStreamSoftware = false;
     /** Whether it names the organisation of a hop's caller to backend servers; earlier versions do not. */
     bool namesOrganisations = false;
+    /** Whether it marks the answers of backend servers to forwarded requests; earlier versions do not. */
+    bool marksServerAnswers = false;
     std::map<ServiceName, ServiceCapacity> capacityByService;
     /** Whether its connections to all servers of its region fail. */
     bool reachesNoServer = false;
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -141,6 +141,27 @@
         EXPECT_GT(std::stoi(std::string(deadline)), 0);
     }
 
+    // A caller got the published items: the receiver of its forwarded request took the path for one of the instances' own.
+    TEST_F(EntryInstances, ForwardRequestsWhosePathsAndHeadersAreThoseOfInstances)
+    {
+        m_fleet.publishConfig(4, { { "/", "idempotent", "ledger", { "varna" }, false, 2 } });
+        for (const auto* name : { "sofia-1", "varna-1" })
+            EXPECT_TRUE(waitUntil([&] { return m_fleet.metric(name, "yuccashift_config_version") == 4; })) << name;
+        int n = 0;
+        for (const auto* path : { "/yuccashift-peer/snapshot?after=0", "/yuccashift-peer/snapshot?after=0&era=0&values=follow", "/yuccashift-peer/value?after=0&key=6F702F636F6E666967" }) {
+            for (const auto* method : { "GET", "POST" }) {
+                const auto attempt = "own-path-" + std::to_string(++n);
+                const auto headers = callerHeaders(attempt, std::chrono::seconds(5));
+                HttpCall call { m_fleet.callers("sofia-1"), method, path, { headers.begin(), headers.end() }, {} };
+                call.headers["Yuccashift-Origin"] = "varna-1";
+                call.headers["Yuccashift-Failure"] = "overloaded; not run";
+                const auto reply = send(call);
+                EXPECT_EQ(sealOf(reply), "ledger-varna." + attempt) << method << " " << path;
+                EXPECT_TRUE(answersAttempt(reply, attempt)) << method << " " << path;
+            }
+        }
+    }
+
     TEST_F(EntryInstances, RefuseARequestWhoseHomeRegionHasNoServer)
     {
         m_fleet.withdraw("ledger-varna");
