Count a crash once and only if the server is gone, and release a request that is served

Cause: CrashTracker added up counts of all instances. A count has no identity, so that three reports of one crash made three; every connection that broke off counted; and nothing that was served took a count back.

Change: whole requests are judged with the parts of prompts, whose losses have an id, a server and a time. For a whole request servers count, once for each moment, whoever reports them; three quarantine it everywhere, and one copy that is served releases it everywhere. A broken connection counts only if the server does not answer a probe that was sent after it. CrashTracker is gone.

--- a/src/yuccashift/entry/entry_core.cpp
+++ b/src/yuccashift/entry/entry_core.cpp
@@ -17,7 +17,6 @@
     , serverTracker(clock)
     , retryBudget(clock, settings.retryBudgetLimits)
     , fleetLimits(clock.now(), settings.limitTolerance)
-    , crashTracker(clock)
     , streamOrigins(clock, settings, peerTable)
     , promptDemand(clock)
     , serverConnections(io, clock)
--- a/src/yuccashift/entry/entry_core.hpp
+++ b/src/yuccashift/entry/entry_core.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "yuccashift/dispatch/crash_tracker.hpp"
 #include "yuccashift/dispatch/fleet_retry_budget.hpp"
 #include "yuccashift/dispatch/prompt_demand.hpp"
 #include "yuccashift/dispatch/server_tracker.hpp"
@@ -18,7 +17,7 @@
 #include "yuccashift/kernel/random.hpp"
 #include "yuccashift/limits/fleet_limits.hpp"
 #include "yuccashift/observe/metrics.hpp"
-#include "yuccashift/resilience/prompt_quarantine.hpp"
+#include "yuccashift/resilience/crash_confirmation.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -44,8 +43,10 @@
     ServerTracker serverTracker;
     FleetRetryBudget retryBudget;
     FleetLimits fleetLimits;
-    CrashTracker crashTracker;
+    /** Parts of prompts and whole requests under which servers crashed. */
     PromptQuarantine promptQuarantine;
+    /** Broken requests that become evidence there once their servers are known to have crashed. */
+    CrashConfirmation crashConfirmation;
     StreamOrigins streamOrigins;
     RegionDemandEstimator regionDemand;
     PromptDemand promptDemand;
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -275,7 +275,6 @@
     const auto* peer = sender ? m_core.peerTable.find(*sender) : nullptr;
     if (!peer)
         return;
-    m_core.crashTracker.setPeerCrashes(*sender, heartbeat.crashes);
     // An instance without the newest configuration may not know that a route has moved.
     if (heartbeat.configVersion >= m_core.fleetState.configVersion())
         m_core.fleetState.onSoftwareReport({ static_cast<std::uint64_t>(heartbeat.softwareDigest), milliseconds(heartbeat.singleSoftwareMs) });
@@ -329,7 +328,6 @@
     const auto software = m_core.fleetState.softwareVersions().singleSoftware(m_core.clock.now());
     heartbeat.softwareDigest = static_cast<std::int64_t>(software.digest);
     heartbeat.singleSoftwareMs = static_cast<std::int32_t>(std::min(maxReportedSingleSoftware, toMilliseconds(software.duration)));
-    heartbeat.crashes = m_core.crashTracker.ownCrashes();
     if (!withProfile)
         return heartbeat;
     fleetwire::Profile profile;
@@ -526,7 +524,6 @@
         m_core.serverTracker.setPeerLoads(instance, {});
         m_core.serverTracker.setOwnerReports(instance, {});
         m_core.promptDemand.setPeer(instance, {});
-        m_core.crashTracker.setPeerCrashes(instance, {});
     }
     const auto currentInterval = heartbeatInterval();
     m_core.fleetLimits.setFleet(currentInterval, m_core.peerTable.knownInstanceCount());
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -116,41 +116,49 @@
     return m_eventGate.lastId() ? m_eventGate.lastId() : m_request.metadata.resumeAfter;
 }
 
-std::uint64_t RequestJob::fingerprint() const
+PartHash RequestJob::requestHash() const
 {
-    const auto& request = m_exchange->request();
-    const auto host = findHeader(request.headers, "Host").value_or("");
-    const std::array<std::string_view, 4> parts { request.method, host, request.target, request.body };
-    return hash64(parts);
+    if (!m_requestHash) {
+        const auto& request = m_exchange->request();
+        const auto host = findHeader(request.headers, "Host").value_or("");
+        const std::array<std::string_view, 4> fields { request.method, host, request.target, request.body };
+        m_requestHash = hashOfPart(hash64(fields));
+    }
+    return *m_requestHash;
 }
 
 std::optional<Error> RequestJob::quarantineError() const
 {
-    if (!m_core.crashTracker.empty() && m_core.crashTracker.blocked(fingerprint()))
-        return Error { ErrorKind::Quarantined, {}, {}, {} };
-    if (m_core.promptQuarantine.findQuarantined(m_sharedParts, m_core.clock.now()) != 0)
-        return Error { ErrorKind::Quarantined, "a part of the prompt has crashed backend servers", {}, {} };
-    return {};
+    if (m_core.promptQuarantine.empty())
+        return {};
+    const auto request = requestHash();
+    auto hashes = m_sharedParts;
+    hashes.push_back(request);
+    const auto found = m_core.promptQuarantine.findQuarantined(hashes, m_core.clock.now());
+    if (found == 0)
+        return {};
+    return Error { ErrorKind::Quarantined, found == request ? "" : "a part of the prompt has crashed backend servers", {}, {} };
 }
 
 void RequestJob::recordServed()
 {
-    if (m_peerInstance.empty() && !m_sharedParts.empty())
-        m_core.promptQuarantine.onSuccess(m_sharedParts, m_core.clock.now());
+    if (!m_peerInstance.empty())
+        return;
+    auto& quarantine = m_core.promptQuarantine;
+    if (!m_sharedParts.empty())
+        quarantine.onSuccess(m_sharedParts, m_core.clock.now());
+    if (!quarantine.empty())
+        quarantine.onRequestServed(requestHash(), m_core.clock.now());
 }
 
 void RequestJob::recordServerLost()
 {
-    const auto server = m_requestTicket.server;
-    m_core.crashTracker.onServerCrash(fingerprint(), server);
-    if (m_sharedParts.empty())
-        return;
     const auto now = m_core.clock.now();
     const bool answeredLong = m_answerMode == AnswerMode::Stream && m_answerBytes > 0 && now - m_answerBeganAt >= soundAnswerTime;
     if (answeredLong)
         m_core.promptQuarantine.onSuccess(m_sharedParts, now);
     else
-        m_core.promptQuarantine.onServerLost(static_cast<std::uint32_t>(server), m_sharedParts, m_sentAt, now);
+        m_core.crashConfirmation.add({ m_requestTicket.server, m_sharedParts, requestHash(), m_sentAt, now });
 }
 
 bool RequestJob::prepare()
@@ -551,6 +559,8 @@
             return onAnswerFailure(OutboundFailure::Lost, "the instance does not say that a server gave the answer");
     }
     const auto facts = m_core.protocol.decodeAnswer(head);
+    if (m_peerInstance.empty() && !facts.wrongServer)
+        m_core.crashConfirmation.onAnswer(m_requestTicket.server, m_sentAt);
     const auto answering = m_peerInstance.empty() ? m_requestTicket.server : m_serverOfHop;
     if (answering != 0 && !facts.wrongServer && m_core.serverTracker.constraints().onAnswer(answering, facts.statement))
         m_core.serverConnections.closeIdle(m_serverPoolKey);
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -125,12 +125,13 @@
     Duration firstByteTimeLeft() const;
     /** Id of the event after which the next server resumes the stream: the last one forwarded, or else the one that the request names. */
     std::optional<std::string> resumeAfter() const;
-    /** Hash of the request's method, host, target and body, by which crashes are recorded. */
-    std::uint64_t fingerprint() const;
+    /** Short hash of the request's method, host, target and body, by which crashes are recorded. */
+    PartHash requestHash() const;
     /** The reason for which no server may get the request; std::nullopt if there is none. */
     std::optional<Error> quarantineError() const;
-    /** Tells the quarantine of prompts that a server of this region has served the request. */
+    /** Tells the quarantine that a server of this region has served the request. */
     void recordServed();
+    /** Records that the connection to a server of this region broke off, which may be a crash. */
     void recordServerLost();
 
     EntryCore& m_core;
@@ -144,6 +145,8 @@
 
     /** The shared parts of the prompt. */
     std::vector<PartHash> m_sharedParts;
+    /** Computed when it is first needed, which is rare: the body may be large. */
+    mutable std::optional<PartHash> m_requestHash;
 
     /** Attempts that may have reached a server. */
     std::uint32_t m_attempts = 0;
--- a/src/yuccashift/entry/server_prober.cpp
+++ b/src/yuccashift/entry/server_prober.cpp
@@ -27,6 +27,7 @@
         : m_owner(owner)
         , m_server(server)
         , m_timer(owner.m_core.io)
+        , m_startedAt(owner.m_core.clock.now())
     {
         std::string headers;
         ServerRequestMetadata metadata;
@@ -46,6 +47,7 @@
     void onAnswerHead(const AnswerHead& head) override
     {
         m_health = m_owner.m_core.protocol.decodeHealth(head);
+        m_answeredItself = m_health.serverId.empty() || m_health.serverId == m_server.identity.id;
         auto& constraints = m_owner.m_core.serverTracker.constraints();
         if (m_health.serverId != m_server.identity.id)
             return;
@@ -60,8 +62,7 @@
     void onAnswerBody(std::string_view) override { }
     void onAnswerEnd() override
     {
-        const bool same = m_health.serverId.empty() || m_health.serverId == m_server.identity.id;
-        finish(m_health.healthy && same, same ? "its health answer" : "another server has the address");
+        finish(m_health.healthy && m_answeredItself, m_answeredItself ? "its health answer" : "another server has the address");
     }
     void onAnswerFailure(OutboundFailure, std::string_view reason) override { finish(false, reason); }
 
@@ -87,13 +88,21 @@
             core.serverTracker.markSuspect(m_server.identityHash);
             core.serverConnections.closeIdle(poolKeyOf(m_server));
         }
+        // An answer shows that the process runs, also if it says that the server is not healthy.
+        if (m_answeredItself)
+            core.crashConfirmation.onAnswer(m_server.identityHash, m_startedAt);
+        else
+            m_owner.countCrashes(core.crashConfirmation.takeUnanswered(m_server.identityHash, m_startedAt));
         m_owner.onProbeEnded(m_server.identityHash);
     }
 
     ServerProber& m_owner;
     BackendServer m_server;
     OneShotTimer m_timer;
+    Instant m_startedAt;
     HealthStatus m_health;
+    /** Whether an answer has arrived, and it is not of another server at the address. */
+    bool m_answeredItself = false;
     std::unique_ptr<OutboundExchange> m_outbound;
 };
 
@@ -137,6 +146,14 @@
     boost::asio::post(m_core.io, [probe] {});
 }
 
+void ServerProber::countCrashes(std::span<const LostRequest> requests)
+{
+    for (const auto& it : requests) {
+        logInfo("request counted as lost with a server that crashed", { { "server", it.server }, { "request", it.request }, { "parts", it.parts.size() } });
+        m_core.promptQuarantine.onServerLost(static_cast<std::uint32_t>(it.server), it.parts, it.sentAt, it.lostAt, it.request);
+    }
+}
+
 std::vector<std::uint64_t> ServerProber::dueServers() const
 {
     const auto now = m_core.clock.now();
@@ -157,6 +174,7 @@
 
 void ServerProber::tick()
 {
+    countCrashes(m_core.crashConfirmation.takeOverdue(m_core.clock.now()));
     for (const auto server : dueServers())
         probe(server);
     m_timer.expires_after(probeInterval);
--- a/src/yuccashift/entry/server_prober.hpp
+++ b/src/yuccashift/entry/server_prober.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <span>
 #include <vector>
 
 namespace yuccashift {
@@ -28,6 +29,8 @@
     /** Suspect servers that are to be probed now. */
     std::vector<std::uint64_t> dueServers() const;
     void onProbeEnded(std::uint64_t server);
+    /** Makes requests that were lost with their servers evidence for the quarantine. */
+    void countCrashes(std::span<const LostRequest>);
 
     EntryCore& m_core;
     boost::asio::steady_timer m_timer;
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -73,9 +73,11 @@
     3: list<i32> parts,
     4: i32 sentAgoMs,
     5: i32 lostAgoMs,
+    // Short hash of the whole request. Not sent by earlier versions, which count crashes by request in `crashes`.
+    6: i32 request,
 }
 
-// A request whose prompt has this part was served.
+// A request whose prompt has this part, or that is this request, was served.
 struct PartSuccess {
     1: i32 part,
     2: i32 agoMs,
@@ -105,7 +107,8 @@
     10: list<ServiceRoom> rooms,
     // IPv4 addresses of some instances whose heartbeats the sender receives.
     11: list<i32> hears,
-    // Fingerprints of requests that crashed servers, with the number of crashes that the sender saw.
+    // Not used any more: earlier versions send the fingerprints of requests that crashed servers, with the number of
+    // crashes that the sender saw. A crash that several of them saw counts several times.
     12: map<i64, i32> crashes,
     // Revision up to which the sender knows all changes of the store, though it may lack values that follow. Not sent
     // by earlier versions; `storeRevision` is the one up to which it has the values too.
--- a/src/yuccashift/resilience/prompt_evidence_codec.hpp
+++ b/src/yuccashift/resilience/prompt_evidence_codec.hpp
@@ -17,6 +17,8 @@
             loss.parts.push_back(static_cast<PartHash>(part));
         loss.sentAgo = milliseconds(it.sentAgoMs);
         loss.lostAgo = milliseconds(it.lostAgoMs);
+        if constexpr (requires { it.request; })
+            loss.request = static_cast<PartHash>(it.request);
     }
     for (const auto& it : heartbeat.partSuccesses)
         evidence.successes.push_back({ static_cast<PartHash>(it.part), milliseconds(it.agoMs) });
@@ -35,6 +37,8 @@
             it.parts.push_back(static_cast<std::int32_t>(part));
         it.sentAgoMs = static_cast<std::int32_t>(toMilliseconds(loss.sentAgo));
         it.lostAgoMs = static_cast<std::int32_t>(toMilliseconds(loss.lostAgo));
+        if constexpr (requires { it.request; })
+            it.request = static_cast<std::int32_t>(loss.request);
     }
     for (const auto& success : evidence.successes) {
         auto& it = heartbeat.partSuccesses.emplace_back();
--- a/src/yuccashift/resilience/prompt_quarantine.cpp
+++ b/src/yuccashift/resilience/prompt_quarantine.cpp
@@ -43,8 +43,9 @@
 /** What counts against one part. */
 struct PromptQuarantine::Suspect {
     std::vector<const Loss*> losses;
-    /** Place of the part in its prompts. */
+    /** Place of the part in its prompts; a whole request comes after its parts. */
     std::size_t position = 0;
+    bool isWholeRequest = false;
 
     std::size_t servers() const
     {
@@ -73,24 +74,57 @@
         }
         return {};
     }
+
+    /** When this many servers had been lost, whichever instances saw it; std::nullopt if there were fewer. */
+    std::optional<Instant> lostServers(std::size_t count) const
+    {
+        auto byTime = losses;
+        std::ranges::sort(byTime, {}, &Loss::lostAt);
+        std::map<std::uint32_t, Instant> lastOf;
+        std::size_t n = 0;
+        for (const auto* it : byTime) {
+            const auto [last, added] = lastOf.try_emplace(it->server, it->lostAt);
+            if (!added && it->lostAt - std::exchange(last->second, it->lostAt) < sameCauseWindow)
+                continue;
+            if (++n == count)
+                return it->lostAt;
+        }
+        return {};
+    }
+
+    /** When the losses had become enough for a quarantine; std::nullopt if they are too few. */
+    std::optional<Instant> suspiciousSince(std::size_t threshold) const { return isWholeRequest ? lostServers(threshold) : lostInSuccession(threshold); }
 };
 
+bool PromptQuarantine::Loss::holds(PartHash hash) const
+{
+    return (request != 0 && request == hash) || std::ranges::find(parts, hash) != parts.end();
+}
+
 PromptQuarantine::PromptQuarantine(PromptQuarantineLimits limits)
     : m_limits(limits)
     , m_salt(makeSystemRandom()->next())
 {
 }
 
-void PromptQuarantine::onServerLost(std::uint32_t server, std::span<const PartHash> parts, Instant sentAt, Instant now)
+void PromptQuarantine::onServerLost(std::uint32_t server, std::span<const PartHash> parts, Instant sentAt, Instant lostAt, PartHash request)
 {
     const std::lock_guard lock(m_mutex);
+    // Further copies of a request that are lost with the same server say nothing new.
+    const auto copy = std::ranges::find_if(m_losses, [&](const Loss& it) { return request != 0 && it.request == request && it.server == server && std::chrono::abs(it.lostAt - lostAt) < sameCauseWindow; });
+    if (copy != m_losses.end()) {
+        if (sentAt <= copy->lostAt)
+            copy->sentAt = std::max(copy->sentAt, sentAt);
+        return;
+    }
     Loss loss;
     loss.server = server;
     loss.sentAt = sentAt;
-    loss.lostAt = now;
+    loss.lostAt = lostAt;
     loss.sendsLeft = m_limits.timesSent;
-    std::ranges::copy_if(parts, std::back_inserter(loss.parts), [&](PartHash part) { return !servedSince(part, now - m_limits.recentSuccess); });
-    if (loss.parts.empty())
+    loss.request = request;
+    std::ranges::copy_if(parts, std::back_inserter(loss.parts), [&](PartHash part) { return !servedSince(part, lostAt - m_limits.recentSuccess); });
+    if (loss.parts.empty() && request == 0)
         return;
     loss.id = static_cast<std::uint32_t>(mix64(m_salt ^ ++m_lossCount));
     addLoss(std::move(loss));
@@ -103,7 +137,7 @@
         return;
     if (m_losses.size() >= m_limits.maxLosses) {
         // The losses that quarantine a part stay, so that a wave of others does not release it.
-        const auto spare = std::ranges::find_if(m_losses, [&](const Loss& it) { return std::ranges::none_of(it.parts, [&](PartHash part) { return m_quarantined.contains(part); }); });
+        const auto spare = std::ranges::find_if(m_losses, [&](const Loss& it) { return std::ranges::none_of(m_quarantined, [&](PartHash hash) { return it.holds(hash); }); });
         m_losses.erase(spare == m_losses.end() ? m_losses.begin() : spare);
     }
     m_losses.push_back(std::move(loss));
@@ -116,6 +150,19 @@
         addSuccess(part, now, isSuspect(part) ? m_limits.timesSent : 0);
 }
 
+void PromptQuarantine::onRequestServed(PartHash request, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (isSuspect(request))
+        addSuccess(request, now, m_limits.timesSent);
+}
+
+bool PromptQuarantine::empty() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_losses.empty();
+}
+
 void PromptQuarantine::addSuccess(PartHash part, Instant at, std::uint32_t sendsLeft)
 {
     if (m_successes.size() >= m_limits.maxSuccesses && !m_successes.contains(part)) {
@@ -130,7 +177,7 @@
 
 bool PromptQuarantine::isSuspect(PartHash part) const
 {
-    return std::ranges::any_of(m_losses, [&](const Loss& it) { return std::ranges::find(it.parts, part) != it.parts.end() && !servedSince(part, it.lostAt); });
+    return std::ranges::any_of(m_losses, [&](const Loss& it) { return it.holds(part) && !servedSince(part, it.lostAt); });
 }
 
 bool PromptQuarantine::servedSince(PartHash part, Instant since) const
@@ -139,14 +186,14 @@
     return it != m_successes.end() && it->second.at >= since;
 }
 
-PartHash PromptQuarantine::findQuarantined(std::span<const PartHash> parts, Instant now)
+PartHash PromptQuarantine::findQuarantined(std::span<const PartHash> hashes, Instant now)
 {
     const std::lock_guard lock(m_mutex);
     if (m_losses.empty())
         return 0;
     updateQuarantined(now);
-    const auto it = std::ranges::find_if(parts, [&](PartHash part) { return m_quarantined.contains(part); });
-    return it == parts.end() ? 0 : *it;
+    const auto it = std::ranges::find_if(hashes, [&](PartHash hash) { return m_quarantined.contains(hash); });
+    return it == hashes.end() ? 0 : *it;
 }
 
 std::size_t PromptQuarantine::quarantinedCount(Instant now)
@@ -167,7 +214,7 @@
 {
     std::multimap<std::uint32_t, Instant> crashes;
     for (const auto& loss : m_losses) {
-        if (std::ranges::find(loss.parts, part) != loss.parts.end())
+        if (loss.holds(part))
             crashes.emplace(loss.server, loss.lostAt);
     }
     for (const auto& loss : m_losses) {
@@ -190,6 +237,12 @@
             suspect.losses.push_back(&loss);
             suspect.position = std::max(suspect.position, n);
         }
+        if (loss.request == 0 || servedSince(loss.request, loss.lostAt))
+            continue;
+        auto& suspect = suspects[loss.request];
+        suspect.losses.push_back(&loss);
+        suspect.position = std::max(suspect.position, loss.parts.size());
+        suspect.isWholeRequest = true;
     }
     return suspects;
 }
@@ -210,7 +263,7 @@
         using Rank = std::tuple<bool, std::size_t, std::ptrdiff_t, std::size_t>;
         std::optional<std::pair<Rank, PartHash>> best;
         for (const auto& [part, suspect] : suspects) {
-            const auto last = suspect.lostInSuccession(m_limits.lossThreshold);
+            const auto last = suspect.suspiciousSince(m_limits.lossThreshold);
             if (!last || now - *last < m_limits.settleTime)
                 continue;
             const Rank rank { !m_successes.contains(part), suspect.servers(), -std::ssize(suspect.losses), suspect.position };
@@ -224,11 +277,11 @@
     }
     for (const auto part : found) {
         if (!m_quarantined.contains(part))
-            logWarning("part of prompts quarantined: servers crash under requests that hold it", { { "part", part }, { "losses", m_losses.size() } });
+            logWarning("part of prompts or request quarantined: servers crash under it", { { "part", part }, { "losses", m_losses.size() } });
     }
     for (const auto part : m_quarantined) {
         if (!found.contains(part))
-            logInfo("part of prompts released from quarantine", { { "part", part } });
+            logInfo("part of prompts or request released from quarantine", { { "part", part } });
     }
     m_quarantined = std::move(found);
 }
@@ -245,7 +298,7 @@
     std::ranges::stable_sort(pending, std::greater<> {}, [](const Loss* it) { return it->sendsLeft; });
     for (auto* it : std::span(pending).first(std::min(limit, pending.size()))) {
         --it->sendsLeft;
-        evidence.losses.push_back({ it->id, it->server, it->parts, now - it->sentAt, now - it->lostAt });
+        evidence.losses.push_back({ it->id, it->server, it->parts, now - it->sentAt, now - it->lostAt, it->request });
     }
     for (auto& [part, success] : m_successes) {
         if (success.sendsLeft == 0 || evidence.successes.size() == limit)
@@ -261,9 +314,9 @@
     const std::lock_guard lock(m_mutex);
     PromptEvidence evidence;
     for (auto it = m_losses.rbegin(); it != m_losses.rend() && evidence.losses.size() < limit; ++it)
-        evidence.losses.push_back({ it->id, it->server, it->parts, now - it->sentAt, now - it->lostAt });
+        evidence.losses.push_back({ it->id, it->server, it->parts, now - it->sentAt, now - it->lostAt, it->request });
     for (const auto& [part, success] : m_successes) {
-        const bool asked = std::ranges::any_of(m_losses, [&part = part](const Loss& it) { return std::ranges::find(it.parts, part) != it.parts.end(); });
+        const bool asked = std::ranges::any_of(m_losses, [&part = part](const Loss& it) { return it.holds(part); });
         if (asked && evidence.successes.size() < limit)
             evidence.successes.push_back({ part, now - success.at });
     }
@@ -277,7 +330,7 @@
     for (const auto& it : evidence.losses) {
         const bool valid = it.lostAgo >= Duration::zero() && it.lostAgo < m_limits.expiry && it.sentAgo >= it.lostAgo;
         if (valid)
-            addLoss({ it.id, it.server, it.parts, now - it.sentAgo, now - it.lostAgo, sendsLeft });
+            addLoss({ it.id, it.server, it.parts, now - it.sentAgo, now - it.lostAgo, sendsLeft, it.request });
     }
     for (const auto& it : evidence.successes) {
         const bool newer = !servedSince(it.part, now - it.ago);
--- a/src/yuccashift/resilience/prompt_quarantine.hpp
+++ b/src/yuccashift/resilience/prompt_quarantine.hpp
@@ -34,6 +34,8 @@
     Duration sentAgo {};
     /** Time since the server was lost. */
     Duration lostAgo {};
+    /** Short hash of the whole request; 0 if it is not tracked. */
+    PartHash request = 0;
 };
 
 /** A request with this part was served. */
@@ -48,7 +50,7 @@
 };
 
 struct PromptQuarantineLimits {
-    /** Losses one after another from which a part is quarantined. */
+    /** Losses one after another from which a part is quarantined, and lost servers from which a whole request is. */
     std::size_t lossThreshold = 3;
     /** Time after the last of these losses in which news of a success may still arrive. */
     Duration settleTime = seconds(1);
@@ -67,19 +69,28 @@
  * requests hold. A part is quarantined after requests that hold it lost their
  * servers several times one after another with no request served in between. Of
  * several such parts the one that explains most losses is quarantined, and the
- * losses that it explains do not count against the others. Thread safe under a
- * single lock, which suffices because there are almost never any losses.
+ * losses that it explains do not count against the others. A whole request, of
+ * which all copies are alike, is quarantined after several servers were lost under
+ * it, also at once, with no copy served since. Thread safe under a single lock,
+ * which suffices because there are almost never any losses.
  */
 class PromptQuarantine {
 public:
     explicit PromptQuarantine(PromptQuarantineLimits = {});
 
-    /** Records the loss of a server under a request with these parts. */
-    void onServerLost(std::uint32_t server, std::span<const PartHash> parts, Instant sentAt, Instant now);
+    /**
+     * Records the loss of a server under a request with these parts.
+     * @param request short hash of the whole request; 0 if it is not tracked
+     */
+    void onServerLost(std::uint32_t server, std::span<const PartHash> parts, Instant sentAt, Instant lostAt, PartHash request = 0);
     /** Records that a request with these parts was served, which proves them sound. */
     void onSuccess(std::span<const PartHash> parts, Instant now);
-    /** The quarantined part among these; 0 if there is none, so that the request may be sent. */
-    PartHash findQuarantined(std::span<const PartHash> parts, Instant now);
+    /** Records that the request was served, if servers were lost under it. */
+    void onRequestServed(PartHash request, Instant now);
+    /** Whether no losses are known, so that nothing is quarantined. */
+    bool empty() const;
+    /** The quarantined part or request among these; 0 if there is none, so that the request may be sent. */
+    PartHash findQuarantined(std::span<const PartHash> hashes, Instant now);
     std::size_t quarantinedCount(Instant now);
 
     /** Evidence for a heartbeat within the region, what was sent least often first. Counts it as sent. */
@@ -101,6 +112,10 @@
         Instant lostAt {};
         /** Heartbeats that may still carry it. */
         std::uint32_t sendsLeft = 0;
+        /** The whole request; 0 if it is not tracked. */
+        PartHash request = 0;
+
+        bool holds(PartHash) const;
     };
     struct Success {
         Instant at {};
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -482,6 +482,80 @@
         }
     }
 
+    // One crash of a server shut out for a minute what callers of three instances had asked it for.
+    TEST_F(EntryInstances, GoOnServingWhatManyCallersAskForAfterOneServerCrashed)
+    {
+        m_fleet.withdraw("ledger-sofia");
+        m_fleet.publish({ "ledger-slow", "ledger", "hall-sofia", m_fleet.startWorker("ledger-slow", "sofia", { "--work-ms", "4000" }) });
+        m_fleet.startEntry("sofia-3", "sofia");
+        const std::vector<std::string> names { "sofia-1", "sofia-2", "sofia-3" };
+        for (const auto& name : names) {
+            EXPECT_TRUE(m_fleet.waitReady(name));
+            EXPECT_TRUE(waitUntil([&] { return m_fleet.metric(name, "yuccashift_instances_heard") == 3; })) << name;
+        }
+        EXPECT_TRUE(waitUntil([&] { return m_fleet.metric("sofia-1", "yuccashift_servers_known") == 6 && m_fleet.metric("sofia-2", "yuccashift_servers_known") == 6; }));
+        std::vector<std::thread> callers;
+        callers.reserve(names.size());
+        for (const auto& name : names)
+            callers.emplace_back([&] { m_fleet.call(name, "before-" + name, "GET", "/read/rates"); });
+        EXPECT_TRUE(waitUntil([&] { return m_fleet.read("ledger-slow", "/control/runs").at("total").to_number<int>() == 3; }));
+        m_fleet.killWorker("ledger-slow");
+        m_fleet.withdraw("ledger-slow");
+        for (auto& it : callers)
+            it.join();
+        m_fleet.publish({ "ledger-new", "ledger", "hall-sofia", m_fleet.startWorker("ledger-new", "sofia") });
+        for (const auto& name : names) {
+            EXPECT_TRUE(waitUntil([&] { return m_fleet.call(name, "other-" + name, "GET", "/read/other").ok(); })) << name;
+            const auto reply = m_fleet.call(name, "after-" + name, "GET", "/read/rates");
+            EXPECT_TRUE(reply.ok()) << name << ", status " << reply.status;
+        }
+    }
+
+    // Broken answers of servers that lived on counted as crashes, and the request was refused for a minute.
+    TEST_F(EntryInstances, GoOnServingARequestWhoseAnswersBrokeOffAtServersThatLiveOn)
+    {
+        startServer("ledger-2-sofia", "ledger", "sofia");
+        EXPECT_TRUE(waitUntil([&] { return m_fleet.metric("sofia-1", "yuccashift_servers_known") == 7 && m_fleet.metric("sofia-2", "yuccashift_servers_known") == 7; }));
+        for (int n = 0; n < 4; ++n) {
+            for (const std::string name : { "sofia-1", "sofia-2" }) {
+                for (const auto* server : { "ledger-sofia", "ledger-2-sofia" })
+                    m_fleet.control(server, "/control/cut-answers", R"({"count":1})");
+                m_fleet.call(name, "cut-" + name + std::to_string(n), "GET", "/read/rates");
+            }
+        }
+        for (const auto* server : { "ledger-sofia", "ledger-2-sofia" })
+            m_fleet.control(server, "/control/cut-answers", R"({"count":0})");
+        for (const std::string name : { "sofia-1", "sofia-2" }) {
+            EXPECT_TRUE(waitUntil([&] { return m_fleet.call(name, "other-" + name, "GET", "/read/other").ok(); })) << name;
+            const auto reply = m_fleet.call(name, "whole-" + name, "GET", "/read/rates");
+            EXPECT_TRUE(reply.ok()) << name << ", status " << reply.status;
+        }
+    }
+
+    TEST_F(EntryInstances, StopSendingARequestThatCrashesServers)
+    {
+        for (int n = 2; n <= 9; ++n)
+            startServer("ledger-" + std::to_string(n) + "-sofia", "ledger", "sofia");
+        for (int n = 2; n <= 9; ++n)
+            m_fleet.control("ledger-" + std::to_string(n) + "-sofia", "/control/crash-on", R"({"text":"boom"})");
+        // The servers that would serve it leave.
+        m_fleet.withdraw("ledger-sofia");
+        m_fleet.withdraw("ledger-varna");
+        for (const auto* name : { "sofia-1", "sofia-2", "varna-1" })
+            EXPECT_TRUE(waitUntil([&] { return m_fleet.metric(name, "yuccashift_servers_known") == 12; })) << name;
+        int attempts = 0;
+        for (const std::string name : { "sofia-1", "sofia-2", "sofia-1" })
+            EXPECT_FALSE(m_fleet.call(name, "boom-" + std::to_string(++attempts), "POST", "/read/x", "boom").ok());
+        for (const auto* name : { "sofia-1", "sofia-2", "varna-1" })
+            EXPECT_TRUE(waitUntil([&] { return m_fleet.metric(name, "yuccashift_quarantined_parts") == 1; })) << name;
+        for (const std::string name : { "sofia-1", "sofia-2", "varna-1" }) {
+            const auto reply = m_fleet.call(name, "boom-" + std::to_string(++attempts), "POST", "/read/x", "boom");
+            EXPECT_EQ(reply.status, 503) << name;
+            EXPECT_FALSE(reply.header("retry-after").empty()) << name;
+            EXPECT_TRUE(m_fleet.call(name, "sound-" + name, "POST", "/read/x", "sound").ok()) << name;
+        }
+    }
+
     // Servers in need fell over when each instance found out by itself how many requests they take.
     TEST_F(EntryInstances, KeepBrittleServersUpUnderMoreRequestsThanTheyTake)
     {
