Tell all instances of yuccashiftd that a suspected request was served

After two crashes within ten minutes under a request, an instance of yuccashiftd that had not served it itself in between refused it, though others had.

Cause: Quarantine::onSuccess had an effect only where the request was served.

Evidence: the new test of 12 instances in two regions fails if what was served is not merged.

Change: heartbeats carry what was served of the requests with records, three times in the region and the newest between regions. Earlier versions ignore the field.

--- a/src/yuccashift/membership/coordinator.cpp
+++ b/src/yuccashift/membership/coordinator.cpp
@@ -32,6 +32,7 @@
         heartbeat.__isset.summaries = !heartbeat.summaries.empty();
         heartbeat.__isset.demands = !heartbeat.demands.empty();
         heartbeat.__isset.quarantine = !heartbeat.quarantine.empty();
+        heartbeat.__isset.served = !heartbeat.served.empty();
         heartbeat.__isset.promptLosses = !heartbeat.promptLosses.empty();
         heartbeat.__isset.partSuccesses = !heartbeat.partSuccesses.empty();
         heartbeat.__isset.members = !heartbeat.members.empty();
@@ -67,6 +68,27 @@
         return entries;
     }
 
+    std::vector<wire::ServedEntry> toWire(const std::vector<ServedRecord>& records)
+    {
+        std::vector<wire::ServedEntry> entries;
+        entries.reserve(records.size());
+        for (const auto& record : records) {
+            auto& entry = entries.emplace_back();
+            entry.fingerprint = static_cast<std::int64_t>(record.fingerprint);
+            entry.agoMs = static_cast<std::int32_t>(toMilliseconds(record.ago));
+        }
+        return entries;
+    }
+
+    std::vector<ServedRecord> fromWire(const std::vector<wire::ServedEntry>& entries)
+    {
+        std::vector<ServedRecord> records;
+        records.reserve(entries.size());
+        for (const auto& entry : entries)
+            records.push_back({ static_cast<std::uint64_t>(entry.fingerprint), milliseconds(entry.agoMs) });
+        return records;
+    }
+
     CrashRecord fromWire(const wire::QuarantineEntry& entry)
     {
         return { static_cast<std::uint64_t>(entry.fingerprint), static_cast<std::uint64_t>(entry.backend), milliseconds(entry.remainingMs), static_cast<std::uint64_t>(entry.death) };
@@ -196,8 +218,10 @@
     std::vector<CrashRecord> records;
     for (const auto& entry : heartbeat.quarantine)
         records.push_back(fromWire(entry));
-    if (m_hooks.quarantine != nullptr)
+    if (m_hooks.quarantine != nullptr) {
         m_hooks.quarantine->merge(records, now, !sameRegion);
+        m_hooks.quarantine->mergeServed(fromWire(heartbeat.served), now, !sameRegion);
+    }
     if (m_hooks.promptQuarantine != nullptr)
         m_hooks.promptQuarantine->merge(promptEvidenceOf(heartbeat), now, !sameRegion);
 }
@@ -313,8 +337,10 @@
     if (m_hooks.demands != nullptr)
         heartbeat.demands = m_hooks.demands->takeDemands(now, budget.demands);
     heartbeat.regionDemands = m_relay.takeDemands(budget.regionDemands, now);
-    if (m_hooks.quarantine != nullptr)
+    if (m_hooks.quarantine != nullptr) {
         heartbeat.quarantine = toWire(m_hooks.quarantine->takeRecordsForHeartbeat(now, budget.quarantine));
+        heartbeat.served = toWire(m_hooks.quarantine->takeServedForHeartbeat(now, budget.quarantine));
+    }
     if (m_hooks.promptQuarantine != nullptr)
         addPromptEvidence(heartbeat, m_hooks.promptQuarantine->takeForHeartbeat(now, budget.quarantine));
     for (const auto& member : m_table.takeUpdates(budget.members))
@@ -337,8 +363,10 @@
         demand.demands = m_hooks.demands->regionDemands(now, budget.regionDemands);
         heartbeat.regionDemands.push_back(std::move(demand));
     }
-    if (m_hooks.quarantine != nullptr)
+    if (m_hooks.quarantine != nullptr) {
         heartbeat.quarantine = toWire(m_hooks.quarantine->newestRecords(now, budget.quarantine));
+        heartbeat.served = toWire(m_hooks.quarantine->newestServed(now, budget.quarantine));
+    }
     if (m_hooks.promptQuarantine != nullptr)
         addPromptEvidence(heartbeat, m_hooks.promptQuarantine->newest(now, budget.quarantine));
     // Both senders of a region pair have their turn within two intervals. Twice that time is covered, so that one lost
--- a/src/yuccashift/peer/peer.thrift
+++ b/src/yuccashift/peer/peer.thrift
@@ -90,6 +90,12 @@
   5: i64 death         // identifies the crash, so that a late entry is not counted as another one
 }
 
+// A request under which backend servers had crashed was served.
+struct ServedEntry {
+  1: i64 fingerprint
+  2: i32 agoMs
+}
+
 // A backend server was lost while a request whose prompt has these parts was in progress there.
 struct PromptLoss {
   1: i32 id            // assigned by the instance that sent the request
@@ -119,6 +125,7 @@
   11: optional list<RegionDemand> regionDemands
   12: optional list<PromptLoss> promptLosses
   13: optional list<PartSuccess> partSuccesses // of parts that the losses name
+  14: optional list<ServedEntry> served // of requests with quarantine entries; not sent by earlier versions
 }
 
 // Asks for the documents that are newer than these revisions.
--- a/src/yuccashift/resilience/quarantine.cpp
+++ b/src/yuccashift/resilience/quarantine.cpp
@@ -29,6 +29,8 @@
     if (it == m_suspects.end())
         return;
     // The entry stays without crashes until it expires, since peers still send the old records.
+    if (!it->second.crashes.empty())
+        it->second.servedSendsLeft = m_limits.timesServedSent;
     it->second.crashes.clear();
     it->second.clearedUntil = now;
 }
@@ -44,9 +46,7 @@
 
 void Quarantine::addCrash(std::uint64_t fingerprint, const Crash& added)
 {
-    if (!m_suspects.contains(fingerprint))
-        evictIfFull();
-    auto& suspect = m_suspects[fingerprint];
+    auto& suspect = suspectFor(fingerprint);
     // Crashes that expired since the last call of expire() must not count towards the limit.
     std::erase_if(suspect.crashes, [&](const Crash& crash) { return added.at - crash.at >= m_limits.expiry; });
     const bool isDuplicate = std::ranges::any_of(suspect.crashes, [&](const Crash& crash) { return isSameCrash(crash, added); });
@@ -55,6 +55,13 @@
     suspect.crashes.push_back(added);
 }
 
+Quarantine::Suspect& Quarantine::suspectFor(std::uint64_t fingerprint)
+{
+    if (!m_suspects.contains(fingerprint))
+        evictIfFull();
+    return m_suspects[fingerprint];
+}
+
 void Quarantine::evictIfFull()
 {
     if (m_suspects.size() < m_limits.maxRequests)
@@ -148,6 +155,50 @@
     }
 }
 
+std::vector<ServedRecord> Quarantine::takeServedForHeartbeat(Instant now, std::size_t limit)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<ServedRecord> records;
+    for (auto& [fingerprint, suspect] : m_suspects) {
+        if (suspect.servedSendsLeft == 0 || records.size() == limit)
+            continue;
+        --suspect.servedSendsLeft;
+        records.push_back({ fingerprint, now - suspect.clearedUntil });
+    }
+    return records;
+}
+
+std::vector<ServedRecord> Quarantine::newestServed(Instant now, std::size_t limit) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<ServedRecord> records;
+    for (const auto& [fingerprint, suspect] : m_suspects) {
+        if (suspect.clearedUntil != Instant {})
+            records.push_back({ fingerprint, now - suspect.clearedUntil });
+    }
+    const auto taken = std::min(limit, records.size());
+    std::ranges::partial_sort(records, records.begin() + static_cast<std::ptrdiff_t>(taken), {}, &ServedRecord::ago);
+    records.resize(taken);
+    return records;
+}
+
+void Quarantine::mergeServed(std::span<const ServedRecord> records, Instant now, bool sendInRegion)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto& record : records) {
+        if (record.ago < Duration::zero() || record.ago >= m_limits.expiry)
+            continue;
+        auto& suspect = suspectFor(record.fingerprint);
+        const auto servedAt = now - record.ago;
+        if (servedAt <= suspect.clearedUntil)
+            continue;
+        std::erase_if(suspect.crashes, [&](const Crash& crash) { return crash.at <= servedAt; });
+        suspect.clearedUntil = servedAt;
+        if (sendInRegion)
+            suspect.servedSendsLeft = m_limits.timesServedSent;
+    }
+}
+
 void Quarantine::expire(Instant now)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/yuccashift/resilience/quarantine.hpp
+++ b/src/yuccashift/resilience/quarantine.hpp
@@ -23,6 +23,12 @@
     std::uint64_t crashId = 0;
 };
 
+/** A request under which backend servers had crashed was served, so that it did not cause these crashes. Sent to all instances. */
+struct ServedRecord {
+    std::uint64_t fingerprint = 0;
+    Duration ago {};
+};
+
 /** Thresholds and limits of the Quarantine. */
 struct QuarantineLimits {
     /** Crashes of backend servers from which a request is refused. */
@@ -35,13 +41,15 @@
     Duration duplicateWindow = seconds(5);
     /** Maximum number of requests with records; those with the fewest crashes are evicted first. */
     std::size_t maxRequests = 4096;
+    /** Number of heartbeats in the own region that tell that a request was served. */
+    std::uint32_t timesServedSent = 3;
 };
 
 /**
  * Tracks requests suspected of crashing backend servers. A request in progress at
  * the time of a crash becomes a suspect; suspects must not share a backend server.
  * After two distinct crashes all instances refuse the request until the records
- * expire. Thread safe under a single lock, which suffices because the quarantine is
+ * expire, or until an instance that did not know of both has served it. Thread safe under a single lock, which suffices because the quarantine is
  * consulted once for each request and its table is empty most of the time.
  */
 class Quarantine {
@@ -70,6 +78,16 @@
      */
     void merge(std::span<const CrashRecord>, Instant now, bool sendInRegion = false);
 
+    /** Requests that were served, for the next heartbeat within the region. Counts them as sent. */
+    std::vector<ServedRecord> takeServedForHeartbeat(Instant now, std::size_t limit);
+    /** The requests that were served last, for heartbeats to other regions. */
+    std::vector<ServedRecord> newestServed(Instant now, std::size_t limit) const;
+    /**
+     * Takes requests that another instance has served or heard of.
+     * @param sendInRegion whether to send them on within this region, which has not received them yet
+     */
+    void mergeServed(std::span<const ServedRecord>, Instant now, bool sendInRegion = false);
+
     /** Removes expired records. */
     void expire(Instant now);
     /** Number of requests with records, including those cleared but not expired. */
@@ -89,11 +107,15 @@
 
     struct Suspect {
         std::vector<Crash> crashes;
-        /** The request completed at this time; crashes up to then do not count against it. */
+        /** The request completed at this time, here or elsewhere; crashes up to then do not count against it. */
         Instant clearedUntil {};
+        /** Heartbeats that may still tell so. */
+        std::uint32_t servedSendsLeft = 0;
     };
 
     void addCrash(std::uint64_t fingerprint, const Crash&);
+    /** The entry of the request; makes room for a new one. */
+    Suspect& suspectFor(std::uint64_t fingerprint);
     void evictIfFull();
     bool isSameCrash(const Crash&, const Crash&) const;
     std::vector<Crash> unexpiredCrashes(const Suspect&, Instant now) const;
--- a/tests/membership/coordinator_test.cpp
+++ b/tests/membership/coordinator_test.cpp
@@ -129,6 +129,24 @@
             EXPECT_TRUE(node.quarantine->isQuarantined(request, m_mesh.now())) << instance;
     }
 
+    // Instances that had not served a request themselves refused it after two crashes, though the others served it in between.
+    TEST_F(Coordinators, TellAllRegionsThatARequestWasServedAfterACrash)
+    {
+        startRegions(6, 6);
+        const std::uint64_t request = 77;
+        const std::array inProgress { request };
+        m_mesh.at("lagos-0").quarantine->onBackendCrash(1, inProgress, m_mesh.now());
+        m_mesh.run(seconds(20));
+        m_mesh.at("lagos-4").quarantine->onSuccess(request, m_mesh.now());
+        m_mesh.run(seconds(20));
+        m_mesh.at("sofia-3").quarantine->onBackendCrash(2, inProgress, m_mesh.now());
+        m_mesh.run(seconds(20));
+        for (const auto& [instance, node] : m_mesh.nodes()) {
+            EXPECT_FALSE(node.quarantine->isQuarantined(request, m_mesh.now())) << instance;
+            EXPECT_TRUE(node.quarantine->isSuspect(request, m_mesh.now())) << instance << " still knows of the second crash";
+        }
+    }
+
     // Requests of which no two are alike crash servers of several regions.
     TEST_F(Coordinators, SendLossesUnderAPartOfAPromptToAllRegions)
     {
--- a/tests/resilience/quarantine_test.cpp
+++ b/tests/resilience/quarantine_test.cpp
@@ -61,6 +61,31 @@
         EXPECT_FALSE(m_quarantine.isSuspect(8, m_start + seconds(2)));
     }
 
+    TEST_F(RequestsThatCrashServers, AreClearedOnceTheyCompleteAtAnotherInstance)
+    {
+        reportCrash(m_quarantine, 1, { 8 });
+        Quarantine other;
+        other.merge(m_quarantine.newestRecords(m_start, 4), m_start);
+        EXPECT_TRUE(other.takeServedForHeartbeat(m_start, 4).empty());
+        other.onSuccess(8, m_start + seconds(2));
+        reportCrash(m_quarantine, 2, { 8 }, seconds(3));
+        EXPECT_TRUE(m_quarantine.isQuarantined(8, m_start + seconds(3)));
+        const auto served = other.takeServedForHeartbeat(m_start + seconds(4), 4);
+        ASSERT_EQ(served.size(), 1u);
+        m_quarantine.mergeServed(served, m_start + seconds(4), true);
+        EXPECT_FALSE(m_quarantine.isQuarantined(8, m_start + seconds(4)));
+        EXPECT_TRUE(m_quarantine.isSuspect(8, m_start + seconds(4))) << "the second crash came later";
+        const std::array oldRecord { CrashRecord { 8, 1, std::chrono::minutes(10) - seconds(4) } };
+        m_quarantine.merge(oldRecord, m_start + seconds(4));
+        EXPECT_FALSE(m_quarantine.isQuarantined(8, m_start + seconds(4)));
+        EXPECT_EQ(m_quarantine.takeServedForHeartbeat(m_start + seconds(4), 4).size(), 1u) << "it is told in the region of the receiver too";
+        EXPECT_EQ(m_quarantine.newestServed(m_start + seconds(4), 4).size(), 1u);
+
+        const std::array invalid { ServedRecord { 9, seconds(-1) }, ServedRecord { 10, std::chrono::hours(1) } };
+        m_quarantine.mergeServed(invalid, m_start + seconds(4));
+        EXPECT_EQ(m_quarantine.size(), 1u);
+    }
+
     TEST_F(RequestsThatCrashServers, AreForgottenOnceTheirRecordsExpire)
     {
         reportCrash(m_quarantine, 1, { 7 });
