Conclude a stream's software only at an instance that is in step

Cause, which exists here: an instance that knew one version took it for the one that had begun the stream, without asking others, once it had known no other for twice the route's time limit. Nothing began that time anew, and nothing asked whether the instance was in step.

Change: the holders of the stream are asked first. An instance concludes only if it had all published items at most 5 s ago, no instance that it hears knows more, and it has heard another one or the store in the second half of the search. Store and heartbeats tell when it had the items; a gap or a pause begins the following of versions anew.

Cost: a round trip to the holders for a stream that is resumed elsewhere than it began, and a refusal where neither a record nor a conclusion is certain.

--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -96,6 +96,7 @@
 
     void onChanges(const std::vector<ItemChange>&, const StorePosition& through) override;
     void onListing(const std::vector<ItemChange>&, const StorePosition& through) override;
+    void onCurrent(const StorePosition& through) override;
     void onReachable(bool reachable, std::string_view reason) override;
     void onServerGone(const BackendServer&) override;
     void onServerRemoved(const BackendServer&) override;
@@ -189,6 +190,12 @@
         fleetState.replaceAll(items, through.revision);
 }
 
+void EntryNode::State::onCurrent(const StorePosition& through)
+{
+    if (through.era >= core.fleetState.replica().era())
+        core.fleetState.confirm(clock.now());
+}
+
 void EntryNode::State::onReachable(bool reachable, std::string_view reason)
 {
     if (reachable == storeReachable)
@@ -282,6 +289,7 @@
         core.retryBudget.setInstanceCount(core.peerTable.knownInstanceCount() + unseenInstanceMargin);
     if (pauses.resumedFromPause(now, clock.wallNow())) {
         logWarning("process resumed after a pause; reloading published items");
+        core.fleetState.onPause();
         store->resync();
     }
     updateWatching();
@@ -343,6 +351,8 @@
     metrics.gauge("yuccashift_processor_milliseconds").set(toMillisecondCount(used.ru_utime) + toMillisecondCount(used.ru_stime));
     metrics.gauge("yuccashift_peak_memory_kilobytes").set(used.ru_maxrss);
     metrics.gauge("yuccashift_servers_known").set(static_cast<std::int64_t>(core.fleetState.servers().size()));
+    const auto confirmed = core.fleetState.confirmedAt();
+    metrics.gauge("yuccashift_list_age_milliseconds").set(confirmed ? std::chrono::duration_cast<milliseconds>(clock.now() - *confirmed).count() : -1);
     metrics.gauge("yuccashift_software_versions").set(static_cast<std::int64_t>(core.fleetState.softwareVersions().mostInOneService()));
     metrics.gauge("yuccashift_reaches_no_server").set(core.planner.reachesNoServer() ? 1 : 0);
     metrics.gauge("yuccashift_stream_origins").set(static_cast<std::int64_t>(core.streamOrigins.size()));
--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -22,6 +22,8 @@
     /** Up to this many instances per region use the base interval; beyond that, the interval grows in proportion, so that control traffic stays level. */
     constexpr double instancesAtBaseInterval = 8;
     constexpr Duration maxInterval = seconds(1);
+    /** Heartbeats arrive within this time; what they tell the age of counts as older by it, so that it does not grow younger on its way. */
+    constexpr Duration maxHeartbeatDelay = milliseconds(250);
     /** An instance counts as silent after this many intervals without a heartbeat, since several may be lost in a row, but not before the minimum time. */
     constexpr double silenceIntervals = 3.5;
     constexpr Duration minSilence = milliseconds(1500);
@@ -275,6 +277,10 @@
     const auto* peer = sender ? m_core.peerTable.find(*sender) : nullptr;
     if (!peer)
         return;
+    const auto& replica = m_core.fleetState.replica();
+    const bool knowsNoMore = heartbeat.storeEra == replica.era() && peer->knownRevision <= replica.revision();
+    if (heartbeat.__isset.listAgeMs && knowsNoMore)
+        m_core.fleetState.confirm(now - milliseconds(std::max(0, heartbeat.listAgeMs)) - maxHeartbeatDelay);
     // An instance without the newest configuration may not know that a route has moved.
     if (heartbeat.configVersion >= m_core.fleetState.configVersion())
         m_core.fleetState.onSoftwareReport({ static_cast<std::uint64_t>(heartbeat.softwareDigest), milliseconds(heartbeat.singleSoftwareMs) });
@@ -325,6 +331,8 @@
     heartbeat.keepsStreamSoftware = true;
     heartbeat.namesOrganisations = true;
     heartbeat.marksServerAnswers = true;
+    if (m_core.fleetState.isConfirmed())
+        heartbeat.__set_listAgeMs(static_cast<std::int32_t>(toMilliseconds(m_core.clock.now() - *m_core.fleetState.confirmedAt())));
     const auto software = m_core.fleetState.softwareVersions().singleSoftware(m_core.clock.now());
     heartbeat.softwareDigest = static_cast<std::int64_t>(software.digest);
     heartbeat.singleSoftwareMs = static_cast<std::int32_t>(std::min(maxReportedSingleSoftware, toMilliseconds(software.duration)));
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -49,6 +49,8 @@
     constexpr Duration soundAnswerTime = milliseconds(500);
     /** No attempt is started with less time left than this. */
     constexpr Duration minAttemptTime = milliseconds(30);
+    /** An instance that hears none of the others for this long may be cut off. */
+    constexpr Duration maxSilenceInStep = seconds(1);
     /** What a hop between regions takes of the time left, with the time reserved for its way back. */
     constexpr Duration regionHopTime = milliseconds(130);
     constexpr double percent = 100;
@@ -173,7 +175,7 @@
     if (m_hopMetadata && m_hopMetadata->streamSoftware)
         m_streamSoftware = StreamSoftware::begunBy(*m_hopMetadata->streamSoftware);
     else if (m_hopMetadata && m_hopMetadata->resumeAfter && m_request.route->kind == RouteKind::Streaming)
-        m_streamSoftware = StreamSoftware::begunBy(softwareWithoutRecord(m_core.fleetState, *m_request.route, m_core.clock.now()));
+        m_streamSoftware = StreamSoftware::begunBy(concludeSoftware(m_core.clock.now() - maxSilenceInStep));
     excludeInstancesByPath();
     armTimeLimit();
     return true;
@@ -226,24 +228,34 @@
     const auto& metadata = m_request.metadata;
     if (m_hopMetadata || !metadata.resumeAfter || m_request.route->kind != RouteKind::Streaming)
         return begin();
-    const auto known = metadata.resumedAttempt ? m_core.streamOrigins.findHere(*metadata.resumedAttempt) : 0;
-    const auto only = softwareWithoutRecord(m_core.fleetState, *m_request.route, m_core.clock.now());
-    if (known != 0 || only != 0 || !metadata.resumedAttempt)
-        return onStreamIdentified(known != 0 ? known : only);
-    m_core.streamOrigins.find(*metadata.resumedAttempt, [weak = weak_from_this()](SoftwareId software) {
+    const auto now = m_core.clock.now();
+    if (!metadata.resumedAttempt)
+        return onStreamIdentified(0, now - maxSilenceInStep);
+    // A record goes before any conclusion: this instance may be out of step without having noticed it yet. What it
+    // hears in the second half of the search was sent after the question, not before a pause of this process.
+    const auto heardSince = now + StreamOrigins::lookupTimeout / 2;
+    m_core.streamOrigins.find(*metadata.resumedAttempt, [weak = weak_from_this(), heardSince](SoftwareId software) {
         if (const auto self = weak.lock())
-            self->onStreamIdentified(software);
+            self->onStreamIdentified(software, heardSince);
     });
 }
 
-void RequestJob::onStreamIdentified(SoftwareId software)
+SoftwareId RequestJob::concludeSoftware(Instant heardSince) const
+{
+    if (!isInStep(m_core.fleetState, m_core.peerTable, heardSince))
+        return 0;
+    return softwareWithoutRecord(m_core.fleetState, *m_request.route, m_core.clock.now());
+}
+
+void RequestJob::onStreamIdentified(SoftwareId software, Instant heardSince)
 {
     const auto self = shared_from_this();
     if (m_done)
         return;
-    if (software == 0)
-        software = softwareWithoutRecord(m_core.fleetState, *m_request.route, m_core.clock.now());
-    logInfo("caller resumes a stream", { { "request", m_request.metadata.attemptId }, { "resumes", m_request.metadata.resumedAttempt.value_or("") }, { "after_event", *m_request.metadata.resumeAfter }, { "software_known", software != 0 ? 1 : 0 } });
+    const bool recorded = software != 0;
+    if (!recorded)
+        software = concludeSoftware(heardSince);
+    logInfo("caller resumes a stream", { { "request", m_request.metadata.attemptId }, { "resumes", m_request.metadata.resumedAttempt.value_or("") }, { "after_event", *m_request.metadata.resumeAfter }, { "software_known", software != 0 ? 1 : 0 }, { "recorded", recorded ? 1 : 0 }, { "in_step", isInStep(m_core.fleetState, m_core.peerTable, heardSince) ? 1 : 0 } });
     m_streamSoftware = StreamSoftware::begunBy(software);
     const auto* service = serviceWith(m_core.fleetState, *m_request.route, software);
     if (!service)
@@ -588,7 +600,9 @@
     if (stream && m_attemptSoftware == 0) {
         // A backend server does not speak for an instance.
         const auto named = m_peerInstance.empty() ? SoftwareId { 0 } : decodeServerSoftware(head);
-        m_attemptSoftware = named != 0 ? named : presumedSoftware(m_core.fleetState, *m_request.route, m_request.service, m_core.clock.now());
+        const auto now = m_core.clock.now();
+        const bool concludes = named == 0 && isInStep(m_core.fleetState, m_core.peerTable, now - maxSilenceInStep);
+        m_attemptSoftware = concludes ? presumedSoftware(m_core.fleetState, *m_request.route, m_request.service, now) : named;
     }
 }
 
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -65,8 +65,13 @@
     void armTimeLimit();
     /** Finds the software that began the stream, if the caller resumes one, and then dispatches the request. */
     void identifyStream();
-    /** Continues with the software that began the stream; 0 if it is not known. */
-    void onStreamIdentified(SoftwareId);
+    /**
+     * Continues with the software that began the stream; 0 if no instance has recorded it.
+     * @param heardSince the instance must have heard others since then to conclude the software from those that serve
+     */
+    void onStreamIdentified(SoftwareId, Instant heardSince);
+    /** The software that must have begun the stream although no instance recorded it; 0 if that is not certain. */
+    SoftwareId concludeSoftware(Instant heardSince) const;
     /** Counts the request of a caller and dispatches it. */
     void begin();
     /** Charges the request of a caller to its organisation's limit; returns LimitExceeded if that is used up. */
--- a/src/yuccashift/entry/resumed_stream.cpp
+++ b/src/yuccashift/entry/resumed_stream.cpp
@@ -14,6 +14,14 @@
 
 } // namespace
 
+bool isInStep(const FleetState& fleet, const PeerTable& peers, Instant since)
+{
+    const StorePosition own { fleet.replica().era(), fleet.replica().revision() };
+    if (!fleet.isConfirmed() || peers.newestKnownPosition() > own)
+        return false;
+    return peers.hearsOthersSince(since) || *fleet.confirmedAt() >= since;
+}
+
 SoftwareId presumedSoftware(const FleetState& fleet, const Route& route, const ServiceName& service, Instant now)
 {
     return fleet.softwareVersions().onlySoftware(service, longestStreamAge(route), now).value_or(0);
--- a/src/yuccashift/entry/store_reader.hpp
+++ b/src/yuccashift/entry/store_reader.hpp
@@ -17,6 +17,8 @@
     virtual void onChanges(const std::vector<ItemChange>&, const StorePosition& through) = 0;
     /** All items as of the position `through`. */
     virtual void onListing(const std::vector<ItemChange>&, const StorePosition& through) = 0;
+    /** The store has told all changes up to the position `through`, which is its newest one. */
+    virtual void onCurrent(const StorePosition& through) = 0;
     /** The store has become unreachable or reachable again; `reason` is for the log. */
     virtual void onReachable(bool reachable, std::string_view reason) = 0;
 };
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -144,6 +144,8 @@
     // The sender marks the answers of backend servers to forwarded requests, and answers a forwarded request never itself
     // because of its path. Not sent by earlier versions.
     41: bool marksServerAnswers,
+    // Time since the sender had all changes of the store. Not set if it does not know; not sent by earlier versions.
+    42: optional i32 listAgeMs,
     // Only to instances of the own region, if it has many. Not sent by earlier versions.
     40: optional list<ServerObservationReport> observations,
     // Only to instances of the own region: prompts that callers lately asked the region's engines to read through the sender,
--- a/src/yuccashift/fleet/fleet_state.cpp
+++ b/src/yuccashift/fleet/fleet_state.cpp
@@ -10,6 +10,8 @@
 
     // Servers whose entries expired during an outage of the platform's store have registered again this long after it.
     constexpr Duration removalDelay = seconds(2);
+    // Without news for longer, an instance may be cut off. A watch that waits for changes tells something every two seconds.
+    constexpr Duration maxUnconfirmedTime = seconds(5);
     // A store that comes back from a copy holds items that are some seconds old.
     constexpr Duration departureMemory = std::chrono::minutes(5);
     // At least this many removals at once, if they are also at least half of the servers in service, look like
@@ -51,6 +53,24 @@
 {
 }
 
+void FleetState::confirm(Instant asOf)
+{
+    if (m_confirmedAt && asOf - *m_confirmedAt > maxUnconfirmedTime)
+        m_softwareVersions.onMissedChanges(m_clock.now());
+    m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, asOf) : asOf;
+}
+
+void FleetState::onPause()
+{
+    m_confirmedAt.reset();
+    m_softwareVersions.onMissedChanges(m_clock.now());
+}
+
+bool FleetState::isConfirmed() const
+{
+    return m_confirmedAt && m_clock.now() - *m_confirmedAt <= maxUnconfirmedTime;
+}
+
 void FleetState::onFirstStart()
 {
     logInfo("first start of the whole system", {});
--- a/src/yuccashift/fleet/fleet_state.hpp
+++ b/src/yuccashift/fleet/fleet_state.hpp
@@ -85,6 +85,15 @@
     /** Carries out the deferred removals that are due. */
     void tick();
 
+    /** To be called when the instance had all changes that were published until then, by the store or by another instance. */
+    void confirm(Instant asOf);
+    /** To be called when the process did not run for a while, in which it has missed changes. */
+    void onPause();
+    /** Whether the instance had all published changes a short time ago. */
+    bool isConfirmed() const;
+    /** The latest time at which it had them; std::nullopt if that is not known. */
+    std::optional<Instant> confirmedAt() const { return m_confirmedAt; }
+
     /** See SoftwareVersions::onFirstStart(). */
     void onFirstStart();
     /** See ItemReplica::setFirstEra(). */
@@ -121,6 +130,7 @@
     /** Servers by their item's key. */
     std::map<std::string, BackendServer> m_servers;
     SoftwareVersions m_softwareVersions;
+    std::optional<Instant> m_confirmedAt;
     /** Evacuated data centres by their item's key. */
     std::map<std::string, DatacentreName> m_evacuations;
     std::set<DatacentreName> m_evacuated;
--- a/src/yuccashift/fleet/peer_table.cpp
+++ b/src/yuccashift/fleet/peer_table.cpp
@@ -148,6 +148,20 @@
     return newest;
 }
 
+StorePosition PeerTable::newestKnownPosition() const
+{
+    StorePosition newest;
+    for (const auto* peer : alive())
+        newest = std::max(newest, StorePosition { peer->storeEra, peer->knownRevision });
+    return newest;
+}
+
+bool PeerTable::hearsOthersSince(Instant time) const
+{
+    const bool heard = std::ranges::any_of(m_peers, [&](const auto& it) { return it.second.lastHeartbeatAt >= time; });
+    return heard || (!m_expectsPeers && m_peers.empty());
+}
+
 const PeerState* PeerTable::find(const InstanceId& instance) const
 {
     const auto it = m_peers.find(instance);
--- a/src/yuccashift/fleet/peer_table.hpp
+++ b/src/yuccashift/fleet/peer_table.hpp
@@ -2,6 +2,7 @@
 
 #include "fleet_types.h"
 #include "yuccashift/dispatch/work.hpp"
+#include "yuccashift/fleet/item_replica.hpp"
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/ids.hpp"
 
@@ -90,6 +91,10 @@
     std::vector<const PeerState*> alive() const;
     /** The newest version of the configuration that a peer which is not silent holds; 0 if there is none. */
     std::int64_t newestConfigVersion() const;
+    /** The newest position up to which a peer that is not silent knows all changes of the store. */
+    StorePosition newestKnownPosition() const;
+    /** Whether a peer was heard at this time or later, or no others are expected. */
+    bool hearsOthersSince(Instant) const;
     const PeerState* find(const InstanceId&) const;
     bool isAlive(const PeerState&) const;
     /**
--- a/src/yuccashift/fleet/software_versions.cpp
+++ b/src/yuccashift/fleet/software_versions.cpp
@@ -42,6 +42,13 @@
     m_reportedSingleSince.reset();
 }
 
+void SoftwareVersions::onMissedChanges(Instant now)
+{
+    if (m_followingSince)
+        m_followingSince = now;
+    m_reportedSingleSince.reset();
+}
+
 std::optional<Instant> SoftwareVersions::singleSince() const
 {
     if (!m_followingSince || mostInOneService() > 1)
--- a/src/yuccashift/fleet/software_versions.hpp
+++ b/src/yuccashift/fleet/software_versions.hpp
@@ -27,6 +27,9 @@
     /** To be called when requests of a streaming route begin to go to other services than before, or their earlier services are not known. */
     void onRoutesMoved(Instant now);
 
+    /** To be called when servers may have come and gone that the instance does not know of: it follows them anew from now on. */
+    void onMissedChanges(Instant now);
+
     /** Number of versions that the servers of one service run now; the largest of all services. */
     std::size_t mostInOneService() const;
     /** What heartbeats tell other instances. */
--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -66,6 +66,7 @@
                 listing.push_back({ "s" + std::to_string(listing.size()), "server engines " + toString(it->endpoint()) + " hall ready 1 0 6" + version, 3 });
             }
             core.fleetState.replaceAll(listing, 3);
+            core.fleetState.confirm(clock.now());
             core.requestProbe = [](std::uint64_t) {};
             core.retryBudget.setInstanceCount(1);
             for (int n = 0; n < 50; ++n)
@@ -409,6 +410,43 @@
         }
     }
 
+    // During a release, an instance that was cut off or had stood still took the version that it knew for the only one.
+    TEST_F(ARequestInProgress, ForAStreamIsNotResumedByAnInstanceThatIsOutOfStep)
+    {
+        std::atomic<int> requests = 0;
+        const ScriptedServer server([&](ScriptedConnection& connection) {
+            if (connection.readRequest() && ++requests > 0)
+                connection.write(streamHead + "\r\n" + secondEvent);
+        });
+        const auto resume = [&](Instance& instance) { return instance.call("/resumable/x", "1.1", "Resume-After: 1\r\nResumes: first\r\n").status; };
+        {
+            Instance inStep(m_items, { &server }, { "v1" }, true);
+            EXPECT_EQ(resume(inStep), 200);
+            EXPECT_EQ(requests, 1);
+        }
+        Instance cutOff(m_items, { &server }, { "v1" }, true);
+        cutOff.core.peerTable.expectPeers();
+        EXPECT_EQ(resume(cutOff), 503);
+        Instance paused(m_items, { &server }, { "v1" }, true);
+        paused.core.fleetState.onPause();
+        EXPECT_EQ(resume(paused), 503);
+        paused.core.fleetState.confirm(paused.clock.now());
+        EXPECT_EQ(resume(paused), 503) << "a version may have come and gone in the pause";
+        Instance behind(m_items, { &server }, { "v1" }, true);
+        fleetwire::Heartbeat beat;
+        fleetwire::Profile profile;
+        profile.instance = "other";
+        profile.region = "here";
+        beat.__set_profile(profile);
+        beat.sender = hashOfInstance(profile.instance);
+        beat.incarnation = 1;
+        beat.sequence = 1;
+        beat.knownRevision = 4;
+        behind.core.peerTable.onHeartbeat(beat);
+        EXPECT_EQ(resume(behind), 503);
+        EXPECT_EQ(requests, 1);
+    }
+
     // Before its first event a stream may begin at any version.
     TEST_F(ARequestInProgress, ForAStreamIsSentToAnotherSoftwareWhileItHasNoEvent)
     {
--- a/tests/entry/resumed_stream_test.cpp
+++ b/tests/entry/resumed_stream_test.cpp
@@ -35,6 +35,36 @@
         EXPECT_EQ(presumedSoftware(fleet, route, "chat", clock.now()), softwareIdOf("chat", "v1"));
     }
 
+    TEST_F(AResumedStream, IsOfCertainSoftwareOnlyAtAnInstanceThatHasLatelyHadAllChanges)
+    {
+        PeerTable peers(clock, "i1");
+        const auto inStep = [&] { return isInStep(fleet, peers, clock.now()); };
+        EXPECT_FALSE(inStep()) << "nothing says that the list is complete";
+        fleet.confirm(clock.now());
+        EXPECT_TRUE(inStep());
+        clock.advance(seconds(5) + milliseconds(1));
+        EXPECT_FALSE(inStep());
+        fleet.confirm(clock.now());
+        EXPECT_TRUE(inStep());
+        clock.advance(seconds(12) - milliseconds(1));
+        fleet.confirm(clock.now());
+        EXPECT_EQ(withoutRecord(), 0u) << "it was out of step in the meantime";
+        for (int n = 0; n < 12; ++n) {
+            clock.advance(seconds(1));
+            fleet.confirm(clock.now());
+        }
+        EXPECT_EQ(withoutRecord(), draft);
+
+        peers.expectPeers();
+        clock.advance(seconds(1));
+        EXPECT_FALSE(inStep()) << "it may be cut off";
+        fleet.confirm(clock.now());
+        EXPECT_TRUE(inStep()) << "the store was heard after the others";
+        fleet.onPause();
+        EXPECT_FALSE(inStep());
+        EXPECT_EQ(withoutRecord(), 0u);
+    }
+
     TEST_F(AResumedStream, GoesOnAtTheServiceOfItsRouteThatRunsItsSoftware)
     {
         ASSERT_NE(serviceWith(fleet, route, draft), nullptr);
--- a/tests/fleet/software_versions_test.cpp
+++ b/tests/fleet/software_versions_test.cpp
@@ -139,6 +139,25 @@
         EXPECT_EQ(only(), 1u);
     }
 
+    // An instance that had missed changes still took the version that it knew for the only one.
+    TEST_F(TheSoftwareOfAService, IsUncertainForThePeriodAfterChangesWereMissed)
+    {
+        versions.onFirstStart(clock.now());
+        versions.onServerAdded("draft", 1, clock.now());
+        SoftwareVersions other = versions;
+        versions.onReport(other.singleSoftware(clock.now()), clock.now());
+        EXPECT_EQ(only(), 1u);
+        versions.onMissedChanges(clock.now());
+        EXPECT_FALSE(only());
+        EXPECT_EQ(versions.singleSoftware(clock.now()).duration, Duration::zero());
+        // Another instance that knows the same versions now, and has followed them all the time, is certain.
+        versions.onReport(other.singleSoftware(clock.now()), clock.now());
+        EXPECT_EQ(only(), 1u);
+        versions.onMissedChanges(clock.now());
+        clock.advance(period);
+        EXPECT_EQ(only(), 1u);
+    }
+
     TEST_F(TheSoftwareOfAService, IsUncertainForThePeriodAfterARouteMovedToAnotherService)
     {
         versions.onServerAdded("draft", 1, clock.now());
