End a request at once when a late answer to another one ends its connection

Found while looking for answers that end within their head (a report of other operators), which does not happen here: every cut of seven kinds of heads, on new and kept connections of both daemons, brought no success to a caller. Tests of that are in this commit.

What callers see: a late answer to an earlier request, with neither a length nor chunks, ended with its connection; the request that waited there got 504 at its time limit.

Cause: OutboundConnection::onReadError asked whether a head had been seen, not whose, and reported an end to a listener that had no head.

--- a/src/yuccashift/http/outbound.cpp
+++ b/src/yuccashift/http/outbound.cpp
@@ -302,7 +302,8 @@
 
         void onReadError(const error_code& ec)
         {
-            if (ec == asio::error::eof && m_parser && m_headSeen && m_parser->need_eof() && !m_parser->is_done()) {
+            // The end of an answer to another request is not the end of the answer that is waited for.
+            if (ec == asio::error::eof && m_parser && m_headSeen && m_answerMatches && m_parser->need_eof() && !m_parser->is_done()) {
                 error_code parseError;
                 m_parser->put_eof(parseError);
                 if (!parseError)
@@ -312,7 +313,7 @@
                 m_state->counts.endedUnacknowledged += m_acknowledged ? 0 : 1;
                 return fail(OutboundFailure::Silent, m_acknowledged ? "keep-alive probes were not answered" : "the kernel closed the connection before the request was acknowledged");
             }
-            fail(m_headSeen ? OutboundFailure::Truncated : OutboundFailure::Lost, ec.message());
+            fail(m_headSeen && m_answerMatches ? OutboundFailure::Truncated : OutboundFailure::Lost, ec.message());
         }
 
         void parse()
--- a/tests/contracts/backend_client_test.cpp
+++ b/tests/contracts/backend_client_test.cpp
@@ -69,6 +69,29 @@
         EXPECT_EQ(server.connections(), 1);
     }
 
+    // A server stopped in the middle of the head of its answer.
+    TEST_F(ABackendConnection, GivesNoAnswerThatEndsInsideItsHead)
+    {
+        const std::vector<std::string> heads { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", "HTTP/1.0 200 OK\r\nServer: s\r\n\r\n" };
+        std::string sent;
+        const ScriptedServer server([&](ScriptedConnection& connection) {
+            if (connection.readRequest() && connection.number() % 2 == 1)
+                connection.write(okAnswer("whole"));
+            if (connection.number() % 2 == 0 || connection.readRequest())
+                connection.write(sent);
+        });
+        for (const auto& head : heads) {
+            for (std::size_t n = 0; n < head.size(); ++n) {
+                sent = head.substr(0, n);
+                const bool keptConnection = server.connections() % 2 == 0;
+                EXPECT_TRUE(!keptConnection || get(server)->body == "whole");
+                const auto answer = get(server);
+                ASSERT_FALSE(answer) << "after " << n << " bytes of " << head;
+                EXPECT_EQ(answer.error().kind, ErrorKind::BackendLost);
+            }
+        }
+    }
+
     struct BrokenCase {
         const char* name;
         std::string sent;
--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -497,6 +497,50 @@
         EXPECT_TRUE(instance.core.crashConfirmation.empty());
     }
 
+    // A server stopped in the middle of the head of its answer.
+    TEST_F(ARequestInProgress, IsNeverAnsweredByAnAnswerThatEndsInsideItsHead)
+    {
+        const std::vector<std::string> heads {
+            "HTTP/1.1 200 OK\r\nAttempt: x\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nAttempt: x\r\n\r\n",
+            streamHead + "Attempt: x\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "HTTP/1.0 200 OK\r\nAttempt: x\r\n\r\n",
+        };
+        std::string sent;
+        // The first request on each connection gets a whole answer, so that the second one is sent on a kept connection.
+        const ScriptedServer server([&](ScriptedConnection& connection) {
+            if (connection.readRequest() && connection.number() % 2 == 1)
+                connection.write("HTTP/1.1 200 OK\r\nAttempt: x\r\nContent-Length: 0\r\n\r\n");
+            if (connection.number() % 2 == 0 || connection.readRequest())
+                connection.write(sent);
+        });
+        for (const auto* path : { "/once/x", "/resumable/x", "/read/x" }) {
+            for (const auto& head : heads) {
+                for (std::size_t n = 0; n < head.size(); ++n) {
+                    sent = head.substr(0, n);
+                    Instance instance(m_items, { &server });
+                    const bool keptConnection = server.connections() % 2 == 0;
+                    EXPECT_TRUE(!keptConnection || instance.call(path).status == 200);
+                    const auto answer = instance.call(path);
+                    EXPECT_FALSE(answer.complete && answer.status == 200) << path << " after " << n << " bytes of " << head;
+                }
+            }
+        }
+    }
+
+    // The end of a late answer to another request, which had neither a length nor chunks, ended the wait for its own answer.
+    TEST_F(ARequestInProgress, IsLostAtOnceWhenALateAnswerToAnotherEndsItsConnection)
+    {
+        const ScriptedServer late([](ScriptedConnection& connection) {
+            if (connection.readRequest())
+                connection.write("HTTP/1.1 200 OK\r\nAttempt: earlier\r\n\r\nlate");
+        });
+        Instance instance(m_items, { &late });
+        const auto answer = instance.call("/once/x");
+        EXPECT_TRUE(answer.complete);
+        EXPECT_EQ(answer.status, 502) << "not the answer to a time limit";
+    }
+
     struct RepeatedRefusal {
         const char* name;
         /** Copies of the refusal that follow it at once, precede the next answer on its connection, and follow that answer. */
