Answer the requests in progress at the end of the grace

Cause, which exists here for requests of the first seconds of a stop: the process ended its event loop with requests in progress.

Change: at 95 % of the grace all requests in progress are answered, 503 if they have not run and 502 if they may have; the process ends once that is written, at 98 % at the latest.

--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -37,8 +37,10 @@
     constexpr std::uint64_t ticksBetweenGaugeUpdates = 2;
     /** Minimum time from SIGTERM to exit, as a share of the grace period: callers with an older directory answer still connect to this instance. */
     constexpr double minShutdownShareOfGrace = 0.45;
-    /** Share of the grace period after which requests still in progress are aborted. */
+    /** Share of the grace period after which requests still in progress are answered with a failure. */
     constexpr double abortShareOfGrace = 0.95;
+    /** Share of the grace period until which answers that are not yet written are waited for. */
+    constexpr double writeShareOfGrace = 0.98;
     /** Share of the file descriptors for callers' connections; the rest is for servers, other instances, listeners and files. */
     constexpr double callerDescriptorShare = 0.6;
     /** Margin for instances that exist but have not been seen, when the retry budget is divided. */
@@ -404,8 +406,14 @@
     if (now - core.shutdown->startedAt < grace * minShutdownShareOfGrace)
         return;
     // The end of the process would cut answers off that are complete and not yet written.
-    const bool inProgress = !core.activeRequests.empty() || callers.hasUnsentBytes() || peers.hasUnsentBytes();
-    if (inProgress && now < core.shutdown->endsBy)
+    const bool unwritten = callers.hasUnsentBytes() || peers.hasUnsentBytes();
+    if ((unwritten || !core.activeRequests.empty()) && now < core.shutdown->endsBy)
+        return;
+    if (!core.activeRequests.empty()) {
+        RequestJob::endAll(core);
+        return;
+    }
+    if (unwritten && now - core.shutdown->startedAt < grace * writeShareOfGrace)
         return;
     stop();
 }
--- a/src/yuccashift/entry/graceful_shutdown.hpp
+++ b/src/yuccashift/entry/graceful_shutdown.hpp
@@ -7,7 +7,7 @@
 /** Schedule of a graceful shutdown, from the stop signal to the end of the process. */
 struct GracefulShutdown {
     Instant startedAt {};
-    /** Requests still in progress at this time are aborted. */
+    /** Requests still in progress at this time are answered with a failure. */
     Instant endsBy {};
     /** From then on, only callers with an outdated directory answer still connect. */
     Instant directoryAnswersExpireAt {};
--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -895,18 +895,38 @@
 {
     if (m_done)
         return;
-    const bool sent = m_outbound && m_outbound->sent();
-    const Error error { ErrorKind::DeadlineExceeded, {}, sent || m_mayHaveRun ? RunState::OutcomeUnknown : RunState::NotRun, {} };
+    const Error error { ErrorKind::DeadlineExceeded, {}, runStateOfAttempt(), {} };
     logInfo("deadline exceeded", { { "request", m_request.metadata.attemptId }, { "server", m_serverId }, { "peer", m_peerInstance }, { "events", m_eventGate.events() }, { "head_seen", m_answerMode != AnswerMode::None ? 1 : 0 } });
     failWith(error);
 }
 
+RunState RequestJob::runStateOfAttempt() const
+{
+    return m_mayHaveRun || (m_outbound && m_outbound->sent()) ? RunState::OutcomeUnknown : RunState::NotRun;
+}
+
+void RequestJob::endAll(EntryCore& core)
+{
+    // Requests that end leave the set.
+    const std::vector<std::shared_ptr<RequestJob>> jobs(core.activeRequests.begin(), core.activeRequests.end());
+    for (const auto& it : jobs)
+        it->onProcessEnds();
+}
+
+void RequestJob::onProcessEnds()
+{
+    if (m_done)
+        return;
+    logInfo("request ended with the process", { { "request", m_request.metadata.attemptId }, { "server", m_serverId }, { "peer", m_peerInstance }, { "events", m_eventGate.events() }, { "left_ms", toMilliseconds(timeLeft()) } });
+    failWith({ ErrorKind::Draining, {}, runStateOfAttempt(), {} });
+}
+
 void RequestJob::onCallerGone()
 {
     const auto self = shared_from_this();
     if (m_done)
         return;
-    if (!m_mayHaveRun && !(m_outbound && m_outbound->sent()))
+    if (runStateOfAttempt() == RunState::NotRun)
         giveLimitBack();
     m_outbound.reset();
     endAttempt(ServerOutcome::Abandoned);
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -27,6 +27,8 @@
 public:
     /** Takes over the exchange and dispatches the request. `hop` is set if another instance forwarded the request. */
     static void start(EntryCore&, std::shared_ptr<InboundExchange>, std::optional<HopMetadata> hop);
+    /** Answers all requests in progress with a failure, because the process ends. */
+    static void endAll(EntryCore&);
 
     RequestJob(EntryCore&, std::shared_ptr<InboundExchange>, std::optional<HopMetadata>);
     ~RequestJob() override;
@@ -120,6 +122,9 @@
     void endAttempt(ServerOutcome);
     void onTimeLimit();
     void onCallerGone();
+    void onProcessEnds();
+    /** Whether the attempt in progress, if there is one, may have run. */
+    RunState runStateOfAttempt() const;
     void failWith(const Error&);
     void finish(std::string_view outcome, std::string_view reason = {});
     /** Counts whether a request for which there was room was served as promised. */
--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -541,6 +541,36 @@
         EXPECT_EQ(answer.status, 502) << "not the answer to a time limit";
     }
 
+    TEST_F(ARequestInProgress, IsAnsweredWithAFailureWhenTheProcessEnds)
+    {
+        std::atomic<int> requests = 0;
+        const ScriptedServer server([&](ScriptedConnection& connection) {
+            if (connection.readRequest() && ++requests > 0)
+                connection.swallow();
+        });
+        const auto endedStatus = [&](Instance& instance, tcp::socket& caller) {
+            RequestJob::endAll(instance.core);
+            instance.runUntil([&] { return instance.core.activeRequests.empty(); });
+            boost::beast::flat_buffer buf;
+            http::response<http::string_body> answer;
+            http::async_read(caller, buf, answer, [&](const boost::system::error_code&, std::size_t) { instance.io.stop(); });
+            instance.io.restart();
+            instance.io.run();
+            return std::pair(answer.result_int(), answer.count("Retry-After"));
+        };
+        Instance running(m_items, { &server });
+        auto caller = running.send("/once/x");
+        running.runUntil([&] { return requests == 1; });
+        EXPECT_EQ(endedStatus(running, caller), std::pair(502u, std::size_t { 0 })) << "it may have run";
+
+        Instance waiting(m_items, { &server });
+        waiting.core.serverTracker.markFull(waiting.core.fleetState.servers().at("s1").identityHash, milliseconds(50));
+        auto other = waiting.send("/once/x");
+        waiting.runUntil([&] { return waiting.core.activeRequests.size() == 1; });
+        EXPECT_EQ(endedStatus(waiting, other), std::pair(503u, std::size_t { 1 })) << "it has not run";
+        EXPECT_EQ(requests, 1);
+    }
+
     struct RepeatedRefusal {
         const char* name;
         /** Copies of the refusal that follow it at once, precede the next answer on its connection, and follow that answer. */
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -668,6 +668,33 @@
         EXPECT_TRUE(m_fleet.call("sofia-1", "short", "GET", "/read/x", {}, std::chrono::milliseconds(500)).ok());
     }
 
+    // At the end of the grace period, requests still in progress were cut off without any answer.
+    TEST_F(EntryInstances, AnswerTheRequestsThatTheyCannotFinishBeforeTheyStop)
+    {
+        constexpr unsigned longMs = 20000;
+        m_fleet.publish({ "ledger-stuck", "stuck", "hall-sofia", m_fleet.startWorker("ledger-stuck", "sofia", { "--work-ms", std::to_string(longMs) }) });
+        auto all = routes;
+        all.push_back({ "/stuck/", "non_idempotent", "stuck", {}, false, 1, longMs });
+        all.push_back({ "/stuck/again/", "idempotent", "stuck", {}, false, 2, longMs });
+        m_fleet.publishConfig(5, all);
+        EXPECT_TRUE(waitUntil([&] { return m_fleet.metric("sofia-1", "yuccashift_config_version") == 5 && m_fleet.metric("sofia-1", "yuccashift_servers_known") == 7; }));
+        const std::vector<std::string> paths { "/stuck/x", "/stuck/again/x" };
+        std::vector<HttpReply> replies(paths.size());
+        std::vector<std::thread> callers;
+        callers.reserve(paths.size());
+        for (std::size_t n = 0; n < paths.size(); ++n)
+            callers.emplace_back([&, n] { replies[n] = m_fleet.call("sofia-1", "stuck-" + std::to_string(n), "POST", paths[n], "x", std::chrono::milliseconds(longMs)); });
+        EXPECT_TRUE(waitUntil([&] { return m_fleet.read("ledger-stuck", "/control/runs").at("total").to_number<int>() == 2; }));
+        m_fleet.entry("sofia-1").signal(SIGTERM);
+        for (auto& it : callers)
+            it.join();
+        for (std::size_t n = 0; n < paths.size(); ++n) {
+            EXPECT_TRUE(replies[n].complete) << paths[n];
+            EXPECT_EQ(replies[n].status, 502) << paths[n] << ": it may have run";
+        }
+        EXPECT_EQ(m_fleet.entry("sofia-1").waitForExit(), 0);
+    }
+
     TEST_F(EntryInstances, LeaveKilledInstancesOutOfTheDirectory)
     {
         EXPECT_EQ(m_fleet.directory("sofia-2", "sofia").size(), 2u);
