Refuse requests from the end of the grace on, and end the process though new ones come

Cause: with a grace shorter than the time for which answers of the directory hold, requests were still accepted after its end; each of them would have put off the end of the process until it was killed.

The new lines of AGracefulShutdown.RefusesOnlyLateRequestsThatMayNotFinishBeforeItsEnd ask it of a grace of 2 s.

--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -409,11 +409,10 @@
     const bool unwritten = callers.hasUnsentBytes() || peers.hasUnsentBytes();
     if ((unwritten || !core.activeRequests.empty()) && now < core.shutdown->endsBy)
         return;
-    if (!core.activeRequests.empty()) {
-        RequestJob::endAll(core);
-        return;
-    }
-    if (unwritten && now - core.shutdown->startedAt < grace * writeShareOfGrace)
+    const bool ends = !core.activeRequests.empty();
+    RequestJob::endAll(core);
+    // Their answers are written in the meantime.
+    if ((ends || unwritten) && now - core.shutdown->startedAt < grace * writeShareOfGrace)
         return;
     stop();
 }
--- a/src/yuccashift/entry/graceful_shutdown.hpp
+++ b/src/yuccashift/entry/graceful_shutdown.hpp
@@ -2,6 +2,8 @@
 
 #include "yuccashift/kernel/clock.hpp"
 
+#include <algorithm>
+
 namespace yuccashift {
 
 /** Schedule of a graceful shutdown, from the stop signal to the end of the process. */
@@ -19,7 +21,7 @@
      * finish long before their deadline, and their callers cannot know of the
      * shutdown yet.
      */
-    bool mustRefuse(Instant now, Instant deadline) const { return now >= directoryAnswersExpireAt && deadline > endsBy; }
+    bool mustRefuse(Instant now, Instant deadline) const { return now >= std::min(directoryAnswersExpireAt, endsBy) && deadline > endsBy; }
 };
 
 } // namespace yuccashift
--- a/tests/entry/answers_test.cpp
+++ b/tests/entry/answers_test.cpp
@@ -67,6 +67,10 @@
         EXPECT_FALSE(stop.mustRefuse(began + seconds(2), began + seconds(17)));
         EXPECT_TRUE(stop.mustRefuse(began + seconds(4), began + seconds(19)));
         EXPECT_FALSE(stop.mustRefuse(began + seconds(4), began + seconds(7)));
+        // A short grace may end before the answers of the directory have expired.
+        const GracefulShutdown shortStop { began, began + milliseconds(1900), began + seconds(3) };
+        EXPECT_FALSE(shortStop.mustRefuse(began + seconds(1), began + seconds(17)));
+        EXPECT_TRUE(shortStop.mustRefuse(began + seconds(2), began + seconds(17)));
     }
 
     TEST_F(AFailureAnswer, DoesNotReportFleetFailuresAsCallerErrors)
