--- a/src/daemons/yuccashift_entry.cpp
+++ b/src/daemons/yuccashift_entry.cpp
@@ -3,6 +3,7 @@
 #include "platform/platform_codec.hpp"
 #include "platform/store_client.hpp"
 #include "yuccashift/entry/entry_node.hpp"
+#include "yuccashift/kernel/allocator.hpp"
 #include "yuccashift/kernel/log.hpp"
 #include "yuccashift/observe/event_log.hpp"
 
@@ -76,6 +77,7 @@
         TCLAP::ValueArg<std::string> file("s", "settings", "the platform's settings file", false, defaultSettingsFile(), "file", command);
         TCLAP::ValueArg<std::string> level("l", "log", "lowest level written: debug, info, warning or error", false, "info", "level", command);
         command.parse(argc, argv);
+        yuccashift::returnLargeBuffers();
         return serve(file.getValue(), level.getValue());
     } catch (const std::exception& e) {
         std::cerr << e.what() << "\n";
--- a/src/daemons/yuccashiftd.cpp
+++ b/src/daemons/yuccashiftd.cpp
@@ -1,3 +1,4 @@
+#include "yuccashift/kernel/allocator.hpp"
 #include "yuccashift/kernel/log.hpp"
 #include "yuccashift/kernel/settings.hpp"
 #include "yuccashift/node/node.hpp"
@@ -60,6 +61,7 @@
         TCLAP::CmdLine command("Entry instance of yuccashift, a multi-region inference gateway", ' ', "0.1.0");
         TCLAP::UnlabeledValueArg<std::string> settings("settings", "YAML file with the instance's settings, or - for standard input", true, "", "file", command);
         command.parse(argc, argv);
+        yuccashift::returnLargeBuffers();
         return serve(settings.getValue());
     } catch (const std::exception& e) {
         std::cerr << e.what() << "\n";
--- a/src/yuccashift/entry/entry_core.cpp
+++ b/src/yuccashift/entry/entry_core.cpp
@@ -10,6 +10,8 @@
     : io(ioContext)
     , clock(nodeClock)
     , settings(std::move(nodeSettings))
+    , listenerLimits(settings)
+    , memory(MemoryAccount::limitFor(settings.memoryBytes), clock)
     , protocol(wireDialect)
     , random(std::move(randomSource))
     , fleetState(clock, decoder)
--- a/src/yuccashift/entry/entry_core.hpp
+++ b/src/yuccashift/entry/entry_core.hpp
@@ -6,6 +6,7 @@
 #include "yuccashift/entry/dispatch_planner.hpp"
 #include "yuccashift/entry/entry_settings.hpp"
 #include "yuccashift/entry/graceful_shutdown.hpp"
+#include "yuccashift/entry/listener_limits.hpp"
 #include "yuccashift/entry/protocol_codec.hpp"
 #include "yuccashift/entry/region_acceptance.hpp"
 #include "yuccashift/entry/region_demand_estimator.hpp"
@@ -13,6 +14,7 @@
 #include "yuccashift/entry/stream_origins.hpp"
 #include "yuccashift/fleet/fleet_state.hpp"
 #include "yuccashift/fleet/peer_table.hpp"
+#include "yuccashift/http/memory_account.hpp"
 #include "yuccashift/http/outbound.hpp"
 #include "yuccashift/kernel/random.hpp"
 #include "yuccashift/limits/fleet_limits.hpp"
@@ -36,6 +38,9 @@
     boost::asio::io_context& io;
     const Clock& clock;
     EntrySettings settings;
+    const ListenerLimits listenerLimits;
+    /** What the connections of all listeners and to all servers hold. */
+    MemoryAccount memory;
     const ProtocolCodec& protocol;
     std::unique_ptr<RandomSource> random;
     FleetState fleetState;
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -41,8 +41,6 @@
     constexpr double abortShareOfGrace = 0.95;
     /** Share of the grace period until which answers that are not yet written are waited for. */
     constexpr double writeShareOfGrace = 0.98;
-    /** Share of the file descriptors for callers' connections; the rest is for servers, other instances, listeners and files. */
-    constexpr double callerDescriptorShare = 0.6;
     /** Margin for instances that exist but have not been seen, when the retry budget is divided. */
     constexpr std::size_t unseenInstanceMargin = 3;
     /** Upper limit on the lifetime of directory answers, so that callers learn of a shutdown soon. */
@@ -57,16 +55,18 @@
     class FunctionHandler final : public InboundHandler {
     public:
         using Answer = std::function<void(InboundExchange&)>;
-        explicit FunctionHandler(Answer answer)
-            : m_answer(std::move(answer))
+        FunctionHandler(const InboundLimits& limits, Answer answer)
+            : m_limits(limits)
+            , m_answer(std::move(answer))
         {
         }
 
         void onRequest(std::shared_ptr<InboundExchange> exchange) override { m_answer(*exchange); }
-        InboundLimits limits() const override { return {}; }
+        InboundLimits limits() const override { return m_limits; }
         bool shouldCloseConnections() const override { return false; }
 
     private:
+        const InboundLimits m_limits;
         Answer m_answer;
     };
 
@@ -129,14 +129,14 @@
     std::unique_ptr<StoreReader> store;
     CallerHandler callerHandler { *this };
     PeerHandler peerHandler { core, snapshots };
-    FunctionHandler directoryHandler { [this](InboundExchange& exchange) { answerDirectory(exchange); } };
-    FunctionHandler readinessHandler { [this](InboundExchange& exchange) { answerReadiness(exchange); } };
-    FunctionHandler operatorHandler { [this](InboundExchange& exchange) { answerMetrics(exchange); } };
-    InboundServer callers { io, clock, callerHandler };
-    InboundServer peers { io, clock, peerHandler };
-    InboundServer directory { io, clock, directoryHandler };
-    InboundServer readiness { io, clock, readinessHandler };
-    InboundServer operators { io, clock, operatorHandler };
+    FunctionHandler directoryHandler { core.listenerLimits.directory(), [this](InboundExchange& exchange) { answerDirectory(exchange); } };
+    FunctionHandler readinessHandler { core.listenerLimits.operators(), [this](InboundExchange& exchange) { answerReadiness(exchange); } };
+    FunctionHandler operatorHandler { core.listenerLimits.operators(), [this](InboundExchange& exchange) { answerMetrics(exchange); } };
+    InboundServer callers { io, clock, callerHandler, core.memory };
+    InboundServer peers { io, clock, peerHandler, core.memory };
+    InboundServer directory { io, clock, directoryHandler, core.memory };
+    InboundServer readiness { io, clock, readinessHandler, core.memory };
+    InboundServer operators { io, clock, operatorHandler, core.memory };
     asio::steady_timer timer { io };
     asio::signal_set signals { io, SIGTERM, SIGINT, SIGHUP };
     PauseDetector pauses { pauseThreshold };
@@ -162,9 +162,7 @@
 InboundLimits EntryNode::State::CallerHandler::limits() const
 {
     const auto routes = owner.core.fleetState.routes();
-    auto limits = routes ? routes->config().limits : InboundLimits();
-    limits.maxConnections = static_cast<std::size_t>(callerDescriptorShare * static_cast<double>(owner.core.settings.maxFileDescriptors));
-    return limits;
+    return owner.core.listenerLimits.callers(routes ? routes->config().limits : InboundLimits());
 }
 
 void EntryNode::State::onChanges(const std::vector<ItemChange>& changes, const StorePosition& through)
@@ -348,6 +346,12 @@
     metrics.gauge("yuccashift_limit_rates_held").set(static_cast<std::int64_t>(core.fleetLimits.heldRates()));
     metrics.gauge("yuccashift_limit_parties_silent").set(static_cast<std::int64_t>(core.fleetLimits.silentParties(clock.now())));
     metrics.gauge("yuccashift_instances_heard").set(static_cast<std::int64_t>(core.peerTable.alive().size()));
+    const auto memoryCounts = core.memory.counts();
+    for (const auto use : { MemoryUse::Requests, MemoryUse::Answers })
+        metrics.gauge("yuccashift_connection_memory_bytes", { { "use", toString(use) } }).set(static_cast<std::int64_t>(core.memory.held(use)));
+    metrics.gauge("yuccashift_connection_memory_limit_bytes").set(static_cast<std::int64_t>(core.memory.limit()));
+    metrics.gauge("yuccashift_connection_memory_evictions").set(static_cast<std::int64_t>(memoryCounts.evictions));
+    metrics.gauge("yuccashift_connection_memory_refusals").set(static_cast<std::int64_t>(memoryCounts.refusals));
     rusage used {};
     ::getrusage(RUSAGE_SELF, &used);
     metrics.gauge("yuccashift_processor_milliseconds").set(toMillisecondCount(used.ru_utime) + toMillisecondCount(used.ru_stime));
--- a/src/yuccashift/entry/entry_settings.hpp
+++ b/src/yuccashift/entry/entry_settings.hpp
@@ -46,6 +46,8 @@
     double capacityForPeers() const { return std::min(processorCores, linkMbps / linkMbpsPerCore); }
     /** Link bandwidth that forwarded requests use while they take a whole core. */
     static constexpr double linkMbpsPerCore = 200;
+    /** Memory that the process may use, with what the kernel keeps for its connections, in bytes. */
+    std::size_t memoryBytes = std::size_t { 256 } << 20;
     /** Limit on the file descriptors of the process. */
     std::size_t maxFileDescriptors = 1024;
 
--- a/src/yuccashift/entry/peer_handler.cpp
+++ b/src/yuccashift/entry/peer_handler.cpp
@@ -27,12 +27,13 @@
 
 InboundLimits PeerHandler::limits() const
 {
-    // A request that the origin has accepted is not rejected here for its size.
-    InboundLimits limits;
-    limits.maxHeaderBytes = 256 * 1024;
-    limits.maxBodyBytes = 64 << 20;
-    limits.idleTimeout = seconds(30);
-    return limits;
+    const auto routes = m_core.fleetState.routes();
+    return m_core.listenerLimits.instances(routes ? routes->config().limits : InboundLimits());
+}
+
+void PeerHandler::onRefusal(const Error& error, AnswerHead& head) const
+{
+    head.headers.push_back(encodeHopFailure({ error, false }));
 }
 
 void PeerHandler::onRequest(std::shared_ptr<InboundExchange> exchange)
--- a/src/yuccashift/entry/peer_handler.hpp
+++ b/src/yuccashift/entry/peer_handler.hpp
@@ -15,6 +15,7 @@
 
     void onRequest(std::shared_ptr<InboundExchange>) override;
     InboundLimits limits() const override;
+    void onRefusal(const Error&, AnswerHead&) const override;
     bool shouldCloseConnections() const override { return false; }
     bool probesSilentCallers() const override { return true; }
 
--- a/src/yuccashift/entry/snapshot_exchange.cpp
+++ b/src/yuccashift/entry/snapshot_exchange.cpp
@@ -38,6 +38,8 @@
     constexpr std::int64_t firstEra = 1;
     /** Upper limit on the size of a value, in bytes. */
     constexpr std::int32_t maxValueBytes = 16 << 20;
+    /** Limit on an answer of another instance. */
+    constexpr std::size_t maxFetchedBytes = 16 << 20;
     constexpr int statusOk = 200;
     /** Status by which an instance answers that it has sent too much recently, or has nothing newer. */
     constexpr int statusBusy = 503;
@@ -250,6 +252,8 @@
     void onAnswerBody(std::string_view data) override
     {
         m_body.append(data);
+        if (m_body.size() > maxFetchedBytes)
+            return onAnswerFailure(OutboundFailure::Truncated, "the answer exceeds its limit");
         awaitProgress();
     }
     void onAnswerEnd() override
--- a/src/yuccashift/gateway/gateway_components.cpp
+++ b/src/yuccashift/gateway/gateway_components.cpp
@@ -81,6 +81,7 @@
     , loadTracker(loadSettings(settings))
     , regionLoadTracker(regionSettings(settings))
     , limits(self.instance)
+    , memory(MemoryAccount::limitFor(std::size_t { settings.bounds.memoryMb } << 20), clock)
     , spans(maxStoredSpans)
     , backends(makeHttpBackendClient(clock))
     , m_routes(std::make_shared<RouteTable>(documents.snapshot()))
--- a/src/yuccashift/gateway/gateway_components.hpp
+++ b/src/yuccashift/gateway/gateway_components.hpp
@@ -6,6 +6,7 @@
 #include "yuccashift/gateway/in_flight_request_tracker.hpp"
 #include "yuccashift/gateway/lifecycle.hpp"
 #include "yuccashift/http/backend_client.hpp"
+#include "yuccashift/http/memory_account.hpp"
 #include "yuccashift/kernel/settings.hpp"
 #include "yuccashift/keys/key_table.hpp"
 #include "yuccashift/limits/shared_limits.hpp"
@@ -80,6 +81,8 @@
     PromptQuarantine promptQuarantine;
     InFlightRequestTracker inFlightRequests;
     Metrics metrics;
+    /** What the connections of all listeners hold. */
+    MemoryAccount memory;
     SpanBuffer spans;
     std::unique_ptr<BackendClient> backends;
     /** Number of instances that send requests to the backend servers of this region. */
--- a/src/yuccashift/gateway/operator_api.cpp
+++ b/src/yuccashift/gateway/operator_api.cpp
@@ -47,6 +47,11 @@
         m_components.metrics.gauge("yuccashift_in_progress").set(m_components.lifecycle.inProgress());
         m_components.metrics.gauge("yuccashift_keys").set(static_cast<std::int64_t>(m_components.keys.size()));
         m_components.metrics.gauge("yuccashift_members").set(static_cast<std::int64_t>(m_coordinator.view()->members.size()));
+        const auto& memory = m_components.memory;
+        m_components.metrics.gauge("yuccashift_connection_memory_bytes", { { "use", toString(MemoryUse::Requests) } }).set(static_cast<std::int64_t>(memory.held(MemoryUse::Requests)));
+        m_components.metrics.gauge("yuccashift_connection_memory_limit_bytes").set(static_cast<std::int64_t>(memory.limit()));
+        m_components.metrics.gauge("yuccashift_connection_memory_evictions").set(static_cast<std::int64_t>(memory.counts().evictions));
+        m_components.metrics.gauge("yuccashift_connection_memory_refusals").set(static_cast<std::int64_t>(memory.counts().refusals));
         const auto text = m_components.metrics.renderPrometheus();
         auto head = makeHead(httpOk, "text/plain; version=0.0.4");
         co_await sendComplete(sink, std::move(head), text);
--- a/src/yuccashift/http/inbound.cpp
+++ b/src/yuccashift/http/inbound.cpp
@@ -1,10 +1,12 @@
 #include "yuccashift/http/inbound.hpp"
 
+#include "yuccashift/http/detail/acknowledgement.hpp"
 #include "yuccashift/http/detail/connection_end.hpp"
 #include "yuccashift/http/detail/keep_alive.hpp"
 #include "yuccashift/http/detail/reset_on_close.hpp"
 #include "yuccashift/http/detail/scratch.hpp"
 #include "yuccashift/http/error_answer.hpp"
+#include "yuccashift/http/request_reader.hpp"
 #include "yuccashift/kernel/detail/listen.hpp"
 #include "yuccashift/kernel/log.hpp"
 
@@ -15,7 +17,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
-#include <optional>
 #include <unordered_set>
 #include <utility>
 
@@ -30,39 +31,31 @@
 
     /** Buffered bytes behind a request in progress at which reading pauses, so that the caller has to wait. */
     constexpr std::size_t readAheadBytes = 64 * 1024;
+    /** Bytes that the kernel is expected to receive at least of a connection whose reading has paused. */
+    constexpr std::size_t pausedQueueBytes = 64 * 1024;
     /** Interval in which a connection whose input is not read is checked for its close. */
     constexpr milliseconds closeCheckInterval { 100 };
     /** Time for which input is discarded after the last answer, since closing with unread input would reset the connection. */
     constexpr milliseconds lingerTimeout { 1000 };
     /** Maximum time from the end of the header to the end of the body; callers' deadlines are shorter. */
     constexpr milliseconds bodyTimeout { 30000 };
-    /** Maximum number of buffered answer bytes, checked when a body that is not chunked is appended; a slower caller is disconnected. */
-    constexpr std::size_t maxUnsentBytes = 4 << 20;
+    /** Memory of a connection, including its buffers up to their smallest size. */
+    constexpr std::size_t connectionBytes = 8 * 1024;
+    /** Buffers up to this size are part of connectionBytes, and are kept. */
+    constexpr std::size_t smallBufferBytes = 2 * 1024;
+    /** Bytes of answers after which the kernel is asked how many of them the caller has not received. */
+    constexpr std::size_t queueCheckBytes = 8 * 1024;
+    /** Interval in which connections are checked for callers that do not read their answers. */
+    constexpr milliseconds sweepInterval { 1000 };
+    /** Refused connections over the limit that are open at a time; any further one is closed at once. */
+    constexpr std::size_t maxRefusedConnections = 64;
 
     /** Delay before accepting again after a failure, in which open connections may end and free a file descriptor. */
     constexpr milliseconds acceptRetryDelay { 50 };
 
-    using RequestParser = http::request_parser<http::string_body>;
-
-    RequestMessage toMessage(http::request<http::string_body>&& request)
+    std::size_t sizeBeyondSmall(const std::string& buf)
     {
-        RequestMessage message;
-        message.method = std::string(request.method_string());
-        message.target = std::string(request.target());
-        message.headers.reserve(16);
-        for (const auto& field : request)
-            message.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        message.body = std::move(request.body());
-        return message;
-    }
-
-    ErrorKind errorKindOfParseFailure(const error_code& ec)
-    {
-        if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
-            return ErrorKind::HeaderTooLarge;
-        if (ec == http::error::body_limit)
-            return ErrorKind::BodyTooLarge;
-        return ErrorKind::MalformedRequest;
+        return buf.capacity() > smallBufferBytes ? buf.capacity() : 0;
     }
 
     std::string_view reasonPhrase(int status)
@@ -93,24 +86,33 @@
 } // namespace
 
 struct InboundServer::State : std::enable_shared_from_this<InboundServer::State> {
-    State(asio::io_context& ioContext, const Clock& serverClock, InboundHandler& requestHandler)
+    State(asio::io_context& ioContext, const Clock& serverClock, InboundHandler& requestHandler, MemoryAccount& account)
         : io(ioContext)
         , clock(serverClock)
         , handler(requestHandler)
+        , memory(account)
         , acceptor(ioContext)
         , acceptRetryTimer(ioContext)
+        , sweepTimer(ioContext)
     {
     }
 
     void accept();
     /** Accepts again after a delay, in which file descriptors may become free. */
     void acceptLater();
+    void open(tcp::socket);
+    /** Closes the connection that has been idle for longest; returns false if none is idle. */
+    bool closeLongestIdle();
+    /** Checks all connections from time to time. */
+    void sweep();
 
     asio::io_context& io;
     const Clock& clock;
     InboundHandler& handler;
+    MemoryAccount& memory;
     tcp::acceptor acceptor;
     asio::steady_timer acceptRetryTimer;
+    asio::steady_timer sweepTimer;
     std::unordered_set<detail::InboundSession*> sessions;
     bool stopping = false;
 };
@@ -118,49 +120,66 @@
 namespace detail {
 
     /** One caller's connection. Handles its requests one at a time, in order. */
-    class InboundSession : public std::enable_shared_from_this<InboundSession> {
+    class InboundSession final : public Evictable, public std::enable_shared_from_this<InboundSession> {
     public:
         InboundSession(std::shared_ptr<InboundServer::State> server, tcp::socket socket)
             : m_server(std::move(server))
             , m_socket(std::move(socket))
             , m_timer(m_server->io)
+            , m_requestMemory(m_server->memory, MemoryUse::Requests)
+            , m_answerMemory(m_server->memory, MemoryUse::Answers)
+            , m_activeAt(m_server->clock.now())
         {
             m_server->sessions.insert(this);
         }
 
-        ~InboundSession() { m_server->sessions.erase(this); }
+        ~InboundSession() override { m_server->sessions.erase(this); }
         InboundSession(const InboundSession&) = delete;
         InboundSession& operator=(const InboundSession&) = delete;
 
         void start()
         {
-            armTimer(m_server->handler.limits().idleTimeout, false);
+            m_requestMemory.setOwner(weak_from_this());
+            m_answerMemory.setOwner(weak_from_this());
+            m_limits = m_server->handler.limits();
+            if (!holdRequest())
+                return refuse(ErrorKind::MemoryExhausted);
+            armTimer(m_limits.idleTimeout, false);
             waitForInput();
         }
 
-        void refuseConnection()
+        void refuseConnection() { refuse(ErrorKind::TooManyConnections); }
+
+        void evict() override
         {
-            refuse(ErrorKind::TooManyConnections);
-            waitForInput();
+            asio::post(m_server->io, [weak = weak_from_this()] {
+                if (const auto self = weak.lock())
+                    self->onEvicted();
+            });
         }
 
-        bool idle() const { return !m_exchange && m_input.empty() && m_output.empty() && !m_writing; }
+        bool idle() const { return !m_closed && !m_exchange && m_reader.idle() && m_output.empty() && !m_writing && !m_discardingInput; }
+        Instant activeAt() const { return m_activeAt; }
         void closeIfIdle()
         {
             if (idle())
                 close();
         }
 
-        void append(std::string_view bytes)
+        /** Closes the connection if its caller has read nothing for too long; otherwise counts again what the kernel keeps for it. */
+        void checkUnread(Instant now)
         {
-            m_output.append(bytes);
-            if (m_output.size() > maxUnsentBytes) {
-                logWarning("closing a caller connection: too many unsent bytes", { { "unsent_bytes", m_output.size() } });
-                close();
+            if (unsent() > 0 && now - m_writtenAt >= m_limits.sendTimeout) {
+                logInfo("closing a caller connection: its answer is not read", { { "unsent_bytes", unsent() } });
+                return close();
             }
+            if (m_queuedBytes > 0)
+                countQueued();
         }
+
+        void append(std::string_view bytes) { m_output.append(bytes); }
         std::string& out() { return m_output; }
-        std::size_t unsent() const { return m_output.size() + (m_writing ? m_outputInFlight.size() : 0); }
+        std::size_t unsent() const { return m_output.size() + m_outputInFlight.size() - m_sentInFlight; }
         bool closesAfterAnswer() const { return m_closeAfterAnswer || m_server->handler.shouldCloseConnections(); }
         void setCloseAfterAnswer() { m_closeAfterAnswer = true; }
         /** Lets any close of the connection reset it until the whole answer is written, also one by the end of the process. */
@@ -172,26 +191,36 @@
 
         void flush()
         {
-            if (m_writing || m_output.empty() || m_closed)
+            if (m_closed || m_output.empty())
+                return;
+            if (!holdAnswer())
+                return close();
+            if (m_writing)
                 return;
             m_writing = true;
+            m_writtenAt = m_server->clock.now();
             std::swap(m_outputInFlight, m_output);
-            m_output.clear();
-            asio::async_write(m_socket, asio::buffer(m_outputInFlight), [self = shared_from_this()](const error_code& ec, std::size_t) { self->onWritten(ec); });
+            m_sentInFlight = 0;
+            write();
         }
 
         void exchangeEnded(bool close)
         {
             auto exchange = std::move(m_exchange);
             m_exchange.reset();
+            m_exchangeBytes = 0;
+            m_activeAt = m_server->clock.now();
             probeSilence(false);
             if (close) {
                 m_discardingInput = true;
+                m_reader.clear();
+                holdRequest();
                 flush();
                 shutDownIfWritten();
                 return;
             }
             flush();
+            holdRequest();
             armTimer(m_server->handler.limits().idleTimeout, false);
             // Posted, since the code that ended the answer is still on the stack.
             asio::post(m_server->io, [self = shared_from_this()] { self->parseInput(); });
@@ -236,19 +265,25 @@
                 return close();
             if (m_discardingInput)
                 return waitForInput();
-            if (m_input.empty() && !m_parser && !m_exchange)
-                armTimer(m_server->handler.limits().headerTimeout, true);
-            m_input.append(buf.data(), n);
+            m_reader.append({ buf.data(), n });
             parseInput();
         }
 
+        /** Whether input is a later request, and is not parsed before the current answer is written. */
+        bool answering() const { return m_exchange || unsent() > 0; }
+
         /** Reads on, or looks only for the caller's close if enough is read ahead of a request in progress. */
         void readAhead()
         {
-            if (m_exchange && m_input.size() >= readAheadBytes)
-                watchForClose();
-            else
+            const bool pauses = answering() && m_reader.bufferedBytes() >= readAheadBytes;
+            if (std::exchange(m_paused, pauses) != pauses || m_reader.bufferedBytes() > smallBufferBytes) {
+                if (!holdRequest())
+                    return close();
+            }
+            if (!pauses)
                 waitForInput();
+            else if (m_exchange)
+                watchForClose();
         }
 
         void watchForClose()
@@ -258,7 +293,7 @@
                 const auto self = weak.lock();
                 if (ec || !self || self->m_closed || !self->m_exchange || self->m_waitingForInput)
                     return;
-                if (self->callerHasClosed())
+                if (self->callerHasClosed() || !self->holdRequest())
                     self->close();
                 else
                     self->watchForClose();
@@ -267,32 +302,22 @@
 
         void parseInput()
         {
-            if (m_closed || m_discardingInput || m_exchange || m_input.empty())
+            if (m_closed || m_discardingInput || m_reader.idle() || answering())
                 return readAhead();
-            if (!m_parser) {
-                const auto limits = m_server->handler.limits();
-                m_parser.emplace();
-                m_parser->eager(true);
-                m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
-                m_parser->body_limit(limits.maxBodyBytes);
-                m_headerSeen = false;
-            }
-            error_code ec;
-            while (!m_input.empty() && !m_parser->is_done()) {
-                const auto n = m_parser->put(asio::const_buffer(m_input.data(), m_input.size()), ec);
-                m_input.erase(0, n);
-                if (ec || n == 0)
-                    break;
+            if (!std::exchange(m_requestStarted, true)) {
+                m_limits = m_server->handler.limits();
+                m_requestStartedAt = m_server->clock.now();
+                armTimer(m_limits.headerTimeout, true);
             }
-            if (ec && ec != http::error::need_more)
-                return refuse(errorKindOfParseFailure(ec));
-            // The parser has no limit for trailers and the lines of chunks, of which it needs the end first.
-            if (!m_parser->is_done() && m_input.size() > m_server->handler.limits().maxHeaderBytes)
-                return refuse(ErrorKind::HeaderTooLarge);
-            if (m_parser->is_header_done() && !m_headerSeen)
+            const auto advanced = m_reader.advance({ m_limits.maxHeaderBytes, m_limits.maxBodyBytes });
+            if (!advanced)
+                return refuse(advanced.error().kind);
+            if (m_reader.headerComplete() && !m_headerSeen)
                 onHeader();
-            if (m_parser->is_done())
-                dispatchRequest();
+            if (m_reader.complete())
+                return dispatchRequest();
+            if (!holdRequest())
+                return refuse(ErrorKind::MemoryExhausted);
             readAhead();
         }
 
@@ -300,7 +325,7 @@
         {
             m_headerSeen = true;
             armTimer(bodyTimeout, true);
-            if (boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+            if (m_reader.expectsContinue()) {
                 m_output += "HTTP/1.1 100 Continue\r\n\r\n";
                 flush();
             }
@@ -309,13 +334,21 @@
         void dispatchRequest()
         {
             m_timer.cancel();
+            m_requestStarted = false;
+            m_headerSeen = false;
+            auto received = m_reader.take();
+            // The body is copied while it is sent on.
+            m_exchangeBytes = received.bytes + received.message.body.size();
+            m_exchange = std::make_shared<InboundExchange>(shared_from_this(), std::move(received.message), m_server->clock.now());
+            if (!holdRequest()) {
+                m_exchange.reset();
+                return refuse(ErrorKind::MemoryExhausted);
+            }
             probeSilence(m_server->handler.probesSilentCallers());
-            m_closeAfterAnswer = !m_parser->keep_alive();
-            m_http10 = m_parser->get().version() < 11;
-            auto message = toMessage(m_parser->release());
-            m_parser.reset();
-            m_exchange = std::make_shared<InboundExchange>(shared_from_this(), std::move(message), m_server->clock.now());
+            m_closeAfterAnswer = !received.keepAlive;
+            m_http10 = received.http10;
             m_server->handler.onRequest(m_exchange);
+            readAhead();
         }
 
         /** While a request is in progress, a caller that does not answer keep-alive probes counts as gone. */
@@ -331,27 +364,112 @@
 
         void refuse(ErrorKind kind)
         {
+            if (m_closed)
+                return;
             const Error error { kind, {}, {}, {} };
             auto head = errorHead(error);
             const auto body = errorBody(error, {});
             head.length = body.size();
+            m_server->handler.onRefusal(error, head);
             appendHead(m_output, head, false, true);
             m_output += body;
             m_discardingInput = true;
+            m_reader.clear();
+            m_exchangeBytes = 0;
+            m_requestMemory.release();
+            linger();
             flush();
+            waitForInput();
         }
 
-        void onWritten(const error_code& ec)
+        void write()
         {
+            m_socket.async_write_some(asio::buffer(std::string_view(m_outputInFlight).substr(m_sentInFlight)), [self = shared_from_this()](const error_code& ec, std::size_t n) { self->onWritten(ec, n); });
+        }
+
+        void onWritten(const error_code& ec, std::size_t n)
+        {
+            m_sentInFlight += n;
+            m_sentUncounted += n;
+            m_writtenAt = m_server->clock.now();
+            if (ec || m_closed) {
+                m_writing = false;
+                return close();
+            }
+            if (m_sentInFlight < m_outputInFlight.size()) {
+                if (m_sentUncounted >= queueCheckBytes)
+                    countQueued();
+                return m_closed ? void() : write();
+            }
             m_writing = false;
+            m_sentInFlight = 0;
             m_outputInFlight.clear();
-            if (ec)
-                return close();
+            if (m_outputInFlight.capacity() > smallBufferBytes)
+                m_outputInFlight = {};
+            if (m_output.empty() && m_output.capacity() > smallBufferBytes)
+                m_output = {};
+            if (m_sentUncounted >= queueCheckBytes)
+                countQueued();
+            else
+                holdAnswer();
             if (!m_output.empty())
                 return flush();
             if (m_exchange && m_exchange->m_onDrained)
                 m_exchange->m_onDrained();
             shutDownIfWritten();
+            if (!m_exchange && !m_reader.idle())
+                parseInput();
+        }
+
+        /** Asks the kernel how many bytes of answers it keeps since the caller has not received them. */
+        void countQueued()
+        {
+            m_sentUncounted = 0;
+            m_queuedBytes = static_cast<std::size_t>(std::max(0, detail::unacknowledgedBytes(m_socket).value_or(0)));
+            if (!holdAnswer())
+                close();
+        }
+
+        /** Counts what has been received. A request that has arrived and is handled is not evicted for others. */
+        bool holdRequest()
+        {
+            const bool incomplete = !m_exchange && !m_reader.idle();
+            const auto kept = m_exchangeBytes + m_reader.heldBytes() + (m_paused ? std::max(pausedQueueBytes, waitingBytes()) : 0);
+            const HeldMemory held { connectionBytes + (kept > smallBufferBytes ? kept : 0), incomplete || m_paused, incomplete ? m_requestStartedAt : m_activeAt };
+            if (held.bytes == m_heldRequest.bytes && held.evictable == m_heldRequest.evictable)
+                return true;
+            m_heldRequest = held;
+            return m_requestMemory.resize(held);
+        }
+
+        /** Bytes that the kernel has received and that are not read. */
+        std::size_t waitingBytes() const
+        {
+            error_code ec;
+            const auto n = m_socket.available(ec);
+            return ec ? 0 : n;
+        }
+
+        /** Counts what is not delivered. */
+        bool holdAnswer() { return true; }
+
+        void onEvicted()
+        {
+            if (m_closed || m_discardingInput)
+                return;
+            if (!answering() && !m_reader.idle())
+                return refuse(ErrorKind::MemoryExhausted);
+            close();
+        }
+
+        /** Ends the connection some time after its last answer, whether that is read or not. */
+        void linger()
+        {
+            m_timer.expires_after(lingerTimeout);
+            m_timer.async_wait([self = shared_from_this()](const error_code& ec) {
+                if (!ec)
+                    self->close();
+            });
         }
 
         void shutDownIfWritten()
@@ -360,11 +478,7 @@
                 return;
             auto ec = detail::setResetOnClose(m_socket, false);
             m_socket.shutdown(tcp::socket::shutdown_send, ec);
-            m_timer.expires_after(lingerTimeout);
-            m_timer.async_wait([self = shared_from_this()](const error_code& waitError) {
-                if (!waitError)
-                    self->close();
-            });
+            linger();
             waitForInput();
         }
 
@@ -372,12 +486,14 @@
         void armTimer(milliseconds limit, bool requestStarted)
         {
             m_timer.expires_after(limit);
-            m_timer.async_wait([weak = weak_from_this(), requestStarted](const error_code& ec) {
+            m_timer.async_wait([weak = weak_from_this(), limit, requestStarted](const error_code& ec) {
                 const auto self = weak.lock();
                 if (ec || !self || self->m_exchange || self->m_discardingInput)
                     return;
                 if (requestStarted)
                     self->refuse(ErrorKind::SlowSender);
+                else if (self->unsent() > 0)
+                    self->armTimer(limit, false);
                 else
                     self->close();
             });
@@ -399,13 +515,33 @@
         std::shared_ptr<InboundServer::State> m_server;
         tcp::socket m_socket;
         asio::steady_timer m_timer;
-        std::string m_input;
+        MemoryHolder m_requestMemory;
+        MemoryHolder m_answerMemory;
+        /** When the last exchange ended, or the connection was accepted. */
+        Instant m_activeAt;
+        /** When the kernel last took bytes of an answer. */
+        Instant m_writtenAt {};
+        Instant m_requestStartedAt {};
+        /** As of the start of the current request. */
+        InboundLimits m_limits;
+        RequestReader m_reader;
         std::string m_output;
         std::string m_outputInFlight;
-        std::optional<RequestParser> m_parser;
+        std::size_t m_sentInFlight = 0;
+        /** Bytes that were sent since the kernel was last asked what it keeps, and what it kept then. */
+        std::size_t m_sentUncounted = 0;
+        std::size_t m_queuedBytes = 0;
+        std::size_t m_heldAnswerBytes = 0;
+        HeldMemory m_heldRequest;
         std::shared_ptr<InboundExchange> m_exchange;
+        /** Memory of the request in progress. */
+        std::size_t m_exchangeBytes = 0;
+        /** Whether bytes of an incomplete request have arrived. */
+        bool m_requestStarted = false;
         bool m_headerSeen = false;
         bool m_waitingForInput = false;
+        /** Whether input is left to the kernel. */
+        bool m_paused = false;
         bool m_writing = false;
         bool m_closed = false;
         /** Whether the kernel closes the connection when keep-alive probes are not answered. */
@@ -502,14 +638,7 @@
         if (self->stopping)
             return;
         if (!ec) {
-            error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            socket.non_blocking(true, ignored);
-            const auto session = std::make_shared<detail::InboundSession>(self, std::move(socket));
-            if (self->sessions.size() > self->handler.limits().maxConnections)
-                session->refuseConnection();
-            else
-                session->start();
+            self->open(std::move(socket));
         } else if (ec != asio::error::operation_aborted) {
             logWarning("failed to accept a connection", { { "reason", ec.message() } });
             return self->acceptLater();
@@ -518,6 +647,53 @@
     });
 }
 
+void InboundServer::State::open(tcp::socket socket)
+{
+    const auto limit = handler.limits().maxConnections;
+    if (sessions.size() >= limit + maxRefusedConnections)
+        return;
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
+    const bool full = sessions.size() >= limit && !closeLongestIdle();
+    const auto session = std::make_shared<detail::InboundSession>(shared_from_this(), std::move(socket));
+    if (full)
+        session->refuseConnection();
+    else
+        session->start();
+}
+
+bool InboundServer::State::closeLongestIdle()
+{
+    detail::InboundSession* longest = nullptr;
+    for (auto* it : sessions) {
+        if (it->idle() && (!longest || it->activeAt() < longest->activeAt()))
+            longest = it;
+    }
+    if (!longest)
+        return false;
+    longest->close();
+    return true;
+}
+
+void InboundServer::State::sweep()
+{
+    sweepTimer.expires_after(sweepInterval);
+    sweepTimer.async_wait([weak = weak_from_this()](const error_code& ec) {
+        const auto self = weak.lock();
+        if (ec || !self || self->stopping)
+            return;
+        std::vector<std::shared_ptr<detail::InboundSession>> all;
+        all.reserve(self->sessions.size());
+        for (auto* it : self->sessions)
+            all.push_back(it->shared_from_this());
+        const auto now = self->clock.now();
+        for (const auto& it : all)
+            it->checkUnread(now);
+        self->sweep();
+    });
+}
+
 void InboundServer::State::acceptLater()
 {
     acceptRetryTimer.expires_after(acceptRetryDelay);
@@ -527,8 +703,8 @@
     });
 }
 
-InboundServer::InboundServer(asio::io_context& io, const Clock& clock, InboundHandler& handler)
-    : m_state(std::make_shared<State>(io, clock, handler))
+InboundServer::InboundServer(asio::io_context& io, const Clock& clock, InboundHandler& handler, MemoryAccount& memory)
+    : m_state(std::make_shared<State>(io, clock, handler, memory))
 {
 }
 
@@ -540,8 +716,10 @@
 Result<Endpoint> InboundServer::listen(const Endpoint& endpoint)
 {
     auto bound = detail::listenOn(m_state->acceptor, endpoint);
-    if (bound)
+    if (bound) {
         m_state->accept();
+        m_state->sweep();
+    }
     return bound;
 }
 
@@ -551,6 +729,7 @@
     error_code ec;
     m_state->acceptor.close(ec);
     m_state->acceptRetryTimer.cancel();
+    m_state->sweepTimer.cancel();
     const std::vector<detail::InboundSession*> sessions(m_state->sessions.begin(), m_state->sessions.end());
     for (auto* session : sessions)
         session->closeIfIdle();
--- a/src/yuccashift/http/inbound.hpp
+++ b/src/yuccashift/http/inbound.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccashift/http/memory_account.hpp"
 #include "yuccashift/http/message.hpp"
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/error.hpp"
@@ -20,7 +21,9 @@
     milliseconds headerTimeout { 3000 };
     /** Maximum time for which an open connection may stay without a request. */
     milliseconds idleTimeout { 15000 };
-    /** Maximum number of open connections; further ones are answered with 503 and closed. */
+    /** Maximum time for which a caller may read nothing of an answer. */
+    milliseconds sendTimeout { 30000 };
+    /** Maximum number of open connections; one more closes the one that has been idle for longest, or is answered with 503 and closed. */
     std::size_t maxConnections = 3000;
 };
 
@@ -82,6 +85,8 @@
     virtual InboundLimits limits() const = 0;
     /** Whether each connection is closed after its current answer. */
     virtual bool shouldCloseConnections() const = 0;
+    /** Completes the head of an answer to a request that is refused before onRequest(). */
+    virtual void onRefusal(const Error&, AnswerHead&) const { }
     /** Whether a caller that is silent during a request is taken to have disconnected. */
     virtual bool probesSilentCallers() const { return false; }
 };
@@ -89,7 +94,8 @@
 /** HTTP/1.1 server that runs on the given event loop and starts no thread. */
 class InboundServer {
 public:
-    InboundServer(boost::asio::io_context&, const Clock&, InboundHandler&);
+    /** @param memory account of what the connections hold; it must outlive them */
+    InboundServer(boost::asio::io_context&, const Clock&, InboundHandler&, MemoryAccount& memory);
     ~InboundServer();
     InboundServer(const InboundServer&) = delete;
     InboundServer& operator=(const InboundServer&) = delete;
--- /dev/null
+++ b/src/yuccashift/http/request_reader.cpp
@@ -0,0 +1,158 @@
+#include "yuccashift/http/request_reader.hpp"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace yuccashift {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+    /** Memory of one header field beyond its text, in the parser or in a message. */
+    constexpr std::size_t fieldBytes = 128;
+    /** A buffer of this size is kept for the next request. */
+    constexpr std::size_t keptBufferBytes = 2 * 1024;
+
+    ErrorKind kindOf(const error_code& ec)
+    {
+        if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+            return ErrorKind::HeaderTooLarge;
+        if (ec == http::error::body_limit)
+            return ErrorKind::BodyTooLarge;
+        return ErrorKind::MalformedRequest;
+    }
+
+    /** Memory of the header fields. */
+    std::size_t sizeOf(const http::fields& fields)
+    {
+        std::size_t sum = 0;
+        for (const auto& field : fields)
+            sum += field.name_string().size() + field.value().size() + fieldBytes;
+        return sum;
+    }
+
+    RequestMessage toMessage(http::request<http::string_body>&& request)
+    {
+        RequestMessage message;
+        message.method = std::string(request.method_string());
+        message.target = std::string(request.target());
+        message.headers.reserve(16);
+        for (const auto& field : request)
+            message.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        message.body = std::move(request.body());
+        return message;
+    }
+
+} // namespace
+
+/** The request in progress. */
+struct RequestReader::State {
+    explicit State(const RequestSizeLimits& sizes)
+        : limits(sizes)
+    {
+        parser.eager(true);
+        parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+        parser.body_limit(limits.maxBodyBytes);
+    }
+
+    RequestSizeLimits limits;
+    http::request_parser<http::string_body> parser;
+    /** Memory of the header's fields; 0 before its end. Trailers come on top of it once. */
+    std::size_t headerBytes = 0;
+};
+
+RequestReader::RequestReader() = default;
+
+RequestReader::~RequestReader() = default;
+
+void RequestReader::append(std::string_view bytes)
+{
+    m_input.append(bytes);
+}
+
+Result<void> RequestReader::advance(const RequestSizeLimits& limits)
+{
+    if (m_input.empty() || complete())
+        return {};
+    if (!m_state)
+        m_state = std::make_unique<State>(limits);
+    auto& parser = m_state->parser;
+    error_code ec;
+    std::size_t parsed = 0;
+    while (parsed < m_input.size() && !parser.is_done()) {
+        const auto n = parser.put(boost::asio::const_buffer(m_input.data() + parsed, m_input.size() - parsed), ec);
+        parsed += n;
+        if (ec || n == 0)
+            break;
+    }
+    m_input.erase(0, parsed);
+    if (m_input.empty() && m_input.capacity() > keptBufferBytes)
+        m_input = {};
+    if (ec && ec != http::error::need_more)
+        return fail(kindOf(ec));
+    // The parser has no limit for trailers and the lines of chunks, of which it needs the end first.
+    if (!parser.is_done() && m_input.size() > m_state->limits.maxHeaderBytes)
+        return fail(ErrorKind::HeaderTooLarge);
+    if (parser.is_header_done() && m_state->headerBytes == 0)
+        m_state->headerBytes = sizeOf(parser.get());
+    return {};
+}
+
+bool RequestReader::idle() const
+{
+    return !m_state && m_input.empty();
+}
+
+bool RequestReader::headerComplete() const
+{
+    return m_state && m_state->parser.is_header_done();
+}
+
+bool RequestReader::expectsContinue() const
+{
+    return headerComplete() && boost::beast::iequals(m_state->parser.get()[http::field::expect], "100-continue");
+}
+
+bool RequestReader::complete() const
+{
+    return m_state && m_state->parser.is_done();
+}
+
+ReceivedRequest RequestReader::take()
+{
+    ReceivedRequest received;
+    received.keepAlive = m_state->parser.keep_alive();
+    received.http10 = m_state->parser.get().version() < 11;
+    received.bytes = sizeOf(m_state->parser.get());
+    received.message = toMessage(m_state->parser.release());
+    received.bytes += received.message.target.size() + received.message.body.capacity();
+    m_state.reset();
+    return received;
+}
+
+std::size_t RequestReader::bufferedBytes() const
+{
+    return m_input.size();
+}
+
+std::size_t RequestReader::heldBytes() const
+{
+    std::size_t sum = m_input.capacity() > keptBufferBytes ? m_input.capacity() : 0;
+    if (!m_state)
+        return sum;
+    const auto& body = m_state->parser.get().body();
+    // The memory of an announced body is reserved, but not used before its bytes arrive.
+    const bool announced = m_state->parser.is_header_done() && m_state->parser.content_length().has_value();
+    return sum + m_state->headerBytes + (announced ? body.size() : body.capacity());
+}
+
+void RequestReader::clear()
+{
+    m_state.reset();
+    m_input = {};
+}
+
+} // namespace yuccashift
--- a/src/yuccashift/http/server.cpp
+++ b/src/yuccashift/http/server.cpp
@@ -2,6 +2,8 @@
 
 #include "yuccashift/http/detail/connection_end.hpp"
 #include "yuccashift/http/error_answer.hpp"
+#include "yuccashift/http/memory_account.hpp"
+#include "yuccashift/http/request_reader.hpp"
 #include "yuccashift/kernel/cancellation.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
 #include "yuccashift/kernel/detail/listen.hpp"
@@ -17,6 +19,7 @@
 #include <boost/beast/http.hpp>
 #include <mutex>
 #include <set>
+#include <span>
 
 namespace yuccashift {
 
@@ -28,10 +31,13 @@
 
 namespace {
 
+    constexpr unsigned http10 = 10;
     constexpr unsigned http11 = 11;
     constexpr std::size_t readBytes = 4096;
     /** Maximum time for which a connection waits for its next request. */
     constexpr std::chrono::seconds idleTimeout { 60 };
+    /** Time after which an idle connection may be closed in favour of a new one. */
+    constexpr std::chrono::seconds minIdleTime { 5 };
     /** Maximum time for which the input after a refusal is read and discarded. */
     constexpr std::chrono::milliseconds lingerTimeout { 500 };
     /** A part of an answer may take this long also after the deadline, so that the error of a late request reaches its caller. */
@@ -39,23 +45,87 @@
     /** Interval in which a connection with unread input is checked for its close while a request is handled. */
     constexpr std::chrono::milliseconds closeCheckInterval { 100 };
 
-    /** One caller's connection. Used only on its event loop, except for closeWhenIdle(), which any thread may call. */
-    class Session : public std::enable_shared_from_this<Session> {
+    /** Memory of a connection, including its buffers up to their smallest size. */
+    constexpr std::size_t connectionBytes = 8 * 1024;
+    constexpr std::size_t bodyReadBytes = 16 * 1024;
+    /** Bytes that the kernel is expected to receive at least behind a request that is handled, once input waits. */
+    constexpr std::size_t pausedQueueBytes = 64 * 1024;
+
+    /** One caller's connection. Used only on its event loop, except for the functions that say otherwise. */
+    class Session final : public Evictable, public std::enable_shared_from_this<Session> {
     public:
-        Session(tcp::socket socket, const ServerLimits& bounds)
+        Session(tcp::socket socket, const ServerLimits& bounds, MemoryAccount& memory)
             : m_stream(std::move(socket))
-            , m_buffer(2 * std::max<std::size_t>(bounds.maxHeaderBytes, readBytes))
             , m_bounds(bounds)
+            , m_memory(memory, MemoryUse::Requests)
+        {
+        }
+
+        /** Counts the connection; returns false if there is no memory for it. */
+        bool open()
         {
+            m_memory.setOwner(weak_from_this());
+            return holdIdle();
         }
 
         beast::tcp_stream& stream() { return m_stream; }
-        beast::flat_buffer& buffer() { return m_buffer; }
+        RequestReader& reader() { return m_reader; }
         const ServerLimits& bounds() const { return m_bounds; }
         bool closing() const { return m_closing; }
-        void setIdle(bool idle) { m_idle = idle; }
+        bool evicted() const { return m_evicted; }
+        void setIdle(bool idle)
+        {
+            m_idleSince = Instant::clock::now();
+            m_idle = idle;
+        }
+        /** When the connection became idle; std::nullopt if it is not. May be called on any thread. */
+        std::optional<Instant> idleSince() const { return m_idle ? std::optional(m_idleSince.load()) : std::nullopt; }
 
-        /** Closes the connection as soon as it waits for a request. */
+        /** Counts a request that arrives; returns false if there is no memory for it. */
+        bool holdIncoming()
+        {
+            return m_memory.resize({ connectionBytes + m_reader.heldBytes(), true, m_idleSince });
+        }
+        /** Counts a request that is handled, with a copy of its body that is sent on. */
+        bool holdReceived(const ReceivedRequest& request)
+        {
+            m_receivedBytes = request.bytes + request.message.body.size();
+            return m_memory.resize({ connectionBytes + m_receivedBytes, false, {} });
+        }
+        /** Counts input behind the request that is handled, which the kernel keeps; returns false if there is no memory for it. */
+        bool holdWaitingInput()
+        {
+            if (m_inputWaitsSince == Instant {})
+                m_inputWaitsSince = Instant::clock::now();
+            beast::error_code ec;
+            const auto waiting = std::max(pausedQueueBytes, m_stream.socket().available(ec));
+            return m_memory.resize({ connectionBytes + m_receivedBytes + waiting, true, m_inputWaitsSince });
+        }
+        /** Counts a connection without a request. */
+        bool holdIdle()
+        {
+            m_inputWaitsSince = {};
+            return m_memory.resize({ connectionBytes, false, {} });
+        }
+        void releaseMemory() { m_memory.release(); }
+
+        /** Refuses the request that is arriving, or closes the connection of one that is handled. May be called on any thread. */
+        void evict() override
+        {
+            asio::post(m_stream.get_executor(), [weak = weak_from_this()] {
+                if (const auto self = weak.lock())
+                    self->onEvicted();
+            });
+        }
+        /** Lets the watch of the connection find it closed. */
+        void shutDown()
+        {
+            beast::error_code ignored;
+            m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        }
+        void setReceiving(bool receiving) { m_receiving = receiving; }
+
+        /** Closes the connection as soon as it waits for a request. May be called on any thread. */
         void closeWhenIdle()
         {
             asio::post(m_stream.get_executor(), [self = shared_from_this()] {
@@ -66,10 +136,25 @@
         }
 
     private:
+        void onEvicted()
+        {
+            m_evicted = true;
+            if (m_receiving)
+                m_stream.cancel();
+            else
+                shutDown();
+        }
+
         beast::tcp_stream m_stream;
-        beast::flat_buffer m_buffer;
+        RequestReader m_reader;
         ServerLimits m_bounds;
-        bool m_idle = false;
+        MemoryHolder m_memory;
+        std::atomic<bool> m_idle = false;
+        std::atomic<Instant> m_idleSince { Instant::clock::now() };
+        std::size_t m_receivedBytes = 0;
+        Instant m_inputWaitsSince {};
+        bool m_receiving = false;
+        bool m_evicted = false;
         bool m_closing = false;
     };
 
@@ -179,32 +264,6 @@
         bool m_failed = false;
     };
 
-    RequestMessage toMessage(http::request<http::string_body>&& request)
-    {
-        RequestMessage message;
-        message.method = std::string(request.method_string());
-        message.target = std::string(request.target());
-        for (const auto& field : request)
-            message.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        message.body = std::move(request.body());
-        return message;
-    }
-
-    ErrorKind errorKindOfReadFailure(const beast::error_code& ec)
-    {
-        if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
-            return ErrorKind::HeaderTooLarge;
-        if (ec == http::error::body_limit)
-            return ErrorKind::BodyTooLarge;
-        return ErrorKind::MalformedRequest;
-    }
-
-    bool isConnectionLoss(const beast::error_code& ec)
-    {
-        return ec == http::error::end_of_stream || ec == asio::error::connection_reset
-            || ec == asio::error::operation_aborted || ec == asio::error::eof;
-    }
-
     /** Reads and discards input, since closing with unread input resets the connection, and the caller may lose the answer. */
     asio::awaitable<void> discardInput(Session& session)
     {
@@ -252,45 +311,78 @@
         std::shared_ptr<bool> m_expired = std::make_shared<bool>(false);
     };
 
+    /** Receives some bytes of requests. */
+    asio::awaitable<beast::error_code> receiveSome(Session& session, std::span<char> buf)
+    {
+        const auto [ec, n] = co_await session.stream().async_read_some(asio::buffer(buf), awaitTuple);
+        session.reader().append({ buf.data(), n });
+        co_return ec;
+    }
+
     /** Waits for the first byte of a request. Returns false if the connection ends, times out or is to be closed. */
     asio::awaitable<bool> awaitRequest(Session& session)
     {
-        if (session.buffer().size() > 0)
+        if (!session.reader().idle())
             co_return true;
         if (session.closing())
             co_return false;
         session.setIdle(true);
         session.stream().expires_after(idleTimeout);
-        const auto [ec, n] = co_await session.stream().async_read_some(session.buffer().prepare(readBytes), awaitTuple);
+        std::array<char, readBytes> buf {};
+        const auto ec = co_await receiveSome(session, buf);
         session.setIdle(false);
-        session.buffer().commit(n);
         co_return !ec;
     }
 
+    /** Receives the rest of the current request. Fails with the error for its caller, or Cancelled if the connection ended. */
+    asio::awaitable<Result<void>> receiveRequest(Session& session)
+    {
+        auto& reader = session.reader();
+        const RequestSizeLimits limits { session.bounds().maxHeaderBytes, session.bounds().maxBodyBytes };
+        bool headerSeen = false;
+        std::array<char, bodyReadBytes> buf {};
+        for (;;) {
+            const auto advanced = reader.advance(limits);
+            if (!advanced)
+                co_return advanced;
+            if (!session.holdIncoming())
+                co_return fail(ErrorKind::MemoryExhausted);
+            if (reader.complete())
+                co_return Result<void> {};
+            if (reader.headerComplete() && !std::exchange(headerSeen, true) && reader.expectsContinue()) {
+                const http::response<http::empty_body> proceed(http::status::continue_, http11);
+                co_await http::async_write(session.stream(), proceed, awaitTuple);
+            }
+            const auto ec = co_await receiveSome(session, buf);
+            if (session.evicted())
+                co_return fail(ErrorKind::MemoryExhausted);
+            if (ec)
+                co_return fail(ec == asio::error::eof ? ErrorKind::MalformedRequest : ErrorKind::Cancelled);
+        }
+    }
+
     /** Reads one request. Returns std::nullopt if there is none; an invalid or late request has been answered with an error by then. */
-    asio::awaitable<std::optional<http::request<http::string_body>>> readRequest(Session& session)
+    asio::awaitable<std::optional<ReceivedRequest>> readRequest(Session& session)
     {
         const bool received = co_await awaitRequest(session);
         if (!received)
             co_return std::nullopt;
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(session.bounds().maxHeaderBytes);
-        parser.body_limit(session.bounds().maxBodyBytes);
-        auto& stream = session.stream();
         const ReceiveTimer timer(session);
-        auto [ec, n] = co_await http::async_read_header(stream, session.buffer(), parser, awaitTuple);
-        if (!ec && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-            const http::response<http::empty_body> proceed(http::status::continue_, http11);
-            co_await http::async_write(stream, proceed, awaitTuple);
+        session.setReceiving(true);
+        auto result = co_await receiveRequest(session);
+        session.setReceiving(false);
+        if (result) {
+            auto request = session.reader().take();
+            if (session.holdReceived(request))
+                co_return request;
+            result = fail(ErrorKind::MemoryExhausted);
         }
-        if (!ec)
-            std::tie(ec, n) = co_await http::async_read(stream, session.buffer(), parser, awaitTuple);
-        if (!ec)
-            co_return parser.release();
+        session.reader().clear();
+        session.releaseMemory();
         if (timer.expired())
             co_await refuse(session, ErrorKind::SlowSender);
-        else if (!isConnectionLoss(ec))
-            co_await refuse(session, errorKindOfReadFailure(ec));
+        else if (result.error().kind != ErrorKind::Cancelled)
+            co_await refuse(session, result.error().kind);
         co_return std::nullopt;
     }
 
@@ -337,6 +429,8 @@
                 return m_canceller.cancel();
             if (end == detail::ConnectionEnd::SendingClosed)
                 sendInterimAnswer();
+            else if (!m_session->holdWaitingInput())
+                m_session->shutDown();
             // Other input is the next request, which is read after the answer to this one.
             m_timer.expires_after(closeCheckInterval);
             m_timer.async_wait([weak = weak_from_this()](const beast::error_code& ec) {
@@ -376,16 +470,16 @@
             auto request = co_await readRequest(session);
             if (!request)
                 co_return;
-            const bool keepAlive = request->keep_alive();
-            const auto version = request->version();
-            HttpAnswerSink sink(session, version, keepAlive);
+            const unsigned version = request->http10 ? http10 : http11;
+            HttpAnswerSink sink(session, version, request->keepAlive);
             // From here on the handler enforces the deadlines.
             session.stream().expires_never();
-            auto message = toMessage(std::move(*request));
+            auto message = std::move(request->message);
             const auto watch = std::make_shared<CloseWatch>(session, version, sink);
             watch->start();
             co_await asio::co_spawn(session.stream().get_executor(), handleRequest(handler, std::move(message), sink), asio::bind_cancellation_slot(watch->slot(), asio::use_awaitable));
             watch->stop();
+            session.holdIdle();
             if (watch->callerHasClosed() || !sink.reusable())
                 co_return;
         }
@@ -396,8 +490,9 @@
 RequestHandler::~RequestHandler() = default;
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
-    State(WorkerPool& pool, ServerLimits serverBounds)
+    State(WorkerPool& pool, ServerLimits serverBounds, MemoryAccount& account)
         : workers(pool)
+        , memory(account)
         , acceptor(pool.primaryLoop())
         , bounds(serverBounds)
     {
@@ -405,8 +500,11 @@
 
     asio::awaitable<void> run(tcp::socket socket, bool refused);
     asio::awaitable<void> accept();
+    /** Closes the connection that has been idle for longest; returns false if none has been for some time. */
+    bool closeLongestIdle();
 
     WorkerPool& workers;
+    MemoryAccount& memory;
     tcp::acceptor acceptor;
     const ServerLimits bounds;
     RequestHandler* handler = nullptr;
@@ -419,8 +517,8 @@
 {
     beast::error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
-    const auto session = std::make_shared<Session>(std::move(socket), bounds);
-    if (refused) {
+    const auto session = std::make_shared<Session>(std::move(socket), bounds, memory);
+    if (refused || !session->open()) {
         co_await refuse(*session, ErrorKind::TooManyConnections);
     } else {
         {
@@ -448,15 +546,33 @@
             continue;
         if (open >= bounds.maxConnections + maxConcurrentRefusals)
             continue;
-        const bool refused = open++ >= bounds.maxConnections;
+        const bool refused = open++ >= bounds.maxConnections && !closeLongestIdle();
         const auto executor = socket.get_executor();
         asio::co_spawn(
             executor, [self, socket = std::move(socket), refused]() mutable { return self->run(std::move(socket), refused); }, asio::detached);
     }
 }
 
-HttpServer::HttpServer(WorkerPool& workers, ServerLimits bounds)
-    : m_state(std::make_shared<State>(workers, bounds))
+bool HttpServer::State::closeLongestIdle()
+{
+    const std::lock_guard lock(mutex);
+    std::shared_ptr<Session> longest;
+    auto since = Instant::clock::now() - minIdleTime;
+    for (const auto& it : sessions) {
+        const auto idleSince = it->idleSince();
+        if (idleSince && *idleSince < since) {
+            since = *idleSince;
+            longest = it;
+        }
+    }
+    if (!longest)
+        return false;
+    longest->closeWhenIdle();
+    return true;
+}
+
+HttpServer::HttpServer(WorkerPool& workers, ServerLimits bounds, MemoryAccount& memory)
+    : m_state(std::make_shared<State>(workers, bounds, memory))
 {
 }
 
--- a/src/yuccashift/http/server.hpp
+++ b/src/yuccashift/http/server.hpp
@@ -11,6 +11,7 @@
 
 namespace yuccashift {
 
+class MemoryAccount;
 class WorkerPool;
 
 /** Answers requests. Called concurrently from several threads. */
@@ -23,6 +24,7 @@
 
 /** Limits of one listener. */
 struct ServerLimits {
+    /** One more connection closes the one that has been idle for longest, if that is some seconds, or is refused. */
     std::uint32_t maxConnections = 4096;
     /** Bytes. */
     std::uint32_t maxHeaderBytes = 16 * 1024;
@@ -37,7 +39,8 @@
 /** HTTP/1.1 server whose connections are distributed over the workers' event loops. */
 class HttpServer {
 public:
-    HttpServer(WorkerPool&, ServerLimits);
+    /** @param memory account of what the connections receive; it must outlive the workers */
+    HttpServer(WorkerPool&, ServerLimits, MemoryAccount& memory);
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
--- a/src/yuccashift/kernel/error.cpp
+++ b/src/yuccashift/kernel/error.cpp
@@ -17,6 +17,7 @@
         { BodyTooLarge, "body_too_large", 413, NotRun, false, 0, "the body exceeds its bound" },
         { SlowSender, "slow_sender", 408, NotRun, true, 0, "the request did not arrive in time" },
         { TooManyConnections, "too_many_connections", 503, NotRun, true, 1, "the instance has no connection to spare" },
+        { MemoryExhausted, "memory_exhausted", 503, NotRun, true, 1, "the instance has no memory to spare for the request" },
         { Unauthenticated, "unauthenticated", 401, NotRun, false, 0, "the credential is missing or unknown" },
         { Forbidden, "forbidden", 403, NotRun, false, 0, "the organisation may not use this" },
         { UnknownService, "unknown_service", 404, NotRun, false, 0, "no document describes this service" },
--- a/src/yuccashift/kernel/error.hpp
+++ b/src/yuccashift/kernel/error.hpp
@@ -17,6 +17,7 @@
     BodyTooLarge,
     SlowSender,
     TooManyConnections,
+    MemoryExhausted,
     Unauthenticated,
     Forbidden,
     UnknownService,
--- a/src/yuccashift/kernel/settings.cpp
+++ b/src/yuccashift/kernel/settings.cpp
@@ -36,6 +36,7 @@
         reader.integer("connections", bounds.maxConnections, Range { 1, 1e6 });
         reader.integer("header_bytes", bounds.maxHeaderBytes, Range { 1024, 1 << 20 });
         reader.integer("body_bytes", bounds.maxBodyBytes, Range { 1024, 64 << 20 });
+        reader.integer("memory_mb", bounds.memoryMb, Range { 96, 1 << 20 });
         reader.duration("receive_timeout_ms", bounds.receiveTimeout, timeoutRangeMs);
         reader.duration("progress_timeout_ms", bounds.progressTimeout, timeoutRangeMs);
         reader.integer("keys", bounds.maxKeys, Range { 1, 1e7 });
--- a/src/yuccashift/kernel/settings.hpp
+++ b/src/yuccashift/kernel/settings.hpp
@@ -34,6 +34,8 @@
     std::uint32_t maxHeaderBytes = 16 * 1024;
     /** Maximum size of a request body, in bytes. */
     std::uint32_t maxBodyBytes = 4 * 1024 * 1024;
+    /** Memory that the process may use, with what the kernel keeps for its connections, in MiB. */
+    std::uint32_t memoryMb = 256;
     /** Maximum time to receive a complete request. */
     std::chrono::milliseconds receiveTimeout { 10000 };
     /** Maximum time between bytes of a response before a backend connection is closed. */
--- a/src/yuccashift/node/node.cpp
+++ b/src/yuccashift/node/node.cpp
@@ -27,6 +27,7 @@
 namespace {
 
     constexpr std::uint32_t maxOperatorConnections = 64;
+    constexpr std::uint32_t maxOperatorBodyBytes = 64 * 1024;
     /** Minimum time between the start of a shutdown and the exit, in which peers and callers learn of it. */
     constexpr milliseconds minDrainTime { 1500 };
     constexpr milliseconds drainPollInterval { 50 };
@@ -45,6 +46,7 @@
     {
         auto bounds = callerBounds(settings);
         bounds.maxConnections = maxOperatorConnections;
+        bounds.maxBodyBytes = maxOperatorBodyBytes;
         return bounds;
     }
 
@@ -68,8 +70,8 @@
         : components(std::move(settings), std::move(policies), clock)
         , workers(components.settings.threads)
         , hub(workers, linkSettings(components), clock)
-        , callerServer(workers, callerBounds(components.settings.bounds))
-        , operatorServer(workers, operatorBounds(components.settings.bounds))
+        , callerServer(workers, callerBounds(components.settings.bounds), components.memory)
+        , operatorServer(workers, operatorBounds(components.settings.bounds), components.memory)
         , signals(workers.primaryLoop(), SIGTERM, SIGINT)
     {
     }
--- a/tests/docs/schema_test.cpp
+++ b/tests/docs/schema_test.cpp
@@ -194,6 +194,7 @@
             { "bounds.connections", std::to_string(defaults.bounds.maxConnections) },
             { "bounds.header_bytes", std::to_string(defaults.bounds.maxHeaderBytes) },
             { "bounds.body_bytes", std::to_string(defaults.bounds.maxBodyBytes) },
+            { "bounds.memory_mb", std::to_string(defaults.bounds.memoryMb) },
             { "bounds.receive_timeout_ms", std::to_string(defaults.bounds.receiveTimeout.count()) },
             { "bounds.progress_timeout_ms", std::to_string(defaults.bounds.progressTimeout.count()) },
             { "bounds.keys", std::to_string(defaults.bounds.maxKeys) },
--- a/tests/entry/peer_handler_test.cpp
+++ b/tests/entry/peer_handler_test.cpp
@@ -101,8 +101,8 @@
     private:
         SnapshotExchange m_snapshots { core, [] {} };
         PeerHandler m_peerHandler { core, m_snapshots };
-        InboundServer m_callers { io, clock, *this };
-        InboundServer m_peers { io, clock, m_peerHandler };
+        InboundServer m_callers { io, clock, *this, core.memory };
+        InboundServer m_peers { io, clock, m_peerHandler, core.memory };
     };
 
     class ACallerRequestForAPathOfInstances : public testing::Test {
--- a/tests/entry/request_job_test.cpp
+++ b/tests/entry/request_job_test.cpp
@@ -138,7 +138,7 @@
         EntryCore core { io, clock, settings(), protocol, m_items, std::make_unique<SeededRandom>(7) };
 
     private:
-        InboundServer m_callers { io, clock, *this };
+        InboundServer m_callers { io, clock, *this, core.memory };
         Endpoint m_endpoint;
     };
 
--- a/tests/entry/unreachable_servers_test.cpp
+++ b/tests/entry/unreachable_servers_test.cpp
@@ -33,8 +33,8 @@
         /** @param servers addresses under which the instance finds the servers of the service `ledger` */
         Instance(asio::io_context& io, const Clock& clock, const WordProtocol& protocol, const WordItems& items, const std::string& name, const std::string& ip, const std::vector<Endpoint>& servers)
             : core(io, clock, settings(name, ip), protocol, items, std::make_unique<SeededRandom>(7))
-            , m_callers(io, clock, m_callerHandler)
-            , m_peers(io, clock, m_peerHandler)
+            , m_callers(io, clock, m_callerHandler, core.memory)
+            , m_peers(io, clock, m_peerHandler, core.memory)
         {
             std::vector<ItemChange> listing { { "config", "config 1", 2 } };
             for (const auto& it : servers)
--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -399,7 +399,8 @@
         asio::io_context io;
         asio::io_context client;
         Echo echo;
-        InboundServer server { io, clock, echo };
+        MemoryAccount memory { std::size_t { 32 } << 20, clock };
+        InboundServer server { io, clock, echo, memory };
         Endpoint endpoint;
     };
 
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -1,5 +1,6 @@
 #include "yuccashift/http/server.hpp"
 
+#include "yuccashift/http/memory_account.hpp"
 #include "yuccashift/kernel/cancellation.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
 #include "yuccashift/kernel/worker_pool.hpp"
@@ -104,7 +105,7 @@
         void start() { start(echo); }
         void start(RequestHandler& handler)
         {
-            server = std::make_unique<HttpServer>(workers, bounds);
+            server = std::make_unique<HttpServer>(workers, bounds, memory);
             endpoint = server->listen({ "127.0.0.1", 0 }).value();
             server->serve(handler);
             workers.start();
@@ -139,6 +140,8 @@
         Endless endless;
         ServerLimits bounds;
         WorkerPool workers { 1 };
+        SystemClock clock;
+        MemoryAccount memory { std::size_t { 32 } << 20, clock };
         std::unique_ptr<HttpServer> server;
         Endpoint endpoint;
         asio::io_context io;
