Bound answers that are not read and answers that stall

Callers saw: callers that asked for large answers and read none of them brought an instance over its memory, and so did a server whose answers stalled before their end.

Cause: an unwritten answer stayed as long as its caller's connection, and answers that are received whole before they are forwarded were bounded one by one, at 8 MiB.

Change: both count in the memory account, with what the kernel queues for callers, the heads of servers' answers and what cannot be parsed of them. The one without progress for longest is evicted.

--- a/src/yuccashift/entry/request_job.cpp
+++ b/src/yuccashift/entry/request_job.cpp
@@ -24,6 +24,8 @@
     /** Limits on the body of a buffered answer that names its length and of one that does not, in bytes. */
     constexpr std::size_t maxBufferedAnswerBytes = 8 << 20;
     constexpr std::size_t maxBufferedBytesWithoutLength = 512 * 1024;
+    /** What is kept of an answer beyond this size is counted as memory for connections. */
+    constexpr std::size_t maxUncountedBytes = 2 * 1024;
     /** Bytes of the body of a refusal that are read, to reuse its connection. */
     constexpr std::size_t maxRefusalBytes = 64 * 1024;
     /** Time reserved for the answer's way back over a hop, subtracted from the forwarded deadline and objective. */
@@ -614,8 +616,8 @@
     case AnswerMode::Buffered:
         m_body.append(data);
         if (m_body.size() > (m_head.length ? maxBufferedAnswerBytes : maxBufferedBytesWithoutLength))
-            onAnswerFailure(OutboundFailure::Truncated, "the answer exceeds its limit");
-        return;
+            return onAnswerFailure(OutboundFailure::Truncated, "the answer exceeds its limit");
+        return holdAnswer();
     case AnswerMode::Stream:
         m_core.serverTracker.onFirstByte(m_requestTicket);
         m_core.serverTracker.onStreamChunk(m_requestTicket);
@@ -683,7 +685,7 @@
     if (m_request.route->retryable())
         data = completeEvents;
     if (data.empty())
-        return;
+        return holdAnswer();
     if (!m_streamSoftware.begun())
         onFirstEvents();
     sendStreamHead();
@@ -698,6 +700,34 @@
     });
 }
 
+void RequestJob::holdAnswer()
+{
+    const auto bytes = m_body.capacity() + m_eventGate.incompleteEvent().size();
+    if (bytes <= maxUncountedBytes)
+        return;
+    if (!m_answerMemory) {
+        m_answerMemory.emplace(m_core.memory, MemoryUse::Answers);
+        m_answerMemory->setOwner(weak_from_this());
+    }
+    if (!m_answerMemory->resize({ bytes, true, m_core.clock.now() }))
+        onAnswerFailure(OutboundFailure::Truncated, "no memory for the answer");
+}
+
+void RequestJob::releaseAnswer()
+{
+    m_body = {};
+    m_answerMemory.reset();
+}
+
+void RequestJob::evict()
+{
+    boost::asio::post(m_core.io, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->m_done && self->m_answerMode != AnswerMode::None && self->m_answerMemory)
+            self->onAnswerFailure(OutboundFailure::Truncated, "its memory is needed for others");
+    });
+}
+
 void RequestJob::onFirstEvents()
 {
     m_streamSoftware.onEvents(m_attemptSoftware);
@@ -749,6 +779,7 @@
     if (!m_request.route->retryable() && (status == 503 || status == 429 || status == 408 || status == 421))
         return failWith({ ErrorKind::BackendLost, "the server's refusal does not say whether it ran", RunState::OutcomeUnknown, {} });
     m_exchange->sendComplete(answerHead(), m_body);
+    releaseAnswer();
     if (failed)
         return finish("server_failure", "the server answered with status " + std::to_string(status));
     finish("ok");
@@ -878,7 +909,7 @@
     m_core.requestRecorder.recordRetry();
     logInfo("request retried", { { "request", m_request.metadata.attemptId }, { "why", why }, { "attempt", m_attempts + 1 }, { "after_event", m_eventGate.lastId().value_or("") } });
     m_eventGate.discardIncompleteEvent();
-    m_body.clear();
+    releaseAnswer();
     m_outbound.reset();
     executePlan(next);
     return true;
@@ -968,7 +999,9 @@
 
 void RequestJob::finish(std::string_view outcome, std::string_view reason)
 {
-    m_done = true;
+    if (std::exchange(m_done, true))
+        return;
+    releaseAnswer();
     m_timer.cancel();
     m_slotTimer.cancel();
     const auto arrived = m_exchange->arrivedAt();
--- a/src/yuccashift/entry/request_job.hpp
+++ b/src/yuccashift/entry/request_job.hpp
@@ -23,7 +23,7 @@
  * request there or to the server's owner, forwards the answer, and retries if the
  * route allows it.
  */
-class RequestJob final : public OutboundListener, public std::enable_shared_from_this<RequestJob> {
+class RequestJob final : public OutboundListener, public Evictable, public std::enable_shared_from_this<RequestJob> {
 public:
     /** Takes over the exchange and dispatches the request. `hop` is set if another instance forwarded the request. */
     static void start(EntryCore&, std::shared_ptr<InboundExchange>, std::optional<HopMetadata> hop);
@@ -37,6 +37,7 @@
     void onAnswerBody(std::string_view) override;
     void onAnswerEnd() override;
     void onAnswerFailure(OutboundFailure, std::string_view reason) override;
+    void evict() override;
 
 private:
     /** How the answer to the current attempt is handled. */
@@ -109,6 +110,9 @@
     void sendStreamHead();
     /** Records the software that began the stream, for callers that resume it at any instance. */
     void onFirstEvents();
+    /** Counts the parts of the answer that are kept until they can be forwarded; ends the attempt if there is no memory for them. */
+    void holdAnswer();
+    void releaseAnswer();
     /** Records the time and size of received answer data. */
     void recordAnswerData(std::size_t bytes);
     void onBufferedAnswer();
@@ -207,6 +211,8 @@
     /** Bytes of the body of a refusal so far. */
     std::size_t m_refusalBytes = 0;
     std::string m_body;
+    /** Set while a large part of an answer is kept. */
+    std::optional<MemoryHolder> m_answerMemory;
     std::optional<HopFailure> m_hopFailure;
     SseEventFilter m_eventGate;
     /** The software that began the stream. */
--- a/src/yuccashift/http/inbound.cpp
+++ b/src/yuccashift/http/inbound.cpp
@@ -451,7 +451,14 @@
         }
 
         /** Counts what is not delivered. */
-        bool holdAnswer() { return true; }
+        bool holdAnswer()
+        {
+            const auto bytes = sizeBeyondSmall(m_output) + sizeBeyondSmall(m_outputInFlight) + m_queuedBytes;
+            if (bytes == 0 && m_heldAnswerBytes == 0)
+                return true;
+            m_heldAnswerBytes = bytes;
+            return m_answerMemory.resize({ bytes, true, m_writtenAt });
+        }
 
         void onEvicted()
         {
--- a/src/yuccashift/http/outbound.cpp
+++ b/src/yuccashift/http/outbound.cpp
@@ -3,6 +3,7 @@
 #include "yuccashift/http/detail/acknowledgement.hpp"
 #include "yuccashift/http/detail/answer_framing.hpp"
 #include "yuccashift/http/detail/keep_alive.hpp"
+#include "yuccashift/http/detail/receive_buffer.hpp"
 #include "yuccashift/http/detail/reset_on_close.hpp"
 #include "yuccashift/http/detail/scratch.hpp"
 #include "yuccashift/kernel/log.hpp"
@@ -38,6 +39,13 @@
     /** Limit on received bytes that the parser cannot use yet, such as the extension of a chunk. */
     constexpr std::size_t maxUnparsedBytes = 128 * 1024;
 
+    /** A buffer of this size is kept for the next read. */
+    constexpr std::size_t smallBufferBytes = 2 * 1024;
+    /** What is kept of an answer beyond this size is counted as memory for connections. */
+    constexpr std::size_t maxUncountedBytes = 4 * 1024;
+    /** Memory of one header field beyond its text, in the parser and in the head that is passed on. */
+    constexpr std::size_t fieldBytes = 256;
+
     using AnswerParser = http::response_parser<http::string_body>;
 
     void setOptions(tcp::socket& socket)
@@ -93,20 +101,22 @@
     using ConnectionList = std::vector<std::shared_ptr<OutboundConnection>>;
 
     struct OutboundState {
-        OutboundState(asio::io_context& ioContext, const Clock& poolClock)
+        OutboundState(asio::io_context& ioContext, const Clock& poolClock, MemoryAccount* account)
             : io(ioContext)
             , clock(poolClock)
+            , memory(account)
         {
         }
 
         asio::io_context& io;
         const Clock& clock;
+        MemoryAccount* memory;
         std::unordered_map<std::string, ConnectionList> idle;
         OutboundCounts counts;
     };
 
     /** One connection with at most one request at a time. */
-    class OutboundConnection : public std::enable_shared_from_this<OutboundConnection> {
+    class OutboundConnection final : public Evictable, public std::enable_shared_from_this<OutboundConnection> {
     public:
         OutboundConnection(std::shared_ptr<OutboundState> state, std::string poolKey)
             : m_state(std::move(state))
@@ -116,7 +126,7 @@
         {
         }
 
-        ~OutboundConnection() = default;
+        ~OutboundConnection() override = default;
         OutboundConnection(const OutboundConnection&) = delete;
         OutboundConnection& operator=(const OutboundConnection&) = delete;
 
@@ -171,10 +181,21 @@
             if (serial != m_serial || m_answerDone)
                 return;
             m_paused = paused;
+            // The kernel would read on until its largest buffer is full.
+            detail::setReceiveBuffer(m_socket, paused ? detail::pausedReceiveBufferBytes : detail::receiveBufferBytes);
             if (!paused)
                 waitForInput();
         }
 
+        void evict() override
+        {
+            asio::post(m_state->io, [weak = weak_from_this(), serial = m_serial] {
+                const auto self = weak.lock();
+                if (self && serial == self->m_serial && !self->m_closed)
+                    self->fail(self->failureWithinAnswer(), "its memory is needed for others");
+            });
+        }
+
         void closeAfterAnswer(std::uint64_t serial) { m_closesAfterAnswer = m_closesAfterAnswer || serial == m_serial; }
         bool sent() const { return m_sent; }
 
@@ -217,7 +238,7 @@
                 if (ec)
                     return self->fail(OutboundFailure::Lost, ec.message());
                 self->m_writeDone = true;
-                self->m_request.bytes.clear();
+                self->m_request.bytes = {};
                 if (self->m_answerDone)
                     self->releaseConnection();
             });
@@ -287,10 +308,29 @@
                 return onReadError(ec);
             m_input.append(buf.data(), n);
             parse();
+            if (!m_closed && !holdInput())
+                return fail(failureWithinAnswer(), "no memory for the answer");
             if (!m_closed && !m_answerDone)
                 waitForInput();
         }
 
+        OutboundFailure failureWithinAnswer() const { return m_headSeen && m_answerMatches ? OutboundFailure::Truncated : OutboundFailure::Lost; }
+
+        /** Counts what is kept of the answer here; its body is passed on at once. */
+        bool holdInput()
+        {
+            if (m_input.empty() && m_input.capacity() > smallBufferBytes)
+                m_input = {};
+            const auto kept = m_input.capacity() + m_headBytes;
+            if (!m_state->memory || (kept <= maxUncountedBytes && !m_memory))
+                return true;
+            if (!m_memory) {
+                m_memory.emplace(*m_state->memory, MemoryUse::Answers);
+                m_memory->setOwner(weak_from_this());
+            }
+            return m_memory->resize({ kept, true, m_state->clock.now() });
+        }
+
         /** Closes a connection without a request in progress after the peer closed it or sent unsolicited bytes. */
         void closeUnexpected()
         {
@@ -313,7 +353,7 @@
                 m_state->counts.endedUnacknowledged += m_acknowledged ? 0 : 1;
                 return fail(OutboundFailure::Silent, m_acknowledged ? "keep-alive probes were not answered" : "the kernel closed the connection before the request was acknowledged");
             }
-            fail(m_headSeen && m_answerMatches ? OutboundFailure::Truncated : OutboundFailure::Lost, ec.message());
+            fail(failureWithinAnswer(), ec.message());
         }
 
         void parse()
@@ -361,6 +401,7 @@
         void onHeader()
         {
             m_headSeen = true;
+            m_headBytes = 0;
             const auto& message = m_parser->get();
             AnswerHead head;
             head.status = static_cast<int>(message.result_int());
@@ -368,8 +409,10 @@
                 head.length = static_cast<std::size_t>(*length);
             head.framing = framingOf(*m_parser);
             head.headers.reserve(8);
-            for (const auto& field : message)
+            for (const auto& field : message) {
                 head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+                m_headBytes += field.name_string().size() + field.value().size() + fieldBytes;
+            }
             if (const auto limit = announcedIdleTimeout(head.headers))
                 m_idleTimeout = limit;
             const auto owner = head.status >= firstFinalStatus && m_request.ownerOf ? m_request.ownerOf(head) : AnswerOwner::ThisRequest;
@@ -415,6 +458,9 @@
         void releaseConnection()
         {
             m_parser.reset();
+            m_input = {};
+            m_headBytes = 0;
+            m_memory.reset();
             m_request.ownerOf = nullptr;
             if (!m_reusable)
                 return close();
@@ -445,6 +491,10 @@
         OutboundListener* m_listener = nullptr;
         std::optional<AnswerParser> m_parser;
         std::string m_input;
+        /** Memory of the fields of the answer's head. */
+        std::size_t m_headBytes = 0;
+        /** Set while much is kept. */
+        std::optional<MemoryHolder> m_memory;
         std::optional<Duration> m_idleTimeout;
         Instant m_idleSince {};
         std::uint64_t m_serial = 0;
@@ -502,8 +552,8 @@
     return m_connection->sent();
 }
 
-OutboundPool::OutboundPool(asio::io_context& io, const Clock& clock)
-    : m_state(std::make_shared<detail::OutboundState>(io, clock))
+OutboundPool::OutboundPool(asio::io_context& io, const Clock& clock, MemoryAccount* memory)
+    : m_state(std::make_shared<detail::OutboundState>(io, clock, memory))
 {
 }
 
--- a/src/yuccashift/http/outbound.hpp
+++ b/src/yuccashift/http/outbound.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "yuccashift/http/memory_account.hpp"
 #include "yuccashift/http/message.hpp"
 #include "yuccashift/kernel/clock.hpp"
 #include "yuccashift/kernel/ids.hpp"
@@ -106,7 +107,8 @@
 /** HTTP/1.1 client with a connection pool on one event loop. The most recently used idle connection is reused first. */
 class OutboundPool {
 public:
-    OutboundPool(boost::asio::io_context&, const Clock&);
+    /** @param memory account of what the connections hold, if there is one; it must outlive them */
+    OutboundPool(boost::asio::io_context&, const Clock&, MemoryAccount* memory = nullptr);
     ~OutboundPool();
     OutboundPool(const OutboundPool&) = delete;
     OutboundPool& operator=(const OutboundPool&) = delete;
