Allocate no frame of a sender that has not proved who it is

Callers saw: 200 connections to the peers' address of yuccashiftd, each with the first kilobyte of a frame of 8 MiB, brought the process to 1,618 MiB. No key is needed for it.

Cause: the buffer of a frame was allocated and zeroed for the length that the sender named, before the handshake, and any number of connections could be in a handshake.

--- a/src/yuccashift/peer/codec.cpp
+++ b/src/yuccashift/peer/codec.cpp
@@ -21,10 +21,10 @@
     return readThrift<wire::Frame>(bytes, maxFrameBytes);
 }
 
-Result<std::size_t> decodeFrameLength(std::span<const std::uint8_t, frameLengthBytes> prefix)
+Result<std::size_t> decodeFrameLength(std::span<const std::uint8_t, frameLengthBytes> prefix, std::size_t maxBytes)
 {
     const auto size = boost::endian::endian_load<std::uint32_t, frameLengthBytes, boost::endian::order::big>(prefix.data());
-    if (size > maxFrameBytes)
+    if (size > maxBytes)
         return fail(ErrorKind::MalformedRequest, "a frame over its bound");
     return size;
 }
--- a/src/yuccashift/peer/detail/link_state.hpp
+++ b/src/yuccashift/peer/detail/link_state.hpp
@@ -59,6 +59,8 @@
     PeerHandler& handler;
     const Clock& clock;
     PeerIdentity peerIdentity;
+    /** Whether the other end has proved who it is. */
+    bool authenticated = false;
     std::atomic<bool> closed { false };
     std::vector<std::uint8_t> buffer;
     // Protects the members below: channels of answers that are awaited here, and
--- a/src/yuccashift/peer/peer_hub.cpp
+++ b/src/yuccashift/peer/peer_hub.cpp
@@ -31,6 +31,9 @@
     constexpr milliseconds maxDialWait { 1000 };
     constexpr milliseconds dialPollInterval { 10 };
 
+    /** Accepted connections whose other ends have not proved who they are; any further one is closed. */
+    constexpr std::uint32_t maxHandshakes = 256;
+
     /** A listed peer, with its link if one is up. */
     struct DialledPeer {
         PeerAddress address;
@@ -82,6 +85,7 @@
     LinkSettings settings;
     PeerHandler* handler = nullptr;
     const Clock& clock;
+    std::atomic<std::uint32_t> handshakes { 0 };
     mutable std::mutex mutex;
     std::map<InstanceId, std::shared_ptr<DialledPeer>> peers;
 };
@@ -92,8 +96,9 @@
     while (acceptor.is_open()) {
         tcp::socket socket(workers.nextLoop());
         const auto [ec] = co_await acceptor.async_accept(socket, awaitTuple);
-        if (ec)
+        if (ec || handshakes >= maxHandshakes)
             continue;
+        ++handshakes;
         const auto executor = socket.get_executor();
         asio::co_spawn(
             executor, [self, accepted = std::move(socket)]() mutable { return self->serve(std::move(accepted)); }, asio::detached);
@@ -104,6 +109,7 @@
 {
     const auto link = std::make_shared<PeerLink>(std::move(socket), settings, *handler, clock);
     const auto other = co_await link->handshake(LinkEnd::Listener);
+    --handshakes;
     if (other)
         co_await link->run();
 }
--- a/src/yuccashift/peer/peer_link.cpp
+++ b/src/yuccashift/peer/peer_link.cpp
@@ -46,7 +46,7 @@
     const auto [prefixEc, n] = co_await asio::async_read(stream, asio::buffer(prefix), awaitTuple);
     if (prefixEc)
         co_return fail(ErrorKind::PeerLost, prefixEc.message());
-    const auto size = decodeFrameLength(prefix);
+    const auto size = decodeFrameLength(prefix, authenticated ? maxFrameBytes : maxHandshakeFrameBytes);
     if (!size)
         co_return tl::unexpected(size.error());
     buffer.resize(*size);
@@ -308,8 +308,10 @@
         other = co_await m_state->dial(std::move(mine));
     else
         other = co_await m_state->listen(std::move(mine));
-    if (other)
+    if (other) {
         m_state->peerIdentity = *other;
+        m_state->authenticated = true;
+    }
     co_return other;
 }
 
