--- a/fuzzing/soak/soak.cpp
+++ b/fuzzing/soak/soak.cpp
@@ -2,6 +2,7 @@
 
 #include "fuzzing/soak/attempt_tracker.hpp"
 #include "platform/standins/entry_fleet.hpp"
+#include "tests/support/crowd.hpp"
 #include "tests/support/relay.hpp"
 #include "tests/support/wait.hpp"
 #include "yuccashift/kernel/random.hpp"
@@ -24,6 +25,9 @@
     /** Time after which a caller abandons its request. */
     constexpr std::chrono::milliseconds callTimeout { 4000 };
     constexpr std::chrono::seconds recoveryTimeout { 40 };
+    constexpr test::EntryLimits entryLimits { 160, 1024, 65536 };
+    constexpr std::size_t bytesPerMegabyte = 1 << 20;
+    constexpr int maxCrowds = 2;
     const std::array<std::string, 3> entryNames { "sofia-1", "sofia-2", "varna-1" };
 
     std::string regionOf(const std::string& name)
@@ -61,15 +65,23 @@
 
         bool run()
         {
+            m_fleet.setLimits(entryLimits);
             startAll();
             std::vector<std::thread> callers;
             for (std::size_t n = 0; n < callerThreads; ++n)
                 callers.emplace_back([this, n] { callUntilEnd(n); });
             const auto end = std::chrono::steady_clock::now() + m_options.time;
             while (std::chrono::steady_clock::now() < end) {
-                injectFault();
+                // Some faults come in series, without a pause in between.
+                for (auto n = m_random.uniformBelow(4) == 0 ? 1 + m_random.uniformBelow(4) : 1; n > 0; --n)
+                    injectFault();
                 std::this_thread::sleep_for(std::chrono::milliseconds(50 + m_random.uniformBelow(250)));
             }
+            m_stopCrowds = true;
+            for (auto& it : m_crowds)
+                it.join();
+            for (const auto& name : entryNames)
+                checkMemory(name);
             removeFaults();
             const bool recovered = waitForRecovery();
             m_stopCallers = true;
@@ -116,6 +128,40 @@
                                              });
         }
 
+        /** Records if the process has used more memory than its settings name. */
+        void checkMemory(const std::string& name)
+        {
+            try {
+                const auto peak = test::MemoryRecorder(m_fleet.entry(name).pid(), {}).peakBytes();
+                if (peak > entryLimits.memoryMb * bytesPerMegabyte)
+                    m_memoryViolations.push_back(name + " used " + std::to_string(peak / bytesPerMegabyte) + " MiB of memory");
+            } catch (const std::runtime_error&) {
+                // The process has ended.
+            }
+        }
+
+        /** Plays clients outside the limits beside the other faults. */
+        void injectCrowd()
+        {
+            using test::CrowdBehaviour;
+            using test::EntryListener;
+            constexpr std::array behaviours { CrowdBehaviour::TrailersWithoutEnd, CrowdBehaviour::ChunkLineWithoutEnd, CrowdBehaviour::LargeChunks, CrowdBehaviour::TinyChunks, CrowdBehaviour::AnnouncedBody, CrowdBehaviour::Header, CrowdBehaviour::PipelinedRequests };
+            constexpr std::array listeners { EntryListener::Callers, EntryListener::Callers, EntryListener::Peers, EntryListener::Directory, EntryListener::Readiness, EntryListener::Operators };
+            if (m_crowdsInProgress >= maxCrowds)
+                return;
+            test::CrowdSpec spec { m_fleet.listener(entryNames[m_random.uniformBelow(entryNames.size())], listeners[m_random.uniformBelow(listeners.size())]), behaviours[m_random.uniformBelow(behaviours.size())] };
+            spec.connections = 1 + m_random.uniformBelow(60);
+            spec.bytesEach = 1 + m_random.uniformBelow(2 * entryLimits.bodyBytes);
+            spec.announcedBytes = entryLimits.bodyBytes;
+            spec.target = "/write/x";
+            spec.headers = "X-Attempt-Id: crowd\r\nX-Deadline-Ms: 5000\r\n";
+            ++m_crowdsInProgress;
+            m_crowds.emplace_back([this, spec] {
+                test::Crowd(spec).play([this] { return !m_stopCrowds; });
+                --m_crowdsInProgress;
+            });
+        }
+
         // The first instance reaches the store only through a relay.
         void startEntry(const std::string& name)
         {
@@ -125,30 +171,39 @@
         void callUntilEnd(std::size_t thread)
         {
             SeededRandom random(m_options.seed * 1000 + thread);
+            // Every other caller uses its connection until it is closed.
+            std::optional<test::HttpConnection> kept;
+            if (thread % 2 == 0)
+                kept.emplace();
             for (int n = 0; !m_stopCallers; ++n) {
                 const auto attempt = "a" + std::to_string(thread) + "x" + std::to_string(n);
                 Attempt record;
                 record.kind = static_cast<RequestKind>(random.uniformBelow(5));
-                record.reply = call(entryNames[random.uniformBelow(entryNames.size())], attempt, record.kind);
+                const auto request = makeCall(entryNames[kept ? thread % entryNames.size() : random.uniformBelow(entryNames.size())], attempt, record.kind);
+                record.reply = kept ? kept->send(request) : test::send(request);
                 m_tracker.recordReply(attempt, std::move(record));
             }
         }
 
-        test::HttpReply call(const std::string& entry, const std::string& attempt, RequestKind kind) const
+        test::HttpCall makeCall(const std::string& entry, const std::string& attempt, RequestKind kind) const
         {
+            const auto request = [&](const char* method, const char* path, const char* body) {
+                const auto headers = test::callerHeaders(attempt, callTimeout);
+                return test::HttpCall { m_fleet.callers(entry), method, path, { headers.begin(), headers.end() }, body };
+            };
             switch (kind) {
             case RequestKind::Read:
-                return m_fleet.call(entry, attempt, "GET", "/read/x", {}, callTimeout);
+                return request("GET", "/read/x", "");
             case RequestKind::Write:
-                return m_fleet.call(entry, attempt, "POST", "/write/x", "entry", callTimeout);
+                return request("POST", "/write/x", "entry");
             case RequestKind::Stream:
-                return m_fleet.call(entry, attempt, "POST", "/stream/x", "prompt", callTimeout);
+                return request("POST", "/stream/x", "prompt");
             case RequestKind::StreamOnce:
-                return m_fleet.call(entry, attempt, "POST", "/once/stream/x", "prompt", callTimeout);
+                return request("POST", "/once/stream/x", "prompt");
             case RequestKind::Bound:
                 break;
             }
-            return m_fleet.call(entry, attempt, "GET", "/home/x", {}, callTimeout);
+            return request("GET", "/home/x", "");
         }
 
         /** Records the executions that a server has counted so far. */
@@ -199,7 +254,7 @@
         void injectEntryFault()
         {
             const auto& name = entryNames[m_random.uniformBelow(entryNames.size())];
-            switch (m_random.uniformBelow(4)) {
+            switch (m_random.uniformBelow(5)) {
             case 0:
                 m_fleet.entry(name).signal(SIGSTOP);
                 return;
@@ -209,7 +264,11 @@
             case 2:
                 m_fleet.entry(name).signal(SIGTERM);
                 return;
+            case 3:
+                m_fleet.entry(name).signal(SIGHUP);
+                return;
             default:
+                checkMemory(name);
                 return startEntry(name);
             }
         }
@@ -233,11 +292,13 @@
 
         void injectFault()
         {
-            switch (m_random.uniformBelow(4)) {
+            switch (m_random.uniformBelow(5)) {
             case 0:
                 return injectEntryFault();
             case 1:
                 return injectStoreFault();
+            case 2:
+                return injectCrowd();
             default:
                 return injectServerFault();
             }
@@ -277,7 +338,8 @@
             for (const auto& server : m_servers)
                 recordServerRuns(*server);
             m_tracker.recordReply("check", {});
-            const auto violations = m_tracker.findViolations();
+            auto violations = m_tracker.findViolations();
+            violations.insert(violations.end(), m_memoryViolations.begin(), m_memoryViolations.end());
             m_out << "seed " << m_options.seed << ":";
             for (const auto& [status, count] : m_tracker.countStatuses())
                 m_out << " " << status << " x" << count;
@@ -296,6 +358,10 @@
         std::int64_t m_version = 1;
         AttemptTracker m_tracker;
         std::atomic<bool> m_stopCallers { false };
+        std::vector<std::thread> m_crowds;
+        std::atomic<int> m_crowdsInProgress { 0 };
+        std::atomic<bool> m_stopCrowds { false };
+        std::vector<std::string> m_memoryViolations;
     };
 
 } // namespace
--- a/tests/support/http_call.cpp
+++ b/tests/support/http_call.cpp
@@ -14,6 +14,8 @@
 #include <boost/beast/http/write.hpp>
 #include <boost/json/parse.hpp>
 #include <cctype>
+#include <optional>
+#include <utility>
 
 namespace yuccashift::test {
 
@@ -25,11 +27,11 @@
 
     constexpr unsigned httpVersion11 = 11;
 
-    http::request<http::string_body> makeRequest(const HttpCall& call)
+    http::request<http::string_body> makeRequest(const HttpCall& call, bool keepAlive)
     {
         http::request<http::string_body> request(http::string_to_verb(call.method), call.target, httpVersion11);
         request.set(http::field::host, toString(call.to));
-        request.keep_alive(false);
+        request.keep_alive(keepAlive);
         for (const auto& [name, value] : call.headers)
             request.set(name, value);
         request.body() = call.body;
@@ -47,13 +49,11 @@
         }
     }
 
-    net::awaitable<void> exchange(const HttpCall& call, const OnProgress& onProgress, HttpReply& reply)
+    /** Sends the request on an open stream. Returns whether the stream can be used for another one. */
+    net::awaitable<bool> exchange(beast::tcp_stream& stream, const HttpCall& call, bool keepAlive, const OnProgress& onProgress, HttpReply& reply)
     {
-        beast::tcp_stream stream(co_await net::this_coro::executor);
         stream.expires_after(call.timeout);
-        const net::ip::tcp::endpoint endpoint(net::ip::make_address(call.to.host), call.to.port);
-        co_await stream.async_connect(endpoint, net::use_awaitable);
-        const auto request = makeRequest(call);
+        const auto request = makeRequest(call, keepAlive);
         co_await http::async_write(stream, request, net::use_awaitable);
         beast::flat_buffer buf;
         http::response_parser<http::string_body> parser;
@@ -63,10 +63,25 @@
             co_await http::async_read_some(stream, buf, parser, net::use_awaitable);
             reply.body = parser.get().body();
             if (onProgress && !onProgress(reply.body))
-                co_return;
+                co_return false;
         }
         reply.body = parser.get().body();
         reply.complete = true;
+        co_return parser.keep_alive();
+    }
+
+    net::awaitable<void> connect(beast::tcp_stream& stream, const HttpCall& call)
+    {
+        stream.expires_after(call.timeout);
+        const net::ip::tcp::endpoint endpoint(net::ip::make_address(call.to.host), call.to.port);
+        co_await stream.async_connect(endpoint, net::use_awaitable);
+    }
+
+    net::awaitable<void> exchangeOnce(const HttpCall& call, const OnProgress& onProgress, HttpReply& reply)
+    {
+        beast::tcp_stream stream(co_await net::this_coro::executor);
+        co_await connect(stream, call);
+        co_await exchange(stream, call, false, onProgress, reply);
     }
 
 } // namespace
@@ -82,11 +97,45 @@
     HttpReply reply;
     net::io_context context(1);
     // An exception means a lost connection; the part received so far stays in the reply.
-    net::co_spawn(context, exchange(call, onProgress, reply), net::detached);
+    net::co_spawn(context, exchangeOnce(call, onProgress, reply), net::detached);
     context.run();
     return reply;
 }
 
+struct HttpConnection::State {
+    net::awaitable<void> run(const HttpCall& call, HttpReply& reply)
+    {
+        const bool open = std::exchange(reusable, false) && to == call.to;
+        if (!open) {
+            stream.emplace(context);
+            to = call.to;
+            co_await connect(*stream, call);
+        }
+        reusable = co_await exchange(*stream, call, true, {}, reply);
+    }
+
+    net::io_context context { 1 };
+    std::optional<beast::tcp_stream> stream;
+    Endpoint to;
+    bool reusable = false;
+};
+
+HttpConnection::HttpConnection()
+    : m_state(std::make_unique<State>())
+{
+}
+
+HttpConnection::~HttpConnection() = default;
+
+HttpReply HttpConnection::send(const HttpCall& call)
+{
+    HttpReply reply;
+    m_state->context.restart();
+    net::co_spawn(m_state->context, m_state->run(call, reply), net::detached);
+    m_state->context.run();
+    return reply;
+}
+
 boost::json::object objectOf(const HttpReply& reply)
 {
     boost::system::error_code ec;
--- a/tests/support/http_call.hpp
+++ b/tests/support/http_call.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -43,6 +44,22 @@
 /** Called with the body received so far; returning false aborts the call. */
 using OnProgress = std::function<bool(std::string_view)>;
 
+/** A connection that is kept for several requests, one at a time. */
+class HttpConnection {
+public:
+    HttpConnection();
+    ~HttpConnection();
+    HttpConnection(const HttpConnection&) = delete;
+    HttpConnection& operator=(const HttpConnection&) = delete;
+
+    /** Sends the request on the open connection, or on a new one if there is none or it leads to another endpoint. */
+    HttpReply send(const HttpCall&);
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
 /** Sends the request and waits until the response is complete, the connection closes or the timeout expires. */
 HttpReply send(const HttpCall&, const OnProgress& onProgress = {});
 
