Make room at a full listener for new callers

Callers saw: while more callers than an instance has connections for sent the headers of their requests slowly, or were refused and lingered, new connections were refused with 503.

Cause: a full listener closed idle connections only.

Change: a connection whose refusal is written is closed first, and else the request that has been arriving for longest is refused, 503 and not run. Complete requests are kept. Besides, an answer counts as held from the start of its own write, not from that of the answer before it, and an eviction that comes after what was held has been delivered ends nothing. The soak's crowds ask for a route that does not exist, so that nothing of theirs runs.

--- a/fuzzing/soak/soak.cpp
+++ b/fuzzing/soak/soak.cpp
@@ -153,7 +153,8 @@
             spec.connections = 1 + m_random.uniformBelow(60);
             spec.bytesEach = 1 + m_random.uniformBelow(2 * entryLimits.bodyBytes);
             spec.announcedBytes = entryLimits.bodyBytes;
-            spec.target = "/write/x";
+            // No such route: what such a client sends is never run.
+            spec.target = "/none/x";
             spec.headers = "X-Attempt-Id: crowd\r\nX-Deadline-Ms: 5000\r\n";
             ++m_crowdsInProgress;
             m_crowds.emplace_back([this, spec] {
--- a/src/yuccashift/http/inbound.cpp
+++ b/src/yuccashift/http/inbound.cpp
@@ -101,8 +101,8 @@
     /** Accepts again after a delay, in which file descriptors may become free. */
     void acceptLater();
     void open(tcp::socket);
-    /** Closes the connection that has been idle for longest; returns false if none is idle. */
-    bool closeLongestIdle();
+    /** Makes room for a new connection at the expense of another one without a complete request; returns false if there is none. */
+    bool giveUpOne();
     /** Checks all connections from time to time. */
     void sweep();
 
@@ -159,7 +159,11 @@
         }
 
         bool idle() const { return !m_closed && !m_exchange && m_reader.idle() && m_output.empty() && !m_writing && !m_discardingInput; }
+        /** Whether only the end of the connection is waited for, or another request. */
+        bool closable() const { return idle() || (m_discardingInput && unsent() == 0 && !m_closed); }
+        bool receiving() const { return m_requestStarted && !m_discardingInput && !m_closed; }
         Instant activeAt() const { return m_activeAt; }
+        Instant requestStartedAt() const { return m_requestStartedAt; }
         void closeIfIdle()
         {
             if (idle())
@@ -193,12 +197,13 @@
         {
             if (m_closed || m_output.empty())
                 return;
+            if (!m_writing)
+                m_writtenAt = m_server->clock.now();
             if (!holdAnswer())
                 return close();
             if (m_writing)
                 return;
             m_writing = true;
-            m_writtenAt = m_server->clock.now();
             std::swap(m_outputInFlight, m_output);
             m_sentInFlight = 0;
             write();
@@ -374,6 +379,7 @@
             appendHead(m_output, head, false, true);
             m_output += body;
             m_discardingInput = true;
+            m_requestStarted = false;
             m_reader.clear();
             m_exchangeBytes = 0;
             m_requestMemory.release();
@@ -466,7 +472,13 @@
                 return;
             if (!answering() && !m_reader.idle())
                 return refuse(ErrorKind::MemoryExhausted);
-            close();
+            if (m_paused || unsent() > 0 || m_queuedBytes > 0)
+                return close();
+            // What was held has been delivered in the meantime.
+            m_answerMemory.release();
+            m_requestMemory.release();
+            m_heldRequest = {};
+            holdRequest();
         }
 
         /** Ends the connection some time after its last answer, whether that is read or not. */
@@ -662,7 +674,7 @@
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
-    const bool full = sessions.size() >= limit && !closeLongestIdle();
+    const bool full = sessions.size() >= limit && !giveUpOne();
     const auto session = std::make_shared<detail::InboundSession>(shared_from_this(), std::move(socket));
     if (full)
         session->refuseConnection();
@@ -670,17 +682,21 @@
         session->start();
 }
 
-bool InboundServer::State::closeLongestIdle()
+bool InboundServer::State::giveUpOne()
 {
-    detail::InboundSession* longest = nullptr;
+    detail::InboundSession* longestIdle = nullptr;
+    detail::InboundSession* longestReceiving = nullptr;
     for (auto* it : sessions) {
-        if (it->idle() && (!longest || it->activeAt() < longest->activeAt()))
-            longest = it;
+        if (it->closable() && (!longestIdle || it->activeAt() < longestIdle->activeAt()))
+            longestIdle = it;
+        if (it->receiving() && (!longestReceiving || it->requestStartedAt() < longestReceiving->requestStartedAt()))
+            longestReceiving = it;
     }
-    if (!longest)
-        return false;
-    longest->close();
-    return true;
+    if (longestIdle)
+        longestIdle->close();
+    else if (longestReceiving)
+        longestReceiving->refuseConnection();
+    return longestIdle || longestReceiving;
 }
 
 void InboundServer::State::sweep()
--- a/src/yuccashift/http/inbound.hpp
+++ b/src/yuccashift/http/inbound.hpp
@@ -23,7 +23,10 @@
     milliseconds idleTimeout { 15000 };
     /** Maximum time for which a caller may read nothing of an answer. */
     milliseconds sendTimeout { 30000 };
-    /** Maximum number of open connections; one more closes the one that has been idle for longest, or is answered with 503 and closed. */
+    /**
+     * Maximum number of open connections. One more closes the one that has been idle for longest, or else refuses the
+     * request that has been arriving for longest, or else is answered with 503 and closed.
+     */
     std::size_t maxConnections = 3000;
 };
 
--- a/src/yuccashift/http/server.cpp
+++ b/src/yuccashift/http/server.cpp
@@ -84,7 +84,7 @@
         /** Counts a request that arrives; returns false if there is no memory for it. */
         bool holdIncoming()
         {
-            return m_memory.resize({ connectionBytes + m_reader.heldBytes(), true, m_idleSince });
+            return m_memory.resize({ connectionBytes + m_reader.heldBytes(), true, m_requestStartedAt });
         }
         /** Counts a request that is handled, with a copy of its body that is sent on. */
         bool holdReceived(const ReceivedRequest& request)
@@ -123,7 +123,11 @@
             beast::error_code ignored;
             m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
         }
-        void setReceiving(bool receiving) { m_receiving = receiving; }
+        void setReceiving(bool receiving)
+        {
+            m_receiving = receiving;
+            m_requestStartedAt = Instant::clock::now();
+        }
 
         /** Closes the connection as soon as it waits for a request. May be called on any thread. */
         void closeWhenIdle()
@@ -152,6 +156,7 @@
         std::atomic<bool> m_idle = false;
         std::atomic<Instant> m_idleSince { Instant::clock::now() };
         std::size_t m_receivedBytes = 0;
+        Instant m_requestStartedAt {};
         Instant m_inputWaitsSince {};
         bool m_receiving = false;
         bool m_evicted = false;
--- a/tests/crowds/entry_crowds_test.cpp
+++ b/tests/crowds/entry_crowds_test.cpp
@@ -122,6 +122,12 @@
         play(spec(m_fleet.callers(instance), CrowdBehaviour::Header, 600, 15 * kibi));
     }
 
+    // New connections were refused while those of a crowd waited for the end of their headers.
+    TEST_F(AnEntryInstance, ServesAnOrdinaryRequestBesideMoreHeadersThanItHasConnections)
+    {
+        play(spec(m_fleet.callers(instance), CrowdBehaviour::Header, 700, 15 * kibi));
+    }
+
     // Callers that did not read held their answers as long as they kept their connections.
     TEST_F(AnEntryInstance, BoundsAnswersThatAreNotRead)
     {
--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -481,6 +481,32 @@
         EXPECT_NE(exchange("GET / HTTP/1.1\r\nHost:").find(" 408 "), std::string::npos);
     }
 
+    TEST_F(AnInboundServer, MakesRoomForANewConnectionAtTheExpenseOfOneWithoutARequest)
+    {
+        echo.bounds.maxConnections = 2;
+        const auto open = [&](std::string_view text) {
+            auto socket = std::make_unique<tcp::socket>(client);
+            socket->connect({ asio::ip::make_address(endpoint.host), endpoint.port });
+            asio::write(*socket, asio::buffer(text));
+            while (io.poll() > 0) { }
+            return socket;
+        };
+        const auto idle = open("");
+        const auto slow = open("GET / HTTP/1.1\r\nHost:");
+        EXPECT_NE(exchange("GET / HTTP/1.1\r\nHost: a\r\n\r\n", "GET:").find("200 OK"), std::string::npos);
+        std::string got;
+        boost::system::error_code ec;
+        asio::read(*idle, asio::dynamic_buffer(got), ec);
+        EXPECT_TRUE(got.empty()) << "the idle connection is closed first";
+        const auto first = open("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+        EXPECT_NE(exchange("GET / HTTP/1.1\r\nHost: a\r\n\r\n", "GET:").find("200 OK"), std::string::npos);
+        asio::read(*slow, asio::dynamic_buffer(got), asio::transfer_at_least(1), ec);
+        EXPECT_NE(got.find("too_many_connections"), std::string::npos) << "then the request that has been arriving for longest is refused";
+        const auto second = open("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+        EXPECT_NE(exchange("GET / HTTP/1.1\r\nHost: a\r\n\r\n").find("too_many_connections"), std::string::npos) << "complete requests are kept";
+        echo.pending.reset();
+    }
+
     // An instance that stops ends its process only when this says that nothing is left to write.
     TEST_F(AnInboundServer, TellsWhetherACallerHasNotReadItsWholeAnswer)
     {
