Let a test close the connections that it leaves with requests in progress

LeakSanitizer found a session and its exchange, which hold each other until the connection closes, at the end of MakesRoomForANewConnectionAtTheExpenseOfOneWithoutARequest; the checks are as they were.

--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -504,7 +504,11 @@
         EXPECT_NE(got.find("too_many_connections"), std::string::npos) << "then the request that has been arriving for longest is refused";
         const auto second = open("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
         EXPECT_NE(exchange("GET / HTTP/1.1\r\nHost: a\r\n\r\n").find("too_many_connections"), std::string::npos) << "complete requests are kept";
+        first->close();
+        second->close();
         echo.pending.reset();
+        while (server.connections() > 0)
+            io.run_one();
     }
 
     // An instance that stops ends its process only when this says that nothing is left to write.
