Give each run of the client's tests files of its own

Cause: both wrote before.yaml and after.yaml to the same paths, and one read what the other was writing. The names hold the id of the process now; the checks are as they were.

--- a/tests/cli/command_test.cpp
+++ b/tests/cli/command_test.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <gtest/gtest.h>
 #include <sstream>
+#include <unistd.h>
 
 namespace yuccashift::cli {
 namespace {
@@ -29,7 +30,8 @@
 
         std::string write(const std::string& name, const std::string& text)
         {
-            auto path = testing::TempDir() + "yuccashift-cli-" + name;
+            // Two runs of the tests may share the folder.
+            auto path = testing::TempDir() + "yuccashift-cli-" + std::to_string(::getpid()) + "-" + name;
             std::ofstream(path) << text;
             return path;
         }
