--- a/review/harness-2/harness.cpp
+++ b/review/harness-2/harness.cpp
@@ -495,10 +495,11 @@
     const auto after = numberIn<std::int64_t>(request.query("after"), 0);
     const auto until = Clock::now() + milliseconds(numberIn<std::int64_t>(request.query("waitMs"), 0));
     const auto era = m_era;
-    m_changed.wait_until(lock, until, [&] { return m_revision > after || m_away || era != m_era || m_server.stopping(); });
+    const auto isGone = [&] { return after < m_historyFrom || after > m_revision; };
+    m_changed.wait_until(lock, until, [&] { return m_revision > after || isGone() || m_away || era != m_era || m_server.stopping(); });
     if (m_away)
         return {};
-    if (after < m_historyFrom || after > m_revision) {
+    if (isGone()) {
         status = 410;
         return "{}";
     }
