--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -186,6 +186,7 @@
         Deployment deployment;
         deployment.store().put("op/config", config);
         std::vector<std::unique_ptr<Worker>> workers;
+        workers.reserve(workerCount);
         for (int n = 0; n < workerCount; ++n)
             workers.push_back(std::make_unique<Worker>("i-" + std::to_string(n + 1), deployment.newAddress(), deployment.store(), record));
         for (int n = 0; n < machineCount; ++n)
