--- a/review/harness-2/harness.cpp
+++ b/review/harness-2/harness.cpp
@@ -490,14 +490,15 @@
     return R"({"items":[)" + items + R"(],"hasMore":)" + (more ? "true" : "false") + R"(,"at":)" + std::to_string(m_revision) + "}";
 }
 
-std::string Store::watch(const Message& request, int& status, std::unique_lock<std::mutex>& lock)
+std::optional<std::string> Store::watch(const Message& request, int& status, std::unique_lock<std::mutex>& lock)
 {
     const auto after = numberIn<std::int64_t>(request.query("after"), 0);
     const auto until = Clock::now() + milliseconds(numberIn<std::int64_t>(request.query("waitMs"), 0));
     const auto era = m_era;
+    const auto cuts = m_cuts;
     const auto isGone = [&] { return after < m_historyFrom || after > m_revision; };
-    m_changed.wait_until(lock, until, [&] { return m_revision > after || isGone() || m_away || era != m_era || m_server.stopping(); });
-    if (m_away)
+    m_changed.wait_until(lock, until, [&] { return m_revision > after || isGone() || m_away || era != m_era || cuts != m_cuts || m_server.stopping(); });
+    if (m_away || (cuts != m_cuts && m_revision <= after))
         return {};
     if (isGone()) {
         status = 410;
@@ -520,22 +521,28 @@
 {
     std::unique_lock lock(m_mutex);
     int status = 200;
-    std::string body;
+    std::optional<std::string> body;
     if (m_away)
-        body.clear();
+        body.reset();
     else if (request.path() == "/yuccashift/kv-range")
         body = range(request);
     else if (request.path() == "/yuccashift/kv-watch")
         body = watch(request, status, lock);
     else
         status = 404;
-    const bool away = m_away;
     const auto era = std::to_string(m_era);
     lock.unlock();
-    if (away)
+    if (!body && status != 404)
         connection.reset();
     else
-        connection.send(answerText(status, { { "Content-Type", "application/json" }, { "Store-Era", era } }, body));
+        connection.send(answerText(status, { { "Content-Type", "application/json" }, { "Store-Era", era } }, body.value_or("{}")));
+}
+
+void Store::cutWatches()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_cuts;
+    m_changed.notify_all();
 }
 
 Entry::Entry(Machine machine, Ports ports, std::string folder)
--- a/review/harness-2/harness.hpp
+++ b/review/harness-2/harness.hpp
@@ -160,6 +160,8 @@
     Copy copy();
     /** A drill: the store is away for a moment and comes back from a copy, in a new era. */
     void drill(const Copy&, milliseconds away);
+    /** Cuts all watches that are waiting. */
+    void cutWatches();
 
 private:
     struct Event {
@@ -169,7 +171,8 @@
     };
     void handle(Connection&, const Message&);
     std::string range(const Message&) const;
-    std::string watch(const Message&, int& status, std::unique_lock<std::mutex>&);
+    /** The answer to a watch; std::nullopt if it is cut. */
+    std::optional<std::string> watch(const Message&, int& status, std::unique_lock<std::mutex>&);
     void write(const std::string& key, std::optional<std::string> value);
 
     std::mutex m_mutex;
@@ -181,6 +184,8 @@
     std::int64_t m_historyFrom = 1;
     std::int64_t m_era = 1;
     bool m_away = false;
+    /** How often the waiting watches have been cut. */
+    int m_cuts = 0;
     HttpServer m_server;
 };
 
