review: case 10, cut watches keep workers in use that are gone

Disruption: half of the workers are replaced and never report that they drain, while the store cuts waiting watches, which its page allows.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../harness-2/run-case" 10
