Defer no removal because the store ends or refuses waiting calls

A store that refused waiting calls alone left instances without any change for as long as it did so.

Cause: each failed call counted as an outage of the store, and a cut watch is one. The return, however short the outage, deferred removals by two seconds, and all deferred removals shared one time that outages, mass removals and new eras moved on.

An outage under a second defers nothing. New log lines and metrics tell why and for how long.

--- a/fuzzing/fleet_fuzz.cpp
+++ b/fuzzing/fleet_fuzz.cpp
@@ -99,6 +99,7 @@
                 Changes,
                 Value,
                 Restore,
+                Cut,
                 Time,
                 Count };
             const auto at = pick(step.a, instanceCount);
@@ -137,10 +138,18 @@
             case Action::Restore:
                 m_store.restore(std::max<std::int64_t>(1, m_store.revision() - pick(step.b, 6)));
                 break;
+            case Action::Cut:
+                // Too short for an entry to expire.
+                fleet.onStoreUnreachable(m_clock.now() - (is("a cut call counts as an outage") ? seconds(10) : milliseconds(100)));
+                fleet.onStoreReachable();
+                break;
             default:
                 m_clock.advance(milliseconds(pick(step.b, 3000)));
                 fleet.tick();
+                if (waitsTooLong(at))
+                    return "a removal waits for longer than two seconds";
             }
+            followRemovals(at);
             return checkReplica(at);
         }
 
@@ -161,6 +170,30 @@
         }
 
     private:
+        /** Notes when each server disappeared from the items that an instance knows, and when its era began. */
+        void followRemovals(std::size_t at)
+        {
+            const auto& fleet = *m_fleets[at];
+            const auto now = m_clock.now();
+            if (std::exchange(m_erasSeen[at], fleet.replica().era()) != fleet.replica().era())
+                m_eraBegan[at] = now;
+            for (const auto& [key, server] : fleet.servers()) {
+                if (fleet.replica().items().contains(key))
+                    m_vanished[at].erase(key);
+                else
+                    m_vanished[at].try_emplace(key, now);
+            }
+        }
+
+        bool waitsTooLong(std::size_t at) const
+        {
+            constexpr Duration maxWait = seconds(2);
+            return std::ranges::any_of(m_vanished[at], [&](const auto& it) {
+                const bool waits = m_fleets[at]->servers().contains(it.first) && !m_fleets[at]->replica().items().contains(it.first);
+                return waits && m_clock.now() - std::max(it.second, m_eraBegan[at]) > maxWait;
+            });
+        }
+
         /** Once deferred removals are due, the servers are those of the store. */
         std::optional<std::string> checkServers(FleetState& fleet)
         {
@@ -296,11 +329,14 @@
         std::int64_t m_version = 0;
         std::array<std::unique_ptr<FleetState>, instanceCount> m_fleets;
         std::array<std::int64_t, instanceCount> m_versionsSeen {};
+        std::array<std::int64_t, instanceCount> m_erasSeen {};
+        std::array<Instant, instanceCount> m_eraBegan {};
+        std::array<std::map<std::string, Instant>, instanceCount> m_vanished;
     };
 
     class PublishedCheck final : public Check {
     public:
-        std::vector<std::string> mutants() const override { return { "a watch loses a change", "a late listing counts as new", "an older snapshot is taken", "a watch skips values that follow", "a watch goes on in a new era", "a snapshot forgets its era", "a value forgets its era" }; }
+        std::vector<std::string> mutants() const override { return { "a watch loses a change", "a late listing counts as new", "an older snapshot is taken", "a watch skips values that follow", "a watch goes on in a new era", "a snapshot forgets its era", "a value forgets its era", "a cut call counts as an outage" }; }
 
         std::optional<std::string> run(std::span<const Step> steps, std::string_view mutant) override
         {
--- a/src/yuccashift/entry/entry_node.cpp
+++ b/src/yuccashift/entry/entry_node.cpp
@@ -99,7 +99,8 @@
     void onChanges(const std::vector<ItemChange>&, const StorePosition& through) override;
     void onListing(const std::vector<ItemChange>&, const StorePosition& through) override;
     void onCurrent(const StorePosition& through) override;
-    void onReachable(bool reachable, std::string_view reason) override;
+    void onUnreachable(Instant since, std::string_view reason) override;
+    void onReachable() override;
     void onServerGone(const BackendServer&) override;
     void onServerRemoved(const BackendServer&) override;
     void onServerAdded(const BackendServer&) override;
@@ -143,7 +144,7 @@
     std::uint64_t ticks = 0;
     bool watching = true;
     bool storeReachable = true;
-    Instant storeUnreachableSince {};
+    Instant storeLastHeard {};
 };
 
 EntryNode::State::State(EntrySettings settings, EntryAdapters entryAdapters)
@@ -196,18 +197,23 @@
         core.fleetState.confirm(clock.now());
 }
 
-void EntryNode::State::onReachable(bool reachable, std::string_view reason)
+void EntryNode::State::onUnreachable(Instant since, std::string_view reason)
 {
-    if (reachable == storeReachable)
+    if (!storeReachable)
         return;
-    storeReachable = reachable;
-    if (!reachable) {
-        storeUnreachableSince = clock.now();
-        logWarning("store unreachable", { { "reason", reason }, { "revision", core.fleetState.replica().revision() } });
+    storeReachable = false;
+    storeLastHeard = since;
+    logWarning("store unreachable", { { "reason", reason }, { "silent_ms", toMilliseconds(clock.now() - since) }, { "revision", core.fleetState.replica().revision() } });
+    core.fleetState.onStoreUnreachable(since);
+}
+
+void EntryNode::State::onReachable()
+{
+    if (storeReachable)
         return;
-    }
-    logInfo("store reachable again", { { "away_ms", toMilliseconds(clock.now() - storeUnreachableSince) }, { "revision", core.fleetState.replica().revision() } });
-    core.fleetState.deferRemovals();
+    storeReachable = true;
+    logInfo("store reachable again", { { "away_ms", toMilliseconds(clock.now() - storeLastHeard) }, { "revision", core.fleetState.replica().revision() } });
+    core.fleetState.onStoreReachable();
 }
 
 void EntryNode::State::onServerGone(const BackendServer& server)
@@ -356,6 +362,9 @@
     ::getrusage(RUSAGE_SELF, &used);
     metrics.gauge("yuccashift_processor_milliseconds").set(toMillisecondCount(used.ru_utime) + toMillisecondCount(used.ru_stime));
     metrics.gauge("yuccashift_peak_memory_kilobytes").set(used.ru_maxrss);
+    metrics.gauge("yuccashift_removals_waiting").set(static_cast<std::int64_t>(core.fleetState.waitingRemovals()));
+    for (const auto reason : { Deferral::MassRemoval, Deferral::Outage })
+        metrics.gauge("yuccashift_removals_deferred", { { "reason", toString(reason) } }).set(static_cast<std::int64_t>(core.fleetState.deferredRemovals(reason)));
     metrics.gauge("yuccashift_servers_known").set(static_cast<std::int64_t>(core.fleetState.servers().size()));
     const auto confirmed = core.fleetState.confirmedAt();
     metrics.gauge("yuccashift_list_age_milliseconds").set(confirmed ? std::chrono::duration_cast<milliseconds>(clock.now() - *confirmed).count() : -1);
--- a/src/yuccashift/entry/store_reader.hpp
+++ b/src/yuccashift/entry/store_reader.hpp
@@ -19,8 +19,10 @@
     virtual void onListing(const std::vector<ItemChange>&, const StorePosition& through) = 0;
     /** The store has told all changes up to the position `through`, which is its newest one. */
     virtual void onCurrent(const StorePosition& through) = 0;
-    /** The store has become unreachable or reachable again; `reason` is for the log. */
-    virtual void onReachable(bool reachable, std::string_view reason) = 0;
+    /** A call has failed, and so has its repetition. The store was last heard at `since`; `reason` is for the log. May be called again. */
+    virtual void onUnreachable(Instant since, std::string_view reason) = 0;
+    /** The store has answered. */
+    virtual void onReachable() = 0;
 };
 
 /** Reads the items published by the platform: first all of them, then changes. */
--- a/src/yuccashift/fleet/fleet_state.cpp
+++ b/src/yuccashift/fleet/fleet_state.cpp
@@ -10,6 +10,8 @@
 
     // Servers whose entries expired during an outage of the platform's store have registered again this long after it.
     constexpr Duration removalDelay = seconds(2);
+    // A server renews its entry several times before it expires, so that no entry of a living server expires in a shorter outage.
+    constexpr Duration minOutage = seconds(1);
     // Without news for longer, an instance may be cut off. A watch that waits for changes tells something every two seconds.
     constexpr Duration maxUnconfirmedTime = seconds(5);
     // A store that comes back from a copy holds items that are some seconds old.
@@ -47,6 +49,11 @@
 ItemDecoder::~ItemDecoder() = default;
 FleetObserver::~FleetObserver() = default;
 
+std::string_view toString(Deferral reason)
+{
+    return reason == Deferral::Outage ? "outage" : "mass removal";
+}
+
 FleetState::FleetState(const Clock& clock, const ItemDecoder& decoder)
     : m_clock(clock)
     , m_decoder(decoder)
@@ -102,7 +109,7 @@
 {
     logWarning("the store begins a new era; its items may be older than those known", { { "era", era }, { "before", m_replica.era() }, { "revision", through }, { "revision_before", m_replica.revision() } });
     const auto applied = m_replica.beginEra(era, listing, through);
-    deferRemovals();
+    deferRemovals(Deferral::Outage);
     m_beginningEra = true;
     onChanges(applied);
     m_beginningEra = false;
@@ -119,7 +126,7 @@
     for (const auto& [key, server] : m_servers)
         servingCount += server.draining ? 0 : 1;
     if (removedCount >= minMassRemoval && removedCount * 2 >= servingCount)
-        deferRemovalsUntil(m_clock.now() + removalDelay);
+        deferRemovals(Deferral::MassRemoval);
 }
 
 void FleetState::onChanges(std::span<const ItemChange> changes)
@@ -232,7 +239,7 @@
 {
     if (m_evacuations.contains(key)) {
         if (m_beginningEra)
-            m_deferredRemovals.insert(key);
+            deferRemoval(key);
         else
             endEvacuation(key);
         return;
@@ -240,28 +247,67 @@
     const auto it = m_servers.find(key);
     if (it == m_servers.end())
         return;
-    if (!it->second.draining && m_clock.now() < m_removalsDeferredUntil)
-        m_deferredRemovals.insert(key);
-    else
+    if (it->second.draining || m_clock.now() >= m_removalsDeferredUntil)
         removeServer(key);
+    else
+        deferRemoval(key);
 }
 
-void FleetState::deferRemovals()
+void FleetState::deferRemoval(const std::string& key)
 {
-    deferRemovalsUntil(m_clock.now() + removalDelay);
+    const auto now = m_clock.now();
+    m_deferredRemovals.try_emplace(key, m_removalsDeferredUntil, now, m_deferralReason);
+    ++m_deferralCounts.at(static_cast<std::size_t>(m_deferralReason));
+    logInfo("removal deferred", { { "key", key }, { "reason", toString(m_deferralReason) }, { "for_ms", toMilliseconds(m_removalsDeferredUntil - now) } });
 }
 
-void FleetState::deferRemovalsUntil(Instant until)
+void FleetState::onStoreUnreachable(Instant since)
 {
-    m_removalsDeferredUntil = std::max(m_removalsDeferredUntil, until);
+    m_storeLastHeard = since;
 }
 
-void FleetState::tick()
+void FleetState::onStoreReachable()
 {
-    if (m_deferredRemovals.empty() || m_clock.now() < m_removalsDeferredUntil)
+    const auto lastHeard = std::exchange(m_storeLastHeard, {});
+    if (lastHeard && m_clock.now() - *lastHeard >= minOutage)
+        deferRemovals(Deferral::Outage);
+}
+
+void FleetState::deferRemovals(Deferral reason)
+{
+    const auto now = m_clock.now();
+    // Entries that expired in an outage disappear together once it is over.
+    const bool followsOutage = now < m_removalsDeferredUntil && m_deferralReason == Deferral::Outage;
+    m_removalsDeferredUntil = now + removalDelay;
+    m_deferralReason = followsOutage ? Deferral::Outage : reason;
+    if (reason == Deferral::MassRemoval)
         return;
-    const auto due = std::exchange(m_deferredRemovals, {});
+    // The outage also kept these servers from registering. All other removals keep the time that they got when they became known:
+    // what disturbs calls to the store again and again must not put them off again and again.
+    for (auto& [key, removal] : m_deferredRemovals) {
+        if (removal.reason == Deferral::Outage)
+            removal.due = m_removalsDeferredUntil;
+    }
+}
+
+bool FleetState::isStoreAway() const
+{
+    // Another instance may have heard the store in the meantime.
+    return m_storeLastHeard && m_clock.now() - std::max(*m_storeLastHeard, m_confirmedAt.value_or(*m_storeLastHeard)) >= minOutage;
+}
+
+void FleetState::tick()
+{
+    const auto now = m_clock.now();
+    const bool storeAway = isStoreAway();
+    std::vector<std::string> due;
+    for (const auto& [key, removal] : m_deferredRemovals) {
+        if (now >= removal.due && !(storeAway && removal.reason == Deferral::Outage))
+            due.push_back(key);
+    }
     for (const auto& key : due) {
+        const auto removal = m_deferredRemovals.extract(key).mapped();
+        logInfo("deferred removal takes effect", { { "key", key }, { "known_for_ms", toMilliseconds(now - removal.learnedAt) } });
         if (m_evacuations.contains(key))
             endEvacuation(key);
         else
--- a/src/yuccashift/fleet/fleet_state.hpp
+++ b/src/yuccashift/fleet/fleet_state.hpp
@@ -5,9 +5,11 @@
 #include "yuccashift/fleet/route_config.hpp"
 #include "yuccashift/fleet/software_versions.hpp"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <set>
+#include <string_view>
 #include <variant>
 
 namespace yuccashift {
@@ -53,6 +55,18 @@
     virtual void onConfig(const RouteIndex&) = 0;
 };
 
+/** Why the removals of servers are deferred. */
+enum class Deferral {
+    /** Many servers disappear at once. */
+    MassRemoval,
+    /** The store was away or begins an era, so that servers could not register for a while. */
+    Outage,
+};
+
+constexpr std::size_t deferralReasons = 2;
+
+std::string_view toString(Deferral);
+
 /**
  * The configuration, the backend servers and the evacuated data centres, as
  * decoded from the published items that this instance knows. A configuration is
@@ -76,14 +90,19 @@
      */
     void beginEra(std::int64_t era, std::span<const ItemChange> listing, std::int64_t through);
 
+    /** To be called when the platform's store stops answering; it was last heard at `since`. */
+    void onStoreUnreachable(Instant since);
     /**
-     * To be called when the platform's store is reachable again after an outage. Servers
-     * whose entries expired meanwhile register again soon, so removals take effect only
-     * after a delay.
+     * To be called when it answers again. After an outage in which entries may have expired, their
+     * servers register again soon, so removals take effect only after a delay.
      */
-    void deferRemovals();
+    void onStoreReachable();
     /** Carries out the deferred removals that are due. */
     void tick();
+    /** Number of servers and evacuations whose removal is known and has not taken effect. */
+    std::size_t waitingRemovals() const { return m_deferredRemovals.size(); }
+    /** Number of removals that were deferred for this reason since the start. */
+    std::uint64_t deferredRemovals(Deferral reason) const { return m_deferralCounts.at(static_cast<std::size_t>(reason)); }
 
     /** To be called when the instance had all changes that were published until then, by the store or by another instance. */
     void confirm(Instant asOf);
@@ -112,7 +131,15 @@
     void setCold(const std::string& id, Instant until);
 
 private:
-    void deferRemovalsUntil(Instant);
+    struct DeferredRemoval {
+        Instant due;
+        Instant learnedAt;
+        Deferral reason;
+    };
+
+    void deferRemovals(Deferral);
+    void deferRemoval(const std::string& key);
+    bool isStoreAway() const;
     void endEvacuation(const std::string& key);
     void rememberDeparture(const BackendServer&);
     void deferIfMassRemoval(std::span<const ItemChange>);
@@ -134,9 +161,14 @@
     /** Evacuated data centres by their item's key. */
     std::map<std::string, DatacentreName> m_evacuations;
     std::set<DatacentreName> m_evacuated;
-    /** Keys of the servers and evacuations whose removal is deferred. */
-    std::set<std::string> m_deferredRemovals;
+    /** Removals of servers and evacuations that have not taken effect, by the item's key. */
+    std::map<std::string, DeferredRemoval> m_deferredRemovals;
+    /** Removals that become known before this time are deferred until then. */
     Instant m_removalsDeferredUntil {};
+    Deferral m_deferralReason = Deferral::Outage;
+    std::array<std::uint64_t, deferralReasons> m_deferralCounts {};
+    /** When the store was last heard, while it does not answer. */
+    std::optional<Instant> m_storeLastHeard;
     /** Whether the items being applied may be older than what was known before. */
     bool m_beginningEra = false;
     /** Whether the whole system has started for the first time, so that no configuration was in force before. */
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -722,6 +722,31 @@
         EXPECT_TRUE(m_fleet.call("sofia-4", "b1", "GET", "/read/x").ok());
     }
 
+    // Requests reached servers for up to nine seconds after their entries were removed: each cut watch deferred all removals.
+    TEST_F(EntryInstances, DeferNoRemovalBecauseTheStoreEndsOrRefusesTheCallsThatWait)
+    {
+        constexpr double servers = 6;
+        constexpr int rounds = 4;
+        const auto allKnow = [&](double count) {
+            return waitUntil([&] {
+                return std::ranges::all_of(std::array { "sofia-1", "sofia-2", "varna-1" }, [&](const char* name) { return m_fleet.metric(name, "yuccashift_servers_known") == count; });
+            });
+        };
+        startServer("ledger-old", "ledger", "sofia");
+        for (int n = 0; n < rounds; ++n) {
+            EXPECT_TRUE(allKnow(servers + 1));
+            m_fleet.control("store", "/control/cut-watches", "");
+            m_fleet.control("store", "/control/refuse-watches", n % 2 == 0 ? R"({"on":false})" : R"({"on":true})");
+            m_fleet.withdraw("ledger-old");
+            EXPECT_TRUE(allKnow(servers));
+            m_fleet.publish({ "ledger-old", "ledger", "hall-sofia", m_fleet.worker("ledger-old"), "ready", 2 + n });
+        }
+        for (const auto* name : { "sofia-1", "sofia-2", "varna-1" }) {
+            EXPECT_EQ(m_fleet.entry(name).output().find("store unreachable"), std::string::npos) << name;
+            EXPECT_EQ(m_fleet.metric(name, R"(yuccashift_removals_deferred{reason="outage"})"), 0) << name;
+        }
+    }
+
     TEST_F(EntryInstances, ReadAllItemsAgainWhenTheStoreHasCompactedItsHistory)
     {
         m_fleet.control("store", "/control/mode", R"({"mode":"busy"})");
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -24,6 +24,27 @@
                 publish("s" + std::to_string(n), "server draft 10.0.0.1:80 hall ready 1 0 4");
         }
 
+        void removeAtOnce(int first, int count)
+        {
+            std::vector<ItemChange> changes;
+            changes.reserve(static_cast<std::size_t>(count));
+            for (int n = first; n < first + count; ++n)
+                changes.push_back({ "s" + std::to_string(n), std::nullopt, ++revision });
+            fleetState.apply(changes, revision);
+        }
+        /** The store answers again, and was last heard before that time. */
+        void comeBackAfter(Duration outage)
+        {
+            fleetState.onStoreUnreachable(clock.now() - outage);
+            fleetState.onStoreReachable();
+        }
+        void pass(Duration time)
+        {
+            clock.advance(time);
+            fleetState.tick();
+        }
+        bool uses(const std::string& key) const { return fleetState.servers().contains(key); }
+
         void onServerGone(const BackendServer& server) override { gone.push_back(server.identity.id); }
         void onServerRemoved(const BackendServer& server) override { removed.push_back(server.identity.id); }
         void onServerAdded(const BackendServer& server) override { added.push_back(server.identity.id); }
@@ -231,7 +252,7 @@
     TEST_F(AFleetState, DefersRemovalsForTwoSecondsAfterAnOutageOfTheStore)
     {
         publishServers(5);
-        fleetState.deferRemovals();
+        comeBackAfter(seconds(10));
         remove("s0");
         EXPECT_TRUE(fleetState.servers().contains("s0"));
         clock.advance(milliseconds(1900));
@@ -245,7 +266,7 @@
     TEST_F(AFleetState, KeepsAServerThatRegistersAgainWhileItsRemovalIsDeferred)
     {
         publishServers(5);
-        fleetState.deferRemovals();
+        comeBackAfter(seconds(10));
         remove("s0");
         publish("s0", "server draft 10.0.0.1:80 hall ready 1 0 4");
         clock.advance(seconds(3));
@@ -257,7 +278,7 @@
     {
         publishServers(5);
         publish("s0", "server draft 10.0.0.1:80 hall draining 1 0 4");
-        fleetState.deferRemovals();
+        comeBackAfter(seconds(10));
         remove("s0");
         EXPECT_FALSE(fleetState.servers().contains("s0"));
     }
@@ -276,6 +297,75 @@
         EXPECT_EQ(fleetState.servers().size(), 2u);
     }
 
+    // Each cut watch and each further mass removal put all removals that waited off again, without an end.
+    TEST_F(AFleetState, PutsNoKnownRemovalOffForWhatDisturbsCallsToTheStoreLater)
+    {
+        publishServers(8);
+        removeAtOnce(0, 4);
+        pass(milliseconds(1500));
+        comeBackAfter(seconds(2));
+        removeAtOnce(4, 3);
+        EXPECT_TRUE(uses("s0"));
+        pass(milliseconds(600));
+        EXPECT_FALSE(uses("s0"));
+        EXPECT_TRUE(uses("s4"));
+        for (int n = 0; n < 2; ++n) {
+            pass(milliseconds(700));
+            comeBackAfter(milliseconds(100));
+        }
+        pass(milliseconds(100));
+        EXPECT_FALSE(uses("s4"));
+        EXPECT_EQ(fleetState.waitingRemovals(), 0u);
+    }
+
+    // A removal that followed a cut watch was deferred as if the store had been away.
+    TEST_F(AFleetState, DefersNoRemovalAfterAnOutageInWhichNoEntryCanExpire)
+    {
+        publishServers(5);
+        comeBackAfter(milliseconds(900));
+        remove("s0");
+        EXPECT_FALSE(uses("s0"));
+    }
+
+    // Servers whose entries expired cannot register while the store is away again.
+    TEST_F(AFleetState, KeepsServersWhoseEntriesExpiredUntilTheStoreHasAnsweredForTwoSeconds)
+    {
+        publishServers(5);
+        comeBackAfter(seconds(10));
+        remove("s0");
+        fleetState.onStoreUnreachable(clock.now());
+        pass(seconds(8));
+        EXPECT_TRUE(uses("s0"));
+        fleetState.onStoreReachable();
+        pass(milliseconds(1900));
+        EXPECT_TRUE(uses("s0"));
+        pass(milliseconds(200));
+        EXPECT_FALSE(uses("s0"));
+    }
+
+    // The store turned only this instance away, and the removal waited although the store answered others all the while.
+    TEST_F(AFleetState, RemovesAServerInTimeIfAnotherInstanceHearsTheStore)
+    {
+        publishServers(5);
+        comeBackAfter(seconds(10));
+        remove("s0");
+        fleetState.onStoreUnreachable(clock.now());
+        pass(milliseconds(1900));
+        fleetState.confirm(clock.now());
+        pass(milliseconds(200));
+        EXPECT_FALSE(uses("s0"));
+    }
+
+    // Servers that disappear together while the store answers are no part of an outage that follows.
+    TEST_F(AFleetState, RemovesServersOfAMassRemovalThoughTheStoreIsAwayThen)
+    {
+        publishServers(6);
+        removeAtOnce(0, 4);
+        fleetState.onStoreUnreachable(clock.now());
+        pass(milliseconds(2100));
+        EXPECT_FALSE(uses("s0"));
+    }
+
     TEST_F(AFleetState, ListsADataCentreAsEvacuatedUntilItsItemIsRemoved)
     {
         publish("e", "evacuate hall");
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -32,10 +32,14 @@
     {
         boost::system::error_code ec;
         const auto size = boost::asio::read_until(m_socket, boost::asio::dynamic_buffer(m_received), "\r\n\r\n", ec);
+        m_head = m_received.substr(0, size);
         m_received.erase(0, size);
         return !ec;
     }
 
+    /** Request line and header of the request that was read last. */
+    const std::string& head() const { return m_head; }
+
     void write(std::string_view text)
     {
         boost::system::error_code ec;
@@ -50,6 +54,21 @@
             boost::asio::write(m_socket, boost::asio::buffer(text), ec);
     }
 
+    /** Resets the connection, whatever the peer is still writing. */
+    void reset()
+    {
+        boost::system::error_code ec;
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
+        m_socket.close(ec);
+    }
+
+    /** Ends the sending side and leaves the other open. */
+    void endSending()
+    {
+        boost::system::error_code ec;
+        m_socket.shutdown(Socket::shutdown_send, ec);
+    }
+
     /** Reads and discards bytes, without answering, until the peer closes the connection. */
     void swallow()
     {
@@ -63,6 +82,7 @@
     Socket& m_socket;
     int m_number;
     std::string m_received;
+    std::string m_head;
 };
 
 /** TCP server that runs a script for each connection on a separate thread and closes the connection afterwards. */
