Let a removal that another instance tells of wait no longer than there

What callers saw: nothing yet; read while the causes of deferrals were gone through. At the size of a fleet a datagram that is lost costs up to a heartbeat and a fetch, and the receiver then deferred a mass removal for the full two seconds again: together over 3 s.

Cause: each instance counted the two seconds from when it heard of the removal itself.

Change: changes that instances send each other tell for how long a removal has been known (an optional field; earlier versions neither send nor read it), and the receiver counts from there.

--- a/src/yuccashift/entry/gossip.cpp
+++ b/src/yuccashift/entry/gossip.cpp
@@ -248,7 +248,7 @@
 void Gossip::onSnapshot(const fleetwire::Snapshot& snapshot)
 {
     const auto before = m_core.fleetState.replica().revision();
-    if (applySnapshot(m_core.fleetState, snapshot))
+    if (applySnapshot(m_core.fleetState, snapshot, m_core.clock.now()))
         logInfo("changes received from an instance", { { "from", m_sender.address().to_string() }, { "revision", snapshot.revision }, { "before", before } });
     else if (snapshot.revision > before)
         m_skippedChanges.add();
@@ -499,7 +499,7 @@
 
 void Gossip::forwardChanges(std::int64_t after)
 {
-    const auto news = snapshotAfter(m_core.fleetState.replica(), after);
+    const auto news = snapshotAfter(m_core.fleetState.replica(), after, LargeValues::Follow, m_core.clock.now());
     if (news.whole)
         return;
     fleetwire::Datagram datagram;
--- a/src/yuccashift/entry/snapshot_exchange.cpp
+++ b/src/yuccashift/entry/snapshot_exchange.cpp
@@ -36,6 +36,8 @@
     constexpr Duration maxWaitForHolder = milliseconds(1500);
     /** Era of a store that has never come back from an older copy. */
     constexpr std::int64_t firstEra = 1;
+    /** Removals that have been known for longer are not told apart. */
+    constexpr Duration maxKnownFor = seconds(60);
     /** Upper limit on the size of a value, in bytes. */
     constexpr std::int32_t maxValueBytes = 16 << 20;
     /** Limit on an answer of another instance. */
@@ -111,7 +113,7 @@
         return it;
     }
 
-    void addChange(fleetwire::Snapshot& snapshot, const ItemReplica& held, const ItemChange& change, LargeValues largeValues)
+    void addChange(fleetwire::Snapshot& snapshot, const ItemReplica& held, const ItemChange& change, LargeValues largeValues, std::optional<Instant> now)
     {
         if (change.valueFollows && largeValues == LargeValues::Included) {
             // An item that is no longer there has a later removal in the snapshot.
@@ -123,6 +125,8 @@
         it.valueFollows = change.valueFollows;
         if (change.value)
             it.__set_value(*change.value);
+        if (change.isRemoval() && change.learnedAt && now)
+            it.__set_knownForMs(static_cast<std::int32_t>(std::chrono::duration_cast<milliseconds>(std::clamp(*now - *change.learnedAt, Duration::zero(), maxKnownFor)).count()));
         snapshot.items.push_back(std::move(it));
     }
 
@@ -152,7 +156,7 @@
     return snapshot;
 }
 
-fleetwire::Snapshot snapshotAfter(const ItemReplica& held, std::int64_t revision, LargeValues largeValues)
+fleetwire::Snapshot snapshotAfter(const ItemReplica& held, std::int64_t revision, LargeValues largeValues, std::optional<Instant> now)
 {
     fleetwire::Snapshot snapshot;
     snapshot.era = held.era();
@@ -160,13 +164,13 @@
     snapshot.after = revision;
     if (const auto changes = held.changesAfter(revision)) {
         for (const auto& change : *changes)
-            addChange(snapshot, held, change, largeValues);
+            addChange(snapshot, held, change, largeValues, now);
         return snapshot;
     }
     return wholeSnapshot(held, largeValues);
 }
 
-bool applySnapshot(FleetState& fleetState, const fleetwire::Snapshot& snapshot)
+bool applySnapshot(FleetState& fleetState, const fleetwire::Snapshot& snapshot, std::optional<Instant> now)
 {
     const auto known = fleetState.replica().revision();
     const auto era = fleetState.replica().era();
@@ -179,8 +183,11 @@
         return false;
     std::vector<ItemChange> items;
     items.reserve(snapshot.items.size());
-    for (const auto& it : snapshot.items)
+    for (const auto& it : snapshot.items) {
         items.push_back({ it.key, it.__isset.value ? std::optional(it.value) : std::nullopt, it.revision, it.valueFollows });
+        if (now && it.__isset.knownForMs)
+            items.back().learnedAt = *now - std::clamp<Duration>(milliseconds(it.knownForMs), Duration::zero(), maxKnownFor);
+    }
     fleetState.setFirstEra(snapshot.era);
     if (newEra)
         fleetState.beginEra(snapshot.era, items, snapshot.revision);
@@ -386,7 +393,7 @@
 {
     const auto snapshot = decodeSnapshot(body);
     if (snapshot)
-        applySnapshot(m_core.fleetState, *snapshot);
+        applySnapshot(m_core.fleetState, *snapshot, m_core.clock.now());
     return snapshot.has_value();
 }
 
@@ -417,7 +424,7 @@
             return {};
         const auto era = parseEra(target);
         // The requester's revision means nothing here if it belongs to another era.
-        return encodeSnapshot(era == 0 || era == replica.era() ? snapshotAfter(replica, *after, largeValues) : wholeSnapshot(replica, largeValues));
+        return encodeSnapshot(era == 0 || era == replica.era() ? snapshotAfter(replica, *after, largeValues, m_core.clock.now()) : wholeSnapshot(replica, largeValues));
     }
     const auto after = parseRevision(target.substr(valuePath.size()));
     const auto key = parseKey(target);
--- a/src/yuccashift/entry/snapshot_exchange.hpp
+++ b/src/yuccashift/entry/snapshot_exchange.hpp
@@ -19,12 +19,12 @@
     Included,
 };
 
-/** The changes after the given revision or, if they are no longer available, all items. */
-fleetwire::Snapshot snapshotAfter(const ItemReplica&, std::int64_t revision, LargeValues = LargeValues::Follow);
+/** The changes after the given revision or, if they are no longer available, all items. At a time `now`, removals tell for how long they have been known. */
+fleetwire::Snapshot snapshotAfter(const ItemReplica&, std::int64_t revision, LargeValues = LargeValues::Follow, std::optional<Instant> now = {});
 /** All items. */
 fleetwire::Snapshot wholeSnapshot(const ItemReplica&, LargeValues = LargeValues::Follow);
-/** Applies a snapshot from another instance; returns false if it is not newer, leaves a gap after the revision held or belongs to an older era. */
-bool applySnapshot(FleetState&, const fleetwire::Snapshot&);
+/** Applies a snapshot that another instance sent, at a time `now` if removals may tell for how long they have been known; returns false if it is not newer, leaves a gap after the revision held or belongs to an older era. */
+bool applySnapshot(FleetState&, const fleetwire::Snapshot&, std::optional<Instant> now = {});
 
 /** Compressed values of items for other instances. Compresses each revision of an item once. */
 class CompressedValues {
--- a/src/yuccashift/fleet/fleet.thrift
+++ b/src/yuccashift/fleet/fleet.thrift
@@ -160,6 +160,8 @@
     3: i64 revision,
     // The item was written, but its value is large and has to be requested apart.
     4: bool valueFollows,
+    // Removals only: how long the sender, or whoever told it, has known of the removal. Not sent by earlier versions.
+    5: optional i32 knownForMs,
 }
 
 // All items of the store, or the changes after a revision.
--- a/src/yuccashift/fleet/fleet_state.cpp
+++ b/src/yuccashift/fleet/fleet_state.cpp
@@ -88,7 +88,7 @@
 void FleetState::apply(std::span<const ItemChange> changes, std::int64_t through)
 {
     deferIfMassRemoval(changes);
-    const auto applied = m_replica.apply(changes, through);
+    const auto applied = m_replica.apply(changes, through, m_clock.now());
     onChanges(applied);
 }
 
@@ -135,7 +135,7 @@
         if (change.value)
             onItem(change);
         else
-            onRemoved(change.key);
+            onRemoved(change);
     }
 }
 
@@ -235,11 +235,13 @@
     m_evacuations.erase(it);
 }
 
-void FleetState::onRemoved(const std::string& key)
+void FleetState::onRemoved(const ItemChange& change)
 {
+    const auto& key = change.key;
+    const auto learnedAt = change.learnedAt.value_or(m_clock.now());
     if (m_evacuations.contains(key)) {
         if (m_beginningEra)
-            deferRemoval(key);
+            deferRemoval(key, learnedAt);
         else
             endEvacuation(key);
         return;
@@ -247,18 +249,19 @@
     const auto it = m_servers.find(key);
     if (it == m_servers.end())
         return;
-    if (it->second.draining || m_clock.now() >= m_removalsDeferredUntil)
+    // An instance that hears of a removal late defers it no longer than the one that told it.
+    if (it->second.draining || m_clock.now() >= std::min(m_removalsDeferredUntil, learnedAt + removalDelay))
         removeServer(key);
     else
-        deferRemoval(key);
+        deferRemoval(key, learnedAt);
 }
 
-void FleetState::deferRemoval(const std::string& key)
+void FleetState::deferRemoval(const std::string& key, Instant learnedAt)
 {
-    const auto now = m_clock.now();
-    m_deferredRemovals.try_emplace(key, m_removalsDeferredUntil, now, m_deferralReason);
+    const auto due = std::min(m_removalsDeferredUntil, learnedAt + removalDelay);
+    m_deferredRemovals.try_emplace(key, due, learnedAt, m_deferralReason);
     ++m_deferralCounts.at(static_cast<std::size_t>(m_deferralReason));
-    logInfo("removal deferred", { { "key", key }, { "reason", toString(m_deferralReason) }, { "for_ms", toMilliseconds(m_removalsDeferredUntil - now) } });
+    logInfo("removal deferred", { { "key", key }, { "reason", toString(m_deferralReason) }, { "for_ms", toMilliseconds(due - m_clock.now()) } });
 }
 
 void FleetState::onStoreUnreachable(Instant since)
--- a/src/yuccashift/fleet/fleet_state.hpp
+++ b/src/yuccashift/fleet/fleet_state.hpp
@@ -138,7 +138,7 @@
     };
 
     void deferRemovals(Deferral);
-    void deferRemoval(const std::string& key);
+    void deferRemoval(const std::string& key, Instant learnedAt);
     bool isStoreAway() const;
     void endEvacuation(const std::string& key);
     void rememberDeparture(const BackendServer&);
@@ -147,7 +147,7 @@
     void onItem(const ItemChange&);
     void updateServer(const std::string& key, ServerEntry);
     void removeServer(const std::string& key);
-    void onRemoved(const std::string& key);
+    void onRemoved(const ItemChange&);
 
     const Clock& m_clock;
     const ItemDecoder& m_decoder;
--- a/src/yuccashift/fleet/item_replica.cpp
+++ b/src/yuccashift/fleet/item_replica.cpp
@@ -56,7 +56,7 @@
     return complete;
 }
 
-void ItemReplica::appendHistory(std::span<const ItemChange> changes)
+void ItemReplica::appendHistory(std::span<const ItemChange> changes, std::optional<Instant> now)
 {
     for (const auto& change : changes) {
         if (change.revision <= m_revision)
@@ -65,6 +65,8 @@
             m_history.push_back({ change.key, std::nullopt, change.revision, true });
         else
             m_history.push_back(change);
+        if (!m_history.back().learnedAt)
+            m_history.back().learnedAt = now;
     }
     while (m_history.size() > maxHistory) {
         m_historyFrom = std::max(m_historyFrom, m_history.front().revision);
@@ -81,10 +83,10 @@
     return changes;
 }
 
-std::vector<ItemChange> ItemReplica::apply(std::span<const ItemChange> changes, std::int64_t through)
+std::vector<ItemChange> ItemReplica::apply(std::span<const ItemChange> changes, std::int64_t through, std::optional<Instant> now)
 {
     std::vector<ItemChange> applied;
-    appendHistory(changes);
+    appendHistory(changes, now);
     for (const auto& change : changes) {
         if (applyChange(change))
             applied.push_back(change);
--- a/src/yuccashift/fleet/item_replica.hpp
+++ b/src/yuccashift/fleet/item_replica.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "yuccashift/kernel/clock.hpp"
+
 #include <compare>
 #include <cstdint>
 #include <deque>
@@ -37,6 +39,8 @@
     std::int64_t revision = 0;
     /** Whether the item was written and its value is transferred separately. */
     bool valueFollows = false;
+    /** When the first instance learned of the change, if it is known. */
+    std::optional<Instant> learnedAt {};
 
     bool isRemoval() const { return !value && !valueFollows; }
 };
@@ -61,8 +65,9 @@
      * Applies changes, which may be in any order, and returns those that took effect. Changes whose
      * value follows take effect when the value is applied.
      * @param through no change up to and including this revision is missing after the call
+     * @param now time at which changes became known that do not tell it themselves
      */
-    std::vector<ItemChange> apply(std::span<const ItemChange> changes, std::int64_t through);
+    std::vector<ItemChange> apply(std::span<const ItemChange> changes, std::int64_t through, std::optional<Instant> now = {});
     /**
      * Applies a complete listing and returns the changes that took effect. Items that
      * the listing lacks are removed, unless they changed after it; a listing older than
@@ -96,7 +101,7 @@
 private:
     bool applyChange(const ItemChange&);
     void awaitValue(const ItemChange&);
-    void appendHistory(std::span<const ItemChange>);
+    void appendHistory(std::span<const ItemChange>, std::optional<Instant> now);
 
     std::map<std::string, Item> m_items;
     std::map<std::string, std::int64_t> m_awaitedValues;
--- a/tests/entry/snapshot_exchange_test.cpp
+++ b/tests/entry/snapshot_exchange_test.cpp
@@ -34,6 +34,77 @@
         FleetState behind { clock, items };
     };
 
+    struct RemovalsToldOn : testing::Test {
+        RemovalsToldOn()
+        {
+            std::vector<ItemChange> listing;
+            for (int n = 0; n < 6; ++n)
+                listing.push_back({ "s" + std::to_string(n), "server draft 10.0.0.1:80 hall ready 1 0 4", n + 1 });
+            for (auto* it : { &first, &second, &third })
+                it->replaceAll(listing, known);
+        }
+        void removeMost(FleetState& fleet)
+        {
+            std::vector<ItemChange> changes;
+            for (int n = 0; n < 4; ++n)
+                changes.push_back({ "s" + std::to_string(n), std::nullopt, known + n + 1 });
+            fleet.apply(changes, known + 4);
+        }
+        void tell(const FleetState& from, FleetState& to)
+        {
+            const auto message = encodeSnapshot(snapshotAfter(from.replica(), known, LargeValues::Follow, clock.now()));
+            EXPECT_TRUE(applySnapshot(to, *decodeSnapshot(message), clock.now()));
+        }
+        void pass(Duration time)
+        {
+            clock.advance(time);
+            for (auto* it : { &first, &second, &third })
+                it->tick();
+        }
+
+        VirtualClock clock;
+        test::WordItems items;
+        const std::int64_t known = 10;
+        FleetState first { clock, items };
+        FleetState second { clock, items };
+        FleetState third { clock, items };
+    };
+
+    // An instance that was told late deferred a mass removal anew, for as long as the one that told it had.
+    TEST_F(RemovalsToldOn, WaitNoLongerThanAtTheInstanceThatLearnedOfThemFirst)
+    {
+        removeMost(first);
+        pass(milliseconds(900));
+        tell(first, second);
+        pass(milliseconds(900));
+        tell(second, third);
+        EXPECT_EQ(third.servers().size(), 6u);
+        pass(milliseconds(250));
+        EXPECT_EQ(first.servers().size(), 2u);
+        EXPECT_EQ(second.servers().size(), 2u);
+        EXPECT_EQ(third.servers().size(), 2u);
+    }
+
+    TEST_F(RemovalsToldOn, TakeEffectAtOnceIfTheyHaveBeenKnownForLong)
+    {
+        removeMost(first);
+        pass(seconds(5));
+        tell(first, second);
+        EXPECT_EQ(second.servers().size(), 2u);
+    }
+
+    // An earlier version does not tell it.
+    TEST_F(RemovalsToldOn, WaitFromTheMessageOnIfItDoesNotTell)
+    {
+        removeMost(first);
+        pass(seconds(5));
+        EXPECT_TRUE(applySnapshot(second, snapshotAfter(first.replica(), known), clock.now()));
+        pass(milliseconds(1900));
+        EXPECT_EQ(second.servers().size(), 6u);
+        pass(milliseconds(200));
+        EXPECT_EQ(second.servers().size(), 2u);
+    }
+
     // Guards against departures that stay unknown while a configuration of a megabyte is on its way over a slow link.
     TEST_F(AChangeBehindALargeConfiguration, DoesNotWaitForIt)
     {
