Take no reset during an upload for the end of an answer

Cause: the kernel tells of a reset once. The write of the request got the error, and the read, whose handler ran before that of the write, then saw an end in order, which completes an answer without a length. A trace of the system calls shows sendto fail with ECONNRESET and recvfrom return 0.

Change: while a request is being written, the end of the connection completes no answer unless the kernel knows that the peer has closed its side in order. After an error of the write what has been received is still read, so that a whole framed answer is passed on.

--- a/src/yuccashift/http/outbound.cpp
+++ b/src/yuccashift/http/outbound.cpp
@@ -3,6 +3,7 @@
 #include "yuccashift/http/detail/acknowledgement.hpp"
 #include "yuccashift/http/detail/answer_framing.hpp"
 #include "yuccashift/http/detail/keep_alive.hpp"
+#include "yuccashift/http/detail/orderly_close.hpp"
 #include "yuccashift/http/detail/receive_buffer.hpp"
 #include "yuccashift/http/detail/reset_on_close.hpp"
 #include "yuccashift/http/detail/scratch.hpp"
@@ -137,6 +138,7 @@
             m_request = std::move(request);
             m_sent = false;
             m_writeDone = false;
+            m_writeFailed = false;
             m_acknowledged = false;
             m_answerDone = false;
             m_headSeen = false;
@@ -236,7 +238,7 @@
                 if (self->m_closed)
                     return;
                 if (ec)
-                    return self->fail(OutboundFailure::Lost, ec.message());
+                    return self->onWriteError(ec);
                 self->m_writeDone = true;
                 self->m_request.bytes = {};
                 if (self->m_answerDone)
@@ -244,6 +246,23 @@
             });
         }
 
+        /**
+         * A server may answer before it has read the whole request and reset the connection then. Its answer has been received
+         * already and is taken if its framing shows that it is whole. The kernel has told of the reset with this error, so that
+         * the next reads see what has been received and then the end of the connection, as if it had been closed in order.
+         */
+        void onWriteError(const error_code& ec)
+        {
+            if (ec != asio::error::connection_reset && ec != asio::error::broken_pipe)
+                return fail(OutboundFailure::Lost, ec.message());
+            m_writeFailed = true;
+            const auto self = shared_from_this();
+            while (!m_closed && !m_answerDone && !m_paused) {
+                if (!readInput())
+                    return fail(failureWithinAnswer(), ec.message());
+            }
+        }
+
         /** Resets the connection if the peer stops acknowledging the request. Once all is acknowledged, keep-alive detects a silent link. */
         void watchAcknowledgement(Duration delay, std::optional<int> unacknowledgedBefore)
         {
@@ -290,28 +309,33 @@
             m_waitingForInput = true;
             m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& ec) {
                 self->m_waitingForInput = false;
-                if (!ec && !self->m_closed)
-                    self->readInput();
+                if (ec || self->m_closed)
+                    return;
+                const bool received = self->readInput();
+                if (!received || (!self->m_closed && !self->m_answerDone))
+                    self->waitForInput();
             });
         }
 
-        void readInput()
+        /** Reads once; returns false if nothing has been received. */
+        bool readInput()
         {
             auto& buf = scratch();
             error_code ec;
             const auto n = m_socket.read_some(asio::buffer(buf), ec);
             if (ec == asio::error::would_block || ec == asio::error::try_again)
-                return waitForInput();
-            if (m_idle || m_answerDone)
-                return closeUnexpected();
-            if (ec)
-                return onReadError(ec);
-            m_input.append(buf.data(), n);
-            parse();
-            if (!m_closed && !holdInput())
-                return fail(failureWithinAnswer(), "no memory for the answer");
-            if (!m_closed && !m_answerDone)
-                waitForInput();
+                return false;
+            if (m_idle || m_answerDone) {
+                closeUnexpected();
+            } else if (ec) {
+                onReadError(ec);
+            } else {
+                m_input.append(buf.data(), n);
+                parse();
+                if (!m_closed && !holdInput())
+                    fail(failureWithinAnswer(), "no memory for the answer");
+            }
+            return true;
         }
 
         OutboundFailure failureWithinAnswer() const { return m_headSeen && m_answerMatches ? OutboundFailure::Truncated : OutboundFailure::Lost; }
@@ -344,6 +368,9 @@
         {
             // The end of an answer to another request is not the end of the answer that is waited for.
             if (ec == asio::error::eof && m_parser && m_headSeen && m_answerMatches && m_parser->need_eof() && !m_parser->is_done()) {
+                // While the request is written, a reset may look like the end of the answer.
+                if (!m_writeDone && (m_writeFailed || !isClosedInOrder(m_socket)))
+                    return fail(OutboundFailure::Truncated, "the connection was lost before the request was written");
                 error_code parseError;
                 m_parser->put_eof(parseError);
                 if (!parseError)
@@ -508,6 +535,8 @@
         bool m_probesSilence = false;
         bool m_sent = false;
         bool m_writeDone = false;
+        /** Whether the connection was lost while the request was written. What was received before is still read. */
+        bool m_writeFailed = false;
         /** Whether the whole request is known to be acknowledged; looked at only from time to time. */
         bool m_acknowledged = false;
         bool m_answerDone = false;
--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -55,13 +55,13 @@
     };
 
     struct AnOutboundExchange : testing::Test {
-        Collector call(const ScriptedServer& server, Duration maxIdleAge = seconds(60))
+        Collector call(const ScriptedServer& server, Duration maxIdleAge = seconds(60), const std::string& bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
         {
             Collector collector(io);
             OutboundRequest request;
             request.endpoint = server.endpoint();
             request.poolKey = "server";
-            request.bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+            request.bytes = bytes;
             request.maxIdleAge = maxIdleAge;
             request.ownerOf = [](const AnswerHead& head) {
                 const auto id = findHeader(head.headers, "X-Id");
@@ -331,6 +331,64 @@
         EXPECT_EQ(call(server).status, 200);
     }
 
+    struct AnUpload : AnOutboundExchange {
+        static constexpr int repetitions = 24;
+
+        Collector upload(const ScriptedServer& server)
+        {
+            constexpr std::size_t bodyBytes = 3 << 20;
+            return call(server, Duration::zero(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x'));
+        }
+    };
+
+    // The write of the request took the error of the reset, and the read after it saw an end in order: callers got part of an answer as a whole one.
+    TEST_F(AnUpload, WhoseServerResetsItsConnectionGetsNoAnswerThatEndsWithTheConnection)
+    {
+        const ScriptedServer server([](ScriptedConnection& it) {
+            it.readRequest();
+            it.write("HTTP/1.1 200 OK\r\n\r\n" + std::string(2000, 'y'));
+            it.reset();
+        });
+        for (int n = 0; n < repetitions; ++n) {
+            const auto collector = upload(server);
+            EXPECT_FALSE(collector.ended);
+            EXPECT_TRUE(collector.failure);
+            EXPECT_NE(collector.failure, OutboundFailure::NotSent);
+        }
+    }
+
+    // A refusal that has arrived must not get lost with the connection.
+    TEST_F(AnUpload, WhoseServerResetsItsConnectionGetsAnAnswerWhoseFramingShowsThatItIsWhole)
+    {
+        const std::vector<std::string> answers { "Content-Length: 2\r\n\r\nok", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n" };
+        for (const auto& answer : answers) {
+            const ScriptedServer server([&](ScriptedConnection& it) {
+                it.readRequest();
+                it.write("HTTP/1.1 503 Service Unavailable\r\n" + answer);
+                it.reset();
+            });
+            for (int n = 0; n < repetitions; ++n) {
+                const auto collector = upload(server);
+                EXPECT_TRUE(collector.ended) << answer;
+                EXPECT_EQ(collector.status, 503);
+                EXPECT_EQ(collector.body, "ok");
+            }
+        }
+    }
+
+    TEST_F(AnUpload, GetsAnEarlyAnswerThatEndsWithTheConnectionIfItIsClosedInOrder)
+    {
+        const ScriptedServer server([](ScriptedConnection& it) {
+            it.readRequest();
+            it.write("HTTP/1.1 200 OK\r\n\r\nuntil the end");
+            it.endSending();
+            it.swallow();
+        });
+        const auto collector = upload(server);
+        EXPECT_TRUE(collector.ended);
+        EXPECT_EQ(collector.body, "until the end");
+    }
+
     TEST_F(AnOutboundExchange, ReportsALostRequestAfterBytesThatAreNotHttp)
     {
         const ScriptedServer server([](ScriptedConnection& it) {
