Reserve nothing for the length that an answer announces

What callers saw: an answer, or one answer to a health probe, with Content-Length: ended the process with all its requests.

Cause: the parser's string_body reserves the announced length before any byte of the body has come, and throws if no memory holds it.

Change: answers are read into a body that grows with the bytes that arrive. It serves requests, hops, probes and calls to instances and the store; yuccashiftd reads into a buffer of fixed size and was sound.

--- a/src/yuccashift/http/outbound.cpp
+++ b/src/yuccashift/http/outbound.cpp
@@ -1,6 +1,7 @@
 #include "yuccashift/http/outbound.hpp"
 
 #include "yuccashift/http/detail/acknowledgement.hpp"
+#include "yuccashift/http/detail/answer_body.hpp"
 #include "yuccashift/http/detail/answer_framing.hpp"
 #include "yuccashift/http/detail/keep_alive.hpp"
 #include "yuccashift/http/detail/orderly_close.hpp"
@@ -47,7 +48,7 @@
     /** Memory of one header field beyond its text, in the parser and in the head that is passed on. */
     constexpr std::size_t fieldBytes = 256;
 
-    using AnswerParser = http::response_parser<http::string_body>;
+    using AnswerParser = http::response_parser<detail::AnswerBody>;
 
     void setOptions(tcp::socket& socket)
     {
--- a/tests/contracts/backend_client_test.cpp
+++ b/tests/contracts/backend_client_test.cpp
@@ -122,6 +122,17 @@
         }
     }
 
+    TEST_F(ABackendConnection, ThatAnnouncesALengthThatNoMemoryHoldsYieldsNoAnswer)
+    {
+        const ScriptedServer server([](ScriptedConnection& connection) {
+            if (connection.readRequest())
+                connection.write("HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775807\r\n\r\nsome bytes");
+        });
+        const auto answer = get(server);
+        ASSERT_FALSE(answer);
+        EXPECT_EQ(answer.error().kind, ErrorKind::AnswerIncomplete);
+    }
+
     TEST_F(ABackendConnection, ThatCannotBeOpenedMeansThatNothingRan)
     {
         Endpoint closedEndpoint;
--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -389,6 +389,20 @@
         EXPECT_EQ(collector.body, "until the end");
     }
 
+    // The length that a server announced was reserved before any byte of the body had come, which ended the process.
+    TEST_F(AnOutboundExchange, SurvivesTheAnnouncementOfALengthThatNoMemoryHolds)
+    {
+        for (const auto* length : { "300000000", "99999999999", "9223372036854775807" }) {
+            const ScriptedServer server([&](ScriptedConnection& it) {
+                it.readRequest();
+                it.write(std::string("HTTP/1.1 200 OK\r\nContent-Length: ") + length + "\r\n\r\nsome bytes");
+            });
+            const auto collector = call(server, Duration::zero());
+            EXPECT_EQ(collector.failure, OutboundFailure::Truncated) << length;
+            EXPECT_EQ(collector.body, "some bytes") << length;
+        }
+    }
+
     TEST_F(AnOutboundExchange, ReportsALostRequestAfterBytesThatAreNotHttp)
     {
         const ScriptedServer server([](ScriptedConnection& it) {
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -111,5 +111,21 @@
         EXPECT_EQ(listener.unreachable, 1);
     }
 
+    // The reader reserved the announced length, which ended the process.
+    TEST_F(AStoreReader, SurvivesAnAnswerThatAnnouncesALengthThatNoMemoryHolds)
+    {
+        const ScriptedServer server([](ScriptedConnection& it) {
+            if (!it.readRequest())
+                return;
+            if (it.number() == 1)
+                it.write("HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775807\r\n\r\n{");
+            else
+                answerAtOnce(it);
+        });
+        Listener listener(io, 1);
+        read(server, listener);
+        EXPECT_EQ(listener.listings, 1);
+    }
+
 } // namespace
 } // namespace yuccashift::platform
