Take no message for an answer whose status has no class

What callers saw: status 600 and 999 as a server's answer. yuccashiftd passed every status on, 000 among them, and took an interim answer for the final one. Status 000 did not reach callers of yuccashift-entry: it was skipped like an interim answer.

Cause: yuccashift-entry knew statuses below 200 and from 200 on; yuccashiftd did not look at them. HTTP defines 100 to 599.

Change: any other status is no answer and the attempt is lost; yuccashiftd skips up to 16 interim answers.

--- a/src/yuccashift/http/backend_client.cpp
+++ b/src/yuccashift/http/backend_client.cpp
@@ -2,6 +2,7 @@
 
 #include "yuccashift/http/detail/acknowledgement.hpp"
 #include "yuccashift/http/detail/answer_framing.hpp"
+#include "yuccashift/http/detail/answer_status.hpp"
 #include "yuccashift/http/detail/reset_on_close.hpp"
 #include "yuccashift/kernel/cancellation.hpp"
 #include "yuccashift/kernel/detail/await.hpp"
@@ -35,6 +36,8 @@
     /** Time after which the unacknowledged bytes of a request are looked at; it is reset if the same number still is a short time later. */
     constexpr milliseconds acknowledgementTimeout { 2700 };
     constexpr std::uint32_t headerLimit = 64 * 1024;
+    /** Interim answers that are skipped before the final one. */
+    constexpr int maxInterimAnswers = 16;
 
     /** Resets a connection whose request is not acknowledged. The kernel's own timeout would send no reset, and a link that was silent could deliver the request later. */
     class AcknowledgementWatch : public std::enable_shared_from_this<AcknowledgementWatch> {
@@ -188,44 +191,51 @@
             , m_progressTimeout(call.progressTimeout)
             , m_headTimeout(call.headTimeout)
         {
-            m_parser.header_limit(headerLimit);
-            m_parser.body_limit(boost::none);
+            restartParser();
         }
 
         const AnswerHead& head() const override { return m_head; }
 
         asio::awaitable<Result<void>> readHead()
         {
-            expireAfter(m_headTimeout);
-            const auto [ec, n] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, m_parser, awaitTuple);
-            if (ec)
-                co_return tl::unexpected(connectionError(ec, ErrorKind::BackendLost));
-            const auto& response = m_parser.get();
-            m_head.status = static_cast<int>(response.result_int());
+            const auto until = m_clock.now() + m_headTimeout;
+            for (int interim = 0; interim <= maxInterimAnswers; ++interim) {
+                expireAfter(until - m_clock.now());
+                const auto [ec, n] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, awaitTuple);
+                if (ec)
+                    co_return tl::unexpected(connectionError(ec, ErrorKind::BackendLost));
+                m_head.status = static_cast<int>(m_parser->get().result_int());
+                if (!detail::isInterim(m_head.status))
+                    break;
+                restartParser();
+            }
+            if (!detail::isAnswerStatus(m_head.status) || detail::isInterim(m_head.status))
+                co_return fail(ErrorKind::BackendLost, "backend server " + toString(m_endpoint) + ": status " + std::to_string(m_head.status) + " is not one of a final answer");
+            const auto& response = m_parser->get();
             for (const auto& field : response) {
                 if (!isHopByHop(field.name_string()))
                     m_head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
             }
-            if (const auto length = m_parser.content_length())
+            if (const auto length = m_parser->content_length())
                 m_head.length = *length;
-            m_head.framing = detail::framingOf(m_parser);
+            m_head.framing = detail::framingOf(*m_parser);
             // Without a length or chunks, a lost connection cannot be told from the end of the body.
-            m_hasEndMark = m_parser.chunked() || m_parser.content_length().has_value();
+            m_hasEndMark = m_parser->chunked() || m_parser->content_length().has_value();
             co_return Result<void> {};
         }
 
         asio::awaitable<Result<std::string_view>> next() override
         {
-            while (!m_parser.is_done()) {
+            while (!m_parser->is_done()) {
                 // The time limit of a read ends no answer whose bytes are always there already.
                 if (m_clock.now() >= m_deadline)
                     co_return fail(ErrorKind::DeadlineExceeded, "backend server " + toString(m_endpoint) + ": its answer has no end");
-                auto& body = m_parser.get().body();
+                auto& body = m_parser->get().body();
                 body.data = m_chunk.data();
                 body.size = m_chunk.size();
                 // A server may send the head at once while the request is still queued there.
                 expireAfter(m_bodyStarted ? m_progressTimeout : std::max(m_headTimeout, m_progressTimeout));
-                auto [ec, n] = co_await http::async_read_some(m_connection->stream, m_connection->buffer, m_parser, awaitTuple);
+                auto [ec, n] = co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, awaitTuple);
                 if (ec == http::error::need_buffer)
                     ec = {};
                 if (ec)
@@ -242,6 +252,13 @@
         }
 
     private:
+        void restartParser()
+        {
+            m_parser.emplace();
+            m_parser->header_limit(headerLimit);
+            m_parser->body_limit(boost::none);
+        }
+
         void expireAfter(Duration longest)
         {
             const auto untilDeadline = m_deadline - m_clock.now();
@@ -258,7 +275,7 @@
 
         void returnConnection()
         {
-            if (!m_connection || !m_parser.get().keep_alive() || m_connection->buffer.size() > 0)
+            if (!m_connection || !m_parser->get().keep_alive() || m_connection->buffer.size() > 0)
                 return;
             m_connection->stream.expires_never();
             m_connection->watch->stop();
@@ -279,7 +296,7 @@
         Instant m_deadline;
         Duration m_progressTimeout;
         Duration m_headTimeout;
-        http::response_parser<http::buffer_body> m_parser;
+        std::optional<http::response_parser<http::buffer_body>> m_parser;
         AnswerHead m_head;
         bool m_hasEndMark = false;
         bool m_bodyStarted = false;
--- a/src/yuccashift/http/outbound.cpp
+++ b/src/yuccashift/http/outbound.cpp
@@ -3,6 +3,7 @@
 #include "yuccashift/http/detail/acknowledgement.hpp"
 #include "yuccashift/http/detail/answer_body.hpp"
 #include "yuccashift/http/detail/answer_framing.hpp"
+#include "yuccashift/http/detail/answer_status.hpp"
 #include "yuccashift/http/detail/keep_alive.hpp"
 #include "yuccashift/http/detail/orderly_close.hpp"
 #include "yuccashift/http/detail/receive_buffer.hpp"
@@ -35,7 +36,6 @@
     constexpr double usableIdleTimeoutFraction = 0.6;
     /** Maximum size of an answer's header in bytes. */
     constexpr std::uint32_t maxAnswerHeaderBytes = 64 * 1024;
-    constexpr int firstFinalStatus = 200;
     /** Limit on the bytes of answers that are skipped before the one to the request, such as interim answers. */
     constexpr std::size_t maxSkippedBytes = 256 * 1024;
     /** Limit on received bytes that the parser cannot use yet, such as the extension of a chunk. */
@@ -433,6 +433,8 @@
             const auto& message = m_parser->get();
             AnswerHead head;
             head.status = static_cast<int>(message.result_int());
+            if (!isAnswerStatus(head.status))
+                return fail(OutboundFailure::Lost, "status " + std::to_string(head.status) + " is not one of HTTP");
             if (const auto length = m_parser->content_length())
                 head.length = static_cast<std::size_t>(*length);
             head.framing = framingOf(*m_parser);
--- a/tests/contracts/backend_client_test.cpp
+++ b/tests/contracts/backend_client_test.cpp
@@ -122,6 +122,32 @@
         }
     }
 
+    // An interim answer passed for the answer, and so did a message whose status has no class.
+    TEST_F(ABackendConnection, YieldsTheFinalAnswerAndNoMessageOfAnotherStatus)
+    {
+        std::string sent;
+        const ScriptedServer server([&](ScriptedConnection& connection) {
+            if (connection.readRequest())
+                connection.write(sent);
+        });
+        sent = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + okAnswer("whole");
+        const auto answer = get(server);
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->head.status, 200);
+        EXPECT_EQ(answer->body, "whole");
+        EXPECT_FALSE(findHeader(answer->head.headers, "Link"));
+        for (const auto* status : { "000", "099", "600", "999" }) {
+            sent = std::string("HTTP/1.1 ") + status + " Odd\r\nContent-Length: 2\r\n\r\nok";
+            const auto odd = get(server);
+            ASSERT_FALSE(odd) << status;
+            EXPECT_EQ(odd.error().kind, ErrorKind::BackendLost) << status;
+        }
+        sent.clear();
+        for (int n = 0; n < 1000; ++n)
+            sent += "HTTP/1.1 100 Continue\r\n\r\n";
+        EXPECT_FALSE(get(server));
+    }
+
     TEST_F(ABackendConnection, ThatAnnouncesALengthThatNoMemoryHoldsYieldsNoAnswer)
     {
         const ScriptedServer server([](ScriptedConnection& connection) {
--- a/tests/http/exchanges_test.cpp
+++ b/tests/http/exchanges_test.cpp
@@ -403,6 +403,22 @@
         }
     }
 
+    // Callers got status 999 as the server's answer.
+    TEST_F(AnOutboundExchange, TakesNoMessageForAnAnswerWhoseStatusHasNoClass)
+    {
+        for (const auto* status : { "000", "001", "099", "600", "999" }) {
+            for (const auto* rest : { "Content-Length: 2\r\n\r\nok", "\r\nok" }) {
+                const ScriptedServer server([&](ScriptedConnection& it) {
+                    it.readRequest();
+                    it.write(std::string("HTTP/1.1 ") + status + " Odd\r\nX-Id: mine\r\n" + rest);
+                });
+                const auto collector = call(server, Duration::zero());
+                EXPECT_EQ(collector.status, 0) << status;
+                EXPECT_EQ(collector.failure, OutboundFailure::Lost) << status;
+            }
+        }
+    }
+
     TEST_F(AnOutboundExchange, ReportsALostRequestAfterBytesThatAreNotHttp)
     {
         const ScriptedServer server([](ScriptedConnection& it) {
