Soak: odd answers, resets of uploads, cut and refused watches

Servers reset uploads after half of an answer, announce lengths that no memory holds, send noise and statuses without a class; the store ends and refuses waiting calls; entries are withdrawn. Callers upload 3 MiB. The relay passes resets on as resets.

--- a/fuzzing/soak/attempt_tracker.cpp
+++ b/fuzzing/soak/attempt_tracker.cpp
@@ -8,7 +8,7 @@
 
     bool isNonIdempotent(RequestKind kind)
     {
-        return kind == RequestKind::Write || kind == RequestKind::StreamOnce;
+        return kind == RequestKind::Write || kind == RequestKind::StreamOnce || kind == RequestKind::Upload;
     }
 
     bool isStream(RequestKind kind)
@@ -74,6 +74,8 @@
             violations.push_back(attempt + " ran outside its home");
         if (it.reply.status == 200 && it.reply.complete && !isOwnAndWhole(attempt, it))
             violations.push_back(attempt + " got another answer, or half of one, as whole: " + it.reply.body.substr(0, 200));
+        if (it.reply.status != 0 && (it.reply.status < 200 || it.reply.status > 599))
+            violations.push_back(attempt + " was answered with status " + std::to_string(it.reply.status));
         if (it.reply.status == 404)
             violations.push_back(attempt + " was told that its route does not exist");
     }
--- a/fuzzing/soak/attempt_tracker.hpp
+++ b/fuzzing/soak/attempt_tracker.hpp
@@ -17,8 +17,12 @@
     Stream,
     StreamOnce,
     Bound,
+    /** Like Write, with a body that does not fit into the buffers of a connection. */
+    Upload,
 };
 
+constexpr std::size_t requestKinds = 6;
+
 /** Kind of one attempt and the reply that its caller received. */
 struct Attempt {
     RequestKind kind = RequestKind::Read;
--- a/fuzzing/soak/soak.cpp
+++ b/fuzzing/soak/soak.cpp
@@ -25,7 +25,10 @@
     /** Time after which a caller abandons its request. */
     constexpr std::chrono::milliseconds callTimeout { 4000 };
     constexpr std::chrono::seconds recoveryTimeout { 40 };
-    constexpr test::EntryLimits entryLimits { 160, 1024, 65536 };
+    constexpr std::size_t uploadBytes = 3 << 20;
+    constexpr test::EntryLimits entryLimits { 160, 1024, uploadBytes };
+    /** Body that the crowds announce. */
+    constexpr std::size_t crowdBodyBytes = 65536;
     constexpr std::size_t bytesPerMegabyte = 1 << 20;
     constexpr int maxCrowds = 2;
     const std::array<std::string, 3> entryNames { "sofia-1", "sofia-2", "varna-1" };
@@ -151,8 +154,8 @@
                 return;
             test::CrowdSpec spec { m_fleet.listener(entryNames[m_random.uniformBelow(entryNames.size())], listeners[m_random.uniformBelow(listeners.size())]), behaviours[m_random.uniformBelow(behaviours.size())] };
             spec.connections = 1 + m_random.uniformBelow(60);
-            spec.bytesEach = 1 + m_random.uniformBelow(2 * entryLimits.bodyBytes);
-            spec.announcedBytes = entryLimits.bodyBytes;
+            spec.bytesEach = 1 + m_random.uniformBelow(2 * crowdBodyBytes);
+            spec.announcedBytes = crowdBodyBytes;
             // No such route: what such a client sends is never run.
             spec.target = "/none/x";
             spec.headers = "X-Attempt-Id: crowd\r\nX-Deadline-Ms: 5000\r\n";
@@ -179,7 +182,7 @@
             for (int n = 0; !m_stopCallers; ++n) {
                 const auto attempt = "a" + std::to_string(thread) + "x" + std::to_string(n);
                 Attempt record;
-                record.kind = static_cast<RequestKind>(random.uniformBelow(5));
+                record.kind = static_cast<RequestKind>(random.uniformBelow(requestKinds));
                 const auto request = makeCall(entryNames[kept ? thread % entryNames.size() : random.uniformBelow(entryNames.size())], attempt, record.kind);
                 record.reply = kept ? kept->send(request) : test::send(request);
                 m_tracker.recordReply(attempt, std::move(record));
@@ -188,7 +191,7 @@
 
         test::HttpCall makeCall(const std::string& entry, const std::string& attempt, RequestKind kind) const
         {
-            const auto request = [&](const char* method, const char* path, const char* body) {
+            const auto request = [&](const char* method, const char* path, const std::string& body) {
                 const auto headers = test::callerHeaders(attempt, callTimeout);
                 return test::HttpCall { m_fleet.callers(entry), method, path, { headers.begin(), headers.end() }, body };
             };
@@ -201,6 +204,8 @@
                 return request("POST", "/stream/x", "prompt");
             case RequestKind::StreamOnce:
                 return request("POST", "/once/stream/x", "prompt");
+            case RequestKind::Upload:
+                return request("POST", "/write/upload", std::string(uploadBytes, 'u'));
             case RequestKind::Bound:
                 break;
             }
@@ -230,7 +235,7 @@
         void injectServerFault()
         {
             auto& server = *m_servers[m_random.uniformBelow(m_servers.size())];
-            switch (m_random.uniformBelow(9)) {
+            switch (m_random.uniformBelow(12)) {
             case 0:
                 return server.relay.setMode(RelayMode::Swallow);
             case 1:
@@ -247,6 +252,14 @@
                 return m_fleet.control(server.id, server.service == "ledger" ? "/control/lose-answers" : "/control/cut-streams", R"({"count":2})");
             case 7:
                 return m_fleet.control(server.id, "/control/break-streams", R"({"count":2})");
+            case 8:
+                return m_fleet.control(server.id, "/control/reset-uploads", R"({"count":4})");
+            case 9: {
+                constexpr std::array<const char*, 5> kinds { "length", "noise", "000", "099", "999" };
+                return m_fleet.control(server.id, "/control/odd-answers", std::string(R"({"count":2,"kind":")") + kinds[m_random.uniformBelow(kinds.size())] + "\"}");
+            }
+            case 10:
+                return m_fleet.withdraw(server.id);
             default:
                 return m_fleet.control(server.id, "/control/extra-answers", R"({"count":2})");
             }
@@ -277,13 +290,17 @@
         void injectStoreFault()
         {
             constexpr std::array<const char*, 4> modes { "up", "up", "busy", "reset" };
-            switch (m_random.uniformBelow(5)) {
+            switch (m_random.uniformBelow(7)) {
             case 0:
                 return publishConfig();
             case 1:
                 return m_fleet.evacuate(m_random.uniformBelow(2) == 0 ? "hall-sofia" : "hall-varna", m_random.uniformBelow(2) == 0);
             case 2:
                 return m_fleet.control("store", "/control/compact", "");
+            case 5:
+                return m_fleet.control("store", "/control/cut-watches", "");
+            case 6:
+                return m_fleet.control("store", "/control/refuse-watches", m_random.uniformBelow(2) == 0 ? R"({"on":true})" : R"({"on":false})");
             case 3:
                 return m_storeRelay.setMode(static_cast<RelayMode>(m_random.uniformBelow(3)));
             default:
@@ -308,6 +325,7 @@
         void removeFaults()
         {
             m_fleet.control("store", "/control/mode", R"({"mode":"up"})");
+            m_fleet.control("store", "/control/refuse-watches", R"({"on":false})");
             m_storeRelay.setMode(RelayMode::Pass);
             for (const auto* datacentre : { "hall-sofia", "hall-varna" })
                 m_fleet.evacuate(datacentre, false);
--- a/standins/common/http_server.cpp
+++ b/standins/common/http_server.cpp
@@ -28,6 +28,8 @@
 namespace {
 
     constexpr std::size_t maxBodyBytes = 64UL << 20;
+    /** A larger body counts as an upload; it does not fit into the buffers of a connection. */
+    constexpr std::size_t minUploadBytes = 1UL << 20;
     constexpr unsigned httpVersion11 = 11;
 
     http::response<http::string_body> toResponse(Answer answer, bool keepAlive)
@@ -189,6 +191,13 @@
         co_await net::async_write(m_stream, http::make_chunk_last(), net::use_awaitable);
 }
 
+awaitable<void> Exchange::sendRaw(std::string_view bytes)
+{
+    co_await hangIfSilent();
+    co_await net::async_write(m_stream, net::buffer(bytes), net::use_awaitable);
+    drop();
+}
+
 awaitable<void> Exchange::truncate(Answer answer)
 {
     const auto half = answer.body.size() / 2;
@@ -260,6 +269,11 @@
         while (true) {
             http::request_parser<http::string_body> parser;
             parser.body_limit(maxBodyBytes);
+            co_await http::async_read_header(stream, buf, parser, net::use_awaitable);
+            if (m_state.uploadsToReset > 0 && parser.content_length_remaining().value_or(0) > minUploadBytes) {
+                --m_state.uploadsToReset;
+                co_return co_await answerEarlyAndReset(stream);
+            }
             co_await http::async_read(stream, buf, parser, net::use_awaitable);
             const bool keepAlive = parser.get().keep_alive();
             Exchange exchange(stream, parser.release(), m_state, number);
@@ -281,6 +295,14 @@
     }
 }
 
+awaitable<void> HttpServer::answerEarlyAndReset(beast::tcp_stream& stream)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\n\r\nhalf of an answer";
+    co_await net::async_write(stream, net::buffer(answer), net::use_awaitable);
+    stream.socket().set_option(net::socket_base::linger(true, 0));
+    stream.socket().close();
+}
+
 void applyHang(HttpServer& server, const Exchange& exchange)
 {
     const auto body = exchange.jsonBody();
--- a/standins/common/http_server.hpp
+++ b/standins/common/http_server.hpp
@@ -49,6 +49,8 @@
         /** Number of the last accepted connection that is silent; earlier ones are silent too. */
         std::uint64_t silentUpTo = 0;
         std::uint64_t accepted = 0;
+        /** Uploads that get half of an answer and a reset before they are read. */
+        std::uint64_t uploadsToReset = 0;
     };
 } // namespace detail
 
@@ -77,6 +79,8 @@
     awaitable<void> beginStream(std::string_view contentType);
     awaitable<void> writeChunk(std::string_view);
     awaitable<void> endStream();
+    /** Sends these bytes as they are, then closes the connection. */
+    awaitable<void> sendRaw(std::string_view);
     /** Sends the header and the first half of the body, then closes the connection. */
     awaitable<void> truncate(Answer);
     /** Closes the connection without answering. */
@@ -110,12 +114,15 @@
     /** Adds a coroutine that run() starts and runs concurrently with the requests. */
     void addTask(std::function<awaitable<void>()>);
     void setSilence(Silence);
+    /** Answers the next uploads before reading them: with a part of an answer without a length, then a reset of the connection. */
+    void resetUploads(std::uint64_t count) { m_state.uploadsToReset = count; }
     /** Prints `listening ip:port` and serves requests until the process is stopped. */
     int run(Handler);
 
 private:
     awaitable<void> acceptAll(boost::asio::ip::tcp::acceptor&);
     awaitable<void> serveConnection(boost::asio::ip::tcp::socket, std::uint64_t number);
+    awaitable<void> answerEarlyAndReset(boost::beast::tcp_stream&);
 
     std::string m_address;
     std::uint16_t m_port;
--- a/tests/entry_processes/entry_promises_test.cpp
+++ b/tests/entry_processes/entry_promises_test.cpp
@@ -405,6 +405,33 @@
         EXPECT_EQ(m_fleet.runsOf("u3"), 0u);
     }
 
+    // Callers got half of an answer to an upload as a whole one, and an announced length or a probe's answer ended the process.
+    TEST_F(EntryInstances, SurviveServersWhoseAnswersAreOddAndPassNoneOfThemOn)
+    {
+        const std::string upload(std::size_t { 3 } << 20, 'u');
+        m_fleet.setLimits({ 260, 1024, upload.size() });
+        m_fleet.publishConfig(4, routes);
+        for (const auto* name : { "sofia-1", "sofia-2", "varna-1" })
+            EXPECT_TRUE(waitUntil([&] { return m_fleet.metric(name, "yuccashift_config_version") == 4; }));
+        constexpr unsigned uploads = 12;
+        m_fleet.control("ledger-sofia", "/control/reset-uploads", R"({"count":12})");
+        for (unsigned n = 0; n < uploads; ++n) {
+            const auto reply = m_fleet.call(n % 2 == 0 ? "sofia-1" : "sofia-2", "u" + std::to_string(n), "POST", "/write/x", upload);
+            EXPECT_FALSE(reply.ok()) << reply.body;
+        }
+        for (const std::string kind : { "length", "noise", "000", "099", "600", "999" }) {
+            m_fleet.control("ledger-sofia", "/control/odd-answers", R"({"count":2,"kind":")" + kind + "\"}");
+            m_fleet.control("ledger-varna", "/control/odd-answers", R"({"count":1,"kind":")" + kind + "\"}");
+            for (const auto& [path, attempt] : { std::pair("/write/x", "w"), std::pair("/read/x", "r"), std::pair("/home/x", "h") }) {
+                const auto reply = m_fleet.call("sofia-1", attempt + kind, path == std::string("/write/x") ? "POST" : "GET", path, path == std::string("/write/x") ? "entry" : "");
+                EXPECT_TRUE(reply.status == 502 || reply.status == 503 || answersAttempt(reply, attempt + kind)) << kind << " " << reply.status;
+            }
+        }
+        for (const auto* name : { "sofia-1", "sofia-2", "varna-1" })
+            EXPECT_TRUE(m_fleet.runs(name)) << name;
+        EXPECT_TRUE(waitUntil([&] { return m_fleet.call("sofia-1", "after", "GET", "/read/x").ok(); }));
+    }
+
     TEST_F(EntryInstances, NeverPresentAnInterruptedStreamAsComplete)
     {
         m_fleet.control("draft-1-sofia", "/control/cut-streams", R"({"count":9})");
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -70,7 +70,11 @@
                 timer.expires_after(slowPause);
                 co_await timer.async_wait(net::use_awaitable);
             }
-        } catch (const std::exception&) {
+        } catch (const boost::system::system_error& e) {
+            // A reset stays a reset, so that it does not look like an end in order.
+            boost::system::error_code ec;
+            if (e.code() == net::error::connection_reset || e.code() == net::error::broken_pipe)
+                to->set_option(net::socket_base::linger(true, 0), ec);
             closeAll({ from, to });
         }
     }
