Look listed connection fields up instead of searching the list for each field

A field whose name was a part of a listed one was not forwarded.

Cause: for each field, the whole Connection value was searched for the field's name, letter by letter through the locale.

Change: ConnectionOptions reads all Connection fields into a sorted list of names; fields are looked up whole. No name is compared through a locale.

--- a/src/yuccashift/entry/forwarding.cpp
+++ b/src/yuccashift/entry/forwarding.cpp
@@ -2,7 +2,7 @@
 
 #include "yuccashift/entry/hop.hpp"
 
-#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace yuccashift {
 
@@ -11,12 +11,6 @@
     /** Room for the request line and the usual headers, in bytes. */
     constexpr std::size_t typicalHeadBytes = 512;
 
-    /** Whether the `Connection` header lists the named header as hop-by-hop. */
-    bool listsAsHopByHop(std::string_view connection, std::string_view name)
-    {
-        return boost::algorithm::icontains(connection, name) && !boost::algorithm::iequals(name, "host");
-    }
-
 } // namespace
 
 std::string forwardedRequest(const RequestMessage& request, const ProtocolCodec& protocol, CallerIdentity identity, std::string_view extraHeaders)
@@ -24,9 +18,9 @@
     std::string out;
     out.reserve(typicalHeadBytes + extraHeaders.size() + request.body.size());
     out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
-    const auto connection = findHeader(request.headers, "Connection").value_or("");
+    const ConnectionOptions connection(request.headers);
     for (const auto& field : request.headers) {
-        if (isHopByHop(field.name) || isHopHeader(field.name) || protocol.isReservedHeader(field.name) || listsAsHopByHop(connection, field.name))
+        if (isHopByHop(field.name) || isHopHeader(field.name) || protocol.isReservedHeader(field.name) || (connection.lists(field.name) && !boost::beast::iequals(field.name, "host")))
             continue;
         if (identity == CallerIdentity::Withheld && protocol.isCallerIdentityHeader(field.name))
             continue;
--- a/src/yuccashift/entry/hop.cpp
+++ b/src/yuccashift/entry/hop.cpp
@@ -1,7 +1,7 @@
 #include "yuccashift/entry/hop.hpp"
 
 #include <algorithm>
-#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core/string.hpp>
 #include <charconv>
 
 namespace yuccashift {
@@ -98,7 +98,7 @@
 
 bool isHopHeader(std::string_view name)
 {
-    return boost::algorithm::istarts_with(name, fieldPrefix);
+    return boost::beast::iequals(name.substr(0, fieldPrefix.size()), fieldPrefix);
 }
 
 void appendHopMetadata(std::string& out, const HopMetadata& metadata)
--- a/src/yuccashift/http/message.hpp
+++ b/src/yuccashift/http/message.hpp
@@ -58,4 +58,15 @@
 /** Whether the field applies to a single connection and must not be forwarded. */
 bool isHopByHop(std::string_view name);
 
+/** The field names that the `Connection` fields of a message list as applying to its connection. */
+class ConnectionOptions {
+public:
+    explicit ConnectionOptions(const HeaderFields&);
+    bool lists(std::string_view name) const;
+
+private:
+    /** In lower case, sorted. */
+    std::vector<std::string> m_names;
+};
+
 } // namespace yuccashift
--- a/tests/platform/forwarding_test.cpp
+++ b/tests/platform/forwarding_test.cpp
@@ -20,6 +20,19 @@
         EXPECT_EQ(bytes.find("Connection"), std::string::npos);
     }
 
+    // A field whose name was a part of a listed one was dropped, and comparing names with the whole list took seconds.
+    TEST(AForwardedRequest, DropsTheFieldsThatItsConnectionListsAndNoOthers)
+    {
+        const PlatformCodec codec;
+        const RequestMessage request { "GET", "/x", { { "Host", "a.example" }, { "Connection", "close, X-Trace-Id ,host" }, { "connection", "\tx-second" }, { "X-Trace", "1" }, { "x-trace-ID", "2" }, { "X-Second", "3" }, { "X", "4" } }, {} };
+        const auto bytes = forwardedRequest(request, codec, CallerIdentity::Forwarded, {});
+        EXPECT_NE(bytes.find("X-Trace: 1\r\n"), std::string::npos);
+        EXPECT_NE(bytes.find("X: 4\r\n"), std::string::npos);
+        EXPECT_NE(bytes.find("Host: a.example\r\n"), std::string::npos);
+        EXPECT_EQ(bytes.find("x-trace-ID"), std::string::npos);
+        EXPECT_EQ(bytes.find("X-Second"), std::string::npos);
+    }
+
     // Only an instance may name a server, a deadline or a service to another instance.
     TEST(AForwardedRequest, LacksTheCallersHeadersThatLookLikeThoseOfAHop)
     {
