Leave a server cold that an older entry calls warm

Cause: the first listing of an era, which may be older than what is known, overwrote the time for which a server stays cold. An entry written before its server became cold could also arrive after the server's answer that said so.

Change: while an era begins, that time is never shortened for the same start of a server; nor is it by an entry within two seconds of the server's own answer.

AStoreThatComesBackFromACopy.DoesNotMakeAColdServerWarm and AFleetState.LeavesAServerColdThatJustSaidSoInAnAnswer fail with the change taken out.

--- a/src/yuccashift/fleet/backend_server.hpp
+++ b/src/yuccashift/fleet/backend_server.hpp
@@ -40,6 +40,8 @@
     bool engine = false;
     /** Until this time the server is cold and accepts only a few requests per second. */
     Instant coldUntil {};
+    /** When the server itself last said how long it stays cold; the epoch if it has not. */
+    Instant coldToldAt {};
 };
 
 } // namespace yuccashift
--- a/src/yuccashift/fleet/fleet_state.cpp
+++ b/src/yuccashift/fleet/fleet_state.cpp
@@ -12,6 +12,8 @@
     constexpr Duration removalDelay = seconds(2);
     // A server renews its entry several times before it expires, so that no entry of a living server expires in a shorter outage.
     constexpr Duration minOutage = seconds(1);
+    // Maximum time from the writing of an entry until it is applied, as long as the store can be read.
+    constexpr Duration maxEntryAge = seconds(2);
     // Without news for longer, an instance may be cut off. A watch that waits for changes tells something every two seconds.
     constexpr Duration maxUnconfirmedTime = seconds(5);
     // A store that comes back from a copy holds items that are some seconds old.
@@ -181,6 +183,11 @@
     const auto it = m_servers.find(key);
     const bool known = it != m_servers.end() && it->second.identity == server.identity && it->second.address == server.address;
     server.coldUntil = now + entry.coldFor;
+    // The entry may be older than what the server said before.
+    if (known && (m_beginningEra || now - it->second.coldToldAt < maxEntryAge)) {
+        server.coldUntil = std::max(server.coldUntil, it->second.coldUntil);
+        server.coldToldAt = it->second.coldToldAt;
+    }
     if (m_beginningEra && m_departures.contains(server.identityHash))
         server.draining = true;
     if (server.draining)
@@ -321,8 +328,10 @@
 void FleetState::setCold(const std::string& id, Instant until)
 {
     for (auto& [key, server] : m_servers) {
-        if (server.identity.id == id)
-            server.coldUntil = std::max(server.coldUntil, until);
+        if (server.identity.id != id)
+            continue;
+        server.coldUntil = std::max(server.coldUntil, until);
+        server.coldToldAt = m_clock.now();
     }
 }
 
--- a/tests/fleet/fleet_state_test.cpp
+++ b/tests/fleet/fleet_state_test.cpp
@@ -201,6 +201,23 @@
         EXPECT_FALSE(fleetState.evacuated("annex"));
     }
 
+    // The older copy called a cold server warm, which got its full share of requests and crashed.
+    TEST_F(AStoreThatComesBackFromACopy, DoesNotMakeAColdServerWarm)
+    {
+        publish("s4", "server draft 10.0.0.4:80 hall ready 1 0 4");
+        publish("s4", "server draft 10.0.0.4:80 hall ready 1 3000 4");
+        const auto coldUntil = fleetState.servers().at("s4").coldUntil;
+        clock.advance(milliseconds(1250));
+        auto copy = olderCopy;
+        copy.push_back({ "s4", "server draft 10.0.0.4:80 hall ready 1 0 4", 4 });
+        comeBack(copy);
+        EXPECT_EQ(fleetState.servers().at("s4").coldUntil, coldUntil);
+        // What the server writes itself then holds.
+        const std::vector<ItemChange> rewritten { { "s4", "server draft 10.0.0.4:80 hall ready 1 0 4", 5 } };
+        fleetState.apply(rewritten, 5);
+        EXPECT_LE(fleetState.servers().at("s4").coldUntil, clock.now());
+    }
+
     TEST_F(AStoreThatComesBackFromACopy, KeepsServersUntilTheyShouldHaveBeenWrittenAgain)
     {
         publish("s3", ready);
@@ -231,6 +248,19 @@
         EXPECT_EQ(second.coldUntil, clock.now() + seconds(3));
     }
 
+    // An entry that was written before the server became cold arrived after its answer.
+    TEST_F(AFleetState, LeavesAServerColdThatJustSaidSoInAnAnswer)
+    {
+        publishServers(1);
+        fleetState.setCold("s0", clock.now() + seconds(10));
+        clock.advance(milliseconds(500));
+        publish("s0", "server draft 10.0.0.1:80 hall ready 1 0 4");
+        EXPECT_GT(fleetState.servers().at("s0").coldUntil, clock.now());
+        clock.advance(seconds(2));
+        publish("s0", "server draft 10.0.0.1:80 hall ready 1 0 4 ");
+        EXPECT_LE(fleetState.servers().at("s0").coldUntil, clock.now());
+    }
+
     TEST_F(AFleetState, HasNoServerForAnInvalidEntry)
     {
         publishServers(2);
