Close the connection of a probe after its answer

Cause: the connection went into the server's pool. Health answers name no request, and a nameless answer is refused only after one on the same connection that named its request.

Change: the connection of a probe serves no request.

AProbe.LeavesItsConnectionToNoRequest fails with the change taken out.

--- a/src/yuccashift/entry/server_prober.cpp
+++ b/src/yuccashift/entry/server_prober.cpp
@@ -41,6 +41,8 @@
         request.maxIdleAge = Duration::zero();
         request.bytes = "GET " + path + " HTTP/1.1\r\nHost: " + toString(server.address) + "\r\n" + headers + "\r\n";
         m_outbound = owner.m_core.serverConnections.start(std::move(request), *this);
+        // Health answers name no request, so that a late copy would pass for the answer to the next one on the connection.
+        m_outbound->closeAfterAnswer();
         m_timer.start(probeTimeout, [this] { finish(false, "no answer in time"); });
     }
 
