Bound the parts of prompts that are kept of servers in number

Cause: the parts that a server may have cached were bounded by the server's tokens alone.

Change: parts without tokens are not kept, and all parts together are limited to an eighth of the process's memory, shared alike by the servers. Parts of under 16 tokens may be one in eight and evict each other only.

APrefixCacheEstimator.IsBoundedInEntriesHoweverFewTokensPartsHave and AServerTracker.KeepsABoundedNumberOfPartsOfAllServersTogether use functions that are new here; the estimator before had no limit in number.

--- a/src/yuccashift/dispatch/prefix_cache_estimator.cpp
+++ b/src/yuccashift/dispatch/prefix_cache_estimator.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+    /** A part of fewer tokens counts as small: it saves an engine next to nothing. */
+    constexpr std::uint32_t smallPartTokens = 16;
+    /** Small parts may be one in so many of those that are kept of one engine. */
+    constexpr std::size_t smallPartsDivisor = 8;
+
     std::uint64_t chainKey(std::uint64_t prefixKey, const PromptPart& part)
     {
         return mix64(prefixKey ^ mix64(part.id) ^ part.tokens);
@@ -24,36 +29,51 @@
     std::uint32_t tokens = 0;
     for (const auto& part : parts) {
         key = chainKey(key, part);
-        if (!m_entries.contains(key))
+        if (part.tokens > 0 && !m_entries.contains(key))
             break;
         tokens += part.tokens;
     }
     return tokens;
 }
 
-void PrefixCacheEstimator::onPrefill(std::span<const PromptPart> parts)
+void PrefixCacheEstimator::onPrefill(std::span<const PromptPart> parts, std::size_t maxParts)
 {
     std::uint64_t key = 0;
     for (const auto& part : parts) {
         key = chainKey(key, part);
+        if (part.tokens == 0)
+            continue;
+        auto& lru = listOf(part.tokens);
         if (const auto it = m_entries.find(key); it != m_entries.end()) {
-            m_lru.splice(m_lru.begin(), m_lru, it->second);
+            lru.splice(lru.begin(), lru, it->second);
             continue;
         }
-        m_lru.push_front({ key, part.tokens });
-        m_entries[key] = m_lru.begin();
+        lru.push_front({ key, part.tokens });
+        m_entries[key] = lru.begin();
         m_tokens += part.tokens;
     }
-    while (m_tokens > m_maxTokens && !m_lru.empty()) {
-        m_tokens -= m_lru.back().tokens;
-        m_entries.erase(m_lru.back().key);
-        m_lru.pop_back();
-    }
+    while (m_small.size() > maxParts / smallPartsDivisor)
+        evictLast(m_small);
+    while (!m_entries.empty() && (m_tokens > m_maxTokens || m_entries.size() > maxParts))
+        evictLast(m_lru.empty() ? m_small : m_lru);
+}
+
+PrefixCacheEstimator::Lru& PrefixCacheEstimator::listOf(std::uint32_t tokens)
+{
+    return tokens < smallPartTokens ? m_small : m_lru;
+}
+
+void PrefixCacheEstimator::evictLast(Lru& lru)
+{
+    m_tokens -= lru.back().tokens;
+    m_entries.erase(lru.back().key);
+    lru.pop_back();
 }
 
 void PrefixCacheEstimator::clear()
 {
     m_lru.clear();
+    m_small.clear();
     m_entries.clear();
     m_tokens = 0;
 }
--- a/src/yuccashift/dispatch/server_tracker.cpp
+++ b/src/yuccashift/dispatch/server_tracker.cpp
@@ -112,7 +112,7 @@
     if (!send.work.parts.empty()) {
         if (!record.prefixes)
             record.prefixes.emplace(send.memoryTokens);
-        record.prefixes->onPrefill(send.work.parts);
+        record.prefixes->onPrefill(send.work.parts, m_maxPrefixParts / m_records.size());
     }
     return ticket;
 }
--- a/src/yuccashift/dispatch/server_tracker.hpp
+++ b/src/yuccashift/dispatch/server_tracker.hpp
@@ -143,6 +143,8 @@
 public:
     explicit ServerTracker(const Clock&);
 
+    /** Sets how many parts of prompts are kept of all servers together. */
+    void setMaxPrefixParts(std::size_t count) { m_maxPrefixParts = count; }
     /** What the servers asked of the instances that send to them. */
     ServerConstraints& constraints() { return m_constraints; }
     const ServerConstraints& constraints() const { return m_constraints; }
@@ -212,6 +214,7 @@
     ServerConstraints m_constraints;
     ServerObservations m_observations;
     std::unordered_map<std::uint64_t, Record> m_records;
+    std::size_t m_maxPrefixParts = PrefixCacheEstimator::defaultMaxParts;
     std::map<InstanceId, std::map<std::uint64_t, ServerLoadSum>> m_peerLoads;
     /** Servers of which each other instance has reported as their owner. */
     std::map<InstanceId, std::vector<std::uint64_t>> m_reportedServers;
--- a/src/yuccashift/entry/entry_core.cpp
+++ b/src/yuccashift/entry/entry_core.cpp
@@ -4,6 +4,13 @@
 
 namespace yuccashift {
 
+namespace {
+
+    /** Share of the process's memory for what is known of the prompts that servers hold. */
+    constexpr std::size_t prefixMemoryDivisor = 8;
+
+} // namespace
+
 ProtocolCodec::~ProtocolCodec() = default;
 
 EntryCore::EntryCore(boost::asio::io_context& ioContext, const Clock& nodeClock, EntrySettings nodeSettings, const ProtocolCodec& wireDialect, const ItemDecoder& decoder, std::unique_ptr<RandomSource> randomSource)
@@ -27,6 +34,7 @@
     , acceptance(clock, fleetState, serverTracker, planner, promptDemand)
     , requestRecorder(metrics)
 {
+    serverTracker.setMaxPrefixParts(settings.memoryBytes / prefixMemoryDivisor / PrefixCacheEstimator::bytesPerPart);
 }
 
 } // namespace yuccashift
--- a/tests/dispatch/server_tracker_test.cpp
+++ b/tests/dispatch/server_tracker_test.cpp
@@ -180,6 +180,52 @@
         EXPECT_EQ(estimator.cachedTokens(second), 500u);
     }
 
+    // Prompts of parts without tokens, no two alike, made the process exceed the memory of its machine.
+    TEST_F(APrefixCacheEstimator, IsBoundedInEntriesHoweverFewTokensPartsHave)
+    {
+        const std::vector<PromptPart> sound { { 1, 500 }, { 2, 1500 } };
+        constexpr std::size_t partsEach = 64;
+        constexpr std::uint64_t prompts = 20000;
+        constexpr std::size_t maxParts = 4096;
+        estimator.onPrefill(sound);
+        for (const std::uint32_t tokens : { 0, 1, 15 }) {
+            for (std::uint64_t n = 0; n < prompts; ++n) {
+                std::vector<PromptPart> parts;
+                for (std::uint64_t part = 0; part < partsEach; ++part)
+                    parts.push_back({ 1000 + n * partsEach + part, tokens });
+                estimator.onPrefill(parts, maxParts);
+                ASSERT_LE(estimator.size(), maxParts);
+            }
+            // They do not evict the prefixes that engines save by.
+            EXPECT_EQ(estimator.cachedTokens(sound), 2000u) << tokens;
+        }
+    }
+
+    TEST_F(AServerTracker, KeepsABoundedNumberOfPartsOfAllServersTogether)
+    {
+        constexpr std::size_t maxParts = 1000;
+        constexpr std::uint64_t servers = 10;
+        tracker.setMaxPrefixParts(maxParts);
+        for (std::uint64_t n = 0; n < 40000; ++n) {
+            WorkSize prompt;
+            prompt.parts = { { 2 * n, 20 }, { 2 * n + 1, 30 } };
+            tracker.onSend(1 + n % servers, { prompt, 0, milliseconds(100), 1.0, true, std::uint64_t { 1 } << 30 });
+        }
+        std::size_t sum = 0;
+        for (std::uint64_t it = 1; it <= servers; ++it)
+            sum += tracker.prefixCacheOf(it)->size();
+        EXPECT_GT(sum, maxParts / 2);
+        EXPECT_LE(sum, maxParts);
+    }
+
+    TEST_F(APrefixCacheEstimator, LooksPastAPartWithoutTokens)
+    {
+        const std::vector<PromptPart> parts { { 1, 500 }, { 2, 0 }, { 3, 700 } };
+        estimator.onPrefill(parts);
+        EXPECT_EQ(estimator.cachedTokens(parts), 1200u);
+        EXPECT_EQ(estimator.cachedTokens(std::vector<PromptPart> { { 1, 500 }, { 4, 0 }, { 3, 700 } }), 500u);
+    }
+
     TEST_F(APrefixCacheEstimator, EvictsTheLeastRecentlyUsedBeyondItsLimit)
     {
         estimator.onPrefill(first);
