Limit the reports that yuccashiftd reads of engines to 1 MiB

What callers saw: nothing yet. A faulty engine's report was read up to 8 MiB, and its parsed form takes many times that of yuccashiftd's memory.

Cause: engines shared the limit of the configuration service.

Change: a limit of their own.

--- a/src/yuccashift/ports/http_platform.cpp
+++ b/src/yuccashift/ports/http_platform.cpp
@@ -9,15 +9,17 @@
 
 namespace {
 
-    constexpr std::size_t maxBodyBytes = 8 << 20;
+    /** Limits on the answers of the configuration service and the instance list, and on those of engines, in bytes. */
+    constexpr std::size_t maxPlatformAnswerBytes = 8 << 20;
+    constexpr std::size_t maxEngineAnswerBytes = 1 << 20;
     constexpr int httpOk = 200;
     constexpr int httpConflict = 409;
 
-    /** Calls the platform or an engine. Returns the body if the status is 200, BackendRefused for 409 and Internal for other statuses. */
-    asio::awaitable<Result<std::string>> call(BackendClient& client, const Clock& clock, Endpoint endpoint, RequestMessage request, Duration timeout)
+    /** Calls the platform or, with a smaller limit on the answer, an engine. Returns the body if the status is 200, BackendRefused for 409 and Internal for other statuses. */
+    asio::awaitable<Result<std::string>> call(BackendClient& client, const Clock& clock, Endpoint endpoint, RequestMessage request, Duration timeout, std::size_t maxBytes = maxPlatformAnswerBytes)
     {
         BackendCall call { std::move(endpoint), std::move(request), clock.now() + timeout, timeout, timeout, false };
-        auto answer = co_await sendAndCollect(client, std::move(call), maxBodyBytes);
+        auto answer = co_await sendAndCollect(client, std::move(call), maxBytes);
         if (!answer)
             co_return tl::unexpected(std::move(answer.error()));
         if (answer->head.status == httpConflict)
@@ -97,21 +99,21 @@
         asio::awaitable<Result<LoadReport>> load(Endpoint endpoint) override
         {
             RequestMessage request { "GET", "/v1/load", {}, {} };
-            const auto body = co_await call(m_client, m_clock, std::move(endpoint), std::move(request), platformTimeout);
+            const auto body = co_await call(m_client, m_clock, std::move(endpoint), std::move(request), platformTimeout, maxEngineAnswerBytes);
             co_return body.and_then([](const std::string& text) { return detail::parseLoadReport(text); });
         }
 
         asio::awaitable<Result<std::vector<CacheEvent>>> cacheEvents(Endpoint endpoint, std::uint64_t after) override
         {
             RequestMessage request { "GET", "/v1/cache-events?after=" + std::to_string(after), {}, {} };
-            const auto body = co_await call(m_client, m_clock, std::move(endpoint), std::move(request), platformTimeout);
+            const auto body = co_await call(m_client, m_clock, std::move(endpoint), std::move(request), platformTimeout, maxEngineAnswerBytes);
             co_return body.and_then([](const std::string& text) { return detail::parseCacheEvents(text); });
         }
 
         asio::awaitable<Result<void>> order(Endpoint endpoint, EngineOrder order) override
         {
             RequestMessage request { "POST", "/v1/orders", { { "Content-Type", "application/json" } }, detail::formatOrder(order) };
-            const auto body = co_await call(m_client, m_clock, std::move(endpoint), std::move(request), platformTimeout);
+            const auto body = co_await call(m_client, m_clock, std::move(endpoint), std::move(request), platformTimeout, maxEngineAnswerBytes);
             if (!body)
                 co_return tl::unexpected(body.error());
             co_return Result<void> {};
--- a/tests/contracts/backend_client_test.cpp
+++ b/tests/contracts/backend_client_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/support/scripted_server.hpp"
 #include "tests/support/socket_option.hpp"
 #include "yuccashift/http/backend_client.hpp"
+#include "yuccashift/ports/http_platform.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/read.hpp>
@@ -159,6 +160,19 @@
         EXPECT_EQ(answer.error().kind, ErrorKind::AnswerIncomplete);
     }
 
+    // An engine's report was read up to 8 MiB, and its parsed form takes many times that.
+    TEST_F(ABackendConnection, ToAnEngineFailsWhenItsReportIsLargerThanAnyEnginesIs)
+    {
+        const ScriptedServer engine([](ScriptedConnection& connection) {
+            if (connection.readRequest())
+                connection.write(okAnswer("{}" + std::string(std::size_t { 2 } << 20, ' ')));
+        });
+        const auto control = makeHttpEngineControl(*client, clock);
+        const auto report = await(control->load(engine.endpoint()));
+        ASSERT_FALSE(report);
+        EXPECT_EQ(report.error().kind, ErrorKind::AnswerIncomplete);
+    }
+
     TEST_F(ABackendConnection, ThatCannotBeOpenedMeansThatNothingRan)
     {
         Endpoint closedEndpoint;
