Let clang read the new sources

clang 14 knows no aggregates in parentheses and no std::ranges::rotate here; the linter wants another case for a class. No change of behaviour.

--- a/fuzzing/soak/removals.cpp
+++ b/fuzzing/soak/removals.cpp
@@ -142,7 +142,7 @@
             for (auto* it : leaving)
                 leave(*it);
             // Another order the next time.
-            std::ranges::rotate(m_servers, m_servers.begin() + 1);
+            std::rotate(m_servers.begin(), m_servers.begin() + 1, m_servers.end());
         }
 
         void checkRemoved()
--- a/src/yuccashift/fleet/fleet_state.cpp
+++ b/src/yuccashift/fleet/fleet_state.cpp
@@ -266,7 +266,7 @@
 void FleetState::deferRemoval(const std::string& key, Instant learnedAt)
 {
     const auto due = std::min(m_removalsDeferredUntil, learnedAt + removalDelay);
-    m_deferredRemovals.try_emplace(key, due, learnedAt, m_deferralReason);
+    m_deferredRemovals.try_emplace(key, DeferredRemoval { due, learnedAt, m_deferralReason });
     ++m_deferralCounts.at(static_cast<std::size_t>(m_deferralReason));
     logInfo("removal deferred", { { "key", key }, { "reason", toString(m_deferralReason) }, { "for_ms", toMilliseconds(due - m_clock.now()) } });
 }
--- a/src/yuccashift/http/detail/answer_body.hpp
+++ b/src/yuccashift/http/detail/answer_body.hpp
@@ -12,10 +12,10 @@
 struct AnswerBody {
     using value_type = std::string;
 
-    class reader {
+    class Reader {
     public:
         template <bool isRequest, typename Fields>
-        reader(boost::beast::http::header<isRequest, Fields>&, value_type& body)
+        Reader(boost::beast::http::header<isRequest, Fields>&, value_type& body)
             : m_body(body)
         {
         }
@@ -37,6 +37,7 @@
     private:
         value_type& m_body;
     };
+    using reader = Reader;
 };
 
 } // namespace yuccashift::detail
--- a/tests/entry/snapshot_exchange_test.cpp
+++ b/tests/entry/snapshot_exchange_test.cpp
@@ -38,6 +38,7 @@
         RemovalsToldOn()
         {
             std::vector<ItemChange> listing;
+            listing.reserve(6);
             for (int n = 0; n < 6; ++n)
                 listing.push_back({ "s" + std::to_string(n), "server draft 10.0.0.1:80 hall ready 1 0 4", n + 1 });
             for (auto* it : { &first, &second, &third })
@@ -46,6 +47,7 @@
         void removeMost(FleetState& fleet)
         {
             std::vector<ItemChange> changes;
+            changes.reserve(4);
             for (int n = 0; n < 4; ++n)
                 changes.push_back({ "s" + std::to_string(n), std::nullopt, known + n + 1 });
             fleet.apply(changes, known + 4);
