--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <thread>
 
 namespace yuccashift::platform {
@@ -25,7 +26,11 @@
         {
         }
         void onChanges(const std::vector<ItemChange>& it, const StorePosition&) override { changes += static_cast<int>(it.size()); }
-        void onListing(const std::vector<ItemChange>&, const StorePosition&) override { ++listings; }
+        void onListing(const std::vector<ItemChange>& it, const StorePosition&) override
+        {
+            ++listings;
+            items = static_cast<int>(it.size());
+        }
         void onCurrent(const StorePosition&) override
         {
             if (--positions == 0)
@@ -44,6 +49,8 @@
         int positions;
         int changes = 0;
         int listings = 0;
+        /** In the last listing. */
+        int items = 0;
         int unreachable = 0;
         int reachable = 0;
         bool stopsWhenUnreachable = false;
@@ -63,6 +70,13 @@
             return true;
         }
 
+        static long peakKilobytes()
+        {
+            rusage used {};
+            ::getrusage(RUSAGE_SELF, &used);
+            return used.ru_maxrss;
+        }
+
         void read(const ScriptedServer& server, Listener& listener)
         {
             const auto reader = makeStoreClient(io, clock, server.endpoint());
@@ -111,6 +125,42 @@
         EXPECT_EQ(listener.unreachable, 1);
     }
 
+    // An answer of 16 MiB took over 400 MB when it was parsed, which ended the process.
+    TEST_F(AStoreReader, KeepsWithinItsMemoryWhenAnAnswerHasMillionsOfSmallValues)
+    {
+        constexpr std::size_t values = 7'000'000;
+        constexpr long maxKilobytes = 96 * 1024;
+        std::string body = R"({"items":[)";
+        for (std::size_t n = 0; n < values; ++n)
+            body += "0,";
+        body += "0],\"hasMore\":false,\"at\":5}";
+        const ScriptedServer server([&](ScriptedConnection& it) {
+            if (!it.readRequest())
+                return;
+            if (it.number() == 1)
+                it.write(answer(200, body));
+            else
+                answerAtOnce(it);
+        });
+        const auto before = peakKilobytes();
+        Listener listener(io, 1);
+        read(server, listener);
+        EXPECT_EQ(listener.listings, 1);
+        EXPECT_LT(peakKilobytes() - before, maxKilobytes);
+    }
+
+    TEST_F(AStoreReader, ReadsTheItemsBesideThoseThatItCannotRead)
+    {
+        const ScriptedServer server([](ScriptedConnection& it) {
+            if (it.readRequest())
+                it.write(answer(200, R"({"items":[7,{"key":"servers/a","value":"eA==","revision":3},{"key":1}],"hasMore":false,"at":5})"));
+        });
+        Listener listener(io, 1);
+        read(server, listener);
+        EXPECT_EQ(listener.listings, 1);
+        EXPECT_EQ(listener.items, 1);
+    }
+
     // The reader reserved the announced length, which ended the process.
     TEST_F(AStoreReader, SurvivesAnAnswerThatAnnouncesALengthThatNoMemoryHolds)
     {
