--- a/standins/common/http_server.cpp
+++ b/standins/common/http_server.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/http/write.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <charconv>
 #include <iostream>
 
 namespace standins {
@@ -32,6 +33,14 @@
     constexpr std::size_t minUploadBytes = 1UL << 20;
     constexpr unsigned httpVersion11 = 11;
 
+    std::size_t announcedLength(const http::request<http::string_body>& request)
+    {
+        const auto text = request[http::field::content_length];
+        std::size_t length = 0;
+        std::from_chars(text.data(), text.data() + text.size(), length);
+        return length;
+    }
+
     http::response<http::string_body> toResponse(Answer answer, bool keepAlive)
     {
         http::response<http::string_body> response(http::int_to_status(answer.status), httpVersion11);
@@ -270,7 +279,7 @@
             http::request_parser<http::string_body> parser;
             parser.body_limit(maxBodyBytes);
             co_await http::async_read_header(stream, buf, parser, net::use_awaitable);
-            if (m_state.uploadsToReset > 0 && parser.content_length_remaining().value_or(0) > minUploadBytes) {
+            if (m_state.uploadsToReset > 0 && announcedLength(parser.get()) > minUploadBytes) {
                 --m_state.uploadsToReset;
                 co_return co_await answerEarlyAndReset(stream);
             }
