--- a/review/standins-3/harness.cpp
+++ b/review/standins-3/harness.cpp
@@ -477,8 +477,6 @@
 
 awaitable<void> Worker::handle(std::shared_ptr<Connection> connection, Request request)
 {
-    if (std::getenv("DEBUG_WORKERS"))
-        m_lab.record.note("arrival at " + m_id + " " + std::string(request["X-Attempt-Id"]) + " " + std::string(request.target()) + " running " + std::to_string(running) + " waiting " + std::to_string(waiting));
     if (onArrival)
         onArrival(*this, request);
     const bool health = request.target() == "/health";
